Shared interfaces, kernel and wire protocol

Found on the way: the race detector showed a connection accepted after Server.Close had taken its list of open connections; it was then never closed. TestLostConnectionIsBroken failed with it; serveConn now refuses under the same lock.

--- /dev/null
+++ b/structs/doc.go
@@ -0,0 +1,6 @@
+// Package structs holds the types that every other package shares: the
+// identifiers, the refusals that callers see, the calls and turns of a
+// program, and the messages between gateways and schedulers.
+//
+// But for Now, the package has no clock, no goroutine and no I/O.
+package structs
--- /dev/null
+++ b/wire/client.go
@@ -0,0 +1,153 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sync/singleflight"
+)
+
+// Client sends requests to any number of peers over one connection each, which
+// it opens when it is first needed.
+type Client struct {
+	opts  Options
+	dials singleflight.Group
+
+	mu     sync.Mutex
+	conns  map[string]*clientConn
+	closed bool
+}
+
+// NewClient makes a client without connections.
+func NewClient(opts Options) *Client {
+	return &Client{opts: opts, conns: make(map[string]*clientConn)}
+}
+
+// Call sends a request and decodes its only reply into out. Its errors are
+// *NotSentError, *BrokenError, *structs.Refusal and ctx.Err().
+func (c *Client) Call(ctx context.Context, addr, method string, in, out any) error {
+	stream, err := c.Stream(ctx, addr, method, in)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	err = stream.Recv(out)
+	if err == io.EOF {
+		return &BrokenError{Addr: addr, Cause: io.ErrUnexpectedEOF}
+	}
+	return err
+}
+
+// Stream sends a request whose replies are read with Recv.
+func (c *Client) Stream(ctx context.Context, addr, method string, in any) (*Stream, error) {
+	body, err := msgpack.Marshal(in)
+	if err != nil {
+		return nil, &NotSentError{Addr: addr, Cause: errors.Wrap(err, "encode request")}
+	}
+	req := request{Method: method, Body: body}
+	if deadline, ok := ctx.Deadline(); ok {
+		req.Timeout = time.Until(deadline)
+	}
+	whole, err := msgpack.Marshal(&req)
+	if err != nil {
+		return nil, &NotSentError{Addr: addr, Cause: errors.Wrap(err, "encode request")}
+	}
+	if len(whole) > c.opts.maxFrame() {
+		return nil, &NotSentError{Addr: addr, Cause: &TooLargeError{Length: uint64(len(whole)), Max: uint64(c.opts.maxFrame())}}
+	}
+	peer, err := c.peer(ctx, addr)
+	if err != nil {
+		return nil, &NotSentError{Addr: addr, Cause: err}
+	}
+	return peer.open(ctx, whole)
+}
+
+func (c *Client) peer(ctx context.Context, addr string) (*clientConn, error) {
+	c.mu.Lock()
+	peer, closed := c.conns[addr], c.closed
+	c.mu.Unlock()
+	if closed {
+		return nil, &ClosedError{}
+	}
+	if peer != nil {
+		return peer, nil
+	}
+	dialed := c.dials.DoChan(addr, func() (any, error) { return c.dial(addr) })
+	select {
+	case result := <-dialed:
+		if result.Err != nil {
+			return nil, result.Err
+		}
+		return result.Val.(*clientConn), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (c *Client) dial(addr string) (*clientConn, error) {
+	c.mu.Lock()
+	peer := c.conns[addr]
+	c.mu.Unlock()
+	if peer != nil {
+		return peer, nil
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	var nc net.Conn
+	var err error
+	if c.opts.TLS != nil {
+		nc, err = tls.DialWithDialer(dialer, "tcp", addr, c.opts.TLS)
+	} else {
+		nc, err = dialer.Dial("tcp", addr)
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	return c.adopt(addr, nc)
+}
+
+func (c *Client) adopt(addr string, nc net.Conn) (*clientConn, error) {
+	peer := &clientConn{addr: addr, streams: make(map[uint64]*Stream)}
+	peer.conn = newConn(nc, c.opts.maxFrame(), peer.handle, func() {
+		c.drop(addr, peer)
+		peer.failAll()
+	})
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		nc.Close()
+		return nil, &ClosedError{}
+	}
+	c.conns[addr] = peer
+	c.mu.Unlock()
+	peer.conn.start()
+	return peer, nil
+}
+
+func (c *Client) drop(addr string, peer *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[addr] == peer {
+		delete(c.conns, addr)
+	}
+}
+
+// Close closes all connections; open streams fail with *BrokenError.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	open := make([]*clientConn, 0, len(c.conns))
+	for _, peer := range c.conns {
+		open = append(open, peer)
+	}
+	c.mu.Unlock()
+	for _, peer := range open {
+		peer.conn.close(&ClosedError{})
+		peer.conn.group.Wait()
+	}
+}
--- /dev/null
+++ b/wire/errors.go
@@ -0,0 +1,78 @@
+package wire
+
+import "fmt"
+
+// VersionError says that a peer speaks another protocol version.
+type VersionError struct{ Have byte }
+
+// Error names both versions.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("wire protocol version %d is not %d", e.Have, Version)
+}
+
+// MalformedError says that a field of a frame header has no meaning.
+type MalformedError struct {
+	Field string
+	Value uint64
+}
+
+// Error names the field.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("wire frame field %s has value %d", e.Field, e.Value)
+}
+
+// TooLargeError says that a frame's body exceeds the bound.
+type TooLargeError struct{ Length, Max uint64 }
+
+// Error names both sizes.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("wire frame of %d bytes exceeds %d", e.Length, e.Max)
+}
+
+// NotSentError says that no byte of a request left for the peer.
+type NotSentError struct {
+	Addr  string
+	Cause error
+}
+
+// Error names the peer.
+func (e *NotSentError) Error() string {
+	return fmt.Sprintf("request to %s not sent: %v", e.Addr, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// BrokenError says that a request was sent and that its reply was cut.
+type BrokenError struct {
+	Addr  string
+	Cause error
+}
+
+// Error names the peer.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("reply from %s cut: %v", e.Addr, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error { return e.Cause }
+
+// ClosedError says that a connection, client or server was closed.
+type ClosedError struct{}
+
+// Error says so.
+func (e *ClosedError) Error() string { return "wire connection closed" }
+
+// HalfTLSError says that only a part of the TLS settings is given.
+type HalfTLSError struct{ Missing string }
+
+// Error names the missing setting.
+func (e *HalfTLSError) Error() string {
+	return fmt.Sprintf("TLS is half set: %s is missing", e.Missing)
+}
+
+// BadCAError says that a CA file holds no certificate.
+type BadCAError struct{ File string }
+
+// Error names the file.
+func (e *BadCAError) Error() string { return fmt.Sprintf("no certificate in CA file %q", e.File) }
--- /dev/null
+++ b/wire/server.go
@@ -0,0 +1,173 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// request is the body of a frameRequest.
+type request struct {
+	Method  string             `msgpack:"m"`
+	Timeout time.Duration      `msgpack:"t"` // 0 means none
+	Body    msgpack.RawMessage `msgpack:"b"`
+}
+
+// Request is one request as a Handler sees it.
+type Request struct {
+	Method string
+	Peer   string // remote address
+	body   []byte
+}
+
+// Decode decodes the request's body into v. A body of another shape is a
+// refusal.
+func (r *Request) Decode(v any) error {
+	if err := msgpack.Unmarshal(r.body, v); err != nil {
+		return structs.Refuse(structs.RefusedBadRequest, structs.RunNo, "%s: %v", r.Method, err)
+	}
+	return nil
+}
+
+// Handler serves one request and may send any number of replies. A returned
+// *structs.Refusal reaches the caller as it is; any other error becomes a
+// refusal with run unknown. Its context ends with the request's deadline, a
+// cancel by the caller, or the connection.
+type Handler func(ctx context.Context, req *Request, out *ReplyWriter) error
+
+// Server serves the requests of many connections.
+type Server struct {
+	opts     Options
+	mu       sync.Mutex
+	handlers map[string]Handler
+	conns    map[*conn]struct{}
+	listener net.Listener
+	draining bool
+	closed   bool
+	requests sync.WaitGroup
+}
+
+// NewServer makes a server without handlers.
+func NewServer(opts Options) *Server {
+	return &Server{opts: opts, handlers: make(map[string]Handler), conns: make(map[*conn]struct{})}
+}
+
+// Handle sets the handler of a method. It is called before Serve.
+func (s *Server) Handle(method string, h Handler) { s.handlers[method] = h }
+
+// Unary sets a handler that gives exactly one reply.
+func Unary[In, Out any](s *Server, method string, h func(ctx context.Context, in In) (Out, error)) {
+	s.Handle(method, func(ctx context.Context, req *Request, out *ReplyWriter) error {
+		var in In
+		if err := req.Decode(&in); err != nil {
+			return err
+		}
+		reply, err := h(ctx, in)
+		if err != nil {
+			return err
+		}
+		return out.Send(reply)
+	})
+}
+
+// Serve accepts connections until Close or Drain.
+func (s *Server) Serve(listener net.Listener) error {
+	if s.opts.TLS != nil {
+		listener = tls.NewListener(listener, s.opts.TLS)
+	}
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
+	for {
+		nc, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept")
+		}
+		s.serveConn(nc)
+	}
+}
+
+func (s *Server) serveConn(nc net.Conn) {
+	session := &serverConn{server: s, running: make(map[uint64]*ReplyWriter)}
+	ctx, cancel := context.WithCancel(context.Background())
+	session.ctx = ctx
+	session.conn = newConn(nc, s.opts.maxFrame(), session.handle, func() {
+		cancel()
+		s.forget(session.conn)
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		cancel()
+		nc.Close()
+		return
+	}
+	s.conns[session.conn] = struct{}{}
+	session.conn.start()
+}
+
+func (s *Server) forget(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// Drain refuses new requests with run no and waits until the running ones have
+// ended or ctx has. Connections stay open.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		s.requests.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close closes the listener and all connections, and waits for the handlers.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.draining, s.closed = true, true
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	open := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		open = append(open, c)
+	}
+	s.mu.Unlock()
+	for _, c := range open {
+		c.close(&ClosedError{})
+		c.group.Wait()
+	}
+	s.requests.Wait()
+	return nil
+}
+
+// admit counts a request in, or refuses it while draining.
+func (s *Server) admit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.requests.Add(1)
+	return true
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,173 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+func startServer(t *testing.T, setup func(*Server)) (string, *Server) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewServer(Options{MaxFrame: 1 << 20})
+	setup(server)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		assert.NilError(t, server.Close())
+		assert.NilError(t, <-done)
+	})
+	return listener.Addr().String(), server
+}
+
+func TestCallAndRefusal(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("pair", func(t *testing.T) {
+		addr, _ := startServer(t, func(s *Server) {
+			Unary(s, "double", func(_ context.Context, n int) (int, error) {
+				if n < 0 {
+					return 0, structs.Refuse(structs.RefusedBadRequest, structs.RunNo, "negative")
+				}
+				return 2 * n, nil
+			})
+		})
+		client := NewClient(Options{})
+		defer client.Close()
+		var out int
+		assert.NilError(t, client.Call(t.Context(), addr, "double", 21, &out))
+		assert.Equal(t, out, 42)
+		var refusal *structs.Refusal
+		assert.Assert(t, errors.As(client.Call(t.Context(), addr, "double", -1, &out), &refusal))
+		assert.Equal(t, refusal.Kind, structs.RefusedBadRequest)
+		assert.Assert(t, errors.As(client.Call(t.Context(), addr, "absent", 1, &out), &refusal))
+		assert.Equal(t, refusal.Kind, structs.RefusedNotFound)
+	})
+}
+
+// A slow consumer of one stream holds up neither its connection's other
+// streams nor loses any of its own replies.
+func TestSlowStreamKeepsAllReplies(t *testing.T) {
+	const replies = 10 * streamCredits
+	addr, _ := startServer(t, func(s *Server) {
+		s.Handle("count", func(_ context.Context, _ *Request, out *ReplyWriter) error {
+			for i := range replies {
+				if err := out.Send(i); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+		Unary(s, "echo", func(_ context.Context, n int) (int, error) { return n, nil })
+	})
+	client := NewClient(Options{})
+	defer client.Close()
+	stream, err := client.Stream(t.Context(), addr, "count", 0)
+	assert.NilError(t, err)
+	var out int
+	assert.NilError(t, client.Call(t.Context(), addr, "echo", 7, &out))
+	for i := range replies {
+		assert.NilError(t, stream.Recv(&out))
+		assert.Equal(t, out, i)
+	}
+	assert.Equal(t, stream.Recv(&out), io.EOF)
+}
+
+func TestCancelAndDrain(t *testing.T) {
+	entered := make(chan struct{})
+	addr, server := startServer(t, func(s *Server) {
+		s.Handle("wait", func(ctx context.Context, _ *Request, _ *ReplyWriter) error {
+			close(entered)
+			<-ctx.Done()
+			return ctx.Err()
+		})
+	})
+	client := NewClient(Options{})
+	defer client.Close()
+	stream, err := client.Stream(t.Context(), addr, "wait", 0)
+	assert.NilError(t, err)
+	<-entered
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, server.Drain(ctx), context.DeadlineExceeded)
+	var refusal *structs.Refusal
+	assert.Assert(t, errors.As(client.Call(t.Context(), addr, "wait", 0, nil), &refusal))
+	assert.Equal(t, refusal.Run, structs.RunNo)
+	assert.NilError(t, stream.Close())
+	assert.NilError(t, server.Drain(t.Context()))
+}
+
+func TestLostConnectionIsBroken(t *testing.T) {
+	addr, server := startServer(t, func(s *Server) {
+		s.Handle("wait", func(ctx context.Context, _ *Request, _ *ReplyWriter) error {
+			<-ctx.Done()
+			return ctx.Err()
+		})
+	})
+	client := NewClient(Options{})
+	defer client.Close()
+	stream, err := client.Stream(t.Context(), addr, "wait", 0)
+	assert.NilError(t, err)
+	go server.Close()
+	var broken *BrokenError
+	assert.Assert(t, errors.As(stream.Recv(nil), &broken))
+}
+
+func TestNothingListensIsNotSent(t *testing.T) {
+	client := NewClient(Options{})
+	defer client.Close()
+	var notSent *NotSentError
+	assert.Assert(t, errors.As(client.Call(t.Context(), "127.0.0.1:1", "x", 0, nil), &notSent))
+}
+
+func TestBadFramesCloseOnlyTheirConnection(t *testing.T) {
+	addr, _ := startServer(t, func(s *Server) {
+		Unary(s, "echo", func(_ context.Context, n int) (int, error) { return n, nil })
+	})
+	bad := map[string][]byte{
+		"version":  append([]byte{9}, make([]byte, headerSize-1)...),
+		"kind":     append([]byte{Version, 99}, make([]byte, headerSize-2)...),
+		"reserved": append([]byte{Version, 1, 1}, make([]byte, headerSize-3)...),
+		"too long": {Version, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0xff, 0xff, 0xff, 0xff},
+		"body":     appendFrame(nil, frame{kind: frameRequest, stream: 1, body: []byte{0xc1}}),
+	}
+	for name, data := range bad {
+		t.Run(name, func(t *testing.T) {
+			nc, err := net.Dial("tcp", addr)
+			assert.NilError(t, err)
+			defer nc.Close()
+			_, err = nc.Write(data)
+			assert.NilError(t, err)
+			_, err = io.ReadAll(nc)
+			assert.NilError(t, err)
+		})
+	}
+	client := NewClient(Options{})
+	defer client.Close()
+	var out int
+	assert.NilError(t, client.Call(t.Context(), addr, "echo", 7, &out))
+	assert.Equal(t, out, 7)
+}
+
+func FuzzReadFrame(f *testing.F) {
+	f.Add(appendFrame(nil, frame{kind: frameRequest, stream: 1, body: []byte("body")}))
+	f.Add([]byte{Version, 1, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, err := readFrame(bytes.NewReader(data), 1<<10)
+		if err != nil {
+			return
+		}
+		again, err := readFrame(bytes.NewReader(appendFrame(nil, got)), 1<<10)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again.body, got.body)
+	})
+}
