--- a/config/doc.go
+++ b/config/doc.go
@@ -2,5 +2,6 @@
 // services and routes. It reads a base file and a site overlay, merges and
 // checks them, and gives daemons an immutable snapshot per version.
 //
-// The package has no clock, no goroutine and no I/O but for reading files.
+// Snapshot and Holder have no clock, goroutine or I/O. Store keeps the versions
+// in the platform's table.
 package config
--- a/config/document.go
+++ b/config/document.go
@@ -7,12 +7,18 @@
 
 // Document is the merged operators' document. Names are the keys of its maps.
 type Document struct {
+	Domains  map[structs.DomainID]Domain   `json:"domains"`
 	Accounts map[structs.AccountID]Account `json:"accounts"`
 	Programs map[string]Program            `json:"programs"`
 	Services map[structs.ServiceID]Service `json:"services"`
 	Routes   map[string]Route              `json:"routes"`
 }
 
+// Domain is a failure domain of the site.
+type Domain struct {
+	Region string `json:"region"`
+}
+
 // Account is a client account. Rate and Burst count admitted requests over
 // the whole fleet.
 type Account struct {
@@ -67,6 +73,7 @@
 	Protocol    string           `json:"protocol"` // "engine" or "plain"
 	ChecksFence bool             `json:"checks_fence"`
 	MaxInFlight int              `json:"max_in_flight,omitempty"` // 0 lets the scheduler learn it
+	Drain       bool             `json:"drain,omitempty"`         // gets no new work
 }
 
 // Route gives direct access to a plain service without a program.
--- /dev/null
+++ b/config/store.go
@@ -0,0 +1,254 @@
+package config
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/platform"
+)
+
+// Rows of the platform's table.
+const (
+	RowCurrent       = "config/current"
+	RowVersionPrefix = "config/version/"
+	RowInForcePrefix = "config/inforce/"
+)
+
+const (
+	attemptBytes = 16
+	// publishTries bounds how often a transaction without an answer is sent.
+	publishTries = 4
+	publishPause = 200 * time.Millisecond
+	// keptVersions is how many versions can be shown and rolled back to.
+	keptVersions = 500
+)
+
+// VersionInfo describes a stored version.
+type VersionInfo struct {
+	Version uint64    `json:"version"`
+	Author  string    `json:"author"`
+	Time    time.Time `json:"time"`
+	// Attempt identifies the transaction that wrote the version, so that its
+	// publisher recognises it when the answer was lost.
+	Attempt string `json:"attempt"`
+}
+
+// versionRow is the value of a version's row.
+type versionRow struct {
+	VersionInfo
+	Document Document `json:"document"`
+}
+
+// Store keeps the versions of the document in the platform's table. The row
+// RowCurrent names the latest version; it and the version's own row are
+// written by one transaction that requires the row as it was read.
+type Store struct {
+	Table platform.Table
+	Now   func() time.Time // nil means time.Now
+}
+
+// VersionRow returns the key of a version's row.
+func VersionRow(version uint64) string { return fmt.Sprintf("%s%020d", RowVersionPrefix, version) }
+
+// Publish stores doc as the version after expected, which is 0 for the first.
+// Its errors are *settings.FileError for a document that the checks refuse,
+// *LostRaceError, *NotStoredError and *UncertainError.
+func (s *Store) Publish(ctx context.Context, expected uint64, author string, doc Document) (uint64, error) {
+	if err := doc.Check(); err != nil {
+		return 0, err
+	}
+	current, row, err := s.currentRow(ctx)
+	if err != nil {
+		return 0, &NotStoredError{Cause: err}
+	}
+	if current.Version != expected {
+		return 0, &LostRaceError{Version: current.Version, Author: current.Author}
+	}
+	p, err := s.newPublication(expected+1, author, doc, row.Version)
+	if err != nil {
+		return 0, &NotStoredError{Cause: err}
+	}
+	return p.commit(ctx, s.Table)
+}
+
+// publication is one attempt to store a version. Its transaction can take
+// effect at most once, however often it is sent.
+type publication struct {
+	info VersionInfo
+	txn  platform.Txn
+}
+
+func (s *Store) newPublication(version uint64, author string, doc Document, currentRow uint64) (*publication, error) {
+	var attempt [attemptBytes]byte
+	if _, err := rand.Read(attempt[:]); err != nil {
+		return nil, errors.Wrap(err, "draw attempt")
+	}
+	info := VersionInfo{Version: version, Author: author, Time: s.now().UTC(), Attempt: hex.EncodeToString(attempt[:])}
+	head, err := json.Marshal(info)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode version")
+	}
+	whole, err := json.Marshal(versionRow{VersionInfo: info, Document: doc})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode document")
+	}
+	txn := platform.Txn{
+		Require: []platform.Condition{
+			{Key: RowCurrent, Version: currentRow},
+			{Key: VersionRow(version), Version: 0},
+		},
+		Writes: []platform.Write{
+			{Key: RowCurrent, Value: head},
+			{Key: VersionRow(version), Value: whole},
+		},
+	}
+	if version > keptVersions {
+		txn.Writes = append(txn.Writes, platform.Write{Key: VersionRow(version - keptVersions), Delete: true})
+	}
+	return &publication{info: info, txn: txn}, nil
+}
+
+func (s *Store) now() time.Time {
+	if s.Now == nil {
+		return time.Now()
+	}
+	return s.Now()
+}
+
+// commit sends the transaction until its outcome is known. After an unknown
+// outcome the same transaction is sent again: if the first has taken effect,
+// the second conflicts, and the version's row then tells whose it is.
+func (p *publication) commit(ctx context.Context, table platform.Table) (uint64, error) {
+	sent := false
+	var cause error
+	for try := range publishTries {
+		if try > 0 && !pause(ctx, publishPause) {
+			break
+		}
+		_, err := table.Commit(ctx, p.txn)
+		var conflict *platform.ConflictError
+		var unavailable *platform.UnavailableError
+		switch {
+		case err == nil:
+			return p.info.Version, nil
+		case errors.As(err, &conflict):
+			version, winnerErr, known := p.winner(ctx, table, sent)
+			if known {
+				return version, winnerErr
+			}
+			sent, cause = true, err
+		case errors.As(err, &unavailable) && !sent:
+			return 0, &NotStoredError{Cause: err}
+		default:
+			sent, cause = true, err
+		}
+	}
+	return 0, &UncertainError{Version: p.info.Version, Cause: cause}
+}
+
+// winner reads which publication stored the version. Without an earlier send of
+// unknown outcome, a conflict alone shows that it was another one.
+func (p *publication) winner(ctx context.Context, table platform.Table, sent bool) (version uint64, err error, known bool) {
+	row, err := table.Get(ctx, VersionRow(p.info.Version))
+	if err != nil {
+		return 0, nil, false
+	}
+	var winner VersionInfo
+	if row.Version != 0 {
+		if err := json.Unmarshal(row.Value, &winner); err != nil {
+			return 0, nil, false
+		}
+		if winner.Attempt == p.info.Attempt {
+			return p.info.Version, nil, true
+		}
+		return 0, &LostRaceError{Version: winner.Version, Author: winner.Author}, true
+	}
+	if sent {
+		return 0, nil, false // the row may be one that is no longer kept
+	}
+	row, err = table.Get(ctx, RowCurrent)
+	if err != nil || json.Unmarshal(row.Value, &winner) != nil {
+		return 0, nil, false
+	}
+	return 0, &LostRaceError{Version: winner.Version, Author: winner.Author}, true
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Head returns what RowCurrent says of the latest version; Version is 0 when
+// none was stored.
+func (s *Store) Head(ctx context.Context) (VersionInfo, error) {
+	info, _, err := s.currentRow(ctx)
+	return info, err
+}
+
+func (s *Store) currentRow(ctx context.Context) (VersionInfo, platform.Row, error) {
+	row, err := s.Table.Get(ctx, RowCurrent)
+	if err != nil || row.Version == 0 {
+		return VersionInfo{}, row, err
+	}
+	var info VersionInfo
+	if err := json.Unmarshal(row.Value, &info); err != nil {
+		return info, row, &BadRowError{Key: RowCurrent, Cause: err}
+	}
+	return info, row, nil
+}
+
+// Current returns the latest version, or nil when none was stored.
+func (s *Store) Current(ctx context.Context) (*Snapshot, error) {
+	info, err := s.Head(ctx)
+	if err != nil || info.Version == 0 {
+		return nil, err
+	}
+	return s.Version(ctx, info.Version)
+}
+
+// Version returns a stored version. Its error is *NoVersionError when the
+// version was never stored or is no longer kept.
+func (s *Store) Version(ctx context.Context, version uint64) (*Snapshot, error) {
+	key := VersionRow(version)
+	row, err := s.Table.Get(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	if row.Version == 0 {
+		return nil, &NoVersionError{Version: version}
+	}
+	var stored versionRow
+	if err := json.Unmarshal(row.Value, &stored); err != nil {
+		return nil, &BadRowError{Key: key, Cause: err}
+	}
+	return NewSnapshot(stored.Version, stored.Author, stored.Document), nil
+}
+
+// History returns the versions that are kept, the oldest first.
+func (s *Store) History(ctx context.Context) ([]VersionInfo, error) {
+	rows, err := s.Table.List(ctx, RowVersionPrefix)
+	if err != nil {
+		return nil, err
+	}
+	history := make([]VersionInfo, 0, len(rows))
+	for _, row := range rows {
+		var info VersionInfo
+		if err := json.Unmarshal(row.Value, &info); err != nil {
+			return nil, &BadRowError{Key: row.Key, Cause: err}
+		}
+		history = append(history, info)
+	}
+	return history, nil
+}
--- /dev/null
+++ b/internal/strictjson/merge.go
@@ -0,0 +1,100 @@
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+)
+
+// Merge lays an overlay over a base and returns the result, in which every
+// value keeps the place of the file it came from. Objects merge by name, null
+// deletes, any other value replaces. Deleting what the base does not have is
+// a problem.
+func Merge(base, overlay *Node) (*Node, []Problem) {
+	return merge(base, overlay, Path{})
+}
+
+func merge(base, overlay *Node, path Path) (*Node, []Problem) {
+	if base.kind != '{' || overlay.kind != '{' {
+		return overlay, nil
+	}
+	merged := &Node{File: base.File, Line: base.Line, kind: '{', members: append([]member(nil), base.members...)}
+	index := make(map[string]int, len(base.members))
+	for i, m := range base.members {
+		index[m.name] = i
+	}
+	var problems []Problem
+	for _, m := range overlay.members {
+		at, exists := index[m.name]
+		switch {
+		case m.value.kind == 'n' && !exists:
+			problems = append(problems, Problem{
+				File: m.value.File, Line: m.value.Line, Field: path.Key(m.name).String(),
+				Message: "null deletes a member of the base file, which has none of this name",
+			})
+		case m.value.kind == 'n':
+			merged.members[at].value = nil
+		case !exists:
+			merged.members = append(merged.members, m)
+		default:
+			value, more := merge(merged.members[at].value, m.value, path.Key(m.name))
+			merged.members[at].value = value
+			problems = append(problems, more...)
+		}
+	}
+	kept := merged.members[:0]
+	for _, m := range merged.members {
+		if m.value != nil {
+			kept = append(kept, m)
+		}
+	}
+	merged.members = kept
+	return merged, problems
+}
+
+// JSON writes the node as indented JSON without comments.
+func (n *Node) JSON() ([]byte, error) {
+	var compact, indented bytes.Buffer
+	if err := n.write(&compact); err != nil {
+		return nil, err
+	}
+	if err := json.Indent(&indented, compact.Bytes(), "", "  "); err != nil {
+		return nil, err
+	}
+	return indented.Bytes(), nil
+}
+
+func (n *Node) write(out *bytes.Buffer) error {
+	switch n.kind {
+	case '{':
+		out.WriteByte('{')
+		for i, m := range n.members {
+			if i > 0 {
+				out.WriteByte(',')
+			}
+			name, err := json.Marshal(m.name)
+			if err != nil {
+				return err
+			}
+			out.Write(name)
+			out.WriteByte(':')
+			if err := m.value.write(out); err != nil {
+				return err
+			}
+		}
+		out.WriteByte('}')
+	case '[':
+		out.WriteByte('[')
+		for i, e := range n.elements {
+			if i > 0 {
+				out.WriteByte(',')
+			}
+			if err := e.write(out); err != nil {
+				return err
+			}
+		}
+		out.WriteByte(']')
+	default:
+		out.Write(n.literal)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/strictjson/problem.go
@@ -0,0 +1,124 @@
+// Package strictjson reads JSON with comments into Go structs without
+// tolerance: an unknown or repeated member, a null, a wrong type or a number
+// out of range is a problem of its own, located by file, line and field. All
+// problems of a file are reported at once.
+package strictjson
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Problem is one mistake in a file.
+type Problem struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"` // from 1; 0 when the mistake has no place in a file
+	Field   string `json:"field"`
+	Message string `json:"message"` // says what is allowed
+}
+
+// Error gives file, line, field and message.
+func (p Problem) Error() string {
+	var place strings.Builder
+	if p.File != "" {
+		place.WriteString(p.File + ":")
+	}
+	if p.Line > 0 {
+		place.WriteString(strconv.Itoa(p.Line) + ":")
+	}
+	if place.Len() > 0 {
+		place.WriteString(" ")
+	}
+	if p.Field != "" {
+		place.WriteString(p.Field + ": ")
+	}
+	return place.String() + p.Message
+}
+
+// FileError holds all problems of a file, or of files that are read together.
+type FileError struct {
+	Problems []Problem `json:"problems"`
+}
+
+// Error lists the problems, one a line.
+func (e *FileError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Path leads from the root of a document to one of its values.
+type Path struct {
+	steps []step
+}
+
+type step struct {
+	name  string
+	index int // of an array element; -1 for a member
+}
+
+// Key returns the path of a member.
+func (p Path) Key(name string) Path { return p.add(step{name: name, index: -1}) }
+
+// Index returns the path of an array element.
+func (p Path) Index(i int) Path { return p.add(step{index: i}) }
+
+// Keys returns the path of nested members.
+func Keys(names ...string) Path {
+	var p Path
+	for _, name := range names {
+		p = p.Key(name)
+	}
+	return p
+}
+
+func (p Path) add(s step) Path {
+	steps := make([]step, len(p.steps), len(p.steps)+1)
+	copy(steps, p.steps)
+	return Path{steps: append(steps, s)}
+}
+
+// String writes the path like "accounts.crew.keys[0]". A name with other
+// characters than letters, digits, "-" and "_" is quoted in brackets.
+func (p Path) String() string {
+	var text strings.Builder
+	for i, s := range p.steps {
+		switch {
+		case s.index >= 0:
+			fmt.Fprintf(&text, "[%d]", s.index)
+		case !plainName(s.name):
+			fmt.Fprintf(&text, "[%q]", s.name)
+		case i > 0:
+			text.WriteString("." + s.name)
+		default:
+			text.WriteString(s.name)
+		}
+	}
+	return text.String()
+}
+
+func plainName(name string) bool {
+	for _, r := range name {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		if !letter && (r < '0' || r > '9') && r != '-' && r != '_' {
+			return false
+		}
+	}
+	return name != ""
+}
+
+// within reports whether p is q or lies below it.
+func (p Path) within(q Path) bool {
+	if len(p.steps) < len(q.steps) {
+		return false
+	}
+	for i, s := range q.steps {
+		if p.steps[i] != s {
+			return false
+		}
+	}
+	return true
+}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/endivecourse/endivecourse/internal/strictjson"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
 )
@@ -25,6 +26,9 @@
 	return err
 }
 
+// Form names how a duration is written.
+func (d Duration) Form() string { return `a duration such as "250ms", "1.5s" or "10m"` }
+
 // Std returns the time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
@@ -49,6 +53,8 @@
 	// OperatorTokenHash is the hex SHA-256 of the operators' token for the
 	// admin address; empty allows loopback peers only.
 	OperatorTokenHash string `json:"operator_token_hash"`
+
+	source *strictjson.Node // the file that the settings come from, or nil
 }
 
 // Listen holds the addresses that a daemon listens on.
