--- /dev/null
+++ b/config/configwatch/watch_test.go
@@ -0,0 +1,227 @@
+package configwatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/config"
+	"github.com/endivecourse/endivecourse/kernel"
+	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/wire"
+)
+
+// fakeTable is an in-memory table that can be taken down.
+type fakeTable struct {
+	down  atomic.Bool
+	reads atomic.Int64
+
+	mu   sync.Mutex
+	rows map[string]platform.Row
+}
+
+func (f *fakeTable) check() error {
+	if f.down.Load() {
+		return &platform.UnavailableError{Service: "table", Cause: errors.New("down")}
+	}
+	return nil
+}
+
+func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+	f.reads.Add(1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	row := f.rows[key]
+	row.Key = key
+	return row, f.check()
+}
+
+func (f *fakeTable) List(context.Context, string) ([]platform.Row, error) { return nil, f.check() }
+
+func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) ([]platform.Row, error) {
+	if err := f.check(); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range txn.Require {
+		if f.rows[c.Key].Version != c.Version {
+			return nil, &platform.ConflictError{Found: []platform.Row{f.rows[c.Key]}}
+		}
+	}
+	for _, w := range txn.Writes {
+		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: f.rows[w.Key].Version + 1}
+	}
+	return nil, nil
+}
+
+func (f *fakeTable) inForce(t *testing.T, domain string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	row := f.rows[config.RowInForcePrefix+domain]
+	if row.Version == 0 {
+		return 0
+	}
+	var in InForce
+	assert.NilError(t, json.Unmarshal(row.Value, &in))
+	return in.Version
+}
+
+// fleet runs schedulers and gateways of one domain on loopback.
+type fleet struct {
+	t         *testing.T
+	table     *fakeTable
+	listeners []net.Listener
+	addresses []string
+	client    *wire.Client
+	ctx       context.Context
+	group     sync.WaitGroup
+}
+
+func newFleet(t *testing.T, schedulers int) *fleet {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &fleet{t: t, table: &fakeTable{rows: make(map[string]platform.Row)}, client: wire.NewClient(wire.Options{}), ctx: ctx}
+	for range schedulers {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		f.listeners = append(f.listeners, listener)
+		f.addresses = append(f.addresses, listener.Addr().String())
+	}
+	sort.Slice(f.listeners, func(i, j int) bool {
+		return f.listeners[i].Addr().String() < f.listeners[j].Addr().String()
+	})
+	sort.Strings(f.addresses)
+	t.Cleanup(func() {
+		cancel()
+		f.group.Wait()
+		f.client.Close()
+	})
+	return f
+}
+
+// run starts a component and returns the function that stops it.
+func (f *fleet) run(c kernel.Component) (stop func()) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	k := kernel.New(slog.New(slog.DiscardHandler), c)
+	done := make(chan struct{})
+	f.group.Go(func() {
+		defer close(done)
+		assert.Check(f.t, k.Run(ctx, time.Second))
+	})
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+func (f *fleet) scheduler(i int, table platform.Table) (*config.Holder, func()) {
+	holder := &config.Holder{}
+	s := NewScheduler(SchedulerOptions{
+		Self: f.addresses[i], VM: structs.VMID(f.addresses[i]), Domain: "d", Holder: holder,
+		Table: table, Wire: f.client, Peers: func() []string { return f.addresses }, Poll: 20 * time.Millisecond,
+	})
+	server := wire.NewServer(wire.Options{})
+	s.RegisterHandlers(server)
+	f.group.Go(func() { assert.Check(f.t, server.Serve(f.listeners[i])) })
+	stop := f.run(s)
+	stopBoth := sync.OnceFunc(func() {
+		stop()
+		server.Close()
+	})
+	f.t.Cleanup(stopBoth)
+	return holder, stopBoth
+}
+
+func (f *fleet) gateway(schedulers ...string) *config.Holder {
+	holder := &config.Holder{}
+	f.t.Cleanup(f.run(NewGateway(GatewayOptions{
+		VM: "gateway", Holder: holder, Wire: f.client, Schedulers: func() []string { return schedulers },
+	})))
+	return holder
+}
+
+func (f *fleet) publish(expected uint64) {
+	f.t.Helper()
+	doc, err := config.Load("../../examples/tayside/base.jsonc", "../../examples/tayside/overlay.jsonc")
+	assert.NilError(f.t, err)
+	_, err = (&config.Store{Table: f.table}).Publish(f.t.Context(), expected, "op", doc)
+	assert.NilError(f.t, err)
+}
+
+func (f *fleet) await(what string, done func() bool) {
+	f.t.Helper()
+	for !done() {
+		assert.Assert(f.t, sleep(f.t.Context(), 5*time.Millisecond), "%s", what)
+	}
+}
+
+func (f *fleet) awaitVersion(version uint64, holders ...*config.Holder) {
+	f.t.Helper()
+	for _, h := range holders {
+		f.await("version", func() bool { return currentVersion(h) == version })
+	}
+}
+
+// Versions reach every daemon along the chain store, scheduler, scheduler,
+// gateway, and the domain's report follows when all have it.
+func TestVersionsReachEveryDaemon(t *testing.T) {
+	f := newFleet(t, 2)
+	reader, _ := f.scheduler(0, f.table)
+	second, _ := f.scheduler(1, f.table)
+	gateway := f.gateway(f.addresses[1])
+	for version := range uint64(3) {
+		f.publish(version)
+		f.awaitVersion(version+1, reader, second, gateway)
+		f.await("report", func() bool { return f.table.inForce(t, "d") == version+1 })
+	}
+	f.await("confirmation", func() bool { return gateway.Age(structs.Now()) < neverConfirmed })
+}
+
+// A gateway leaves a scheduler that is gone, and the next scheduler polls in
+// place of a reader that is gone.
+func TestReaderIsReplaced(t *testing.T) {
+	f := newFleet(t, 2)
+	f.publish(0)
+	reader, stop := f.scheduler(0, f.table)
+	second, _ := f.scheduler(1, f.table)
+	gateway := f.gateway(f.addresses...)
+	f.awaitVersion(1, reader, second, gateway)
+	stop()
+	f.publish(1)
+	f.awaitVersion(2, second, gateway)
+}
+
+// A fresh scheduler that cannot reach the store takes the version of a peer
+// and never goes back when the store returns with an older one.
+func TestFreshSchedulerAsksPeers(t *testing.T) {
+	f := newFleet(t, 2)
+	f.publish(0)
+	f.publish(1)
+	peer, _ := f.scheduler(1, f.table)
+	f.awaitVersion(2, peer)
+	old := &fakeTable{rows: make(map[string]platform.Row)}
+	old.down.Store(true)
+	fresh, _ := f.scheduler(0, old)
+	f.awaitVersion(2, fresh)
+	doc := fresh.Current().Document()
+	_, err := (&config.Store{Table: old}).Publish(t.Context(), 0, "op", doc)
+	assert.Assert(t, err != nil)
+	old.down.Store(false)
+	_, err = (&config.Store{Table: old}).Publish(t.Context(), 0, "op", doc)
+	assert.NilError(t, err)
+	seen := old.reads.Load()
+	f.await("polls of the old store", func() bool { return old.reads.Load() > seen+5 })
+	assert.Equal(t, currentVersion(fresh), uint64(2))
+}
--- a/structs/rpc.go
+++ b/structs/rpc.go
@@ -13,7 +13,7 @@
 	MethodHistory       = "program.history" // ProgramRef -> History
 	MethodTakeQuota     = "quota.take"      // TakeQuota -> QuotaGrant
 	MethodOwners        = "cluster.owners"  // OwnersQuery -> Owners
-	MethodWatchConfig   = "config.watch"    // ConfigQuery -> stream of ConfigVersion
+	MethodWatchConfig   = "config.watch"    // ConfigQuery -> ConfigVersion
 )
 
 // CreateProgram creates a program. The gateway draws the ID, so a repeated
@@ -116,15 +116,24 @@
 	Slots  []string `msgpack:"s"`
 }
 
-// ConfigQuery subscribes to configuration versions above Have.
+// ConfigQuery asks for a configuration version above Have. The answer waits a
+// bounded time for one.
 type ConfigQuery struct {
 	Have uint64 `msgpack:"h"`
+	// From names the daemon that asks, and InForce is the lowest version in
+	// force among it and the daemons that follow it. Both may be left out.
+	From    string `msgpack:"f,omitempty"`
+	InForce uint64 `msgpack:"i,omitempty"`
 }
 
 // ConfigVersion is one accepted version of the operators' document. Document
-// is the merged document as JSON.
+// is the merged document as JSON; it is empty when there is no version above
+// the one that the query has.
 type ConfigVersion struct {
 	Version  uint64 `msgpack:"v"`
 	Author   string `msgpack:"a"`
 	Document []byte `msgpack:"d"`
+	// Age is the time since the store last confirmed to the sender that no
+	// later version exists.
+	Age time.Duration `msgpack:"g,omitempty"`
 }
