Add endivectl: configuration, accounts, keys, programs, targets, VMs, dumps

Cause: operators need one command that checks, compares and stores the configuration, and that says separately what is stored and where it is in force.

Every change of the stored document goes through one path: read, edit, compare, publish under the version that was read, wait for the domains' reports. The in-memory table of three tests moves to internal/tabletest.

Ruled out: taking the operators' token from a flag, which other users of the machine could read.

Conclusion: tests of every verb, of lost races, missing domains, store down and bad input pass with the race detector.

--- /dev/null
+++ b/command/state.go
@@ -0,0 +1,67 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/endivecourse/endivecourse/admin"
+)
+
+// maxDump bounds a state dump, in bytes.
+const maxDump = 256 << 20
+
+func (a *app) stateCommand() *cobra.Command {
+	c := &cobra.Command{Use: "state", Short: "Look into a daemon"}
+	c.AddCommand(a.stateDump())
+	return noun(c)
+}
+
+func (a *app) stateDump() *cobra.Command {
+	return &cobra.Command{
+		Use:     "dump ADMIN-ADDRESS",
+		Short:   "Print the state of a daemon as JSON, without stopping it",
+		Example: "  endivectl state dump 127.0.0.1:22012",
+		Args:    nArgs(1, 1),
+		RunE: func(c *cobra.Command, args []string) error {
+			body, err := a.fetch(c.Context(), args[0], "/dump")
+			if err != nil {
+				return err
+			}
+			return a.printJSON(json.RawMessage(body))
+		},
+	}
+}
+
+// fetch reads a path of a daemon's admin address.
+func (a *app) fetch(ctx context.Context, address, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.timeout)
+	defer cancel()
+	builder := sling.New().Base("http://" + address).Get(path)
+	if token := os.Getenv(EnvToken); token != "" {
+		builder = builder.Set(admin.TokenHeader, "Bearer "+token)
+	}
+	request, err := builder.Request()
+	if err != nil {
+		return nil, usage("ADMIN-ADDRESS must be host:port, not %q", address)
+	}
+	answer, err := http.DefaultClient.Do(request.WithContext(ctx))
+	if err != nil {
+		return nil, errors.Wrapf(err, "ask %s", address)
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxDump))
+	if err != nil {
+		return nil, errors.Wrapf(err, "read the answer of %s", address)
+	}
+	if answer.StatusCode != http.StatusOK {
+		return nil, &StatusError{Address: address, Status: answer.StatusCode, Body: string(body)}
+	}
+	return body, nil
+}
--- /dev/null
+++ b/command/target.go
@@ -0,0 +1,100 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/endivecourse/endivecourse/config"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+func (a *app) targetCommand() *cobra.Command {
+	c := &cobra.Command{Use: "target", Short: "List and drain targets"}
+	c.AddCommand(a.targetList(), a.targetDrain())
+	return noun(c)
+}
+
+// targetEntry is one line of target list.
+type targetEntry struct {
+	ID      structs.TargetID  `json:"target"`
+	Service structs.ServiceID `json:"service"`
+	config.Target
+}
+
+func targetsOf(doc config.Document) []targetEntry {
+	entries := []targetEntry{}
+	for _, service := range slices.Sorted(maps.Keys(doc.Services)) {
+		targets := doc.Services[service].Targets
+		for _, id := range slices.Sorted(maps.Keys(targets)) {
+			entries = append(entries, targetEntry{ID: id, Service: service, Target: targets[id]})
+		}
+	}
+	return entries
+}
+
+func (a *app) targetList() *cobra.Command {
+	return &cobra.Command{
+		Use:     "list",
+		Short:   "List the targets of all services",
+		Example: "  endivectl target list",
+		Args:    nArgs(0, 0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, current, err := a.current(c.Context())
+			if err != nil {
+				return err
+			}
+			entries := targetsOf(current.doc)
+			return a.print(entries, func(w io.Writer) {
+				fmt.Fprintln(w, "TARGET\tSERVICE\tDOMAIN\tPROTOCOL\tURL\tSTATE")
+				for _, e := range entries {
+					state := "in use"
+					if e.Drain {
+						state = "drained"
+					}
+					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", e.ID, e.Service, e.Domain, e.Protocol, e.URL, state)
+				}
+			})
+		},
+	}
+}
+
+func (a *app) targetDrain() *cobra.Command {
+	var undo bool
+	var wait time.Duration
+	c := &cobra.Command{
+		Use:   "drain TARGET",
+		Short: "Give a target no new work, or with --undo give it work again",
+		Example: `  endivectl target drain rake-llm-3
+  endivectl target drain rake-llm-3 --undo`,
+		Args: nArgs(1, 1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return a.change(c.Context(), wait, -1, func(doc config.Document) (config.Document, error) {
+				return setDrain(doc, structs.TargetID(args[0]), !undo)
+			})
+		},
+	}
+	c.Flags().BoolVar(&undo, "undo", false, "give the target work again")
+	addWaitFlag(c, &wait)
+	return c
+}
+
+func setDrain(doc config.Document, id structs.TargetID, drain bool) (config.Document, error) {
+	for name, service := range doc.Services {
+		target, exists := service.Targets[id]
+		if !exists {
+			continue
+		}
+		target.Drain = drain
+		service.Targets = maps.Clone(service.Targets)
+		service.Targets[id] = target
+		doc.Services = maps.Clone(doc.Services)
+		doc.Services[name] = service
+		return doc, nil
+	}
+	return doc, &UnknownNameError{Kind: "target", Name: string(id)}
+}
--- a/config/configwatch/watch_test.go
+++ b/config/configwatch/watch_test.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"log/slog"
 	"net"
 	"sort"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,60 +14,17 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/endivecourse/endivecourse/config"
+	"github.com/endivecourse/endivecourse/internal/tabletest"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
 )
 
-// fakeTable is an in-memory table that can be taken down.
-type fakeTable struct {
-	down  atomic.Bool
-	reads atomic.Int64
-
-	mu   sync.Mutex
-	rows map[string]platform.Row
-}
-
-func (f *fakeTable) check() error {
-	if f.down.Load() {
-		return &platform.UnavailableError{Service: "table", Cause: errors.New("down")}
-	}
-	return nil
-}
-
-func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
-	f.reads.Add(1)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	row := f.rows[key]
-	row.Key = key
-	return row, f.check()
-}
-
-func (f *fakeTable) List(context.Context, string) ([]platform.Row, error) { return nil, f.check() }
-
-func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) ([]platform.Row, error) {
-	if err := f.check(); err != nil {
-		return nil, err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, c := range txn.Require {
-		if f.rows[c.Key].Version != c.Version {
-			return nil, &platform.ConflictError{Found: []platform.Row{f.rows[c.Key]}}
-		}
-	}
-	for _, w := range txn.Writes {
-		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: f.rows[w.Key].Version + 1}
-	}
-	return nil, nil
-}
-
-func (f *fakeTable) inForce(t *testing.T, domain string) uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	row := f.rows[config.RowInForcePrefix+domain]
+// inForce reads the report of a domain.
+func inForce(t *testing.T, table platform.Table, domain string) uint64 {
+	row, err := table.Get(t.Context(), config.RowInForcePrefix+domain)
+	assert.NilError(t, err)
 	if row.Version == 0 {
 		return 0
 	}
@@ -81,7 +36,7 @@
 // fleet runs schedulers and gateways of one domain on loopback.
 type fleet struct {
 	t         *testing.T
-	table     *fakeTable
+	table     *tabletest.Table
 	listeners []net.Listener
 	addresses []string
 	client    *wire.Client
@@ -92,7 +47,7 @@
 func newFleet(t *testing.T, schedulers int) *fleet {
 	t.Cleanup(func() { goleak.VerifyNone(t) })
 	ctx, cancel := context.WithCancel(t.Context())
-	f := &fleet{t: t, table: &fakeTable{rows: make(map[string]platform.Row)}, client: wire.NewClient(wire.Options{}), ctx: ctx}
+	f := &fleet{t: t, table: tabletest.New(), client: wire.NewClient(wire.Options{}), ctx: ctx}
 	for range schedulers {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
@@ -184,7 +139,7 @@
 	for version := range uint64(3) {
 		f.publish(version)
 		f.awaitVersion(version+1, reader, second, gateway)
-		f.await("report", func() bool { return f.table.inForce(t, "d") == version+1 })
+		f.await("report", func() bool { return inForce(t, f.table, "d") == version+1 })
 	}
 	f.await("confirmation", func() bool { return gateway.Age(structs.Now()) < neverConfirmed })
 }
@@ -211,17 +166,17 @@
 	f.publish(1)
 	peer, _ := f.scheduler(1, f.table)
 	f.awaitVersion(2, peer)
-	old := &fakeTable{rows: make(map[string]platform.Row)}
-	old.down.Store(true)
+	old := tabletest.New()
+	old.SetDown(true)
 	fresh, _ := f.scheduler(0, old)
 	f.awaitVersion(2, fresh)
 	doc := fresh.Current().Document()
 	_, err := (&config.Store{Table: old}).Publish(t.Context(), 0, "op", doc)
 	assert.Assert(t, err != nil)
-	old.down.Store(false)
+	old.SetDown(false)
 	_, err = (&config.Store{Table: old}).Publish(t.Context(), 0, "op", doc)
 	assert.NilError(t, err)
-	seen := old.reads.Load()
-	f.await("polls of the old store", func() bool { return old.reads.Load() > seen+5 })
+	seen := old.Reads()
+	f.await("polls of the old store", func() bool { return old.Reads() > seen+5 })
 	assert.Equal(t, currentVersion(fresh), uint64(2))
 }
--- /dev/null
+++ b/internal/tabletest/table.go
@@ -0,0 +1,184 @@
+// Package tabletest gives tests an in-memory platform.Table whose commits can
+// be made to fail in each way that the platform's can.
+package tabletest
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/endivecourse/endivecourse/platform"
+)
+
+// Fault is what happens to one commit.
+type Fault int
+
+// Faults of a commit.
+const (
+	None          Fault = iota
+	LostAfter           // takes effect, the answer is lost
+	LostBefore          // does not take effect, the answer is lost
+	RefusedBefore       // unavailable
+)
+
+// InjectedError is the cause of every injected failure.
+type InjectedError struct{ Fault string }
+
+// Error names the fault.
+func (e *InjectedError) Error() string { return fmt.Sprintf("injected: %s", e.Fault) }
+
+// Table is the table. The zero value is not usable; see New.
+type Table struct {
+	mu       sync.Mutex
+	rows     map[string]platform.Row
+	down     bool
+	faults   []Fault
+	reads    int
+	commits  int
+	onCommit func(platform.Txn)
+}
+
+// New makes an empty table.
+func New() *Table { return &Table{rows: make(map[string]platform.Row)} }
+
+// SetDown makes every request fail as unavailable, or succeed again.
+func (t *Table) SetDown(down bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.down = down
+}
+
+// FailCommits sets what happens to the next commits.
+func (t *Table) FailCommits(faults ...Fault) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = faults
+}
+
+// OnCommit sets a function that is called after each commit that took effect.
+// It may use the table.
+func (t *Table) OnCommit(f func(platform.Txn)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.onCommit = f
+}
+
+// Reads returns how often Get was called.
+func (t *Table) Reads() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads
+}
+
+// Commits returns how often Commit was called.
+func (t *Table) Commits() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.commits
+}
+
+func unavailable(fault string) error {
+	return &platform.UnavailableError{Service: "table", Cause: &InjectedError{Fault: fault}}
+}
+
+// Get implements platform.Table.
+func (t *Table) Get(_ context.Context, key string) (platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	if t.down {
+		return platform.Row{}, unavailable("down")
+	}
+	row := t.rows[key]
+	row.Key = key
+	return row, nil
+}
+
+// List implements platform.Table.
+func (t *Table) List(_ context.Context, prefix string) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return nil, unavailable("down")
+	}
+	var rows []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows, nil
+}
+
+// Commit implements platform.Table.
+func (t *Table) Commit(_ context.Context, txn platform.Txn) ([]platform.Row, error) {
+	written, hook, err := t.commit(txn)
+	if hook != nil {
+		hook(txn)
+	}
+	return written, err
+}
+
+func (t *Table) commit(txn platform.Txn) (written []platform.Row, hook func(platform.Txn), err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.commits++
+	switch fault := t.nextFault(); {
+	case t.down:
+		return nil, nil, unavailable("down")
+	case fault == RefusedBefore:
+		return nil, nil, unavailable("refused")
+	case fault == LostBefore:
+		return nil, nil, lost("before")
+	case fault == LostAfter:
+		if _, err := t.apply(txn); err != nil {
+			return nil, nil, err
+		}
+		return nil, t.onCommit, lost("after")
+	}
+	written, err = t.apply(txn)
+	if err != nil {
+		return nil, nil, err
+	}
+	return written, t.onCommit, nil
+}
+
+func lost(when string) error {
+	return &platform.UnknownOutcomeError{Service: "table", Cause: &InjectedError{Fault: "answer lost " + when + " the write"}}
+}
+
+func (t *Table) nextFault() Fault {
+	if len(t.faults) == 0 {
+		return None
+	}
+	next := t.faults[0]
+	t.faults = t.faults[1:]
+	return next
+}
+
+func (t *Table) apply(txn platform.Txn) ([]platform.Row, error) {
+	var found []platform.Row
+	for _, c := range txn.Require {
+		if row := t.rows[c.Key]; row.Version != c.Version {
+			row.Key = c.Key
+			found = append(found, row)
+		}
+	}
+	if len(found) > 0 {
+		return nil, &platform.ConflictError{Found: found}
+	}
+	var written []platform.Row
+	for _, w := range txn.Writes {
+		if w.Delete {
+			delete(t.rows, w.Key)
+			continue
+		}
+		row := platform.Row{Key: w.Key, Value: w.Value, Version: t.rows[w.Key].Version + 1}
+		t.rows[w.Key] = row
+		written = append(written, row)
+	}
+	return written, nil
+}
