--- /dev/null
+++ b/internal/standin/platform/handler.go
@@ -0,0 +1,163 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/platform/httpplatform"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+const maxBodyBytes = 64 << 20
+
+// Handler serves the platform's HTTP interface and, under /control/, the
+// control methods.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	services := s.Services()
+	serveTable(mux, services.Table)
+	serveObjects(mux, services.Objects)
+	mux.HandleFunc("GET "+httpplatform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+		list, err := services.VMs.VMs(r.Context())
+		reply(w, list, err)
+	})
+	mux.HandleFunc("POST "+httpplatform.PathWeights, func(w http.ResponseWriter, r *http.Request) {
+		wait, err := services.Weights.Fetch(r.Context(), r.FormValue("model"), r.FormValue("version"))
+		reply(w, httpplatform.FetchResult{RetryAfter: wait}, err)
+	})
+	s.serveControl(mux)
+	return mux
+}
+
+func serveTable(mux *http.ServeMux, t platform.Table) {
+	mux.HandleFunc("GET "+httpplatform.PathRow, func(w http.ResponseWriter, r *http.Request) {
+		row, err := t.Get(r.Context(), r.FormValue("key"))
+		reply(w, row, err)
+	})
+	mux.HandleFunc("GET "+httpplatform.PathRows, func(w http.ResponseWriter, r *http.Request) {
+		rows, err := t.List(r.Context(), r.FormValue("prefix"))
+		reply(w, rows, err)
+	})
+	mux.HandleFunc("POST "+httpplatform.PathCommit, func(w http.ResponseWriter, r *http.Request) {
+		var txn platform.Txn
+		if !readJSON(w, r, &txn) {
+			return
+		}
+		rows, err := t.Commit(r.Context(), txn)
+		reply(w, rows, err)
+	})
+}
+
+func serveObjects(mux *http.ServeMux, o platform.Objects) {
+	mux.HandleFunc("PUT "+httpplatform.PathObject, func(w http.ResponseWriter, r *http.Request) {
+		value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err != nil {
+			refuse(w, http.StatusBadRequest)
+			return
+		}
+		reply(w, struct{}{}, o.Put(r.Context(), r.URL.Query().Get("key"), value))
+	})
+	mux.HandleFunc("GET "+httpplatform.PathObject, func(w http.ResponseWriter, r *http.Request) {
+		value, err := o.Get(r.Context(), r.FormValue("key"))
+		if err != nil {
+			reply(w, nil, err)
+			return
+		}
+		_, _ = w.Write(value)
+	})
+	mux.HandleFunc("DELETE "+httpplatform.PathObject, func(w http.ResponseWriter, r *http.Request) {
+		reply(w, struct{}{}, o.Delete(r.Context(), r.FormValue("key")))
+	})
+	mux.HandleFunc("GET "+httpplatform.PathObjects, func(w http.ResponseWriter, r *http.Request) {
+		keys, err := o.List(r.Context(), r.FormValue("prefix"))
+		reply(w, keys, err)
+	})
+}
+
+// serveControl serves the control methods. Query parameters: service, on, d
+// (a duration), n, id, state.
+func (s *Server) serveControl(mux *http.ServeMux) {
+	control := func(path string, act func(r *http.Request)) {
+		mux.HandleFunc("POST /control/"+path, func(w http.ResponseWriter, r *http.Request) {
+			act(r)
+			w.WriteHeader(http.StatusNoContent)
+		})
+	}
+	control("outage", func(r *http.Request) { s.SetOutage(service(r), r.FormValue("on") == "true") })
+	control("hang", func(r *http.Request) { s.SetHang(service(r), r.FormValue("on") == "true") })
+	control("latency", func(r *http.Request) { s.SetLatency(service(r), duration(r)) })
+	control("lose", func(r *http.Request) {
+		n, _ := strconv.Atoi(r.FormValue("n"))
+		s.LoseAnswers(service(r), n)
+	})
+	control("vm/lag", func(r *http.Request) { s.SetVMLag(duration(r)) })
+	control("vm/remove", func(r *http.Request) { s.RemoveVM(structs.VMID(r.FormValue("id"))) })
+	control("vm/state", func(r *http.Request) {
+		s.SetVMState(structs.VMID(r.FormValue("id")), platform.VMState(r.FormValue("state")))
+	})
+	mux.HandleFunc("POST /control/vm/set", func(w http.ResponseWriter, r *http.Request) {
+		var vm platform.VM
+		if !readJSON(w, r, &vm) {
+			return
+		}
+		s.SetVM(vm)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("GET /control/counts", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, s.Counts(service(r)), nil)
+	})
+}
+
+func service(r *http.Request) Service { return Service(r.FormValue("service")) }
+
+func duration(r *http.Request) time.Duration {
+	d, _ := time.ParseDuration(r.FormValue("d"))
+	return d
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(into); err != nil {
+		refuse(w, http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set(httpplatform.HeaderNotApplied, "true")
+	w.WriteHeader(status)
+}
+
+// reply writes the value, or the error in the form that the HTTP driver maps
+// back. A lost answer cuts the connection.
+func reply(w http.ResponseWriter, value any, err error) {
+	var (
+		conflict *platform.ConflictError
+		missing  *platform.NotFoundError
+		unknown  *platform.UnknownOutcomeError
+	)
+	switch {
+	case err == nil:
+		writeJSON(w, http.StatusOK, value)
+	case errors.As(err, &conflict):
+		writeJSON(w, http.StatusConflict, httpplatform.Conflict{Found: conflict.Found})
+	case errors.As(err, &missing):
+		w.WriteHeader(http.StatusNotFound)
+	case errors.As(err, &unknown):
+		panic(http.ErrAbortHandler)
+	default:
+		refuse(w, http.StatusServiceUnavailable)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,125 @@
+// Package platform is an in-memory stand-in for the platform, in process and
+// over HTTP, with faults that tests switch on.
+package platform
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// Options sets up a Server.
+type Options struct {
+	VMs []platform.VM
+	// VMLag is how far the VM list is behind.
+	VMLag time.Duration
+	// WeightInterval is the least time between two fetches; 0 has no limit.
+	WeightInterval time.Duration
+}
+
+// Server holds the state of all services. Its methods are safe for concurrent
+// use. It starts no goroutine.
+type Server struct {
+	mu          sync.Mutex
+	faults      map[Service]*faults
+	rows        map[string]platform.Row
+	lastVersion uint64
+	objects     map[string][]byte
+	vms         map[structs.VMID]platform.VM
+	lists       []vmSnapshot
+	vmLag       time.Duration
+	weights     time.Duration
+	lastFetch   time.Time
+}
+
+type vmSnapshot struct {
+	at  time.Time
+	vms []platform.VM
+}
+
+// New makes a Server.
+func New(opts Options) *Server {
+	s := &Server{
+		faults:  make(map[Service]*faults),
+		rows:    make(map[string]platform.Row),
+		objects: make(map[string][]byte),
+		vms:     make(map[structs.VMID]platform.VM),
+		vmLag:   opts.VMLag,
+		weights: opts.WeightInterval,
+	}
+	for _, vm := range opts.VMs {
+		s.vms[vm.ID] = vm
+	}
+	s.lists = []vmSnapshot{{vms: s.listVMs()}}
+	return s
+}
+
+// SetVM adds a VM to the list or replaces its entry.
+func (s *Server) SetVM(vm platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms[vm.ID] = vm
+	s.snapshotVMs()
+}
+
+// SetVMState changes the state of a listed VM.
+func (s *Server) SetVMState(id structs.VMID, state platform.VMState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	vm, ok := s.vms[id]
+	if !ok {
+		return
+	}
+	vm.State = state
+	s.vms[id] = vm
+	s.snapshotVMs()
+}
+
+// RemoveVM takes a VM off the list.
+func (s *Server) RemoveVM(id structs.VMID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.vms, id)
+	s.snapshotVMs()
+}
+
+// SetVMLag sets how far the VM list is behind.
+func (s *Server) SetVMLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vmLag = lag
+}
+
+func (s *Server) listVMs() []platform.VM {
+	list := make([]platform.VM, 0, len(s.vms))
+	for _, vm := range s.vms {
+		list = append(list, vm)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+const maxVMSnapshots = 4096
+
+func (s *Server) snapshotVMs() {
+	if len(s.lists) >= maxVMSnapshots {
+		s.lists = append([]vmSnapshot(nil), s.lists[maxVMSnapshots/2:]...)
+	}
+	s.lists = append(s.lists, vmSnapshot{at: time.Now(), vms: s.listVMs()})
+}
+
+// laggedVMs returns the list as it was vmLag ago; s.mu is held.
+func (s *Server) laggedVMs() []platform.VM {
+	until := time.Now().Add(-s.vmLag)
+	shown := s.lists[0].vms
+	for _, list := range s.lists[1:] {
+		if list.at.After(until) {
+			break
+		}
+		shown = list.vms
+	}
+	return append([]platform.VM(nil), shown...)
+}
--- /dev/null
+++ b/internal/standin/platform/server_test.go
@@ -0,0 +1,64 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/platform"
+)
+
+func TestVMListLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{VMLag: 10 * time.Second})
+		list := func() int {
+			vms, err := s.Services().VMs.VMs(t.Context())
+			assert.NilError(t, err)
+			return len(vms)
+		}
+		s.SetVM(platform.VM{ID: "vm-1", State: platform.VMLive})
+		time.Sleep(9 * time.Second)
+		assert.Equal(t, list(), 0)
+		time.Sleep(time.Second)
+		assert.Equal(t, list(), 1)
+		s.RemoveVM("vm-1")
+		assert.Equal(t, list(), 1)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, list(), 0)
+	})
+}
+
+func TestLatencyAndHangFollowTheContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{})
+		start := time.Now()
+		s.SetLatency(Table, 3*time.Second)
+		_, err := s.Services().Table.Get(t.Context(), "k")
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), 3*time.Second)
+		s.SetHang(Table, true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = s.Services().Table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: "k"}}})
+		var unknown *platform.UnknownOutcomeError
+		assert.Assert(t, errors.As(err, &unknown))
+		assert.Equal(t, s.Counts(Table), Counts{Reads: 1})
+	})
+}
+
+func TestVersionsGrowOverDeletes(t *testing.T) {
+	s := New(Options{})
+	table := s.Services().Table
+	put := platform.Txn{Writes: []platform.Write{{Key: "k", Value: []byte("v")}}}
+	first, err := table.Commit(t.Context(), put)
+	assert.NilError(t, err)
+	_, err = table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "k", Delete: true}}})
+	assert.NilError(t, err)
+	second, err := table.Commit(t.Context(), put)
+	assert.NilError(t, err)
+	assert.Assert(t, second[0].Version > first[0].Version)
+}
--- /dev/null
+++ b/internal/standin/platform/services.go
@@ -0,0 +1,201 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/endivecourse/endivecourse/platform"
+)
+
+// Services returns the services in process, with the same state and faults as
+// over HTTP.
+func (s *Server) Services() platform.Services {
+	return platform.Services{
+		Table:   &table{s},
+		Objects: &objects{s},
+		VMs:     &vmList{s},
+		Weights: &weightStore{s},
+	}
+}
+
+type table struct{ s *Server }
+
+// Get returns one row.
+func (t *table) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.s.enter(ctx, Table, false); err != nil {
+		return platform.Row{}, err
+	}
+	t.s.mu.Lock()
+	defer t.s.mu.Unlock()
+	t.s.fault(Table).counts.Reads++
+	return t.s.row(key), nil
+}
+
+// List returns the rows under a prefix.
+func (t *table) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := t.s.enter(ctx, Table, false); err != nil {
+		return nil, err
+	}
+	t.s.mu.Lock()
+	defer t.s.mu.Unlock()
+	t.s.fault(Table).counts.Reads++
+	rows := []platform.Row{}
+	for key := range t.s.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, t.s.row(key))
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows, nil
+}
+
+// Commit applies a transaction.
+func (t *table) Commit(ctx context.Context, txn platform.Txn) ([]platform.Row, error) {
+	if err := t.s.enter(ctx, Table, true); err != nil {
+		return nil, err
+	}
+	t.s.mu.Lock()
+	defer t.s.mu.Unlock()
+	if err := t.s.check(txn.Require); err != nil {
+		return nil, err
+	}
+	written := t.s.apply(txn.Writes)
+	if err := t.s.wrote(Table); err != nil {
+		return nil, err
+	}
+	return written, nil
+}
+
+// row returns a copy of a row; s.mu is held.
+func (s *Server) row(key string) platform.Row {
+	row, ok := s.rows[key]
+	if !ok {
+		return platform.Row{Key: key}
+	}
+	row.Value = bytes.Clone(row.Value)
+	return row
+}
+
+func (s *Server) check(conditions []platform.Condition) error {
+	var found []platform.Row
+	failed := false
+	for _, condition := range conditions {
+		row := s.row(condition.Key)
+		if row.Version == condition.Version {
+			found = append(found, row)
+			continue
+		}
+		failed = true
+		found = append([]platform.Row{row}, found...)
+	}
+	if !failed {
+		return nil
+	}
+	return &platform.ConflictError{Found: found}
+}
+
+// apply writes the rows. Versions are drawn from one counter, so a row that
+// was deleted and written again has a higher one.
+func (s *Server) apply(writes []platform.Write) []platform.Row {
+	written := make([]platform.Row, 0, len(writes))
+	for _, w := range writes {
+		if w.Delete {
+			delete(s.rows, w.Key)
+			written = append(written, platform.Row{Key: w.Key})
+			continue
+		}
+		s.lastVersion++
+		s.rows[w.Key] = platform.Row{Key: w.Key, Value: bytes.Clone(w.Value), Version: s.lastVersion}
+		written = append(written, s.row(w.Key))
+	}
+	return written
+}
+
+type objects struct{ s *Server }
+
+// Put writes an object.
+func (o *objects) Put(ctx context.Context, key string, value []byte) error {
+	if err := o.s.enter(ctx, Objects, true); err != nil {
+		return err
+	}
+	o.s.mu.Lock()
+	defer o.s.mu.Unlock()
+	o.s.objects[key] = append([]byte{}, value...)
+	return o.s.wrote(Objects)
+}
+
+// Get reads an object.
+func (o *objects) Get(ctx context.Context, key string) ([]byte, error) {
+	if err := o.s.enter(ctx, Objects, false); err != nil {
+		return nil, err
+	}
+	o.s.mu.Lock()
+	defer o.s.mu.Unlock()
+	o.s.fault(Objects).counts.Reads++
+	value, ok := o.s.objects[key]
+	if !ok {
+		return nil, &platform.NotFoundError{Key: key}
+	}
+	return bytes.Clone(value), nil
+}
+
+// List returns the keys under a prefix.
+func (o *objects) List(ctx context.Context, prefix string) ([]string, error) {
+	if err := o.s.enter(ctx, Objects, false); err != nil {
+		return nil, err
+	}
+	o.s.mu.Lock()
+	defer o.s.mu.Unlock()
+	o.s.fault(Objects).counts.Reads++
+	keys := []string{}
+	for key := range o.s.objects {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys, nil
+}
+
+// Delete removes an object.
+func (o *objects) Delete(ctx context.Context, key string) error {
+	if err := o.s.enter(ctx, Objects, true); err != nil {
+		return err
+	}
+	o.s.mu.Lock()
+	defer o.s.mu.Unlock()
+	delete(o.s.objects, key)
+	return o.s.wrote(Objects)
+}
+
+type vmList struct{ s *Server }
+
+// VMs returns the lagging list.
+func (v *vmList) VMs(ctx context.Context) ([]platform.VM, error) {
+	if err := v.s.enter(ctx, VMs, false); err != nil {
+		return nil, err
+	}
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	v.s.fault(VMs).counts.Reads++
+	return v.s.laggedVMs(), nil
+}
+
+type weightStore struct{ s *Server }
+
+// Fetch admits one fetch in each interval.
+func (w *weightStore) Fetch(ctx context.Context, _, _ string) (time.Duration, error) {
+	if err := w.s.enter(ctx, Weights, true); err != nil {
+		return 0, err
+	}
+	w.s.mu.Lock()
+	defer w.s.mu.Unlock()
+	if wait := w.s.weights - time.Since(w.s.lastFetch); w.s.weights > 0 && wait > 0 {
+		return wait, nil
+	}
+	w.s.lastFetch = time.Now()
+	return 0, w.s.wrote(Weights)
+}
