--- /dev/null
+++ b/membership/tracker.go
@@ -0,0 +1,113 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// maxRemembered bounds the VMs that are remembered after they left the list.
+const maxRemembered = 65536
+
+// Tracker turns the lists that were read into views. It has no clock and does
+// no I/O.
+type Tracker struct {
+	view      *View
+	live      map[structs.VMID]bool             // listed as live at any time
+	targetsOf map[structs.VMID]structs.TargetID // of every remembered VM
+	gone      []structs.VMID                    // listed once, now absent; oldest first
+}
+
+// NewTracker makes a Tracker that has seen no list.
+func NewTracker() *Tracker {
+	return &Tracker{
+		view:      &View{},
+		live:      make(map[structs.VMID]bool),
+		targetsOf: make(map[structs.VMID]structs.TargetID),
+	}
+}
+
+// View returns the latest view.
+func (t *Tracker) View() *View { return t.view }
+
+// Apply takes in a list that was asked for at the instant asked and reports
+// whether the view differs from the one before. A list that was asked for
+// before the latest one is ignored.
+func (t *Tracker) Apply(asked structs.Instant, list []platform.VM) (changed bool) {
+	if t.view.known && asked.Before(t.view.read) {
+		return false
+	}
+	list = slices.Clone(list)
+	slices.SortFunc(list, func(a, b platform.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	next := &View{version: t.view.version, read: asked, known: true, vms: list, byID: make(map[structs.VMID]platform.VM)}
+	for _, vm := range list {
+		next.byID[vm.ID] = vm
+	}
+	t.noteGone(next)
+	t.noteListed(list)
+	next.gone = t.goneSet()
+	next.leaving = t.leavingTargets(next)
+	changed = !t.view.known || !slices.Equal(t.view.vms, list)
+	if changed {
+		next.version++
+	}
+	t.view = next
+	return changed
+}
+
+func (t *Tracker) noteListed(list []platform.VM) {
+	for _, vm := range list {
+		if vm.State == platform.VMLive {
+			t.live[vm.ID] = true
+		}
+		if vm.Target != "" {
+			t.targetsOf[vm.ID] = vm.Target
+		}
+	}
+}
+
+// noteGone remembers the VMs of the view before that are listed no more, and
+// forgets the absence of those that are listed again.
+func (t *Tracker) noteGone(next *View) {
+	t.gone = slices.DeleteFunc(t.gone, func(id structs.VMID) bool {
+		_, listed := next.byID[id]
+		return listed
+	})
+	for _, vm := range t.view.vms {
+		if _, listed := next.byID[vm.ID]; !listed {
+			t.gone = append(t.gone, vm.ID)
+		}
+	}
+	for len(t.gone) > maxRemembered {
+		delete(t.live, t.gone[0])
+		delete(t.targetsOf, t.gone[0])
+		t.gone = t.gone[1:]
+	}
+}
+
+func (t *Tracker) goneSet() map[structs.VMID]bool {
+	gone := make(map[structs.VMID]bool, len(t.gone))
+	for _, id := range t.gone {
+		if t.live[id] {
+			gone[id] = true
+		}
+	}
+	return gone
+}
+
+// leavingTargets returns the targets of which no listed VM is live and at
+// least one was listed.
+func (t *Tracker) leavingTargets(next *View) map[structs.TargetID]bool {
+	leaving := make(map[structs.TargetID]bool)
+	for _, id := range t.targetsOf {
+		leaving[id] = true
+	}
+	for _, vm := range next.vms {
+		if vm.State == platform.VMLive {
+			delete(leaving, vm.Target)
+		}
+	}
+	return leaving
+}
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,63 @@
+// Package membership follows the platform's lagging list of VMs.
+package membership
+
+import (
+	"time"
+
+	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// View is the membership as of one list. It is immutable.
+type View struct {
+	version uint64
+	read    structs.Instant // when the list was asked for
+	known   bool
+	vms     []platform.VM
+	byID    map[structs.VMID]platform.VM
+	leaving map[structs.TargetID]bool
+	gone    map[structs.VMID]bool
+}
+
+// Version counts the views that differ; 0 is the view before any list.
+func (v *View) Version() uint64 { return v.version }
+
+// Known reports whether any list was read.
+func (v *View) Known() bool { return v.known }
+
+// Age returns the time since the list was asked for. It grows through an
+// outage of the list.
+func (v *View) Age(now structs.Instant) time.Duration { return now.Sub(v.read) }
+
+// VMs returns all listed VMs in the order of their IDs.
+func (v *View) VMs() []platform.VM { return append([]platform.VM(nil), v.vms...) }
+
+// VM returns the entry of a listed VM.
+func (v *View) VM(id structs.VMID) (platform.VM, bool) {
+	vm, ok := v.byID[id]
+	return vm, ok
+}
+
+// Peers returns the VMs of a domain that run a scheduler, leaving ones
+// included.
+func (v *View) Peers(domain structs.DomainID) []platform.VM {
+	var peers []platform.VM
+	for _, vm := range v.vms {
+		if vm.Domain == domain && vm.Scheduler != "" {
+			peers = append(peers, vm)
+		}
+	}
+	return peers
+}
+
+// Leaving reports whether a VM is listed as leaving.
+func (v *View) Leaving(id structs.VMID) bool { return v.byID[id].State == platform.VMLeaving }
+
+// TargetLeaving reports whether a target must get no new work: its VM is
+// leaving, or was listed and is gone. A target that was never listed is not
+// leaving.
+func (v *View) TargetLeaving(id structs.TargetID) bool { return v.leaving[id] }
+
+// SeenGone reports whether a VM was listed as live once and is absent from
+// this view's list. A VM that was never listed as live is not seen gone.
+func (v *View) SeenGone(id structs.VMID) bool { return v.gone[id] }
--- /dev/null
+++ b/target/engine/stream.go
@@ -0,0 +1,150 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/target"
+)
+
+const (
+	maxEventBytes = 1 << 20
+	maxDrainBytes = 4 << 10
+	drainTimeout  = 100 * time.Millisecond
+)
+
+// stream reads the server-sent events of one answer. Recv is for one
+// goroutine; Close may be called by any.
+type stream struct {
+	target   structs.TargetID
+	body     io.ReadCloser
+	cancel   context.CancelFunc
+	lines    *bufio.Scanner
+	received int64
+	usage    *structs.Usage
+	failed   error
+	ended    atomic.Bool
+	closed   atomic.Bool
+	once     sync.Once
+}
+
+func newStream(id structs.TargetID, body io.ReadCloser, cancel context.CancelFunc) *stream {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
+	return &stream{target: id, body: body, cancel: cancel, lines: lines}
+}
+
+// Recv returns the next part of the answer, and io.EOF after the last one.
+func (s *stream) Recv() (target.Chunk, error) {
+	if s.ended.Load() {
+		return target.Chunk{}, io.EOF
+	}
+	if s.failed != nil {
+		return target.Chunk{}, s.failed
+	}
+	for s.lines.Scan() {
+		s.received += int64(len(s.lines.Bytes())) + 1
+		data, ok := bytes.CutPrefix(s.lines.Bytes(), []byte("data:"))
+		if !ok {
+			continue
+		}
+		chunk, ready, err := s.event(bytes.TrimSpace(data))
+		if err != nil {
+			return target.Chunk{}, s.fail(err)
+		}
+		if ready {
+			return chunk, nil
+		}
+	}
+	return target.Chunk{}, s.fail(s.scanError())
+}
+
+func (s *stream) scanError() error {
+	if err := s.lines.Err(); err != nil {
+		return err
+	}
+	return &IncompleteError{Missing: "[DONE]"}
+}
+
+func (s *stream) fail(cause error) error {
+	if s.closed.Load() {
+		cause = &ClosedError{}
+	}
+	s.failed = &target.BrokenError{Target: s.target, Received: s.received, Cause: cause}
+	s.cancel()
+	return s.failed
+}
+
+type event struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens     int64 `json:"prompt_tokens"`
+		CompletionTokens int64 `json:"completion_tokens"`
+		Details          struct {
+			CachedTokens int64 `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+	Error *struct {
+		Type string `json:"type"`
+	} `json:"error"`
+}
+
+// event reads one event's data. The answer ends with [DONE], which must come
+// after the usage.
+func (s *stream) event(data []byte) (chunk target.Chunk, ready bool, err error) {
+	if string(data) == "[DONE]" {
+		if s.usage == nil {
+			return target.Chunk{}, false, &IncompleteError{Missing: "usage"}
+		}
+		s.ended.Store(true)
+		return target.Chunk{Usage: *s.usage, End: true}, true, nil
+	}
+	var e event
+	if err := json.Unmarshal(data, &e); err != nil {
+		return target.Chunk{}, false, errors.Wrap(err, "decode event")
+	}
+	if e.Error != nil {
+		return target.Chunk{}, false, &AnswerError{Type: e.Error.Type[:min(len(e.Error.Type), maxErrorType)]}
+	}
+	if e.Usage != nil {
+		s.usage = &structs.Usage{
+			PromptTokens: e.Usage.PromptTokens,
+			CachedTokens: e.Usage.Details.CachedTokens,
+			OutputTokens: e.Usage.CompletionTokens,
+		}
+	}
+	if len(e.Choices) == 0 || e.Choices[0].Delta.Content == "" {
+		return target.Chunk{}, false, nil
+	}
+	return target.Chunk{Data: []byte(e.Choices[0].Delta.Content)}, true, nil
+}
+
+// Close cancels an answer that has not ended. After the end it reads what is
+// left of the framing, so that the connection can be used again.
+func (s *stream) Close() error {
+	s.once.Do(func() {
+		s.closed.Store(true)
+		defer s.cancel()
+		if !s.ended.Load() {
+			return
+		}
+		timer := time.AfterFunc(drainTimeout, s.cancel)
+		defer timer.Stop()
+		_, _ = io.CopyN(io.Discard, s.body, maxDrainBytes)
+		_ = s.body.Close()
+	})
+	return nil
+}
