--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"time"
 )
 
@@ -80,12 +81,34 @@
 	}
 }
 
-// onceBody hides the type of the reader from net/http. Without GetBody and
-// with a body, net/http never repeats a request by itself.
-type onceBody struct{ io.Reader }
+// forbidRepeat gives the request its body in a form that net/http never
+// repeats by itself, whatever was written. net/http repeats requests without a
+// body, or with GetBody, when their method is safe or when they carry an
+// idempotency key under its canonical name.
+func forbidRepeat(req *http.Request, body []byte) {
+	req.GetBody = nil
+	req.ContentLength = int64(len(body))
+	if len(body) > 0 || isSafe(req.Method) {
+		req.Body = io.NopCloser(bytes.NewReader(body))
+		return
+	}
+	// An empty reader would be sent in chunks with these methods.
+	req.Body = http.NoBody
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if values, ok := req.Header[name]; ok {
+			delete(req.Header, name)
+			req.Header[strings.ToLower(name)] = values
+		}
+	}
+}
 
-// Close does nothing.
-func (onceBody) Close() error { return nil }
+func isSafe(method string) bool {
+	switch method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
 
 func (c *Client) try(req *http.Request, body []byte) (*http.Response, bool, *SendError) {
 	var (
@@ -103,9 +126,7 @@
 		}
 	}}
 	once := req.Clone(httptrace.WithClientTrace(req.Context(), trace))
-	once.Body = onceBody{bytes.NewReader(body)}
-	once.ContentLength = int64(len(body))
-	once.GetBody = nil
+	forbidRepeat(once, body)
 	resp, err := c.transport.RoundTrip(once)
 	if err == nil {
 		return resp, reused, nil
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -23,6 +23,8 @@
 type Counts struct {
 	Reads  uint64 `json:"reads"`
 	Writes uint64 `json:"writes"`
+	// PeakWrites is the highest number of writes within one clock second.
+	PeakWrites uint64 `json:"peak_writes_per_second"`
 }
 
 // OutageError is the cause of failures during an outage.
@@ -43,6 +45,18 @@
 	latency time.Duration
 	lose    int
 	counts  Counts
+	second  int64  // of the latest write
+	writes  uint64 // within that second
+}
+
+func (f *faults) countWrite(now time.Time) {
+	if now.Unix() != f.second {
+		f.second = now.Unix()
+		f.writes = 0
+	}
+	f.writes++
+	f.counts.Writes++
+	f.counts.PeakWrites = max(f.counts.PeakWrites, f.writes)
 }
 
 // SetOutage makes a service refuse all requests.
@@ -135,7 +149,7 @@
 // wrote counts a write and loses its answer when asked to; s.mu is held.
 func (s *Server) wrote(service Service) error {
 	f := s.fault(service)
-	f.counts.Writes++
+	f.countWrite(time.Now())
 	if f.lose <= 0 {
 		return nil
 	}
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -62,3 +62,17 @@
 	assert.NilError(t, err)
 	assert.Assert(t, second[0].Version > first[0].Version)
 }
+
+func TestWriteRateIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{})
+		objects := s.Services().Objects
+		for second, writes := range []int{2, 3, 1} {
+			for range writes {
+				assert.NilError(t, objects.Put(t.Context(), "k", []byte{byte(second)}))
+			}
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, s.Counts(Objects), Counts{Writes: 6, PeakWrites: 3})
+	})
+}
--- a/target/engine/driver.go
+++ b/target/engine/driver.go
@@ -62,6 +62,12 @@
 	IncludeUsage bool `json:"include_usage"`
 }
 
+// Close closes the connections that are not in use.
+func (d *Driver) Close() error {
+	d.http.CloseIdle()
+	return nil
+}
+
 // Do sends a completion and streams its answer.
 func (d *Driver) Do(ctx context.Context, r target.Request) (target.Stream, error) {
 	if r.Plain != nil || len(r.Messages) == 0 {
--- a/target/plain/driver.go
+++ b/target/plain/driver.go
@@ -37,6 +37,12 @@
 	return &Driver{spec: spec, base: base, http: outbound.NewClient()}, nil
 }
 
+// Close closes the connections that are not in use.
+func (d *Driver) Close() error {
+	d.http.CloseIdle()
+	return nil
+}
+
 // Do sends a request and streams its answer. An answer of any status is an
 // answer.
 func (d *Driver) Do(ctx context.Context, r target.Request) (target.Stream, error) {
