Document every setting and configuration field; prove in force over HTTP

Cause: operators need each field with unit, default and check on one page, and the page must not fall behind the code.

--- a/cmd/endivectl/main.go
+++ b/cmd/endivectl/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/endivecourse/endivecourse/command"
+	_ "github.com/endivecourse/endivecourse/platform/httpplatform" // registers platform.http
 )
 
 func main() {
--- /dev/null
+++ b/config/page_test.go
@@ -0,0 +1,12 @@
+package config
+
+import (
+	"testing"
+
+	"github.com/endivecourse/endivecourse/internal/pagetest"
+)
+
+func TestPageDocumentsEveryField(t *testing.T) {
+	rows := pagetest.Rows(t, "../docs/CONFIG.md", "The operators' document")
+	pagetest.RequireAll(t, rows, pagetest.Fields(Document{}))
+}
