--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// bodyStep is how much of a body is read, and accounted for, at a time.
+const bodyStep = 32 << 10 // bytes
+
+// readBody reads the request's body within the bounds of one body, of all
+// bodies and of time.
+func (x *exchange) readBody() ([]byte, error) {
+	limit := x.g.opts.Limits.MaxBody
+	if x.r.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(time.Now().Add(x.g.opts.BodyTimeout))
+	body, err := x.readSteps(limit)
+	if err != nil {
+		x.leaveBody()
+		return nil, err
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	if x.secrets.inBytes(body) {
+		return nil, badRequest("body", "a key may not be part of the body")
+	}
+	return body, nil
+}
+
+// leaveBody closes the connection after the answer, since the rest of the body
+// is not read. Under HTTP/2 only the stream ends.
+func (x *exchange) leaveBody() {
+	if x.r.ProtoMajor == 1 {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
+func (x *exchange) readSteps(limit int64) ([]byte, error) {
+	var body []byte
+	for {
+		if !x.g.bodies.TryAcquire(bodyStep) {
+			return nil, busy("the gateway holds too many request bodies")
+		}
+		x.held += bodyStep
+		start := len(body)
+		body = append(body, make([]byte, bodyStep)...)
+		n, err := io.ReadFull(x.r.Body, body[start:])
+		body = body[:start+n]
+		if int64(len(body)) > limit {
+			return nil, tooLarge(limit)
+		}
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && x.complete(len(body)) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, bodyError(err)
+		}
+	}
+}
+
+// complete reports whether a short last step is the end of the body: io.ReadFull
+// reports io.ErrUnexpectedEOF for that, and net/http for a truncated body.
+func (x *exchange) complete(length int) bool {
+	if x.r.ContentLength >= 0 {
+		return int64(length) == x.r.ContentLength
+	}
+	var rest [1]byte
+	n, err := x.r.Body.Read(rest[:])
+	return n == 0 && errors.Is(err, io.EOF)
+}
+
+func bodyError(err error) *structs.Refusal {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refuse(structs.RefusedTimeout, "the body did not arrive in time")
+	}
+	return badRequest("body", "the body is truncated or malformed")
+}
+
+func tooLarge(limit int64) *structs.Refusal {
+	refusal := refuse(structs.RefusedTooLarge, "the body exceeds %d bytes", limit)
+	refusal.Field = "body"
+	return refusal
+}
+
+// readJSON reads the body into v. Unknown fields are refused by name.
+func (x *exchange) readJSON(v any) error {
+	body, err := x.readBody()
+	if err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil {
+		return jsonError(err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return badRequest("body", "the body has data after the JSON value")
+	}
+	return nil
+}
+
+const unknownField = `json: unknown field "`
+
+func jsonError(err error) *structs.Refusal {
+	var refusal *structs.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return badRequest(wrongType.Field, "the field has a %s, not a %s", wrongType.Value, wrongType.Type)
+	}
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return badRequest("body", "the JSON is malformed at byte %d", syntax.Offset)
+	}
+	if field, ok := strings.CutPrefix(err.Error(), unknownField); ok {
+		return badRequest(strings.TrimSuffix(field, `"`), "the field does not exist")
+	}
+	return badRequest("body", "the JSON is malformed")
+}
--- /dev/null
+++ b/gateway/fault_test.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+const chatBody = `{"model":"llm","messages":[{"role":"user","content":"hi"}]}`
+
+// An answer that is crossed, doubled, cut short or changed is never passed off
+// as whole: before the first byte it is an error, after it the end is missing.
+func TestAnswerThatIsNotWhole(t *testing.T) {
+	faults := map[string]func(e *emitter) error{
+		"crossed": func(e *emitter) error {
+			return e.send(structs.CallEvent{Kind: structs.EventData, Request: "other", Offset: e.offset, Data: []byte("x")})
+		},
+		"doubled": func(e *emitter) error {
+			return e.send(structs.CallEvent{Kind: structs.EventData, Offset: 0, Data: []byte("one ")})
+		},
+		"gap": func(e *emitter) error {
+			return e.send(structs.CallEvent{Kind: structs.EventData, Offset: e.offset + 1, Data: []byte("x")})
+		},
+		"wrong digest": func(e *emitter) error {
+			return e.send(structs.CallEvent{Kind: structs.EventDone, Length: e.offset, Digest: 1})
+		},
+		"wrong length": func(e *emitter) error {
+			return e.send(structs.CallEvent{Kind: structs.EventDone, Length: e.offset + 1, Digest: e.hash.Sum64()})
+		},
+		"refused with run no": func(e *emitter) error {
+			refusal := structs.Refuse(structs.RefusedAnswerIncomplete, structs.RunNo, "not true after data")
+			return e.send(structs.CallEvent{Kind: structs.EventRefused, Refusal: refusal})
+		},
+	}
+	s := newScheduler(t)
+	b := newBed(t, nil, s)
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			s.set(func(_ context.Context, e *emitter) error {
+				if err := e.start(200); err != nil {
+					return err
+				}
+				if err := e.data("one "); err != nil {
+					return err
+				}
+				return fault(e)
+			})
+			plain := b.do("POST", "/services/orders", "")
+			assert.Equal(t, plain.status, 502, plain.body)
+			assert.Equal(t, plain.refusal(t).Kind, structs.RefusedAnswerIncomplete)
+			assert.Equal(t, plain.refusal(t).Run, structs.RunUnknown)
+			sse := b.do("POST", "/v1/chat/completions", strings.Replace(chatBody, "{", `{"stream":true,`, 1))
+			assert.Assert(t, strings.Contains(sse.body, "event: error\ndata: {\"error\":{\"type\":\"answer_incomplete\""), sse.body)
+			assert.Assert(t, !strings.Contains(sse.body, "[DONE]"))
+		})
+	}
+}
+
+// A long plain answer whose end is wrong cuts the caller's connection.
+func TestLongPlainAnswerIsCutVisibly(t *testing.T) {
+	s := newScheduler(t)
+	s.answer = func(_ context.Context, e *emitter) error {
+		if err := e.start(200); err != nil {
+			return err
+		}
+		if err := e.data(strings.Repeat("x", 2*plainBuffer)); err != nil {
+			return err
+		}
+		return e.send(structs.CallEvent{Kind: structs.EventDone, Length: 1})
+	}
+	b := newBed(t, nil, s)
+	got := b.do("POST", "/services/orders", "")
+	assert.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+}
+
+// loseMidway lets a scheduler stream the text and stop, reads the answer until
+// the text is there, closes the scheduler, and returns the whole answer.
+func loseMidway(t *testing.T, text string, replay func(context.Context, *emitter) error) (string, *scheduler, *scheduler) {
+	t.Helper()
+	lost, next := newScheduler(t), newScheduler(t)
+	lost.answer = func(ctx context.Context, e *emitter) error {
+		if err := e.start(200); err != nil {
+			return err
+		}
+		if err := e.data(text); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	next.answer = replay
+	b := newBed(t, nil, lost, next)
+	req, err := http.NewRequest("POST", b.url+"/v1/programs/north~1/calls",
+		strings.NewReader(`{"stream":true,"service":"llm","messages":[{"role":"user","content":"hi"}]}`))
+	assert.NilError(t, err)
+	req.Header.Set("X-Api-Key", testKey)
+	resp, err := b.client.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	lines := bufio.NewReader(resp.Body)
+	var body strings.Builder
+	for contents(body.String()) != text {
+		line, err := lines.ReadString('\n')
+		assert.NilError(t, err)
+		body.WriteString(line)
+	}
+	assert.NilError(t, lost.server.Close())
+	rest, err := io.ReadAll(lines)
+	assert.NilError(t, err)
+	body.Write(rest)
+	return body.String(), lost, next
+}
+
+// A scheduler is lost after half of a streamed answer. The gateway sends the
+// same call to the other one, and the caller sees one whole answer.
+func TestReattachGivesOneWholeAnswer(t *testing.T) {
+	body, lost, next := loseMidway(t, "one tw", whole("on", "e two", " three"))
+	assert.Equal(t, contents(body), "one two three")
+	assert.Assert(t, strings.HasSuffix(body, "data: [DONE]\n\n"), body)
+	first, second := lost.seen()[0], next.seen()[0]
+	assert.Equal(t, first.Number, uint64(0))
+	assert.Equal(t, second.Number, uint64(1)) // as EventStarted gave it
+	assert.Assert(t, first.IdempotencyKey != "")
+	assert.Equal(t, second.IdempotencyKey, first.IdempotencyKey)
+	assert.Equal(t, second.Request, first.Request)
+}
+
+func TestReplayOfAnotherAnswerIsNotMixed(t *testing.T) {
+	body, _, _ := loseMidway(t, "one ", whole("another answer"))
+	assert.Equal(t, contents(body), "one ")
+	assert.Assert(t, strings.Contains(body, "event: error"), body)
+	assert.Assert(t, !strings.Contains(body, "[DONE]"))
+}
+
+// The new owner doesn't know the end of the call: the caller is told so.
+func TestReattachToUnknownOutcome(t *testing.T) {
+	body, _, _ := loseMidway(t, "one ", func(context.Context, *emitter) error {
+		return structs.Refuse(structs.RefusedOutcomeUnknown, structs.RunUnknown, "no end was seen")
+	})
+	assert.Assert(t, strings.Contains(body, `"type":"outcome_unknown","run":"unknown"`), body)
+}
+
+// contents joins the text of a stream of chunks.
+func contents(body string) string {
+	var out strings.Builder
+	for _, part := range strings.Split(body, `"content":"`)[1:] {
+		text, _, _ := strings.Cut(part, `"`)
+		out.WriteString(text)
+	}
+	return out.String()
+}
+
+func TestNotOwnerIsFollowed(t *testing.T) {
+	first, owner := newScheduler(t), newScheduler(t)
+	first.answer = func(context.Context, *emitter) error {
+		refusal := structs.Refuse(structs.RefusedNotOwner, structs.RunNo, "not mine")
+		refusal.Owner = owner.addr
+		return refusal
+	}
+	b := newBed(t, nil, first)
+	for range 2 {
+		got := b.do("POST", "/v1/programs/north~1/calls", `{"service":"app","request":{"path":"/x"}}`)
+		assert.Equal(t, got.status, 200, got.body)
+	}
+	assert.Equal(t, len(first.seen()), 1)
+	assert.Equal(t, len(owner.seen()), 2)
+}
+
+// A withdrawn key ends the stream that runs on it, cancels the call at its
+// scheduler, and opens nothing new.
+func TestWithdrawalEndsStream(t *testing.T) {
+	s := newScheduler(t)
+	streaming, cancelled := make(chan struct{}), make(chan struct{})
+	s.answer = func(ctx context.Context, e *emitter) error {
+		_ = e.start(200)
+		_ = e.data("one ")
+		close(streaming)
+		<-ctx.Done()
+		close(cancelled)
+		return ctx.Err()
+	}
+	b := newBed(t, nil, s)
+	go func() {
+		<-streaming
+		b.holder.set(&fakeSnapshot{version: 2, withdrawn: true})
+	}()
+	got := b.do("POST", "/v1/chat/completions", strings.Replace(chatBody, "{", `{"stream":true,`, 1))
+	<-cancelled
+	assert.Assert(t, strings.Contains(got.body, `"type":"unauthorized","run":"unknown"`), got.body)
+	assert.Assert(t, !strings.Contains(got.body, "[DONE]"))
+	assert.Equal(t, b.do("POST", "/services/orders", "").status, 401)
+}
+
+// A change that leaves the key valid ends nothing.
+func TestOtherChangeKeepsStream(t *testing.T) {
+	s := newScheduler(t)
+	streaming, changed := make(chan struct{}), make(chan struct{})
+	s.answer = func(_ context.Context, e *emitter) error {
+		_ = e.start(200)
+		close(streaming)
+		<-changed
+		_ = e.data("one ")
+		return e.done()
+	}
+	b := newBed(t, nil, s)
+	go func() {
+		<-streaming
+		b.holder.set(&fakeSnapshot{version: 2})
+		close(changed)
+	}()
+	got := b.do("POST", "/services/orders", "")
+	assert.Equal(t, got.body, "one ")
+}
--- /dev/null
+++ b/gateway/flow_test.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+func TestProgramResource(t *testing.T) {
+	b := newBed(t, nil, newScheduler(t))
+	created := b.do("POST", "/v1/programs", `{"program":"plan","budget_tokens":50}`)
+	assert.Equal(t, created.status, 201, created.body)
+	var info structs.ProgramInfo
+	assert.NilError(t, json.Unmarshal([]byte(created.body), &info))
+	assert.Equal(t, info.Account, structs.AccountID("acme"))
+	assert.Assert(t, strings.HasPrefix(string(info.ID), "north~"))
+	path := "/v1/programs/" + string(info.ID)
+
+	got := b.do("GET", path, "")
+	assert.Equal(t, got.status, 200, got.body)
+	assert.Assert(t, strings.Contains(got.body, string(info.ID)))
+	history := b.do("GET", path+"/history", "")
+	assert.Equal(t, history.status, 200, history.body)
+	assert.Equal(t, strings.Count(history.body, string(info.ID)), 2)
+	ended := b.do("DELETE", path, "")
+	assert.Assert(t, strings.Contains(ended.body, `"ended":true`), ended.body)
+
+	sub := b.do("POST", "/v1/programs", `{"program":"plan","parent":"south~1"}`)
+	assert.Assert(t, strings.Contains(sub.body, `"id":"south~`), sub.body)
+	assert.Assert(t, strings.Contains(sub.body, `"parent":"south~1"`), sub.body)
+
+	one := b.do("POST", "/v1/programs", `{"program":"plan"}`, headerIdem, "x")
+	two := b.do("POST", "/v1/programs", `{"program":"plan"}`, headerIdem, "x")
+	assert.Equal(t, one.body, two.body)
+}
+
+func TestModelCall(t *testing.T) {
+	s := newScheduler(t)
+	s.answer = whole("caf\xc3", "\xa9 ", "two")
+	b := newBed(t, nil, s)
+	body := `{"call":4,"service":"llm","messages":[{"role":"user","content":"hi"}],"max_tokens":9}`
+	got := b.do("POST", "/v1/programs/north~1/calls", body)
+	assert.Equal(t, got.status, 200, got.body)
+	assert.Assert(t, strings.Contains(got.body, `"content":"café two"`), got.body)
+	assert.Equal(t, got.header.Get(headerCall), "4")
+	assert.Equal(t, got.header.Get(headerProgram), "north~1")
+
+	stream := b.do("POST", "/v1/programs/north~1/calls", strings.Replace(body, `"call"`, `"stream":true,"call"`, 1))
+	assert.Equal(t, stream.header.Get("Content-Type"), typeSSE)
+	assert.Assert(t, strings.Contains(stream.body, `"content":"é "`), stream.body)
+	assert.Assert(t, strings.HasSuffix(stream.body, "data: [DONE]\n\n"), stream.body)
+
+	call := s.seen()[0]
+	assert.Equal(t, call.Program, structs.ProgramID("north/1"))
+	assert.Equal(t, call.Number, uint64(4))
+	assert.Equal(t, call.Account, structs.AccountID("acme"))
+	assert.DeepEqual(t, call.Model.Messages, []structs.Message{{Role: "user", Content: "hi"}})
+}
+
+func TestPlainCall(t *testing.T) {
+	s := newScheduler(t)
+	b := newBed(t, nil, s)
+	got := b.do("POST", "/v1/programs/north~1/calls",
+		`{"service":"app","request":{"method":"POST","path":"/orders?x=1","headers":{"accept":"text/plain"},"body":{"gravel":2}}}`,
+		headerIdem, "order-1")
+	assert.Equal(t, got.status, 200, got.body)
+	assert.Equal(t, got.body, "one two")
+	assert.Equal(t, got.header.Get("Content-Type"), "text/plain")
+	call := s.seen()[0]
+	assert.Equal(t, call.IdempotencyKey, "order-1")
+	assert.Equal(t, call.Plain.Path, "/orders?x=1")
+	assert.Equal(t, string(call.Plain.Body), `{"gravel":2}`)
+	assert.DeepEqual(t, call.Plain.Header, map[string][]string{"Accept": {"text/plain"}, "Content-Type": {typeJSON}})
+}
+
+func TestChat(t *testing.T) {
+	s := newScheduler(t)
+	b := newBed(t, nil, s)
+	body := `{"model":"llm","temperature":0.2,"messages":[{"role":"user","content":[{"type":"text","text":"hi"}]}]}`
+	got := b.do("POST", "/v1/chat/completions", body)
+	assert.Equal(t, got.status, 200, got.body)
+	assert.Assert(t, strings.Contains(got.body, `"total_tokens":5`), got.body)
+	b.do("POST", "/v1/chat/completions", body, headerProgram, "south~7", headerCall, "3")
+	for range 2 {
+		b.do("POST", "/v1/chat/completions", body, headerIdem, "same")
+	}
+	calls := s.seen()
+	assert.Equal(t, calls[0].Kind, "plan")
+	assert.Assert(t, calls[0].EndAfter)
+	assert.Equal(t, calls[0].Program.Home(), structs.DomainID("north"))
+	assert.Assert(t, calls[0].IdempotencyKey != "")
+	assert.Equal(t, calls[1].Program, structs.ProgramID("south/7"))
+	assert.Equal(t, calls[1].Number, uint64(3))
+	assert.Assert(t, !calls[1].EndAfter && calls[1].Kind == "")
+	assert.Equal(t, calls[2].Program, calls[3].Program)
+	assert.Assert(t, calls[2].Program != calls[0].Program)
+}
+
+func TestRoutes(t *testing.T) {
+	s := newScheduler(t)
+	b := newBed(t, nil, s)
+	open := b.do("GET", "/services/notices/a%20b?q=1", "", "Authorization", "", "Cookie", "session=1", "X-Odd", "1")
+	assert.Equal(t, open.status, 200, open.body)
+	assert.Equal(t, open.body, "one two")
+	keyed := b.do("POST", "/services/orders", "gravel", "Content-Type", "text/plain")
+	assert.Equal(t, keyed.status, 200, keyed.body)
+	calls := s.seen()
+	assert.Equal(t, calls[0].Account, structs.AccountID(""))
+	assert.Equal(t, calls[0].Plain.Path, "/notices/a%20b?q=1")
+	assert.Equal(t, len(calls[0].Plain.Header), 0)
+	assert.Equal(t, calls[1].Account, structs.AccountID("acme"))
+	assert.Equal(t, string(calls[1].Plain.Body), "gravel")
+}
+
+// Every refused request reaches no scheduler and says so.
+func TestRefusedBeforeTheWire(t *testing.T) {
+	const chat = "/v1/chat/completions"
+	const message = `"messages":[{"role":"user","content":"hi"}]`
+	cases := map[string]struct {
+		kind               structs.RefusalKind
+		field              string
+		method, path, body string
+		headers            []string
+	}{
+		"no key":             {"unauthorized", "", "POST", chat, "{}", []string{"Authorization", ""}},
+		"bad key":            {"unauthorized", "", "POST", chat, "{}", []string{"Authorization", "", "X-Api-Key", "ek_k1_wrong"}},
+		"two keys":           {"bad_request", "headers", "POST", chat, "{}", []string{"X-Api-Key", "ek_other"}},
+		"no such path":       {"not_found", "", "GET", "/v2", "", nil},
+		"unknown field":      {"bad_request", "colour", "POST", "/v1/programs", `{"program":"plan","colour":1}`, nil},
+		"wrong type":         {"bad_request", "budget_tokens", "POST", "/v1/programs", `{"budget_tokens":"x"}`, nil},
+		"cut JSON":           {"bad_request", "body", "POST", "/v1/programs", `{"program":`, nil},
+		"two values":         {"bad_request", "body", "POST", "/v1/programs", `{"program":"plan"}{}`, nil},
+		"negative budget":    {"bad_request", "budget_tokens", "POST", "/v1/programs", `{"program":"plan","budget_tokens":-1}`, nil},
+		"foreign program":    {"forbidden", "program", "POST", "/v1/programs", `{"program":"other"}`, nil},
+		"bad ID":             {"bad_request", "id", "GET", "/v1/programs/x", "", nil},
+		"bad parent":         {"bad_request", "parent", "POST", "/v1/programs", `{"program":"plan","parent":"x"}`, nil},
+		"no service":         {"not_found", "model", "POST", chat, `{"model":"none",` + message + `}`, nil},
+		"plain as model":     {"bad_request", "model", "POST", chat, `{"model":"app",` + message + `}`, nil},
+		"two answers":        {"bad_request", "n", "POST", chat, `{"n":2,"model":"llm",` + message + `}`, nil},
+		"foreign kind":       {"forbidden", "program", "POST", chat, `{"model":"llm",` + message + `}`, []string{headerKind, "other"}},
+		"bad call number":    {"bad_request", headerCall, "POST", chat, `{"model":"llm",` + message + `}`, []string{headerProgram, "a~1", headerCall, "x"}},
+		"tools":              {"bad_request", "tools", "POST", chat, `{"tools":[],"model":"llm",` + message + `}`, nil},
+		"both bodies":        {"bad_request", "messages", "POST", "/v1/programs/a~1/calls", `{"service":"llm",` + message + `,"request":{}}`, nil},
+		"unlisted header":    {"bad_request", "request.headers.cookie", "POST", "/v1/programs/a~1/calls", `{"service":"app","request":{"path":"/","headers":{"cookie":"a"}}}`, nil},
+		"dots":               {"bad_request", "request.path", "POST", "/v1/programs/a~1/calls", `{"service":"app","request":{"path":"/a/../b"}}`, nil},
+		"no route":           {"not_found", "", "GET", "/services/none", "", nil},
+		"keyed without key":  {"unauthorized", "", "GET", "/services/orders", "", []string{"Authorization", ""}},
+		"denied route":       {"forbidden", "", "GET", "/services/admin", "", nil},
+		"dots to other path": {"bad_request", "path", "GET", "/services/notices/%2e%2e/admin", "", []string{"Authorization", ""}},
+		"encoded slash":      {"bad_request", "path", "GET", "/services/notices/..%2fadmin", "", []string{"Authorization", ""}},
+		"double slash":       {"bad_request", "path", "GET", "/services//notices", "", []string{"Authorization", ""}},
+		"body too large":     {"too_large", "body", "POST", "/services/orders", strings.Repeat("x", 4096), nil},
+	}
+	s := newScheduler(t)
+	b := newBed(t, func(o *Options) { o.Limits.MaxBody = 4000 }, s)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := b.do(c.method, c.path, c.body, c.headers...)
+			refusal := got.refusal(t)
+			assert.Equal(t, refusal.Kind, c.kind, got.body)
+			assert.Equal(t, refusal.Field, c.field, got.body)
+			assert.Equal(t, refusal.Run, structs.RunNo)
+			assert.Equal(t, got.status, structs.Refuse(c.kind, structs.RunNo, "").Status)
+		})
+	}
+	assert.Equal(t, len(s.seen()), 0)
+}
+
+func TestRefusalOfOwnerReachesCaller(t *testing.T) {
+	s := newScheduler(t)
+	s.answer = func(context.Context, *emitter) error {
+		refusal := structs.Refuse(structs.RefusedOverRate, structs.RunNo, "slow down")
+		refusal.RetryAfter = 1200e6
+		return refusal
+	}
+	b := newBed(t, nil, s)
+	got := b.do("POST", "/services/orders", "")
+	assert.Equal(t, got.status, http.StatusTooManyRequests)
+	assert.Equal(t, got.header.Get("Retry-After"), "2")
+	assert.Equal(t, got.refusal(t).Run, structs.RunNo)
+}
+
+func TestOverRate(t *testing.T) {
+	s := newScheduler(t)
+	b := newBed(t, func(o *Options) {
+		o.Admitter = admitFunc(func() *structs.Refusal {
+			return structs.Refuse(structs.RefusedOverRate, structs.RunNo, "over rate")
+		})
+	}, s)
+	assert.Equal(t, b.do("POST", "/services/orders", "").status, http.StatusTooManyRequests)
+	assert.Equal(t, b.do("GET", "/services/notices", "", "Authorization", "").status, http.StatusOK)
+	assert.Equal(t, len(s.seen()), 1)
+}
--- /dev/null
+++ b/gateway/forward/budget.go
@@ -0,0 +1,71 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// Retry budget of one process.
+const (
+	budgetCap        = 100.0 // retries
+	budgetPerRequest = 0.1   // retries earned by each request
+	budgetPerSecond  = 10.0  // retries earned without any request
+)
+
+// budget is a token bucket of retries. It keeps the retries of a process
+// within a fraction of its requests, so that an outage causes no storm.
+type budget struct {
+	mu     sync.Mutex
+	tokens float64
+	at     structs.Instant
+}
+
+func newBudget(now structs.Instant) *budget { return &budget{tokens: budgetCap, at: now} }
+
+func (b *budget) request(now structs.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.tokens = min(budgetCap, b.tokens+budgetPerRequest)
+}
+
+func (b *budget) take(now structs.Instant) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (b *budget) refill(now structs.Instant) {
+	elapsed := now.Sub(b.at)
+	b.at = now
+	b.tokens = min(budgetCap, b.tokens+elapsed.Seconds()*budgetPerSecond)
+}
+
+func (b *budget) left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
+
+// Backoff between the attempts of one request.
+const (
+	backoffBase = 20 * time.Millisecond
+	backoffMax  = time.Second
+)
+
+// backoff returns the wait before retry n, counted from 0: at least half and
+// at most the whole of an exponentially growing interval.
+func backoff(n int, random func() float64) time.Duration {
+	whole := backoffMax
+	if n < 6 {
+		whole = min(backoffMax, backoffBase<<n)
+	}
+	return whole/2 + time.Duration(random()*float64(whole/2))
+}
--- /dev/null
+++ b/gateway/forward/forward.go
@@ -0,0 +1,158 @@
+// Package forward finds the scheduler that owns a key (a program ID or an
+// account ID) and sends requests to it. It remembers the owners of slots from
+// the refusals of schedulers and retries only what cannot run twice.
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/wire"
+)
+
+// Caller sends requests to schedulers. Its errors are those of wire.Client.
+type Caller interface {
+	Call(ctx context.Context, addr, method string, in, out any) error
+	Stream(ctx context.Context, addr, method string, in any) (Replies, error)
+}
+
+// Replies are the replies to one request, as of wire.Stream.
+type Replies interface {
+	Recv(out any) error
+	Close() error
+}
+
+// WireCaller makes a Caller of a wire.Client.
+type WireCaller struct{ *wire.Client }
+
+// Stream sends a request whose replies are read with Recv.
+func (c WireCaller) Stream(ctx context.Context, addr, method string, in any) (Replies, error) {
+	stream, err := c.Client.Stream(ctx, addr, method, in)
+	if err != nil {
+		return nil, err
+	}
+	return stream, nil
+}
+
+// Options configures a Forwarder. Caller, Addresses and Slots are required.
+type Options struct {
+	Caller Caller
+	// Addresses returns the wire addresses of a failure domain's schedulers.
+	Addresses func(domain structs.DomainID) []string
+	Slots     int
+	Clock     func() structs.Instant // nil means structs.Now
+	Random    func() float64         // in [0, 1); nil means math/rand
+}
+
+// Forwarder sends requests to the owners of keys.
+type Forwarder struct {
+	opts   Options
+	budget *budget
+
+	mu     sync.Mutex
+	owners map[place]string
+}
+
+// place is one slot of one failure domain.
+type place struct {
+	domain structs.DomainID
+	slot   structs.Slot
+}
+
+// New makes a forwarder that knows no owner.
+func New(opts Options) *Forwarder {
+	if opts.Clock == nil {
+		opts.Clock = structs.Now
+	}
+	if opts.Random == nil {
+		opts.Random = rand.Float64
+	}
+	return &Forwarder{opts: opts, budget: newBudget(opts.Clock()), owners: make(map[place]string)}
+}
+
+// Call sends a request to the owner of key and decodes its reply into out. An
+// idempotent request is also sent again after its reply was cut. Its error is
+// a *structs.Refusal.
+func (f *Forwarder) Call(ctx context.Context, domain structs.DomainID, key, method string, idempotent bool, in, out any) error {
+	attempts := f.Begin(domain, key)
+	for {
+		addr, refusal := attempts.Addr()
+		if refusal != nil {
+			return refusal
+		}
+		err := f.opts.Caller.Call(ctx, addr, method, in, out)
+		if err == nil {
+			attempts.Succeeded(addr)
+			return nil
+		}
+		if err := attempts.Failed(ctx, addr, err, idempotent); err != nil {
+			return err
+		}
+	}
+}
+
+// Open opens the stream of one attempt.
+func (f *Forwarder) Open(ctx context.Context, addr, method string, in any) (Replies, error) {
+	return f.opts.Caller.Stream(ctx, addr, method, in)
+}
+
+// Begin starts the attempts of one request.
+func (f *Forwarder) Begin(domain structs.DomainID, key string) *Attempts {
+	f.budget.request(f.opts.Clock())
+	return &Attempts{
+		forwarder: f,
+		place:     place{domain: domain, slot: structs.SlotOf(key, f.opts.Slots)},
+		first:     int(f.opts.Random() * firstSpread),
+	}
+}
+
+// firstSpread is the range from which the first address is drawn.
+const firstSpread = 1 << 16
+
+func (f *Forwarder) owner(p place) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.owners[p]
+}
+
+func (f *Forwarder) learn(p place, addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.owners[p] = addr
+}
+
+// unlearn drops an owner if it is still the given one.
+func (f *Forwarder) unlearn(p place, addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.owners[p] == addr {
+		delete(f.owners, p)
+	}
+}
+
+// State is the forwarder's part of the state dump.
+type State struct {
+	KnownOwners int     `json:"known_owners"`
+	RetryBudget float64 `json:"retry_budget"`
+}
+
+// State returns the forwarder's state.
+func (f *Forwarder) State() State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return State{KnownOwners: len(f.owners), RetryBudget: f.budget.left()}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/gateway/ids.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// idSeparator stands in callers' identifiers where a program ID has a slash,
+// so that an ID is one segment of a URL.
+const idSeparator = "~"
+
+// maxID bounds a program ID from a caller, in bytes.
+const maxID = 200
+
+// encodeID writes a program ID as callers see it.
+func encodeID(id structs.ProgramID) structs.ProgramID {
+	return structs.ProgramID(strings.Replace(string(id), "/", idSeparator, 1))
+}
+
+// decodeID reads a program ID as callers write it.
+func decodeID(field, text string) (structs.ProgramID, error) {
+	id := structs.ProgramID(strings.Replace(text, idSeparator, "/", 1))
+	home, random, ok := strings.Cut(string(id), "/")
+	if !ok || home == "" || random == "" || len(text) > maxID || strings.ContainsAny(random, "/~") {
+		return "", badRequest(field, "a program ID has the form home~random")
+	}
+	return id, nil
+}
+
+func encodeInfo(info structs.ProgramInfo) structs.ProgramInfo {
+	info.ID = encodeID(info.ID)
+	info.Parent = encodeID(info.Parent)
+	return info
+}
+
+func encodeHistory(history structs.History) structs.History {
+	history.Program = encodeID(history.Program)
+	for i := range history.Turns {
+		history.Turns[i].Program = encodeID(history.Turns[i].Program)
+	}
+	return history
+}
+
+// newProgram draws the ID of a new program in the gateway's own domain.
+func (g *Gateway) newProgram() structs.ProgramID {
+	return structs.NewProgramID(g.opts.Domain, g.opts.NewID())
+}
+
+// programFor gives the ID of a program that the request creates for the given
+// purpose. Requests of one account with the same purpose and idempotency key
+// get the same ID on every gateway, so that its owner sees the repetition.
+func (x *exchange) programFor(purpose, idempotencyKey string) structs.ProgramID {
+	if idempotencyKey == "" || x.account == "" {
+		return x.g.newProgram()
+	}
+	hash := sha256.New()
+	for _, part := range []string{purpose, string(x.account), idempotencyKey} {
+		_ = binary.Write(hash, binary.BigEndian, uint64(len(part)))
+		hash.Write([]byte(part))
+	}
+	random := hex.EncodeToString(hash.Sum(nil)[:idBytes])
+	return structs.NewProgramID(home(x.g.opts.Domains(), random), random)
+}
+
+// rehome gives the program's ID another home.
+func rehome(id structs.ProgramID, domain structs.DomainID) structs.ProgramID {
+	_, random, _ := strings.Cut(string(id), "/")
+	return structs.NewProgramID(domain, random)
+}
+
+// home chooses a domain by rendezvous hashing, whatever the list's order.
+func home(domains []structs.DomainID, key string) structs.DomainID {
+	var best structs.DomainID
+	var bestScore uint64
+	for _, d := range domains {
+		score := xxhash.Sum64String(string(d) + "/" + key)
+		if best == "" || score > bestScore || score == bestScore && d < best {
+			best, bestScore = d, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/gateway/keys.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+const (
+	headerAuthorization = "Authorization"
+	headerAPIKey        = "X-Api-Key"
+	bearerPrefix        = "Bearer "
+	keyPrefix           = "ek_"
+)
+
+// keyParams are the query parameters that are refused because they commonly
+// carry keys.
+var keyParams = []string{"key", "api_key"}
+
+// readKey takes the presented key out of the request's headers, looks up its
+// account, and refuses a request that carries a key anywhere else. After it
+// only the exchange's secrets hold the key, to search for it.
+func (x *exchange) readKey() error {
+	presented, err := takeKey(x.r.Header)
+	if err != nil {
+		return err
+	}
+	query := x.r.URL.Query()
+	for name := range query {
+		for _, refused := range keyParams {
+			if strings.EqualFold(name, refused) {
+				return badRequest("query."+name, "a key may not be part of the URL")
+			}
+		}
+	}
+	if presented == "" {
+		return nil
+	}
+	account, keyID, ok := x.snapshot.Authenticate(presented)
+	if ok {
+		x.account, x.keyID = account, keyID
+	}
+	x.secrets = newSecrets(presented, keyID)
+	return x.searchRequest()
+}
+
+// takeKey removes the key from the headers and returns it, or "" when there is
+// none.
+func takeKey(header http.Header) (string, error) {
+	bearers, keys := header.Values(headerAuthorization), header.Values(headerAPIKey)
+	header.Del(headerAuthorization)
+	header.Del(headerAPIKey)
+	header.Del("Proxy-Authorization")
+	var found []string
+	for _, value := range bearers {
+		if len(value) > len(bearerPrefix) && strings.EqualFold(value[:len(bearerPrefix)], bearerPrefix) {
+			found = append(found, strings.TrimSpace(value[len(bearerPrefix):]))
+		} else {
+			found = append(found, value)
+		}
+	}
+	for _, value := range keys {
+		found = append(found, strings.TrimSpace(value))
+	}
+	if len(found) == 0 {
+		return "", nil
+	}
+	for _, other := range found[1:] {
+		if other != found[0] {
+			return "", badRequest("headers", "more than one key is presented")
+		}
+	}
+	return found[0], nil
+}
+
+// searchRequest refuses a key in the path, the query, a header or a cookie.
+func (x *exchange) searchRequest() error {
+	if x.secrets.in(x.r.URL.Path) || x.secrets.in(x.r.URL.RawPath) {
+		return badRequest("path", "a key may not be part of the URL")
+	}
+	if x.secrets.in(x.r.URL.RawQuery) {
+		return badRequest("query", "a key may not be part of the URL")
+	}
+	for name, values := range x.r.Header {
+		for _, value := range values {
+			if x.secrets.in(name) || x.secrets.in(value) {
+				return badRequest("headers", "a key may be presented in Authorization or X-Api-Key only")
+			}
+		}
+	}
+	return nil
+}
+
+// requireKey refuses a request without a valid key, watches the key for its
+// withdrawal, and admits the request by its account's quota.
+func (x *exchange) requireKey(ctx context.Context) error {
+	if x.keyID == "" {
+		return refuse(structs.RefusedUnauthorized, "a valid key is required")
+	}
+	if !x.g.watch(x) {
+		return refuse(structs.RefusedUnauthorized, "the key has been withdrawn")
+	}
+	if refusal := x.g.opts.Admitter.Admit(ctx, x.account); refusal != nil {
+		return refusal
+	}
+	if ctx.Err() != nil {
+		return refuse(structs.RefusedTimeout, "the request ended while it waited for admission")
+	}
+	return nil
+}
+
+// watch lists the request for the withdrawal of its key. The key is checked
+// after it is listed, so that a change in between is seen by one of the two.
+func (g *Gateway) watch(x *exchange) bool {
+	g.mu.Lock()
+	g.live[x] = struct{}{}
+	g.mu.Unlock()
+	snapshot := g.opts.Configs.Current()
+	return snapshot != nil && snapshot.KeyValid(x.account, x.keyID)
+}
+
+func (g *Gateway) unwatch(x *exchange) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.live, x)
+}
+
+// watchKeys ends the requests whose key a new configuration has withdrawn.
+func (g *Gateway) watchKeys(ctx context.Context) error {
+	for {
+		changed := g.opts.Configs.Changed()
+		g.endWithdrawn()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (g *Gateway) endWithdrawn() {
+	snapshot := g.opts.Configs.Current()
+	if snapshot == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for x := range g.live {
+		if !snapshot.KeyValid(x.account, x.keyID) {
+			x.cancel(refuse(structs.RefusedUnauthorized, "the key was withdrawn"))
+		}
+	}
+}
--- /dev/null
+++ b/gateway/leak_test.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// No part of a key leaves the gateway, wherever and however escaped the caller
+// has put it.
+func TestKeyIsRefusedEverywhere(t *testing.T) {
+	percent := "%63" + testSecret[1:]
+	escaped := `\u0063` + testSecret[1:]
+	cases := map[string]struct {
+		path, body string
+		headers    []string
+	}{
+		"query":             {"/services/orders?x=" + testKey, "", nil},
+		"secret in query":   {"/services/orders?x=" + testSecret, "", nil},
+		"escaped query":     {"/services/orders?x=" + percent, "", nil},
+		"param key":         {"/services/orders?key=1", "", nil},
+		"param api_key":     {"/services/orders?API_KEY=1", "", nil},
+		"path":              {"/services/orders/" + testKey, "", nil},
+		"escaped path":      {"/services/orders/" + percent, "", nil},
+		"cookie":            {"/services/orders", "", []string{"Cookie", "k=" + testKey}},
+		"forwarded header":  {"/services/orders", "", []string{"Accept-Language", testKey}},
+		"body":              {"/services/orders", "a=" + testKey, nil},
+		"escaped body":      {"/services/orders", "a=" + percent, nil},
+		"escaped JSON body": {"/services/orders", `{"a":"` + escaped + `"}`, nil},
+		"message":           {"/v1/chat/completions", strings.Replace(chatBody, "hi", escaped, 1), nil},
+		"idempotency key":   {"/services/orders", "", []string{headerIdem, testSecret}},
+		"open route":        {"/services/notices", testSecret, nil},
+		"request body":      {"/v1/programs/north~1/calls", `{"service":"app","request":{"path":"/","body":"` + testKey + `"}}`, nil},
+	}
+	s := newScheduler(t)
+	b := newBed(t, nil, s)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := b.do("POST", c.path, c.body, c.headers...)
+			refusal := got.refusal(t)
+			assert.Equal(t, refusal.Kind, structs.RefusedBadRequest, got.body)
+			assert.Equal(t, refusal.Run, structs.RunNo)
+			assert.Assert(t, !strings.Contains(got.body, testSecret))
+		})
+	}
+	assert.Equal(t, len(s.seen()), 0)
+	assert.Assert(t, !strings.Contains(b.logs.text(), testSecret))
+}
+
+// The headers that carry the key reach neither the wire nor the log, and the
+// last check finds it in each field of a call.
+func TestKeyIsStripped(t *testing.T) {
+	s := newScheduler(t)
+	b := newBed(t, nil, s)
+	assert.Equal(t, b.do("POST", "/services/orders", "x", "X-Api-Key", testKey).status, 200)
+	assert.Equal(t, b.do("POST", "/v1/chat/completions", chatBody).status, 200)
+	for _, call := range s.seen() {
+		data, err := msgpack.Marshal(call)
+		assert.NilError(t, err)
+		assert.Assert(t, !bytes.Contains(data, []byte(testSecret)))
+	}
+	assert.Assert(t, strings.Contains(b.logs.text(), "account=acme"))
+	assert.Assert(t, !strings.Contains(b.logs.text(), testSecret))
+}
+
+func TestLastCheckSearchesEveryField(t *testing.T) {
+	calls := map[string]structs.Call{
+		"idempotency key": {IdempotencyKey: testKey},
+		"kind":            {Kind: testKey},
+		"program":         {Program: "north/" + testKey},
+		"role":            {Model: &structs.ModelCall{Messages: []structs.Message{{Role: testKey}}}},
+		"content":         {Model: &structs.ModelCall{Messages: []structs.Message{{}, {Content: testKey}}}},
+		"path":            {Plain: &structs.PlainCall{Path: "/" + testKey}},
+		"method":          {Plain: &structs.PlainCall{Method: testKey}},
+		"header":          {Plain: &structs.PlainCall{Header: map[string][]string{"Accept": {"a", testKey}}}},
+		"header name":     {Plain: &structs.PlainCall{Header: map[string][]string{testKey: {"a"}}}},
+		"body":            {Plain: &structs.PlainCall{Body: []byte("x" + testKey)}},
+	}
+	found := newSecrets(testKey, "k1")
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			var refusal *structs.Refusal
+			assert.Assert(t, errors.As(found.checkCall(&call), &refusal))
+			assert.NilError(t, secrets{}.checkCall(&call))
+		})
+	}
+}
--- /dev/null
+++ b/gateway/send.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/gateway/answer"
+	"github.com/endivecourse/endivecourse/gateway/forward"
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/wire"
+)
+
+// timeoutSlack lets the owner's own refusal of a late call arrive.
+const timeoutSlack = time.Second
+
+// sink writes the answer to a call. Its methods get each part once and in
+// order, whatever the number of attempts.
+type sink interface {
+	started(ev *structs.CallEvent) error
+	data(part []byte) error
+	done(ev *structs.CallEvent) error
+}
+
+// sending is one call on its way to its owner and back.
+type sending struct {
+	x       *exchange
+	call    *structs.Call
+	checker *answer.Checker
+	out     sink
+	began   bool // out.started was called
+}
+
+// send sends the call to its program's owner and its answer to out. A call
+// whose answer is cut is sent again: its number or idempotency key lets the
+// owner replay the answer in place of a second run.
+func (x *exchange) send(ctx context.Context, call *structs.Call, out sink) error {
+	x.identify(call)
+	if err := x.secrets.checkCall(call); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout+timeoutSlack)
+	defer cancel()
+	s := &sending{x: x, call: call, checker: answer.NewChecker(call.Request), out: out}
+	attempts := x.g.opts.Forwarder.Begin(call.Program.Home(), string(call.Program))
+	for {
+		addr, refusal := attempts.Addr()
+		if refusal != nil {
+			return refusal
+		}
+		err := s.attempt(ctx, addr)
+		if err == nil {
+			attempts.Succeeded(addr)
+			return nil
+		}
+		var gone *CallerGoneError
+		if errors.As(err, &gone) {
+			return err
+		}
+		if err := attempts.Failed(ctx, addr, err, true); err != nil {
+			return err
+		}
+		s.restart()
+	}
+}
+
+// identify fills in what makes the call idempotent.
+func (x *exchange) identify(call *structs.Call) {
+	call.Account = x.account
+	call.Request = x.id
+	x.program = call.Program
+	x.w.Header().Set(headerProgram, string(encodeID(call.Program)))
+	if call.Number == 0 && call.IdempotencyKey == "" {
+		call.IdempotencyKey = "gateway-" + x.g.opts.NewID()
+	}
+	service, ok := x.snapshot.Service(call.Service())
+	call.Timeout = x.g.opts.Limits.CallTimeout.Std()
+	if ok && service.Timeout > 0 {
+		call.Timeout = service.Timeout.Std()
+	}
+}
+
+func (s *sending) restart() {
+	s.checker.Restart()
+	if number := s.checker.Number(); number != 0 {
+		s.call.Number = number
+	}
+}
+
+// attempt sends the call to one scheduler and reads its events to the end.
+func (s *sending) attempt(ctx context.Context, addr string) error {
+	s.x.sent.Store(true)
+	replies, err := s.x.g.opts.Forwarder.Open(ctx, addr, structs.MethodCall, s.call)
+	if err != nil {
+		return err
+	}
+	defer replies.Close()
+	for {
+		ended, err := s.next(addr, replies)
+		if ended || err != nil {
+			return err
+		}
+	}
+}
+
+// next takes one event.
+func (s *sending) next(addr string, replies forward.Replies) (ended bool, err error) {
+	var ev structs.CallEvent
+	err = replies.Recv(&ev)
+	if errors.Is(err, io.EOF) {
+		return true, &wire.BrokenError{Addr: addr, Cause: io.ErrUnexpectedEOF}
+	}
+	if err != nil {
+		return true, s.truthful(err)
+	}
+	fresh, err := s.checker.Take(&ev)
+	if err != nil {
+		return true, structs.Refuse(structs.RefusedAnswerIncomplete, structs.RunUnknown, "%v", err)
+	}
+	switch ev.Kind {
+	case structs.EventStarted:
+		return false, s.start(&ev)
+	case structs.EventData:
+		if len(fresh) == 0 {
+			return false, nil
+		}
+		return false, s.out.data(fresh)
+	case structs.EventDone:
+		return true, s.out.done(&ev)
+	}
+	return true, s.truthful(ev.Refusal)
+}
+
+func (s *sending) start(ev *structs.CallEvent) error {
+	if s.began {
+		return nil
+	}
+	s.began = true
+	header := s.x.w.Header()
+	header.Set(headerCall, strconv.FormatUint(ev.Number, 10))
+	if ev.Replayed {
+		header.Set(headerReplayed, "true")
+	}
+	return s.out.started(ev)
+}
+
+// truthful corrects a refusal that says "not run" after bytes of the answer
+// have arrived.
+func (s *sending) truthful(err error) error {
+	var refusal *structs.Refusal
+	if !errors.As(err, &refusal) || refusal.Run != structs.RunNo || s.checker.Delivered() == 0 {
+		return err
+	}
+	changed := *refusal
+	changed.Run = structs.RunUnknown
+	return &changed
+}
+
+// unary sends a request with one reply about a program to its owner.
+func (x *exchange) unary(ctx context.Context, id structs.ProgramID, method string, in, out any) error {
+	x.program = id
+	x.w.Header().Set(headerProgram, string(encodeID(id)))
+	ctx, cancel := context.WithTimeout(ctx, unaryTimeout)
+	defer cancel()
+	x.sent.Store(true)
+	return x.g.opts.Forwarder.Call(ctx, id.Home(), string(id), method, true, in, out)
+}
+
+// unaryTimeout bounds a request that reaches no target.
+const unaryTimeout = 15 * time.Second
+
+// streamError writes a refusal as the last event of a stream.
+func (x *exchange) streamError(refusal *structs.Refusal) {
+	event, err := sseEvent("error", x.errorBody(refusal))
+	if err == nil {
+		_ = x.write(event)
+	}
+}
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// idleConnTimeout closes a caller's connection without requests.
+const idleConnTimeout = 2 * time.Minute
+
+func (g *Gateway) newServer() *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           g.Handler(),
+		ReadHeaderTimeout: g.opts.Limits.HeaderTimeout.Std(),
+		IdleTimeout:       idleConnTimeout,
+		MaxHeaderBytes:    g.opts.Limits.MaxHeader,
+		Protocols:         protocols,
+		ErrorLog:          slog.NewLogLogger(g.opts.Log.Handler(), slog.LevelDebug),
+	}
+}
+
+func (g *Gateway) serve(listener net.Listener) error {
+	var err error
+	if g.opts.TLS.Cert != "" {
+		err = g.server.ServeTLS(listener, g.opts.TLS.Cert, g.opts.TLS.Key)
+	} else {
+		err = g.server.Serve(listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve callers")
+}
+
+// Drain fails readiness, goes on serving new requests for the grace period,
+// closes the listener, and waits until the running requests have ended or ctx
+// has.
+func (g *Gateway) Drain(ctx context.Context) error {
+	g.draining.Store(true)
+	if g.opts.DrainGrace > 0 {
+		timer := time.NewTimer(g.opts.DrainGrace)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	return errors.Wrap(g.server.Shutdown(ctx), "end callers' requests")
+}
+
+// Handler returns the callers' interface.
+func (g *Gateway) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, servicesPrefix) {
+			g.handle(classServices, (*exchange).service)(w, r)
+			return
+		}
+		g.mux.ServeHTTP(w, r)
+	})
+}
+
+func (g *Gateway) routes() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", healthy)
+	mux.HandleFunc("GET /readyz", g.ready)
+	mux.HandleFunc("POST /v1/programs", g.handle(classPrograms, (*exchange).createProgram))
+	mux.HandleFunc("GET /v1/programs/{id}", g.handle(classPrograms, (*exchange).getProgram))
+	mux.HandleFunc("DELETE /v1/programs/{id}", g.handle(classPrograms, (*exchange).endProgram))
+	mux.HandleFunc("GET /v1/programs/{id}/history", g.handle(classPrograms, (*exchange).history))
+	mux.HandleFunc("POST /v1/programs/{id}/calls", g.handle(classCalls, (*exchange).call))
+	mux.HandleFunc("POST /v1/chat/completions", g.handle(classChat, (*exchange).chat))
+	mux.HandleFunc("/", g.handle(classOther, (*exchange).unknown))
+	return mux
+}
+
+func (x *exchange) unknown(context.Context) error {
+	return refuse(structs.RefusedNotFound, "no resource has this method and path")
+}
+
+func healthy(w http.ResponseWriter, _ *http.Request) { writeStatus(w, http.StatusOK, "ok") }
+
+func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case g.draining.Load():
+		writeStatus(w, http.StatusServiceUnavailable, "draining")
+	case g.opts.Configs.Current() == nil:
+		writeStatus(w, http.StatusServiceUnavailable, "no configuration")
+	default:
+		writeStatus(w, http.StatusOK, "ready")
+	}
+}
--- /dev/null
+++ b/gateway/stats.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// routeClass groups the paths of the callers' interface for metrics and logs.
+type routeClass string
+
+const (
+	classPrograms routeClass = "programs"
+	classCalls    routeClass = "calls"
+	classChat     routeClass = "chat"
+	classServices routeClass = "services"
+	classOther    routeClass = "other"
+)
+
+const (
+	outcomeOK    = "ok"
+	outcomeOther = "other"
+)
+
+// outcomes bounds the values of the label kind.
+var outcomes = map[string]bool{outcomeOK: true}
+
+func init() {
+	for _, kind := range []structs.RefusalKind{
+		structs.RefusedBadRequest, structs.RefusedUnauthorized, structs.RefusedForbidden,
+		structs.RefusedNotFound, structs.RefusedConflict, structs.RefusedTooLarge,
+		structs.RefusedOutOfOrder, structs.RefusedProgramEnded, structs.RefusedOverBudget,
+		structs.RefusedOverRate, structs.RefusedQueueFull, structs.RefusedTailFull,
+		structs.RefusedNotReady, structs.RefusedNoTarget, structs.RefusedTargetFailed,
+		structs.RefusedTimeout, structs.RefusedQuarantined, structs.RefusedStaleConfig,
+		structs.RefusedAnswerIncomplete, structs.RefusedOutcomeUnknown, structs.RefusedInvariant,
+	} {
+		outcomes[string(kind)] = true
+	}
+}
+
+// stats are the gateway's metrics.
+type stats struct{ set *metrics.Set }
+
+func newStats(set *metrics.Set) *stats { return &stats{set: set} }
+
+func (s *stats) request(class routeClass, kind string, took time.Duration) {
+	if !outcomes[kind] {
+		kind = outcomeOther
+	}
+	s.set.GetOrCreateCounter(fmt.Sprintf(`endive_gateway_requests_total{class=%q,kind=%q}`, class, kind)).Inc()
+	s.set.GetOrCreateHistogram(fmt.Sprintf(`endive_gateway_request_seconds{class=%q}`, class)).Update(took.Seconds())
+	if kind != outcomeOK {
+		s.set.GetOrCreateCounter(fmt.Sprintf(`endive_gateway_refusals_total{kind=%q}`, kind)).Inc()
+	}
+}
