gateway: let one request at a time probe a slot without owner

Cause: after the loss of a scheduler every request of its slots retried by itself; a few hundred cut calls would have used up the retry budget before the succession of the owner ended, and failed.

Change: requests that fail on a slot join its outage, of which one at a time probes; the others go on when the slot is served again. The key is checked again before each attempt, and reads and writes of a caller end soon after its request has.

Ruled out: a larger retry budget alone, which lets the retries grow with the requests in progress.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -19,13 +20,16 @@
 
 // readBody reads the request's body within the bounds of one body, of all
 // bodies and of time.
-func (x *exchange) readBody() ([]byte, error) {
+func (x *exchange) readBody(ctx context.Context) ([]byte, error) {
 	limit := x.g.opts.Limits.MaxBody
 	if x.r.ContentLength > limit {
 		return nil, tooLarge(limit)
 	}
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(time.Now().Add(x.g.opts.BodyTimeout))
+	if ctx.Err() != nil { // the deadline above may have replaced that of unblock
+		return nil, refuse(structs.RefusedTimeout, "the request ended before its body was read")
+	}
 	body, err := x.readSteps(limit)
 	if err != nil {
 		x.leaveBody()
@@ -94,8 +98,8 @@
 }
 
 // readJSON reads the body into v. Unknown fields are refused by name.
-func (x *exchange) readJSON(v any) error {
-	body, err := x.readBody()
+func (x *exchange) readJSON(ctx context.Context, v any) error {
+	body, err := x.readBody(ctx)
 	if err != nil {
 		return err
 	}
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -44,7 +44,7 @@
 		return err
 	}
 	var body callRequest
-	if err := x.readJSON(&body); err != nil {
+	if err := x.readJSON(ctx, &body); err != nil {
 		return err
 	}
 	call := &structs.Call{Program: ref.ID, Number: body.Call}
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -79,7 +79,7 @@
 		return err
 	}
 	var body chatRequest
-	if err := x.readJSON(&body); err != nil {
+	if err := x.readJSON(ctx, &body); err != nil {
 		return err
 	}
 	model, err := body.modelCall()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -56,14 +56,43 @@
 		x := &exchange{g: g, w: w, r: r, class: class, cancel: cancel, began: g.opts.Clock()}
 		x.id = structs.RequestID(g.opts.NewID())
 		w.Header().Set(headerRequest, string(x.id))
+		stop := x.unblock(ctx)
 		err := x.run(ctx, act)
 		abort := x.conclude(ctx, err)
+		stop()
 		if abort {
 			panic(http.ErrAbortHandler)
 		}
 	}
 }
 
+// unblockAfter is how long a write to the caller may go on after its request
+// has ended; the answer's last event takes part of it.
+const unblockAfter = 250 * time.Millisecond
+
+// unblock ends reads from and writes to the caller soon after ctx has ended, so
+// that a stalled caller does not hold up the cancellation of its call. The
+// returned function must be called before the handler returns.
+func (x *exchange) unblock(ctx context.Context) (stop func()) {
+	finished, ended := make(chan struct{}), make(chan struct{})
+	cancel := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		control := http.NewResponseController(x.w)
+		_ = control.SetReadDeadline(time.Now())
+		select {
+		case <-finished:
+		case <-time.After(unblockAfter):
+			_ = control.SetWriteDeadline(time.Now())
+		}
+	})
+	return func() {
+		close(finished)
+		if !cancel() {
+			<-ended
+		}
+	}
+}
+
 // run admits the request to the gateway and performs it.
 func (x *exchange) run(ctx context.Context, act action) (err error) {
 	defer x.release()
--- a/gateway/forward/attempts.go
+++ b/gateway/forward/attempts.go
@@ -12,8 +12,11 @@
 
 // Bounds of the attempts of one request.
 const (
-	maxAttempts  = 12
+	maxAttempts  = 32
 	maxRedirects = 3 // followed at once and outside of the retry budget
+	// maxWait bounds the time from the first failed attempt to the last. It
+	// covers the succession of a lost owner.
+	maxWait = 20 * time.Second
 )
 
 // retryAfter is what a caller is told to wait when no scheduler serves.
@@ -28,7 +31,11 @@
 	tried     int
 	redirects int
 	next      string
-	cut       bool // an attempt was sent and its reply was cut
+	cut       bool            // an attempt was sent and its reply was cut
+	failed    structs.Instant // when the first attempt failed
+	outage    *outage         // that the request waits for
+	probing   bool            // the request holds the outage's turn
+	timer     *time.Timer     // of the probe that was sent
 }
 
 // Addr returns the address for the next attempt.
@@ -46,9 +53,6 @@
 	return addrs[(a.first+a.tried)%len(addrs)], nil
 }
 
-// Succeeded records that the address serves the key.
-func (a *Attempts) Succeeded(addr string) { a.forwarder.learn(a.place, addr) }
-
 // Cut reports whether an attempt was sent and its reply was cut, so that a
 // later refusal cannot say that the request did not run.
 func (a *Attempts) Cut() bool { return a.cut }
@@ -58,14 +62,19 @@
 // the *structs.Refusal that ends it. resend says that the request may be sent
 // again although its reply was cut.
 func (a *Attempts) Failed(ctx context.Context, addr string, err error, resend bool) error {
+	a.answered()
 	a.next = ""
 	a.tried++
+	if a.tried == 1 {
+		a.failed = a.forwarder.opts.Clock()
+	}
 	a.cut = a.cut || sent(err)
 	final := a.classify(ctx, err)
 	if ctx.Err() != nil {
 		return final
 	}
 	if !retryable(err, resend) {
+		a.openOn(addr, err)
 		return final
 	}
 	if a.redirect(addr, err) {
@@ -75,13 +84,21 @@
 		return final
 	}
 	a.forwarder.unlearn(a.place, addr)
-	if !a.forwarder.budget.take(a.forwarder.opts.Clock()) {
-		return final
+	if a.wait(ctx) {
+		return nil
 	}
-	if sleep(ctx, backoff(a.tried-1, a.forwarder.opts.Random)) != nil {
+	if ctx.Err() != nil {
 		return a.ended(ctx, a.cut)
 	}
-	return nil
+	return final
+}
+
+// openOn ends the place's outage when the error shows that it is served.
+func (a *Attempts) openOn(addr string, err error) {
+	var refusal *structs.Refusal
+	if errors.As(err, &refusal) && !notServing(refusal) {
+		a.Succeeded(addr)
+	}
 }
 
 // redirect follows a refusal that names the owner.
--- a/gateway/forward/budget.go
+++ b/gateway/forward/budget.go
@@ -9,9 +9,9 @@
 
 // Retry budget of one process.
 const (
-	budgetCap        = 100.0 // retries
+	budgetCap        = 500.0 // retries
 	budgetPerRequest = 0.1   // retries earned by each request
-	budgetPerSecond  = 10.0  // retries earned without any request
+	budgetPerSecond  = 100.0 // retries earned without any request
 )
 
 // budget is a token bucket of retries. It keeps the retries of a process
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -7,7 +7,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
@@ -52,8 +51,9 @@
 	opts   Options
 	budget *budget
 
-	mu     sync.Mutex
-	owners map[place]string
+	mu      sync.Mutex
+	owners  map[place]string
+	outages map[place]*outage
 }
 
 // place is one slot of one failure domain.
@@ -70,7 +70,12 @@
 	if opts.Random == nil {
 		opts.Random = rand.Float64
 	}
-	return &Forwarder{opts: opts, budget: newBudget(opts.Clock()), owners: make(map[place]string)}
+	return &Forwarder{
+		opts:    opts,
+		budget:  newBudget(opts.Clock()),
+		owners:  make(map[place]string),
+		outages: make(map[place]*outage),
+	}
 }
 
 // Call sends a request to the owner of key and decodes its reply into out. An
@@ -78,11 +83,13 @@
 // a *structs.Refusal.
 func (f *Forwarder) Call(ctx context.Context, domain structs.DomainID, key, method string, idempotent bool, in, out any) error {
 	attempts := f.Begin(domain, key)
+	defer attempts.End()
 	for {
 		addr, refusal := attempts.Addr()
 		if refusal != nil {
 			return refusal
 		}
+		attempts.Sending()
 		err := f.opts.Caller.Call(ctx, addr, method, in, out)
 		if err == nil {
 			attempts.Succeeded(addr)
@@ -99,7 +106,7 @@
 	return f.opts.Caller.Stream(ctx, addr, method, in)
 }
 
-// Begin starts the attempts of one request.
+// Begin starts the attempts of one request, which End ends.
 func (f *Forwarder) Begin(domain structs.DomainID, key string) *Attempts {
 	f.budget.request(f.opts.Clock())
 	return &Attempts{
@@ -136,6 +143,7 @@
 // State is the forwarder's part of the state dump.
 type State struct {
 	KnownOwners int     `json:"known_owners"`
+	Outages     int     `json:"outages"` // slots that no scheduler serves
 	RetryBudget float64 `json:"retry_budget"`
 }
 
@@ -143,16 +151,5 @@
 func (f *Forwarder) State() State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return State{KnownOwners: len(f.owners), RetryBudget: f.budget.left()}
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return State{KnownOwners: len(f.owners), Outages: len(f.outages), RetryBudget: f.budget.left()}
 }
--- a/gateway/programs.go
+++ b/gateway/programs.go
@@ -19,7 +19,7 @@
 		return err
 	}
 	var body createRequest
-	if err := x.readJSON(&body); err != nil {
+	if err := x.readJSON(ctx, &body); err != nil {
 		return err
 	}
 	key, err := x.idempotencyKey()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -27,11 +27,12 @@
 
 // sending is one call on its way to its owner and back.
 type sending struct {
-	x       *exchange
-	call    *structs.Call
-	checker *answer.Checker
-	out     sink
-	began   bool // out.started was called
+	x        *exchange
+	call     *structs.Call
+	checker  *answer.Checker
+	attempts *forward.Attempts
+	out      sink
+	began    bool // out.started was called
 }
 
 // send sends the call to its program's owner and its answer to out. A call
@@ -44,16 +45,19 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout+timeoutSlack)
 	defer cancel()
-	s := &sending{x: x, call: call, checker: answer.NewChecker(call.Request), out: out}
 	attempts := x.g.opts.Forwarder.Begin(call.Program.Home(), string(call.Program))
+	defer attempts.End()
+	s := &sending{x: x, call: call, checker: answer.NewChecker(call.Request), attempts: attempts, out: out}
 	for {
 		addr, refusal := attempts.Addr()
 		if refusal != nil {
 			return refusal
 		}
+		if err := x.mayProceed(ctx, attempts.Cut()); err != nil {
+			return err
+		}
 		err := s.attempt(ctx, addr)
 		if err == nil {
-			attempts.Succeeded(addr)
 			return nil
 		}
 		var gone *CallerGoneError
@@ -67,6 +71,26 @@
 	}
 }
 
+// mayProceed refuses an attempt of a request that has ended or whose key was
+// withdrawn while the request was read or waited.
+func (x *exchange) mayProceed(ctx context.Context, cut bool) error {
+	run := structs.RunNo
+	if cut {
+		run = structs.RunUnknown
+	}
+	if ctx.Err() != nil {
+		return structs.Refuse(structs.RefusedTimeout, run, "the request ended before it was forwarded")
+	}
+	if x.keyID == "" {
+		return nil
+	}
+	current := x.g.opts.Configs.Current()
+	if current == nil || !current.KeyValid(x.account, x.keyID) {
+		return structs.Refuse(structs.RefusedUnauthorized, run, "the key was withdrawn")
+	}
+	return nil
+}
+
 // identify fills in what makes the call idempotent.
 func (x *exchange) identify(call *structs.Call) {
 	call.Account = x.account
@@ -93,6 +117,7 @@
 // attempt sends the call to one scheduler and reads its events to the end.
 func (s *sending) attempt(ctx context.Context, addr string) error {
 	s.x.sent.Store(true)
+	s.attempts.Sending()
 	replies, err := s.x.g.opts.Forwarder.Open(ctx, addr, structs.MethodCall, s.call)
 	if err != nil {
 		return err
@@ -122,6 +147,7 @@
 	}
 	switch ev.Kind {
 	case structs.EventStarted:
+		s.attempts.Succeeded(addr)
 		return false, s.start(&ev)
 	case structs.EventData:
 		if len(fresh) == 0 {
@@ -165,6 +191,9 @@
 	x.w.Header().Set(headerProgram, string(encodeID(id)))
 	ctx, cancel := context.WithTimeout(ctx, unaryTimeout)
 	defer cancel()
+	if err := x.mayProceed(ctx, false); err != nil {
+		return err
+	}
 	x.sent.Store(true)
 	return x.g.opts.Forwarder.Call(ctx, id.Home(), string(id), method, true, in, out)
 }
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -69,7 +69,7 @@
 	if !validMethod(x.r.Method) {
 		return badRequest("method", "the method is not passed on to services")
 	}
-	body, err := x.readBody()
+	body, err := x.readBody(ctx)
 	if err != nil {
 		return err
 	}
