--- /dev/null
+++ b/program/model_test.go
@@ -0,0 +1,442 @@
+package program
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/endivecourse/endivecourse/journal"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// world is a small model of everything around a core: a journal, targets and
+// callers, with failures of each. Its draws come from rapid or from a seed.
+type world struct {
+	draw  func(n int) int
+	rules rules
+	core  *Core
+	gen   structs.Epoch
+	now   structs.Instant
+	err   error
+	calm  bool // releases no longer fail
+
+	durable map[structs.ProgramID][]journal.Record
+	pending []Write
+	queued  []Enqueue
+	sends   []Send
+	holds   map[structs.ProgramID]map[structs.TargetID]bool
+
+	programs  []structs.ProgramID
+	lastToken Token
+	asked     map[Token]askedCall
+	once      map[string]int               // arrivals at targets of calls that may not be repeated
+	ranIn     map[string]structs.Epoch     // epoch of the last such arrival
+	acked     map[structs.ProgramID]uint64 // highest acknowledged call
+	injected  map[string]int
+}
+
+type askedCall struct {
+	program    structs.ProgramID
+	number     uint64
+	repeatable bool
+	other      bool // the number with another content
+}
+
+func (a askedCall) key() string { return fmt.Sprintf("%s#%d/%v", a.program, a.number, a.other) }
+
+const (
+	modelHome      = "north"
+	drainStep      = 300 * time.Millisecond
+	recentPrograms = 5 // that calls are sent to
+)
+
+func newWorld(draw func(int) int, r rules) *world {
+	w := &world{
+		draw: draw, rules: r,
+		durable:  make(map[structs.ProgramID][]journal.Record),
+		holds:    make(map[structs.ProgramID]map[structs.TargetID]bool),
+		asked:    make(map[Token]askedCall),
+		once:     make(map[string]int),
+		ranIn:    make(map[string]structs.Epoch),
+		acked:    make(map[structs.ProgramID]uint64),
+		injected: make(map[string]int),
+	}
+	w.takeOver()
+	return w
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.err == nil {
+		w.err = fmt.Errorf(format, args...)
+	}
+}
+
+// takeOver starts a new owner from the durable records.
+func (w *world) takeOver() {
+	w.gen++
+	w.core = New(Options{Domain: modelHome, Slots: 1, KeepEnded: time.Hour, MaxPrograms: 12, rules: w.rules})
+	w.pending, w.queued, w.sends = nil, nil, nil
+	var records []journal.Record
+	for _, id := range w.programs {
+		records = append(records, w.durable[id]...)
+	}
+	w.step(SlotGained{Slot: 0, Epoch: w.gen, Records: records})
+}
+
+func (w *world) step(e Event) {
+	w.now = w.now.Add(time.Millisecond)
+	for _, action := range w.core.Step(w.now, e) {
+		w.act(action)
+	}
+}
+
+func (w *world) act(action Action) {
+	switch a := action.(type) {
+	case Write:
+		w.pending = append(w.pending, a)
+	case Enqueue:
+		w.queued = append(w.queued, a)
+	case Dequeue:
+		w.queued = remove(w.queued, func(q Enqueue) bool { return q.Call == a.Call })
+	case Send:
+		w.sends = append(w.sends, a)
+	case Cancel:
+		w.cancel(a)
+	case Reply:
+		w.reply(a)
+	case Refuse:
+		w.refused(a)
+	case Release:
+		w.released(a)
+	case Fault:
+		w.fail("%v", a.Err)
+	}
+}
+
+func remove[T any](list []T, match func(T) bool) []T {
+	var kept []T
+	for _, item := range list {
+		if !match(item) {
+			kept = append(kept, item)
+		}
+	}
+	return kept
+}
+
+// cancel drops a dispatch; its bytes may have reached the target before.
+func (w *world) cancel(a Cancel) {
+	for _, s := range w.sends {
+		if s.Call == a.Call && s.Attempt == a.Attempt && w.draw(2) == 0 {
+			w.arrived(s)
+		}
+	}
+	w.sends = remove(w.sends, func(s Send) bool { return s.Call == a.Call && s.Attempt == a.Attempt })
+}
+
+// arrived counts a request that reached its target.
+func (w *world) arrived(s Send) {
+	id := s.Request.Hold
+	if plain := s.Request.Plain; plain != nil {
+		key := plain.Path
+		if plain.Method == "GET" {
+			return
+		}
+		w.once[key]++
+		w.ranIn[key] = w.gen
+		if w.once[key] > 1 {
+			w.fail("%s reached targets %d times", key, w.once[key])
+		}
+		return
+	}
+	if w.holds[id] == nil {
+		w.holds[id] = make(map[structs.TargetID]bool)
+	}
+	w.holds[id][s.Target] = true
+}
+
+func (w *world) reply(a Reply) {
+	asked, known := w.asked[a.Token]
+	if !known || a.Event.Kind != structs.EventDone {
+		return
+	}
+	turn := w.durableTurn(asked.program, asked.number)
+	if turn == nil {
+		w.fail("%s is acknowledged and not durable", asked.key())
+	}
+	w.injected["acknowledged"]++
+	w.acked[asked.program] = max(w.acked[asked.program], asked.number)
+}
+
+func (w *world) refused(a Refuse) {
+	asked, known := w.asked[a.Token]
+	if !known || a.Refusal.Run != structs.RunNo || asked.repeatable {
+		return
+	}
+	if w.ranIn[asked.key()] == w.gen {
+		w.fail("%s ran and was refused with run no: %v", asked.key(), a.Refusal)
+	}
+}
+
+func (w *world) released(a Release) {
+	if len(w.durable[a.Program]) > 0 && !w.endedDurably(a.Program) {
+		w.fail("%s is released and runs", a.Program)
+	}
+	ok := w.calm || w.draw(3) > 0
+	if ok && w.holds[a.Program] != nil {
+		delete(w.holds[a.Program], a.Target)
+	}
+	w.injected["release"]++
+	w.step2(Released{Program: a.Program, Target: a.Target, OK: ok})
+}
+
+// step2 steps from within an action: the outcome is delivered after the
+// actions at hand.
+func (w *world) step2(e Event) {
+	for _, action := range w.core.Step(w.now, e) {
+		w.act(action)
+	}
+}
+
+func (w *world) endedDurably(id structs.ProgramID) bool {
+	for _, r := range w.durable[id] {
+		if r.Kind == journal.KindEnded {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) durableTurn(id structs.ProgramID, number uint64) *structs.Turn {
+	for _, r := range w.durable[id] {
+		if r.Kind != journal.KindTurn {
+			continue
+		}
+		var turn structs.Turn
+		if err := decode(r.Body, &turn); err == nil && turn.Number == number {
+			return &turn
+		}
+	}
+	return nil
+}
+
+// keep makes records durable as a journal does: the same records again are
+// kept once.
+func (w *world) keep(records []journal.Record) {
+	for _, r := range records {
+		list := w.durable[r.Program]
+		if uint64(len(list)) >= r.Seq {
+			if old := list[r.Seq-1]; old.Kind != r.Kind || string(old.Body) != string(r.Body) {
+				w.fail("%s: record %d is written twice with other content", r.Program, r.Seq)
+			}
+			continue
+		}
+		if uint64(len(list))+1 != r.Seq {
+			w.fail("%s: record %d leaves a gap after %d", r.Program, r.Seq, len(list))
+		}
+		w.durable[r.Program] = append(list, r)
+	}
+}
+
+func (w *world) write() {
+	if len(w.pending) == 0 {
+		return
+	}
+	i := w.draw(len(w.pending))
+	write := w.pending[i]
+	w.pending = append(w.pending[:i:i], w.pending[i+1:]...)
+	switch w.draw(8) {
+	case 0:
+		w.injected["write full"]++
+		w.step(Wrote{ID: write.ID, Result: WriteFull})
+	case 1:
+		w.injected["write lost"]++
+		w.step(Wrote{ID: write.ID, Result: WriteUnknown})
+	case 2:
+		w.injected["write answer lost"]++
+		w.keep(write.Records)
+		w.step(Wrote{ID: write.ID, Result: WriteUnknown})
+	default:
+		w.keep(write.Records)
+		w.step(Wrote{ID: write.ID, Result: WriteDurable})
+	}
+}
+
+func (w *world) choose() {
+	if len(w.queued) == 0 {
+		return
+	}
+	i := w.draw(len(w.queued))
+	item := w.queued[i]
+	w.queued = append(w.queued[:i:i], w.queued[i+1:]...)
+	w.step(Chosen{Call: item.Call, Target: structs.TargetID(fmt.Sprintf("t%d", w.draw(3)))})
+}
+
+func (w *world) finish() {
+	if len(w.sends) == 0 {
+		return
+	}
+	i := w.draw(len(w.sends))
+	s := w.sends[i]
+	w.sends = append(w.sends[:i:i], w.sends[i+1:]...)
+	result := []Result{ResultDone, ResultDone, ResultDone, ResultNotSent, ResultBroken, ResultRefused, ResultFailed}[w.draw(7)]
+	if result != ResultNotSent {
+		w.arrived(s)
+	}
+	w.injected[fmt.Sprintf("result %d", result)]++
+	if result == ResultDone || result == ResultBroken && w.draw(2) == 0 {
+		w.step(Part{Call: s.Call, Attempt: s.Attempt, Status: 200, Data: []byte("answer")})
+	}
+	usage := structs.Usage{}
+	if s.Request.Plain == nil {
+		usage = structs.Usage{PromptTokens: int64(1 + w.draw(30)), OutputTokens: int64(w.draw(8))}
+	}
+	w.step(Finished{Call: s.Call, Attempt: s.Attempt, Result: result, Usage: usage})
+}
+
+func (w *world) token() Token {
+	w.lastToken++
+	return w.lastToken
+}
+
+func (w *world) create() {
+	if w.draw(4) > 0 {
+		return
+	}
+	id := structs.NewProgramID(modelHome, fmt.Sprintf("p%d", len(w.programs)))
+	parent := structs.ProgramID("")
+	if len(w.programs) > 0 && w.draw(3) == 0 {
+		parent = w.programs[w.draw(len(w.programs))]
+		id = NewChildID(parent, fmt.Sprintf("c%d", len(w.programs)))
+	}
+	w.programs = append(w.programs, id)
+	w.step(Create{Token: w.token(), Request: structs.CreateProgram{ID: id, Account: "a", Kind: "k", Parent: parent,
+		Budget: int64(20 + w.draw(1500))}, Budget: 1500, IdleLimit: time.Minute})
+}
+
+// call sends a call whose content is fixed by its program and number, so that
+// a repeated number is a duplicate; now and then it is not.
+func (w *world) call() {
+	if len(w.programs) == 0 {
+		return
+	}
+	recent := w.programs[max(0, len(w.programs)-recentPrograms):]
+	id := recent[w.draw(len(recent))]
+	number := uint64(1 + w.draw(int(w.acked[id])+4))
+	asked := askedCall{program: id, number: number, repeatable: true, other: w.draw(12) == 0}
+	call := structs.Call{Program: id, Account: "a", Number: number, Request: "q"}
+	switch number % 3 {
+	case 0:
+		call.Plain = &structs.PlainCall{Service: "s", Method: "GET", Path: asked.key()}
+	case 1:
+		asked.repeatable = false
+		call.Plain = &structs.PlainCall{Service: "s", Method: "POST", Path: asked.key()}
+	default:
+		call.Model = &structs.ModelCall{Service: "m", MaxTokens: 20, Messages: []structs.Message{{Role: "user", Content: asked.key()}}}
+	}
+	token := w.token()
+	w.asked[token] = asked
+	w.step(Arrived{Token: token, Call: call, Repeatable: asked.repeatable, Timeout: time.Duration(1+w.draw(3000)) * time.Millisecond})
+}
+
+func (w *world) endOne() {
+	if len(w.programs) > 0 {
+		w.step(EndRequested{Token: w.token(), ID: w.programs[w.draw(len(w.programs))], Account: "a"})
+	}
+}
+
+// crash kills the owner: each write and each dispatch under way may or may not
+// have taken effect.
+func (w *world) crash() {
+	w.injected["crash"]++
+	for _, write := range w.pending {
+		if w.draw(2) == 0 {
+			w.keep(write.Records)
+		}
+	}
+	for _, s := range w.sends {
+		if w.draw(2) == 0 {
+			w.arrived(s)
+		}
+	}
+	if w.draw(2) == 0 { // a loss that the owner sees
+		w.sends = nil
+		w.step(SlotLost{Slot: 0})
+	}
+	w.takeOver()
+	w.checkHistories()
+}
+
+func (w *world) checkHistories() {
+	for id, number := range w.acked {
+		history, refusal := w.core.History(id, "a")
+		if refusal != nil || uint64(len(history.Turns)) < number {
+			w.fail("%s: %d calls were acknowledged and %d turns are left (%v)", id, number, len(history.Turns), refusal)
+		}
+		for _, turn := range history.Turns {
+			if turn.Plain != nil && !strings.HasPrefix(turn.Plain.Path, string(id)+"#") {
+				w.fail("%s holds a turn of %s", id, turn.Plain.Path)
+			}
+		}
+	}
+}
+
+func (w *world) tick() {
+	w.now = w.now.Add(time.Duration(w.draw(60)) * time.Millisecond)
+	w.step(Tick{})
+}
+
+func (w *world) random() {
+	moves := []func(){w.create, w.call, w.call, w.call, w.call, w.write, w.write, w.write, w.write,
+		w.choose, w.choose, w.choose, w.finish, w.finish, w.finish, w.tick}
+	switch n := w.draw(len(moves)*8 + 2); {
+	case n == 0:
+		w.crash()
+	case n == 1:
+		w.endOne()
+	default:
+		moves[n%len(moves)]()
+	}
+}
+
+// drain ends every program without further failures and checks that nothing
+// stays held.
+func (w *world) drain() {
+	for _, id := range w.programs {
+		w.step(EndRequested{Token: w.token(), ID: id, Account: "a"})
+	}
+	for range 400 {
+		w.now = w.now.Add(drainStep)
+		w.tick()
+		writes := w.pending
+		w.pending = nil
+		for _, write := range writes {
+			w.keep(write.Records)
+			w.step(Wrote{ID: write.ID, Result: WriteDurable})
+		}
+	}
+	w.sweepAll()
+	w.calm = true
+	for range 10 {
+		w.now = w.now.Add(maxReleaseDelay)
+		w.tick()
+	}
+	w.sweepAll()
+	for id, targets := range w.holds {
+		if len(targets) > 0 {
+			w.fail("%s has ended and is held by %d targets", id, len(targets))
+		}
+	}
+	for _, info := range w.core.List("") {
+		if !info.Ended {
+			w.fail("%s does not end", info.ID)
+		}
+	}
+}
+
+func (w *world) sweepAll() {
+	for id, targets := range w.holds {
+		for target := range targets {
+			w.step(Held{Target: target, Programs: []structs.ProgramID{id}})
+		}
+	}
+}
--- a/structs/call.go
+++ b/structs/call.go
@@ -79,6 +79,12 @@
 	// Outcome is RunYes, or RunUnknown for a call whose end was not seen.
 	Outcome        Run    `msgpack:"o" json:"run"`
 	IdempotencyKey string `msgpack:"i,omitempty" json:"idempotency_key,omitempty"`
+	// Fingerprint identifies the request, so that a duplicate is told from a
+	// conflict after recovery.
+	Fingerprint uint64 `msgpack:"f,omitempty" json:"-"`
+	// Charged is what the call cost the program's budget in tokens, attempts
+	// with an unknown outcome included.
+	Charged int64 `msgpack:"c,omitempty" json:"charged_tokens"`
 }
 
 // PlainTurn is the request line and the answer of a plain call.
@@ -87,6 +93,8 @@
 	Path   string `msgpack:"p" json:"path"`
 	Status int    `msgpack:"s" json:"status"`
 	Body   []byte `msgpack:"b" json:"body"`
+	// Header is the answer's header as far as it is passed on to the caller.
+	Header map[string][]string `msgpack:"h,omitempty" json:"header,omitempty"`
 }
 
 // ProgramInfo describes a program to its caller and to operators.
