Scheduler runtime over the platform's table and object store

Cause: the program core needs a runtime that owns slots, records, chooses targets, dispatches and answers gateways.

Quarantine and targets no longer take instant 0 for a time that has passed, so that they also work where the clock starts below zero.

Ruled out: a row for each slot (256 conditional writes a second and domain); counting an object that was written after the lease ended.

Conclusion: a program goes on at another owner with its whole history; an order whose end was not seen is not sent again.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -54,6 +54,9 @@
 	touched structs.Instant
 }
 
+// held reports whether the request is kept from targets.
+func (e *entry) held(now structs.Instant) bool { return e.until != 0 && now < e.until }
+
 // List holds the suspected and the quarantined fingerprints. It is used from
 // one goroutine.
 type List struct {
@@ -79,7 +82,7 @@
 	if len(e.targets) < l.opts.Targets {
 		return false
 	}
-	fresh := e.until <= now
+	fresh := !e.held(now)
 	e.until = now.Add(l.opts.Period)
 	return fresh
 }
@@ -88,7 +91,7 @@
 // may run.
 func (l *List) Left(now structs.Instant, fingerprint uint64) time.Duration {
 	e := l.entries[fingerprint]
-	if e == nil || e.until <= now {
+	if e == nil || !e.held(now) {
 		return 0
 	}
 	return e.until.Sub(now)
@@ -130,7 +133,7 @@
 		}
 	}
 	until := now.Add(min(report.Left, l.opts.Period))
-	if until > now && until > e.until {
+	if report.Left > 0 && (e.until == 0 || until > e.until) {
 		e.until = until
 	}
 	if len(e.targets) >= l.opts.Targets && e.until == 0 {
@@ -161,7 +164,7 @@
 	var victim uint64
 	var oldest *entry
 	for fingerprint, e := range l.entries {
-		if e.until <= now && now.Sub(e.touched) > l.opts.Suspect {
+		if !e.held(now) && now.Sub(e.touched) > l.opts.Suspect {
 			delete(l.entries, fingerprint)
 			continue
 		}
@@ -175,7 +178,7 @@
 }
 
 func evictBefore(now structs.Instant, a, b *entry, lower bool) bool {
-	if heldA, heldB := a.until > now, b.until > now; heldA != heldB {
+	if heldA, heldB := a.held(now), b.held(now); heldA != heldB {
 		return heldB
 	}
 	if a.touched != b.touched {
--- /dev/null
+++ b/scheduler/act.go
@@ -0,0 +1,111 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/journal"
+	"github.com/endivecourse/endivecourse/program"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// act carries one action of the core out. It never waits.
+func (l *loop) act(action program.Action) {
+	switch a := action.(type) {
+	case program.Write:
+		l.write(a)
+	case program.Enqueue:
+		l.enqueue(a)
+	case program.Dequeue:
+		if d := l.dispatchers[a.Service]; d != nil {
+			d.remove(a.Call)
+		}
+	case program.Abort:
+		l.abort(a)
+	case program.Send:
+		l.send(a)
+	case program.Cancel:
+		if cancel := l.cancels[dispatchID{a.Call, a.Attempt}]; cancel != nil {
+			cancel()
+		}
+	case program.Reply:
+		l.s.box.reply(a)
+	case program.Answer:
+		l.s.box.answer(a)
+	case program.Refuse:
+		l.s.refuse(a)
+	case program.Release:
+		l.release(a)
+	case program.Forget:
+		for _, d := range l.dispatchers {
+			d.queue.Forget(a.Program)
+		}
+	case program.Fault:
+		l.s.stats.faults.Add(1)
+		l.s.log.Error("invariant violated", "package", a.Err.Package, "name", a.Err.Name, "detail", a.Err.Detail)
+	}
+}
+
+// appendTimeout bounds one try to write records.
+const appendTimeout = 30 * time.Second
+
+func (l *loop) write(a program.Write) {
+	s := l.s
+	s.kernel.Go("scheduler.append", func(ctx context.Context) error {
+		appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		defer cancel()
+		err := s.opts.Journal.Append(appendCtx, a.Records)
+		s.post(ctx, message{event: program.Wrote{ID: a.ID, Result: writeResult(err)}})
+		return nil
+	})
+}
+
+func writeResult(err error) program.WriteResult {
+	var fenced *journal.FencedError
+	var full *journal.FullError
+	switch {
+	case err == nil:
+		return program.WriteDurable
+	case errors.As(err, &fenced):
+		return program.WriteFenced
+	case errors.As(err, &full):
+		return program.WriteFull
+	default:
+		return program.WriteUnknown
+	}
+}
+
+// enqueue lets a call wait, unless its content is in quarantine.
+func (l *loop) enqueue(a program.Enqueue) {
+	if refusal := l.refuseQuarantined(a.Fingerprint); refusal != nil {
+		l.queue(program.Rejected{Call: a.Call, Refusal: refusal})
+		return
+	}
+	l.dispatcher(a.Item.Service).push(structs.Now(), a.Item)
+}
+
+func (l *loop) refuseQuarantined(fingerprint uint64) *structs.Refusal {
+	left := l.quarantine.Left(structs.Now(), fingerprint)
+	if left == 0 {
+		return nil
+	}
+	refusal := structs.Refuse(structs.RefusedQuarantined, structs.RunNo, "targets crashed while they ran this request")
+	refusal.RetryAfter = left
+	return refusal
+}
+
+func (l *loop) abort(a program.Abort) {
+	for _, d := range l.dispatchers {
+		if d.ended(structs.Now(), a.Call, a.Target, structs.Usage{}, false) {
+			return
+		}
+	}
+}
+
+func (l *loop) release(a program.Release) {
+	if !l.s.releases.TryPut(a) {
+		l.queue(program.Released{Program: a.Program, Target: a.Target, OK: false})
+	}
+}
--- /dev/null
+++ b/scheduler/dump.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/endivecourse/endivecourse/program"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// stats are counters since the start.
+type stats struct {
+	calls, faults, quarantined, released atomic.Int64
+}
+
+// State is the scheduler's part of the state dump.
+type State struct {
+	Owned       []structs.Slot                     `json:"owned_slots"`
+	Counts      program.Counts                     `json:"counts"`
+	Callers     int                                `json:"callers"`
+	Draining    bool                               `json:"draining"`
+	Calls       int64                              `json:"calls_total"`
+	Faults      int64                              `json:"invariants_violated_total"`
+	Quarantined int64                              `json:"quarantined_total"`
+	Released    int64                              `json:"released_total"`
+	Suspects    int                                `json:"quarantine_entries"`
+	Services    map[structs.ServiceID]ServiceState `json:"services"`
+}
+
+// ServiceState is one service in the state dump.
+type ServiceState struct {
+	Waiting int                              `json:"waiting"`
+	Targets map[structs.TargetID]TargetState `json:"targets"`
+}
+
+// TargetState is one target in the state dump.
+type TargetState struct {
+	InFlight int  `json:"in_flight"`
+	Limit    int  `json:"limit"`
+	Running  int  `json:"reported_running"`
+	Waiting  int  `json:"reported_waiting"`
+	Leaving  bool `json:"leaving"`
+	Down     bool `json:"down"`
+}
+
+// dumpTimeout bounds the wait for the loop.
+const dumpTimeout = time.Second
+
+// DumpState returns a State.
+func (s *Scheduler) DumpState() any {
+	ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
+	defer cancel()
+	state := make(chan State, 1)
+	if err := s.ask(ctx, func(l *loop) { state <- l.state() }); err != nil {
+		return err.Error()
+	}
+	return <-state
+}
+
+func (l *loop) state() State {
+	stats := &l.s.stats
+	state := State{
+		Owned: l.ownedSlots(), Counts: l.core.Counts(), Callers: l.s.box.len(), Draining: l.s.draining.Load(),
+		Calls: stats.calls.Load(), Faults: stats.faults.Load(), Quarantined: stats.quarantined.Load(),
+		Released: stats.released.Load(), Suspects: l.quarantine.Len(),
+		Services: make(map[structs.ServiceID]ServiceState),
+	}
+	for id, d := range l.dispatchers {
+		state.Services[id] = d.state(structs.Now())
+	}
+	return state
+}
+
+func (d *dispatcher) state(now structs.Instant) ServiceState {
+	state := ServiceState{Waiting: d.queue.Len(), Targets: make(map[structs.TargetID]TargetState)}
+	for id, b := range d.targets {
+		state.Targets[id] = TargetState{
+			InFlight: b.inFlight, Limit: b.limit, Running: b.load.Running, Waiting: b.load.Waiting,
+			Leaving: d.leaving(id), Down: b.isDown(now),
+		}
+	}
+	return state
+}
--- /dev/null
+++ b/scheduler/handlers.go
@@ -0,0 +1,103 @@
+package scheduler
+
+import (
+	"context"
+
+	"github.com/endivecourse/endivecourse/program"
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/wire"
+)
+
+// RegisterHandlers sets the handlers of the scheduler's methods.
+func (s *Scheduler) RegisterHandlers(server *wire.Server) {
+	wire.Unary(server, structs.MethodCreateProgram, s.createProgram)
+	wire.Unary(server, structs.MethodEndProgram, s.endProgram)
+	wire.Unary(server, structs.MethodGetProgram, s.getProgram)
+	wire.Unary(server, structs.MethodListPrograms, s.listPrograms)
+	wire.Unary(server, structs.MethodHistory, s.history)
+	wire.Unary(server, structs.MethodTakeQuota, s.takeQuota)
+	wire.Unary(server, structs.MethodOwners, s.owners)
+	server.Handle(structs.MethodCall, s.call)
+}
+
+func (s *Scheduler) createProgram(ctx context.Context, req structs.CreateProgram) (structs.ProgramInfo, error) {
+	kind, refusal := s.checkKind(req.Account, req.Kind)
+	if refusal != nil {
+		return structs.ProgramInfo{}, refusal
+	}
+	return s.askProgram(ctx, req.ID, func(token program.Token) program.Event {
+		return program.Create{
+			Token: token, Request: req, Budget: kind.Budget,
+			IdleLimit: kind.IdleLimit.Std(), MaxDepth: kind.MaxDepth,
+		}
+	})
+}
+
+func (s *Scheduler) endProgram(ctx context.Context, ref structs.ProgramRef) (structs.ProgramInfo, error) {
+	return s.askProgram(ctx, ref.ID, func(token program.Token) program.Event {
+		return program.EndRequested{Token: token, ID: ref.ID, Account: ref.Account}
+	})
+}
+
+// askProgram posts an event and waits for its Answer or Refuse.
+func (s *Scheduler) askProgram(ctx context.Context, id structs.ProgramID, event func(program.Token) program.Event) (structs.ProgramInfo, error) {
+	box := s.box.new(id)
+	defer s.box.close(box)
+	if err := s.post(ctx, message{event: event(box.token)}); err != nil {
+		return structs.ProgramInfo{}, notReady("%v", err)
+	}
+	for {
+		_, info, refusal, err := box.take(ctx)
+		switch {
+		case err != nil:
+			return structs.ProgramInfo{}, structs.Refuse(structs.RefusedTimeout, structs.RunUnknown, "%v", err)
+		case refusal != nil:
+			return structs.ProgramInfo{}, refusal
+		case info != nil:
+			return *info, nil
+		}
+	}
+}
+
+func (s *Scheduler) getProgram(ctx context.Context, ref structs.ProgramRef) (structs.ProgramInfo, error) {
+	var info structs.ProgramInfo
+	var refusal *structs.Refusal
+	err := s.ask(ctx, func(l *loop) { info, refusal = l.core.Info(ref.ID, ref.Account) })
+	return info, s.firstError(ref.ID, err, refusal)
+}
+
+func (s *Scheduler) history(ctx context.Context, ref structs.ProgramRef) (structs.History, error) {
+	var history structs.History
+	var refusal *structs.Refusal
+	err := s.ask(ctx, func(l *loop) { history, refusal = l.core.History(ref.ID, ref.Account) })
+	return history, s.firstError(ref.ID, err, refusal)
+}
+
+func (s *Scheduler) firstError(id structs.ProgramID, err error, refusal *structs.Refusal) error {
+	if err != nil {
+		return err
+	}
+	if refusal != nil {
+		return s.withOwner(id, refusal)
+	}
+	return nil
+}
+
+func (s *Scheduler) listPrograms(ctx context.Context, req structs.ListPrograms) (structs.ProgramList, error) {
+	var list structs.ProgramList
+	err := s.ask(ctx, func(l *loop) { list.Programs = l.core.List(req.Account) })
+	return list, err
+}
+
+func (s *Scheduler) owners(context.Context, structs.OwnersQuery) (structs.Owners, error) {
+	owners := structs.Owners{Domain: s.opts.Settings.Domain}
+	for slot := range s.opts.Settings.Lease.Slots {
+		owners.Slots = append(owners.Slots, s.opts.Ownership.OwnerAddr(structs.Slot(slot)))
+	}
+	return owners, nil
+}
+
+// takeQuota gives out tokens of an account whose slot this process owns.
+func (s *Scheduler) takeQuota(ctx context.Context, req structs.TakeQuota) (structs.QuotaGrant, error) {
+	return s.opts.Quota.TakeQuota(ctx, req)
+}
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,284 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/program"
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/target"
+)
+
+var background = context.Background()
+
+// refusalOf returns the refusal in err, or an empty one.
+func refusalOf(err error) structs.Refusal {
+	var refusal *structs.Refusal
+	if errors.As(err, &refusal) {
+		return *refusal
+	}
+	return structs.Refusal{}
+}
+
+func TestProgramFromCreateToEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite()
+		n := site.start("one")
+		owned(n)
+		id := structs.ProgramID("north/p")
+		n.create(t, id)
+		for number, text := range []string{"first", "second"} {
+			got, err := n.do(background, ask(id, uint64(number+1), text))
+			assert.NilError(t, err)
+			assert.Equal(t, string(got.data), "answer")
+		}
+		_, err := n.do(background, order(id, 3, "/gravel"))
+		assert.NilError(t, err)
+		prompts := append(site.targets["a"].prompts, site.targets["b"].prompts...)
+		assert.Equal(t, len(prompts), 2)
+		assert.Equal(t, max(len(prompts[0]), len(prompts[1])), 3, "history, answer and new message")
+
+		history, err := n.history(background, structs.ProgramRef{ID: id, Account: "acme"})
+		assert.NilError(t, err)
+		assert.Equal(t, len(history.Turns), 3)
+		for i, turn := range history.Turns {
+			assert.Equal(t, turn.Hash, program.HashOf(turn))
+			if i > 0 {
+				assert.Equal(t, turn.Prev, history.Turns[i-1].Hash)
+			}
+		}
+		site.targets["a"].refusals, site.targets["b"].refusals = 2, 2
+		info, err := n.endProgram(background, structs.ProgramRef{ID: id, Account: "acme"})
+		assert.NilError(t, err)
+		assert.Assert(t, info.Ended)
+		time.Sleep(time.Minute)
+		assert.Equal(t, site.targets["a"].holds()+site.targets["b"].holds(), 0)
+		n.stop(t)
+	})
+}
+
+func TestOnlyTheOwnAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite()
+		n := site.start("one")
+		owned(n)
+		n.create(t, "north/p")
+		call := ask("north/p", 1, "mine")
+		call.Account = "other"
+		_, err := n.do(background, call)
+		assert.Equal(t, refusalOf(err).Kind, structs.RefusedNotFound)
+		_, err = n.getProgram(background, structs.ProgramRef{ID: "north/p", Account: "other"})
+		assert.Equal(t, refusalOf(err).Kind, structs.RefusedNotFound)
+		call.Account = ""
+		_, err = n.do(background, call)
+		assert.Equal(t, refusalOf(err).Kind, structs.RefusedUnauthorized)
+		_, err = n.createProgram(background, structs.CreateProgram{ID: "north/q", Account: "acme", Kind: "talk"})
+		assert.Equal(t, refusalOf(err).Kind, structs.RefusedForbidden)
+		away := order("north/p", 1, "/x")
+		away.Plain.Service = "away"
+		_, err = n.do(background, away)
+		assert.Equal(t, refusalOf(err).Kind, structs.RefusedForbidden)
+		_, err = n.do(background, ask("south/p", 1, "elsewhere"))
+		assert.Equal(t, refusalOf(err).Kind, structs.RefusedNotOwner)
+		n.stop(t)
+	})
+}
+
+func TestProgramGoesOnAtTheNextOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite()
+		first := site.start("one")
+		owned(first)
+		id := structs.ProgramID("north/p")
+		first.create(t, id)
+		_, err := first.do(background, ask(id, 1, "first"))
+		assert.NilError(t, err)
+
+		// The order reaches its target and the owner stops before the end.
+		site.targets["o"].gate = make(chan struct{})
+		go first.do(background, order(id, 2, "/gravel"))
+		synctest.Wait()
+		assert.Equal(t, site.targets["o"].requests(), 1)
+		first.cut.Store(true)
+
+		second := site.start("two")
+		owned(second)
+		_, err = second.do(background, order(id, 2, "/gravel"))
+		assert.Equal(t, refusalOf(err).Kind, structs.RefusedOutcomeUnknown)
+		assert.Equal(t, refusalOf(err).Run, structs.RunUnknown)
+		assert.Equal(t, site.targets["o"].requests(), 1)
+		again, err := second.do(background, ask(id, 1, "first"))
+		assert.NilError(t, err)
+		assert.Assert(t, again.replayed)
+		assert.Equal(t, string(again.data), "answer")
+		_, err = second.do(background, ask(id, 3, "third"))
+		assert.NilError(t, err)
+		history, err := second.history(background, structs.ProgramRef{ID: id, Account: "acme"})
+		assert.NilError(t, err)
+		assert.Equal(t, len(history.Turns), 3)
+		assert.Equal(t, history.Turns[1].Outcome, structs.RunUnknown)
+		second.stop(t)
+		first.stop(t)
+	})
+}
+
+func TestPlannedStopCutsNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite()
+		first := site.start("one")
+		owned(first)
+		id := structs.ProgramID("north/p")
+		first.create(t, id)
+		site.targets["o"].gate = make(chan struct{})
+		result := make(chan error, 1)
+		go func() {
+			_, err := first.do(background, order(id, 1, "/gravel"))
+			result <- err
+		}()
+		synctest.Wait()
+		second := site.start("two")
+		first.cancel()
+		time.Sleep(10 * time.Second)
+		select {
+		case err := <-result:
+			t.Fatalf("the call ended early: %v", err)
+		default:
+		}
+		close(site.targets["o"].gate)
+		assert.NilError(t, <-result)
+		assert.NilError(t, <-first.done)
+		owned(second)
+		got, err := second.do(background, order(id, 1, "/gravel"))
+		assert.NilError(t, err)
+		assert.Assert(t, got.replayed)
+		assert.Equal(t, string(got.data), "done")
+		second.stop(t)
+	})
+}
+
+func TestCallerThatLeavesKeepsItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite()
+		n := site.start("one")
+		owned(n)
+		n.create(t, "north/p")
+		gate := make(chan struct{})
+		site.targets["a"].gate, site.targets["b"].gate = gate, gate
+		ctx, cancel := context.WithCancel(background)
+		go n.do(ctx, ask("north/p", 1, "first"))
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		close(gate)
+		got, err := n.do(background, ask("north/p", 1, "first"))
+		assert.NilError(t, err)
+		assert.Equal(t, string(got.data), "answer")
+		assert.Equal(t, site.targets["a"].requests()+site.targets["b"].requests(), 1)
+		n.stop(t)
+	})
+}
+
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite()
+		n := site.start("one")
+		owned(n)
+		crash := func(req target.Request) error {
+			if req.Messages[len(req.Messages)-1].Content == "poison" {
+				return &target.BrokenError{Cause: io.ErrUnexpectedEOF}
+			}
+			return nil
+		}
+		site.targets["a"].fail, site.targets["b"].fail = crash, crash
+		n.create(t, "north/p")
+		_, err := n.do(background, ask("north/p", 1, "poison"))
+		assert.Equal(t, refusalOf(err).Run, structs.RunUnknown)
+		assert.Equal(t, site.targets["a"].requests()+site.targets["b"].requests(), 2)
+		n.create(t, "north/q")
+		_, err = n.do(background, ask("north/q", 1, "poison"))
+		assert.Equal(t, refusalOf(err).Kind, structs.RefusedQuarantined)
+		assert.Equal(t, refusalOf(err).Run, structs.RunNo)
+		time.Sleep(2 * targetDownFor)
+		_, err = n.do(background, ask("north/q", 1, "sound"))
+		assert.NilError(t, err)
+		n.stop(t)
+	})
+}
+
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite()
+		n := site.start("one")
+		owned(n)
+		n.create(t, "north/p")
+		site.leaving.Store(structs.TargetID("a"), true)
+		for number := uint64(1); number <= 5; number++ {
+			_, err := n.do(background, ask("north/p", number, "text"))
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, site.targets["a"].requests(), 0)
+		site.leaving.Store(structs.TargetID("b"), true)
+		_, err := n.do(background, ask("north/p", 6, "text"))
+		assert.Equal(t, refusalOf(err).Run, structs.RunNo)
+		n.stop(t)
+	})
+}
+
+func TestSlotsSpreadOverSchedulers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite()
+		nodes := []*node{site.start("one"), site.start("two")}
+		time.Sleep(10 * time.Second)
+		owned(nodes...)
+		for _, n := range nodes {
+			var slots int
+			n.ask(background, func(l *loop) { slots = l.core.Counts().Slots })
+			assert.Equal(t, slots, testSlots/2)
+		}
+		id := structs.ProgramID("north/p")
+		slot := program.SlotOf(id, testSlots)
+		owner, other := nodes[0], nodes[1]
+		if _, held := owner.store.Held(slot); !held {
+			owner, other = other, owner
+		}
+		_, err := other.createProgram(background, structs.CreateProgram{ID: id, Account: "acme", Kind: "plan"})
+		refusal := refusalOf(err)
+		assert.Equal(t, refusal.Kind, structs.RefusedNotOwner)
+		assert.Equal(t, refusal.Owner, owner.opts.Settings.Listen.Wire)
+		for _, n := range nodes {
+			n.stop(t)
+		}
+	})
+}
+
+func TestSingleCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite()
+		n := site.start("one")
+		owned(n)
+		direct := order("north/d", 1, "/court")
+		direct.EndAfter = true
+		_, err := n.do(background, direct)
+		assert.NilError(t, err)
+		again, err := n.do(background, direct)
+		assert.NilError(t, err)
+		assert.Assert(t, again.replayed)
+		assert.Equal(t, site.targets["o"].requests(), 1)
+		chat := ask("north/c", 1, "hello")
+		chat.Kind, chat.EndAfter = "plan", true
+		_, err = n.do(background, chat)
+		assert.NilError(t, err)
+		info, err := n.getProgram(background, structs.ProgramRef{ID: "north/c", Account: "acme"})
+		assert.NilError(t, err)
+		assert.Assert(t, info.Ended)
+		time.Sleep(time.Minute)
+		assert.Equal(t, site.targets["a"].holds()+site.targets["b"].holds(), 0)
+		n.stop(t)
+	})
+}
--- /dev/null
+++ b/scheduler/send.go
@@ -0,0 +1,164 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/program"
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/target"
+)
+
+// send dispatches a call on a goroutine of its own.
+func (l *loop) send(a program.Send) {
+	d := l.dispatchers[a.Service]
+	b := d.targets[a.Target]
+	if b == nil || !l.s.holds(a.Slot, a.Epoch) {
+		l.notSent(d, a)
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	id := dispatchID{a.Call, a.Attempt}
+	l.cancels[id] = cancel
+	s := l.s
+	driver := b.driver
+	s.kernel.Go("scheduler.dispatch", func(kernelCtx context.Context) error {
+		defer cancel()
+		stop := context.AfterFunc(kernelCtx, cancel)
+		defer stop()
+		end := s.dispatch(ctx, kernelCtx, driver, a)
+		s.post(kernelCtx, message{do: func(l *loop) { l.dispatched(a, end) }})
+		return nil
+	})
+}
+
+// notSent answers a Send that is not carried out. Without the slot's lease the
+// slot is given up at once.
+func (l *loop) notSent(d *dispatcher, a program.Send) {
+	d.ended(structs.Now(), a.Call, a.Target, structs.Usage{}, false)
+	l.queue(program.Finished{Call: a.Call, Attempt: a.Attempt, Result: program.ResultNotSent, Detail: "the target or the slot has moved"})
+	if !l.s.holds(a.Slot, a.Epoch) {
+		l.queue(program.SlotLost{Slot: a.Slot})
+	}
+}
+
+func (s *Scheduler) holds(slot structs.Slot, epoch structs.Epoch) bool {
+	held, owned := s.opts.Ownership.Held(slot)
+	return owned && held == epoch
+}
+
+// dispatchEnd is how a dispatch ended.
+type dispatchEnd struct {
+	result  program.Result
+	usage   structs.Usage
+	detail  string
+	crashed bool // the connection was lost while the target ran the call
+}
+
+// dispatch runs one call at a target and passes its answer on.
+func (s *Scheduler) dispatch(ctx, post context.Context, driver target.Driver, a program.Send) dispatchEnd {
+	if !s.holds(a.Slot, a.Epoch) {
+		return dispatchEnd{result: program.ResultNotSent, detail: "the slot has moved"}
+	}
+	stream, err := driver.Do(ctx, a.Request)
+	if err != nil {
+		return endOf(ctx, err)
+	}
+	defer stream.Close()
+	for {
+		chunk, err := stream.Recv()
+		if err != nil {
+			return endOf(ctx, err)
+		}
+		part := program.Part{Call: a.Call, Attempt: a.Attempt, Status: chunk.Status, Header: chunk.Header, Data: chunk.Data}
+		if len(chunk.Data) > 0 || chunk.Status != 0 {
+			s.post(post, message{event: part})
+		}
+		if chunk.End {
+			return dispatchEnd{result: program.ResultDone, usage: chunk.Usage}
+		}
+	}
+}
+
+// endOf tells the failures of a dispatch apart. One that is not known is taken
+// for a call that may have run.
+func endOf(ctx context.Context, err error) dispatchEnd {
+	var notSent *target.NotSentError
+	var status *target.StatusError
+	var broken *target.BrokenError
+	switch {
+	case errors.As(err, &notSent):
+		return dispatchEnd{result: program.ResultNotSent, detail: err.Error()}
+	case errors.As(err, &status) && status.Ran == structs.RunNo:
+		return dispatchEnd{result: program.ResultRefused, detail: err.Error()}
+	case errors.As(err, &status):
+		return dispatchEnd{result: program.ResultFailed, detail: err.Error()}
+	case errors.As(err, &broken):
+		return dispatchEnd{result: program.ResultBroken, detail: err.Error(), crashed: connectionLost(ctx, broken.Cause)}
+	default:
+		return dispatchEnd{result: program.ResultBroken, detail: err.Error()}
+	}
+}
+
+// connectionLost reports whether the target ended the connection, as opposed
+// to a timeout or a cancel on this side.
+func connectionLost(ctx context.Context, cause error) bool {
+	if ctx.Err() != nil || cause == nil {
+		return false
+	}
+	var timeout interface{ Timeout() bool }
+	if errors.As(cause, &timeout) && timeout.Timeout() {
+		return false
+	}
+	return !errors.Is(cause, context.Canceled) && !errors.Is(cause, context.DeadlineExceeded)
+}
+
+// dispatched goes on after the end of a dispatch.
+func (l *loop) dispatched(a program.Send, end dispatchEnd) {
+	now := structs.Now()
+	delete(l.cancels, dispatchID{a.Call, a.Attempt})
+	d := l.dispatchers[a.Service]
+	d.ended(now, a.Call, a.Target, end.usage, end.result == program.ResultDone)
+	if end.result == program.ResultNotSent || end.crashed {
+		d.down(now, a.Target)
+	}
+	if end.crashed && l.quarantine.Crashed(now, a.Fingerprint, a.Target) {
+		l.s.stats.quarantined.Add(1)
+		l.s.log.Warn("request quarantined", "fingerprint", a.Fingerprint, "target", a.Target)
+	}
+	l.queue(program.Finished{Call: a.Call, Attempt: a.Attempt, Result: end.result, Usage: end.usage, Detail: end.detail})
+}
+
+const (
+	releaseWorkers = 2
+	releaseTimeout = 5 * time.Second
+)
+
+// releaseHolds frees what targets hold for ended programs.
+func (s *Scheduler) releaseHolds(ctx context.Context) error {
+	for {
+		select {
+		case a := <-s.releases.C():
+			ok := s.releaseOne(ctx, a)
+			s.post(ctx, message{event: program.Released{Program: a.Program, Target: a.Target, OK: ok}})
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (s *Scheduler) releaseOne(ctx context.Context, a program.Release) bool {
+	var driver target.Driver
+	if err := s.ask(ctx, func(l *loop) { driver = l.driverOf(a.Target) }); err != nil || driver == nil {
+		return false
+	}
+	releaseCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	err := driver.Release(releaseCtx, a.Program)
+	if err == nil {
+		s.stats.released.Add(1)
+	}
+	return err == nil
+}
--- /dev/null
+++ b/scheduler/slots.go
@@ -0,0 +1,159 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/endivecourse/endivecourse/journal"
+	"github.com/endivecourse/endivecourse/program"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+const (
+	// maxRecoveries bounds the slots that are recovered at a time.
+	maxRecoveries = 16
+	// recoverRetry is the time between two tries to recover a slot.
+	recoverRetry = 200 * time.Millisecond
+)
+
+// followSlots takes gained slots over and drops lost ones.
+func (s *Scheduler) followSlots(ctx context.Context) error {
+	room := make(chan struct{}, maxRecoveries)
+	for {
+		select {
+		case change := <-s.opts.Ownership.Changes():
+			s.changed(ctx, change, room)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (s *Scheduler) changed(ctx context.Context, change journal.Change, room chan struct{}) {
+	s.post(ctx, message{do: func(l *loop) {
+		if change.Held {
+			l.epochs[change.Slot] = change.Epoch
+			return
+		}
+		delete(l.epochs, change.Slot)
+		l.queue(program.SlotLost{Slot: change.Slot})
+	}})
+	if !change.Held {
+		return
+	}
+	s.kernel.Go("scheduler.recover", func(ctx context.Context) error {
+		select {
+		case room <- struct{}{}:
+		case <-ctx.Done():
+			return nil
+		}
+		defer func() { <-room }()
+		s.recoverSlot(ctx, change)
+		return nil
+	})
+}
+
+// recoverSlot reads the journal of a slot until it succeeds or the slot has
+// moved on.
+func (s *Scheduler) recoverSlot(ctx context.Context, change journal.Change) {
+	for s.holds(change.Slot, change.Epoch) {
+		records, err := s.opts.Journal.Recover(ctx, change.Slot, change.Epoch)
+		if err == nil {
+			s.post(ctx, message{do: func(l *loop) { l.recovered(change, records) }})
+			return
+		}
+		s.log.Warn("slot not recovered", "slot", change.Slot, "epoch", change.Epoch, "error", err)
+		select {
+		case <-time.After(recoverRetry):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// recovered hands a slot to the core, unless it has moved on meanwhile.
+func (l *loop) recovered(change journal.Change, records []journal.Record) {
+	if l.epochs[change.Slot] != change.Epoch {
+		return
+	}
+	l.queue(program.SlotGained{Slot: change.Slot, Epoch: change.Epoch, Records: records})
+}
+
+// returnExcess hands idle slots to a process that has too few.
+func (l *loop) returnExcess() {
+	releaser, ok := l.s.opts.Ownership.(Releaser)
+	if !ok || l.s.draining.Load() {
+		return
+	}
+	l.handOver(releaser, releaser.Excess())
+}
+
+// handOver gives up those of the slots in which nothing runs.
+func (l *loop) handOver(releaser Releaser, slots []structs.Slot) {
+	for _, slot := range slots {
+		if l.core.Busy(slot) {
+			continue
+		}
+		if _, known := l.epochs[slot]; !known {
+			continue
+		}
+		delete(l.epochs, slot)
+		for _, action := range l.core.Step(structs.Now(), program.SlotLost{Slot: slot}) {
+			l.act(action)
+		}
+		l.s.handing.Add(1)
+		l.s.kernel.Go("scheduler.handover", func(ctx context.Context) error {
+			defer l.s.handing.Add(-1)
+			if err := releaser.Release(ctx, slot); err != nil {
+				l.s.log.Warn("slot not handed over", "slot", slot, "error", err)
+			}
+			return nil
+		})
+	}
+}
+
+// drainStep is the time between two looks at the slots while draining.
+const drainStep = 20 * time.Millisecond
+
+// Drain hands every slot over as soon as nothing runs in it, and returns when
+// none is left. New calls are taken as long as their slot is here, so that no
+// call is refused for the stop.
+func (s *Scheduler) Drain(ctx context.Context) error {
+	releaser, ok := s.opts.Ownership.(Releaser)
+	s.draining.Store(true)
+	if ok {
+		releaser.StopAcquiring()
+	}
+	ticker := time.NewTicker(drainStep)
+	defer ticker.Stop()
+	for {
+		left := 0
+		err := s.ask(ctx, func(l *loop) {
+			if !ok {
+				left = l.core.Counts().Calls + l.core.Counts().Writes
+				return
+			}
+			l.handOver(releaser, l.ownedSlots())
+			left = len(l.epochs) + int(s.handing.Load())
+		})
+		if err != nil {
+			return err
+		}
+		if left == 0 {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (l *loop) ownedSlots() []structs.Slot {
+	slots := make([]structs.Slot, 0, len(l.epochs))
+	for slot := range l.epochs {
+		slots = append(slots, slot)
+	}
+	return slots
+}
