Lease: owner, witness and successor as one pure state machine

Cause: slots of a failure domain need exactly one owner through kills, cuts, pauses, store outages, lost answers and replaced VMs. Change: package lease decides renewals, revocation, self-succession, changes of the witness set, release and balance for groups of slots. A simulator in virtual time checks that no group has two owners at one instant; each part of the rule taken out is a test that the same run sees the fault. Ruled out: a lease per slot (messages and rows grow with the slots); evidence of an end that counts at once (a VM may live on after the list drops it).

--- /dev/null
+++ b/lease/event.go
@@ -0,0 +1,162 @@
+package lease
+
+import "github.com/endivecourse/endivecourse/structs"
+
+// Kind tells messages between processes apart.
+type Kind uint8
+
+// Kinds of Message.
+const (
+	Renew    Kind = iota + 1 // owner to witness
+	Acked                    // witness to owner: the renewal is acknowledged
+	Nacked                   // witness to owner: the epoch is promised away
+	Promise                  // successor to witness: acknowledge the epoch no more
+	Promised                 // witness to successor
+	Declined                 // witness to successor: the owner was heard of lately
+)
+
+// Message goes from one process to another. A message whose To.Incarnation is
+// not the receiver's is dropped.
+type Message struct {
+	Kind  Kind
+	From  Member
+	To    Member
+	Group Group
+	Epoch structs.Epoch
+	Round uint64 // of the renewal
+}
+
+// Event is an input of Node.Step.
+type Event interface{ event() }
+
+// Events.
+type (
+	// Tick drives renewals and timeouts. It comes once each renewal interval.
+	Tick struct{}
+	// Received is a message from another process.
+	Received struct{ Message Message }
+	// RowRead is a group's row as the table held it at some instant after
+	// Sent, when the request was sent. Version 0 means that it doesn't exist.
+	// A transaction that conflicted is reported by what it found.
+	RowRead struct {
+		Sent    structs.Instant
+		Group   Group
+		Row     Row
+		Version uint64
+	}
+	// RowWritten says that a WriteRow, sent at Sent, took effect.
+	RowWritten struct {
+		Sent    structs.Instant
+		Group   Group
+		Row     Row
+		Version uint64
+	}
+	// WriteFailed says that a WriteRow has no known effect; Unknown is false
+	// only when it certainly had and will have none.
+	WriteFailed struct {
+		Group   Group
+		Version uint64 // of the WriteRow
+		Unknown bool
+	}
+	// Peers lists the live schedulers of the domain that may own groups and
+	// be witnesses, this process included unless it is leaving.
+	Peers struct{ Members []Member }
+	// Gone says that a VM was in the platform's list and is not any more.
+	Gone struct{ VM structs.VMID }
+	// Running says that the member answered a request that was sent at Sent. A
+	// VM runs one scheduler at a time.
+	Running struct {
+		Sent   structs.Instant
+		Member Member
+	}
+	// TailMoved answers MoveTail.
+	TailMoved struct {
+		Group Group
+		Epoch structs.Epoch
+	}
+	// Collected answers Collect.
+	Collected struct {
+		Group Group
+		Epoch structs.Epoch
+	}
+	// HandoverReady answers Handover.
+	HandoverReady struct {
+		Group Group
+		Epoch structs.Epoch
+		To    structs.Incarnation
+	}
+	// ReleaseAll gives up every group for good.
+	ReleaseAll struct{}
+)
+
+func (Tick) event()          {}
+func (Received) event()      {}
+func (RowRead) event()       {}
+func (RowWritten) event()    {}
+func (WriteFailed) event()   {}
+func (Peers) event()         {}
+func (Gone) event()          {}
+func (Running) event()       {}
+func (TailMoved) event()     {}
+func (Collected) event()     {}
+func (HandoverReady) event() {}
+func (ReleaseAll) event()    {}
+
+// Action is an output of Node.Step.
+type Action interface{ action() }
+
+// Actions.
+type (
+	// Send asks for a message to be sent; it may be lost.
+	Send struct{ Message Message }
+	// ReadRow asks for a RowRead of the group.
+	ReadRow struct{ Group Group }
+	// WriteRow asks for the row to be written if it has the version. Exactly
+	// one of RowWritten, RowRead (a conflict) and WriteFailed must follow.
+	WriteRow struct {
+		Group   Group
+		Row     Row
+		Version uint64
+	}
+	// MoveTail asks that all records of the group not yet stored be stored,
+	// or be held by a majority of the pending witnesses.
+	MoveTail struct {
+		Group   Group
+		Epoch   structs.Epoch
+		Pending []Member
+	}
+	// Collect asks that all records of the group up to Epoch which the
+	// witnesses hold be stored. The witnesses have promised by now.
+	Collect struct {
+		Group Group
+		Epoch structs.Epoch
+		Row   Row
+	}
+	// Handover says that the group is better owned by To, for balance. The
+	// caller ends the work at hand and answers HandoverReady.
+	Handover struct {
+		Group Group
+		Epoch structs.Epoch
+		To    structs.Incarnation
+	}
+	// Gained says that this process owns the group under the epoch. Whether
+	// the lease runs at a given instant is asked of Node.Held.
+	Gained struct {
+		Group Group
+		Epoch structs.Epoch
+	}
+	// Lost says that this process owns the group under that epoch no more.
+	Lost struct {
+		Group Group
+		Epoch structs.Epoch
+	}
+)
+
+func (Send) action()     {}
+func (ReadRow) action()  {}
+func (WriteRow) action() {}
+func (MoveTail) action() {}
+func (Collect) action()  {}
+func (Handover) action() {}
+func (Gained) action()   {}
+func (Lost) action()     {}
--- /dev/null
+++ b/lease/node.go
@@ -0,0 +1,335 @@
+package lease
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// Node is the part of one process in all leases of its failure domain: owner,
+// witness and successor. It is not safe for concurrent use.
+type Node struct {
+	cfg     Config
+	self    Member
+	rules   rules
+	witness *witness
+	groups  []*group
+	peers   []Member
+	// ended holds when there first was evidence that an incarnation's process
+	// has ended; named holds when an incarnation was first seen in a row.
+	ended      map[structs.Incarnation]structs.Instant
+	named      map[structs.Incarnation]namedMember
+	gone       map[structs.VMID]bool
+	releasing  bool
+	balancedAt structs.Instant
+	out        []Action
+}
+
+type namedMember struct {
+	vm structs.VMID
+	at structs.Instant
+}
+
+// group is what is known of one group.
+type group struct {
+	id        Group
+	known     bool
+	row       Row
+	version   uint64
+	seenAt    structs.Instant // of this epoch
+	write     *write
+	own       owner
+	next      successor
+	marked    structs.Epoch // the last epoch that this process marked
+	overtaken int           // revocations that the owner outran
+}
+
+// write is a WriteRow that may yet take effect.
+type write struct {
+	row       Row
+	version   uint64
+	answered  bool // it is to be repeated
+	uncertain bool // an earlier try may have taken effect
+}
+
+// NewNode makes the state of a process that has just started.
+func NewNode(cfg Config, self Member) *Node {
+	n := &Node{
+		cfg:     cfg,
+		self:    self,
+		witness: newWitness(cfg, self),
+		ended:   make(map[structs.Incarnation]structs.Instant),
+		named:   make(map[structs.Incarnation]namedMember),
+		gone:    make(map[structs.VMID]bool),
+	}
+	for i := range cfg.Groups {
+		n.groups = append(n.groups, &group{id: Group(i)})
+	}
+	return n
+}
+
+// Held returns the epoch under which this process may act for the group at
+// the instant, and false when it may not.
+func (n *Node) Held(now structs.Instant, id Group) (structs.Epoch, bool) {
+	g := n.groups[id]
+	if !g.held(now) {
+		return 0, false
+	}
+	return g.own.epoch, true
+}
+
+// Lease returns the epoch of an announced ownership and the instant at which
+// its lease ends unless it is renewed.
+func (n *Node) Lease(id Group) (structs.Epoch, structs.Instant) {
+	g := n.groups[id]
+	if !g.own.announced || g.own.released {
+		return 0, 0
+	}
+	return g.own.epoch, g.own.until
+}
+
+// Row returns the group's row as last seen, and false when none was seen.
+func (n *Node) Row(id Group) (Row, bool) {
+	g := n.groups[id]
+	return g.row, g.known && g.version > 0
+}
+
+// PromisedEpoch returns the highest epoch of the group that this process, as a
+// witness, has promised to acknowledge no more.
+func (n *Node) PromisedEpoch(id Group) structs.Epoch { return n.witness.promised[id] }
+
+// Step takes one event. A *structs.InvariantError means that the rule is
+// broken and the process must not go on as an owner.
+func (n *Node) Step(now structs.Instant, ev Event) ([]Action, error) {
+	n.out = nil
+	err := n.step(now, ev)
+	return n.out, err
+}
+
+func (n *Node) step(now structs.Instant, ev Event) error {
+	switch ev := ev.(type) {
+	case Tick:
+		return n.tick(now)
+	case Received:
+		return n.receive(now, ev.Message)
+	case RowRead:
+		return n.observe(now, ev.Sent, n.groups[ev.Group], ev.Row, ev.Version)
+	case RowWritten:
+		return n.observe(now, ev.Sent, n.groups[ev.Group], ev.Row, ev.Version)
+	case WriteFailed:
+		n.writeFailed(n.groups[ev.Group], ev)
+	case Peers:
+		n.peers = ev.Members
+	case Gone:
+		n.vmGone(now, ev.VM)
+	case Running:
+		n.superseded(now, ev)
+	case TailMoved:
+		if g := n.groups[ev.Group]; g.own.epoch == ev.Epoch && g.own.asked {
+			g.own.moved = true
+		}
+	case Collected:
+		if g := n.groups[ev.Group]; g.next.ready && g.row.Epoch == ev.Epoch {
+			g.next.collected = true
+		}
+	case HandoverReady:
+		if g := n.groups[ev.Group]; g.own.epoch == ev.Epoch && !g.own.released {
+			n.release(now, g, ev.To)
+		}
+	case ReleaseAll:
+		n.releaseAll(now)
+	}
+	return nil
+}
+
+func (n *Node) tick(now structs.Instant) error {
+	for _, g := range n.groups {
+		if !g.known {
+			n.emit(ReadRow{Group: g.id})
+			continue
+		}
+		if w := g.write; w != nil && w.answered {
+			w.answered = false
+			n.emit(WriteRow{Group: g.id, Row: w.row, Version: w.version})
+		}
+		if g.own.epoch == 0 {
+			n.succeed(now, g)
+			continue
+		}
+		if err := n.renewOwned(now, g); err != nil {
+			return err
+		}
+	}
+	n.balance(now)
+	return nil
+}
+
+func (n *Node) receive(now structs.Instant, msg Message) error {
+	if msg.To.Incarnation != n.self.Incarnation && !n.rules.answerForAnother {
+		return nil
+	}
+	if int(msg.Group) >= len(n.groups) {
+		return nil
+	}
+	switch msg.Kind {
+	case Renew:
+		kind := Nacked
+		if n.witness.renew(now, msg.Group, msg.Epoch) {
+			kind = Acked
+		}
+		n.reply(kind, msg)
+	case Promise:
+		g := n.groups[msg.Group]
+		kind := Declined
+		if n.witness.promise(now, msg.Group, msg.Epoch, g.row.Epoch == msg.Epoch && n.ownerEnded(g)) {
+			kind = Promised
+		}
+		n.reply(kind, msg)
+	case Acked:
+		return n.acked(now, msg)
+	case Nacked:
+		n.emit(ReadRow{Group: msg.Group})
+	case Promised:
+		n.gotPromise(now, msg)
+	}
+	return nil
+}
+
+// reply answers a message. The sender is the member that was asked, which is
+// another than this process only when a test has it answer for another.
+func (n *Node) reply(kind Kind, msg Message) {
+	n.emit(Send{Message: Message{
+		Kind: kind, From: msg.To, To: msg.From,
+		Group: msg.Group, Epoch: msg.Epoch, Round: msg.Round,
+	}})
+}
+
+func (n *Node) send(kind Kind, to Member, g Group, epoch structs.Epoch, round uint64) {
+	n.emit(Send{Message: Message{Kind: kind, From: n.self, To: to, Group: g, Epoch: epoch, Round: round}})
+}
+
+func (n *Node) emit(a Action) { n.out = append(n.out, a) }
+
+func (n *Node) write(_ structs.Instant, g *group, row Row) {
+	g.write = &write{row: row, version: g.version}
+	n.emit(WriteRow{Group: g.id, Row: row, Version: g.version})
+}
+
+func (n *Node) writeFailed(g *group, ev WriteFailed) {
+	w := g.write
+	if w == nil || w.version != ev.Version {
+		return
+	}
+	w.uncertain = w.uncertain || ev.Unknown
+	if !w.uncertain {
+		g.write = nil
+		return
+	}
+	w.answered = true
+}
+
+// observe takes a row as it was in the table after the instant sent.
+func (n *Node) observe(now, sent structs.Instant, g *group, row Row, version uint64) error {
+	if g.known && version < g.version {
+		return nil
+	}
+	if row.Mark != nil && row.Mark.Epoch != row.Epoch {
+		return violation("mark names the row's epoch", fmt.Sprintf("group %d: %d, %d", g.id, row.Mark.Epoch, row.Epoch))
+	}
+	if g.write != nil && version > g.write.version {
+		g.write = nil
+	}
+	if !g.known || version > g.version {
+		if err := n.adopt(now, g, row, version); err != nil {
+			return err
+		}
+	}
+	if version == 0 {
+		return nil
+	}
+	return n.reconcile(now, sent, g)
+}
+
+func (n *Node) adopt(now structs.Instant, g *group, row Row, version uint64) error {
+	if row.Epoch < g.row.Epoch {
+		return violation("epochs grow", fmt.Sprintf("group %d: %d after %d", g.id, row.Epoch, g.row.Epoch))
+	}
+	if row.Epoch > g.row.Epoch {
+		g.seenAt = now
+		n.countOvertaken(g, row)
+	}
+	if row.Epoch == g.own.epoch && g.own.epoch != 0 && row.Owner.Incarnation != n.self.Incarnation {
+		return violation("an epoch has one owner", fmt.Sprintf("group %d epoch %d", g.id, row.Epoch))
+	}
+	g.known, g.row, g.version = true, row, version
+	g.next = successor{}
+	for _, m := range append(row.Members(), row.Owner) {
+		if _, seen := n.named[m.Incarnation]; seen || m.Incarnation == "" {
+			continue
+		}
+		n.named[m.Incarnation] = namedMember{vm: m.VM, at: now}
+		if n.gone[m.VM] {
+			n.setEnded(now, m.Incarnation)
+		}
+	}
+	return nil
+}
+
+const maxOvertaken = 8
+
+// countOvertaken grows the patience with an owner that outran a revocation of
+// this process, and forgets it when another owner follows.
+func (n *Node) countOvertaken(g *group, row Row) {
+	if g.row.Owner.Incarnation != row.Owner.Incarnation {
+		g.overtaken = 0
+		return
+	}
+	if g.marked != 0 && g.marked == g.row.Epoch {
+		g.overtaken = min(g.overtaken+1, maxOvertaken)
+	}
+}
+
+// rank returns how many live schedulers are better placed to take a group.
+func (n *Node) rank(g *group) int {
+	loads := n.loads()
+	rank := 0
+	for _, p := range n.peers {
+		if p.Incarnation != n.self.Incarnation && before(loads, g.id, p.Incarnation, n.self.Incarnation) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// before orders processes by load, then by a hash that differs by group.
+func before(loads map[structs.Incarnation]int, g Group, a, b structs.Incarnation) bool {
+	return cmp.Or(cmp.Compare(loads[a], loads[b]), cmp.Compare(weight(g, a), weight(g, b)), cmp.Compare(a, b)) < 0
+}
+
+func weight(g Group, inc structs.Incarnation) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%d/%s", g, inc))
+}
+
+// chooseSet returns the witness set that this process as owner wants, keeping
+// current ones that live. It is nil while this process may not own groups.
+func (n *Node) chooseSet(g Group, current []Member) []Member {
+	if !contains(n.peers, n.self.Incarnation) {
+		return nil
+	}
+	others := slices.DeleteFunc(slices.Clone(n.peers), func(m Member) bool { return m.Incarnation == n.self.Incarnation })
+	slices.SortFunc(others, func(a, b Member) int {
+		if was, is := contains(current, a.Incarnation), contains(current, b.Incarnation); was != is {
+			if was {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(weight(g, a.Incarnation), weight(g, b.Incarnation))
+	})
+	count := witnessCount(len(n.peers))
+	return append([]Member{n.self}, others[:count-1]...)
+}
--- /dev/null
+++ b/lease/release.go
@@ -0,0 +1,106 @@
+package lease
+
+import (
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// releaseAll gives up every group of this process for good.
+func (n *Node) releaseAll(now structs.Instant) {
+	n.releasing = true
+	for _, g := range n.groups {
+		if g.own.epoch != 0 && !g.own.released {
+			n.release(now, g, n.leastLoaded())
+		}
+	}
+}
+
+// release ends the lease locally before anybody is told.
+func (n *Node) release(now structs.Instant, g *group, next structs.Incarnation) {
+	g.own.released, g.own.next = true, next
+	if g.own.announced {
+		g.own.announced = false
+		n.emit(Lost{Group: g.id, Epoch: g.own.epoch})
+	}
+	n.pursueRelease(now, g)
+}
+
+func (n *Node) pursueRelease(now structs.Instant, g *group) {
+	if g.write != nil {
+		return
+	}
+	row := g.row
+	row.Released, row.Next, row.Mark = true, g.own.next, nil
+	n.write(now, g, row)
+}
+
+// Released reports that no row names this process as an owner and no write of
+// it may still take effect.
+func (n *Node) Released() bool {
+	for _, g := range n.groups {
+		if g.own.epoch != 0 || g.write != nil {
+			return false
+		}
+	}
+	return n.releasing
+}
+
+// leastLoaded returns the other live scheduler with the fewest groups.
+func (n *Node) leastLoaded() structs.Incarnation {
+	loads := n.loads()
+	var best structs.Incarnation
+	for _, p := range n.peers {
+		if p.Incarnation == n.self.Incarnation {
+			continue
+		}
+		if best == "" || before(loads, 0, p.Incarnation, best) {
+			best = p.Incarnation
+		}
+	}
+	return best
+}
+
+// balance proposes to hand one group to the least loaded scheduler. Of all
+// owners only the most loaded one does so, once each lease duration.
+func (n *Node) balance(now structs.Instant) {
+	if n.releasing || now.Sub(n.balancedAt) < n.cfg.Duration {
+		return
+	}
+	n.balancedAt = now
+	loads := n.loads()
+	to := n.leastLoaded()
+	if to == "" || loads[n.self.Incarnation]-loads[to] < 2 {
+		return
+	}
+	for _, p := range n.peers {
+		if p.Incarnation == n.self.Incarnation {
+			continue
+		}
+		other := loads[p.Incarnation]
+		if other > loads[n.self.Incarnation] || other == loads[n.self.Incarnation] && p.Incarnation < n.self.Incarnation {
+			return
+		}
+	}
+	for _, g := range n.groups {
+		if g.held(now) && g.write == nil && g.row.Mark == nil && g.row.Pending == nil && !g.own.handing {
+			g.own.handing = true
+			n.emit(Handover{Group: g.id, Epoch: g.own.epoch, To: to})
+			return
+		}
+	}
+}
+
+// loads counts the groups that each process owns or is to follow in.
+func (n *Node) loads() map[structs.Incarnation]int {
+	loads := make(map[structs.Incarnation]int)
+	for _, g := range n.groups {
+		if !g.known || g.version == 0 {
+			continue
+		}
+		if g.row.Released {
+			loads[g.row.Next]++
+		} else {
+			loads[g.row.Owner.Incarnation]++
+		}
+	}
+	return loads
+}
--- /dev/null
+++ b/lease/row.go
@@ -0,0 +1,122 @@
+package lease
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// MaxGroups bounds the number of groups of a failure domain. With 57
+// schedulers in a domain each owns one or two groups; with 3, about 21.
+const MaxGroups = 64
+
+// Group numbers one group of slots.
+type Group uint16
+
+// GroupCount returns the number of groups for a number of slots.
+func GroupCount(slots int) int { return min(slots, MaxGroups) }
+
+// GroupOf returns the group of a slot.
+func GroupOf(slot structs.Slot, slots int) Group {
+	return Group(int(slot) % GroupCount(slots))
+}
+
+// SlotsOf returns the slots of a group in ascending order.
+func SlotsOf(group Group, slots int) []structs.Slot {
+	var out []structs.Slot
+	for slot := int(group); slot < slots; slot += GroupCount(slots) {
+		out = append(out, structs.Slot(slot))
+	}
+	return out
+}
+
+// Member is one scheduler process.
+type Member struct {
+	Incarnation structs.Incarnation `msgpack:"i"`
+	VM          structs.VMID        `msgpack:"v"`
+	Addr        string              `msgpack:"a"` // wire address, host:port
+}
+
+// Mark says that an epoch is being revoked.
+type Mark struct {
+	Epoch structs.Epoch       `msgpack:"e"`
+	By    structs.Incarnation `msgpack:"b"`
+}
+
+// Row is the table row of one group.
+type Row struct {
+	Group     Group         `msgpack:"g"`
+	Epoch     structs.Epoch `msgpack:"e"`
+	Owner     Member        `msgpack:"o"`
+	Witnesses []Member      `msgpack:"w"`
+	// Pending is the next witness set while a change is under way.
+	Pending []Member `msgpack:"p,omitempty"`
+	// Mark is set while the epoch is being revoked.
+	Mark *Mark `msgpack:"m,omitempty"`
+	// Released is set when the owner has given the group up on purpose; Next
+	// is the process that it would have follow.
+	Released bool                `msgpack:"r,omitempty"`
+	Next     structs.Incarnation `msgpack:"n,omitempty"`
+}
+
+// Encode returns the row's value in the table.
+func (r Row) Encode() ([]byte, error) {
+	data, err := msgpack.Marshal(&r)
+	return data, errors.Wrap(err, "encode lease row")
+}
+
+// DecodeRow reads the value of a table row.
+func DecodeRow(data []byte) (Row, error) {
+	var r Row
+	if err := msgpack.Unmarshal(data, &r); err != nil {
+		return Row{}, errors.Wrap(err, "decode lease row")
+	}
+	return r, nil
+}
+
+// sets returns the witness sets whose majorities the row asks for.
+func (r Row) sets() [][]Member {
+	if r.Pending == nil {
+		return [][]Member{r.Witnesses}
+	}
+	return [][]Member{r.Witnesses, r.Pending}
+}
+
+// Members returns every witness of the row once.
+func (r Row) Members() []Member { return union(r.sets()) }
+
+func union(sets [][]Member) []Member {
+	var all []Member
+	for _, set := range sets {
+		for _, m := range set {
+			if !contains(all, m.Incarnation) {
+				all = append(all, m)
+			}
+		}
+	}
+	return all
+}
+
+func contains(set []Member, inc structs.Incarnation) bool {
+	return slices.ContainsFunc(set, func(m Member) bool { return m.Incarnation == inc })
+}
+
+// majorities reports whether counted holds for a majority of each set. An
+// empty set has no majority.
+func majorities(sets [][]Member, counted func(Member) bool) bool {
+	for _, set := range sets {
+		n := 0
+		for _, m := range set {
+			if counted(m) {
+				n++
+			}
+		}
+		if 2*n <= len(set) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/lease/successor.go
@@ -0,0 +1,177 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// successor is this process's attempt to follow the owner of one group. It is
+// begun anew whenever the row changes.
+type successor struct {
+	pending   bool // there is cause to act
+	since     structs.Instant
+	promised  map[structs.Incarnation]bool
+	ready     bool // both quorums are had
+	readyAt   structs.Instant
+	collected bool
+}
+
+// maxRank bounds how long a process lets better placed ones go first.
+const maxRank = 8
+
+// succeed does what is due for a group that another process owns.
+func (n *Node) succeed(now structs.Instant, g *group) {
+	if g.write != nil || n.releasing || !contains(n.peers, n.self.Incarnation) {
+		return
+	}
+	switch {
+	case g.version == 0:
+		if n.turn(now, g) {
+			n.write(now, g, n.nextRow(g))
+		}
+	case g.row.Released:
+		n.takeReleased(now, g)
+	case g.row.Mark != nil:
+		n.revoke(now, g)
+	case n.suspects(now, g):
+		if n.turn(now, g) {
+			n.mark(now, g)
+		}
+	default:
+		g.next.pending = false
+	}
+}
+
+// turn reports whether this process, among those that may act, is due.
+func (n *Node) turn(now structs.Instant, g *group) bool {
+	if !g.next.pending {
+		g.next.pending, g.next.since = true, now
+	}
+	delay := n.cfg.Renew * 2 * time.Duration(min(n.rank(g), maxRank))
+	return now.Sub(g.next.since) >= delay
+}
+
+// suspects reports whether there is cause to revoke an unmarked row.
+func (n *Node) suspects(now structs.Instant, g *group) bool {
+	if _, ended := n.ended[g.row.Owner.Incarnation]; ended {
+		return true
+	}
+	patience := n.cfg.Suspect * time.Duration(g.overtaken)
+	if contains(g.row.Members(), n.self.Incarnation) {
+		since := g.seenAt.Add(patience)
+		return n.witness.silent(now, since, g.id, g.row.Epoch)
+	}
+	return n.abandoned(now, g)
+}
+
+// abandoned reports that the witnesses but the owner have ended for so long
+// that a healthy owner would have replaced them.
+func (n *Node) abandoned(now structs.Instant, g *group) bool {
+	for _, m := range g.row.Members() {
+		if m.Incarnation == g.row.Owner.Incarnation {
+			continue
+		}
+		at, ended := n.ended[m.Incarnation]
+		if !ended || now.Sub(at) < abandonedAfter*n.cfg.Suspect {
+			return false
+		}
+	}
+	return now.Sub(g.seenAt) >= abandonedAfter*n.cfg.Suspect
+}
+
+const abandonedAfter = 4 // times Config.Suspect
+
+func (n *Node) mark(now structs.Instant, g *group) {
+	row := g.row
+	row.Mark = &Mark{Epoch: row.Epoch, By: n.self.Incarnation}
+	g.marked = row.Epoch
+	n.write(now, g, row)
+}
+
+// revoke gathers promises for a marked row, then has the tail collected, then
+// waits, then takes the next epoch. Whose mark it is doesn't matter.
+func (n *Node) revoke(now structs.Instant, g *group) {
+	if g.next.promised == nil {
+		g.next.promised = make(map[structs.Incarnation]bool)
+	}
+	for _, m := range g.row.Members() {
+		if g.next.promised[m.Incarnation] || n.countsEnded(now, m) {
+			continue
+		}
+		if m.Incarnation == n.self.Incarnation {
+			g.next.promised[m.Incarnation] = n.witness.promise(now, g.id, g.row.Epoch, n.ownerEnded(g))
+			continue
+		}
+		n.send(Promise, m, g.id, g.row.Epoch, 0)
+	}
+	n.advance(now, g)
+}
+
+func (n *Node) gotPromise(now structs.Instant, msg Message) {
+	g := n.groups[msg.Group]
+	if g.row.Mark == nil || g.row.Epoch != msg.Epoch || g.next.promised == nil {
+		return
+	}
+	g.next.promised[msg.From.Incarnation] = true
+	n.advance(now, g)
+}
+
+// advance takes the next epoch once everything that it needs is had.
+func (n *Node) advance(now structs.Instant, g *group) {
+	if !g.next.ready {
+		quorum := majorities(g.row.sets(), func(m Member) bool {
+			return g.next.promised[m.Incarnation] || n.countsEnded(now, m)
+		})
+		if !quorum && !n.rules.storeAloneRevokes {
+			return
+		}
+		g.next.ready, g.next.readyAt = true, now
+		n.emit(Collect{Group: g.id, Epoch: g.row.Epoch, Row: g.row})
+	}
+	if g.write != nil || n.releasing || !g.next.collected {
+		return
+	}
+	if now.Sub(g.next.readyAt) < n.cfg.wait() && !n.rules.noWait {
+		return
+	}
+	if n.turnAfter(now, g) && contains(n.peers, n.self.Incarnation) {
+		n.write(now, g, n.nextRow(g))
+	}
+}
+
+// turnAfter lets the process that marked the row go first.
+func (n *Node) turnAfter(now structs.Instant, g *group) bool {
+	if g.row.Mark.By == n.self.Incarnation {
+		return true
+	}
+	return now.Sub(g.next.readyAt) >= n.cfg.wait()+2*n.cfg.Renew || n.rules.noWait
+}
+
+// takeReleased follows an owner that gave the group up. Its tail is collected
+// first, so that the new epoch's owner reads the store alone.
+func (n *Node) takeReleased(now structs.Instant, g *group) {
+	if g.row.Next != n.self.Incarnation {
+		due := n.turn(now, g)
+		named := contains(n.peers, g.row.Next)
+		if !due || named && now.Sub(g.next.since) < n.cfg.Duration {
+			return
+		}
+	}
+	if !g.next.ready {
+		g.next.ready = true
+		n.emit(Collect{Group: g.id, Epoch: g.row.Epoch, Row: g.row})
+	}
+	if g.next.collected {
+		n.write(now, g, n.nextRow(g))
+	}
+}
+
+func (n *Node) nextRow(g *group) Row {
+	return Row{
+		Group:     g.id,
+		Epoch:     g.row.Epoch + 1,
+		Owner:     n.self,
+		Witnesses: n.chooseSet(g.id, nil),
+	}
+}
