Thin whole path: gatewayd, schedulerd and endivedev

Cause: the parts were written side by side and nothing joined them.

Sub-programs get IDs below their root's, so that gateways and schedulers agree on their slot.

--- /dev/null
+++ b/caller/call.go
@@ -0,0 +1,161 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// ModelCall is the body of a call to a model service.
+type ModelCall struct {
+	Call      uint64            `json:"call,omitempty"`
+	Service   structs.ServiceID `json:"service"`
+	Messages  []structs.Message `json:"messages"`
+	MaxTokens int64             `json:"max_tokens,omitempty"`
+	Stream    bool              `json:"stream"`
+}
+
+// PlainCall is the body of a call to a plain service.
+type PlainCall struct {
+	Call    uint64            `json:"call,omitempty"`
+	Service structs.ServiceID `json:"service"`
+	Request PlainRequest      `json:"request"`
+}
+
+// PlainRequest is the request that a plain service gets.
+type PlainRequest struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   string `json:"body,omitempty"`
+}
+
+// Answer is the whole answer to a call.
+type Answer struct {
+	Number uint64 // of the call
+	Status int    // HTTP status
+	Text   string
+}
+
+// Model makes a model call with a streamed answer. onText, which may be nil,
+// is called with each part as it arrives. An answer without its end mark is a
+// *CutError.
+func (c *Client) Model(ctx context.Context, id structs.ProgramID, call ModelCall, onText func(string)) (Answer, error) {
+	call.Stream = true
+	response, err := c.send(ctx, c.base.New().Post(programPath(id)+"/calls").BodyJSON(call))
+	if err != nil {
+		return Answer{}, err
+	}
+	defer response.Body.Close()
+	text, err := readEvents(response.Body, onText)
+	return Answer{Number: numberOf(response), Status: response.StatusCode, Text: text}, err
+}
+
+// Plain makes a call to a plain service. An answer of any status is returned
+// as it is unless it is a refusal.
+func (c *Client) Plain(ctx context.Context, id structs.ProgramID, call PlainCall) (Answer, error) {
+	response, err := c.send(ctx, c.base.New().Post(programPath(id)+"/calls").BodyJSON(call))
+	if err != nil {
+		return Answer{}, err
+	}
+	return readPlain(response)
+}
+
+// Route sends a request to a route of the operators' document.
+func (c *Client) Route(ctx context.Context, method, path, body string) (Answer, error) {
+	request := c.base.New().Path(path).Body(strings.NewReader(body))
+	switch method {
+	case http.MethodPost:
+		request = request.Post("")
+	default:
+		request = request.Get("")
+	}
+	response, err := c.send(ctx, request)
+	if err != nil {
+		return Answer{}, err
+	}
+	return readPlain(response)
+}
+
+func readPlain(response *http.Response) (Answer, error) {
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	answer := Answer{Number: numberOf(response), Status: response.StatusCode, Text: string(body)}
+	if err != nil {
+		return answer, &CutError{Received: len(body), Cause: err}
+	}
+	return answer, nil
+}
+
+// maxEvent bounds one line of an event stream, in bytes.
+const maxEvent = 1 << 20
+
+type chunkBody struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+// readEvents reads server-sent events up to the end mark.
+func readEvents(body io.Reader, onText func(string)) (string, error) {
+	var text strings.Builder
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, bufio.MaxScanTokenSize), maxEvent)
+	failed := false
+	for lines.Scan() {
+		line := lines.Text()
+		if line == "event: error" {
+			failed = true
+			continue
+		}
+		data, isData := strings.CutPrefix(line, "data: ")
+		switch {
+		case !isData:
+		case failed:
+			return text.String(), streamRefusal(data)
+		case data == "[DONE]":
+			return text.String(), nil
+		default:
+			part, err := deltaOf(data)
+			if err != nil {
+				return text.String(), err
+			}
+			text.WriteString(part)
+			if onText != nil && part != "" {
+				onText(part)
+			}
+		}
+	}
+	cause := lines.Err()
+	if cause == nil {
+		cause = io.ErrUnexpectedEOF
+	}
+	return text.String(), &CutError{Received: text.Len(), Cause: cause}
+}
+
+func deltaOf(data string) (string, error) {
+	var chunk chunkBody
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return "", errors.Wrap(err, "decode event")
+	}
+	if len(chunk.Choices) == 0 {
+		return "", nil
+	}
+	return chunk.Choices[0].Delta.Content, nil
+}
+
+func streamRefusal(data string) error {
+	var parsed errorBody
+	if err := json.Unmarshal([]byte(data), &parsed); err != nil {
+		return errors.Wrap(err, "decode error event")
+	}
+	return &RefusedError{Status: http.StatusOK, Kind: parsed.Error.Type, Run: parsed.Error.Run, Message: parsed.Error.Message}
+}
--- /dev/null
+++ b/caller/client.go
@@ -0,0 +1,143 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// maxErrorBody bounds the error answers that are read, in bytes.
+const maxErrorBody = 64 << 10
+
+// Client sends requests with one key to one gateway. It is safe for concurrent
+// use.
+type Client struct {
+	base *sling.Sling
+	http *http.Client
+}
+
+// New makes a client. The key may be empty for open routes. A nil httpClient
+// means http.DefaultClient.
+func New(baseURL, key string, httpClient *http.Client) *Client {
+	if httpClient == nil {
+		httpClient = http.DefaultClient
+	}
+	base := sling.New().Base(baseURL)
+	if key != "" {
+		base = base.Set("Authorization", "Bearer "+key)
+	}
+	return &Client{base: base, http: httpClient}
+}
+
+// NewProgram is the body of a request that creates a program.
+type NewProgram struct {
+	Program string            `json:"program"`
+	Budget  int64             `json:"budget_tokens,omitempty"`
+	Parent  structs.ProgramID `json:"parent,omitempty"`
+}
+
+// Create creates a program.
+func (c *Client) Create(ctx context.Context, program NewProgram) (structs.ProgramInfo, error) {
+	var info structs.ProgramInfo
+	err := c.json(ctx, c.base.New().Post("/v1/programs").BodyJSON(program), &info)
+	return info, err
+}
+
+// Get returns a program's state.
+func (c *Client) Get(ctx context.Context, id structs.ProgramID) (structs.ProgramInfo, error) {
+	var info structs.ProgramInfo
+	err := c.json(ctx, c.base.New().Get(programPath(id)), &info)
+	return info, err
+}
+
+// End ends a program.
+func (c *Client) End(ctx context.Context, id structs.ProgramID) (structs.ProgramInfo, error) {
+	var info structs.ProgramInfo
+	err := c.json(ctx, c.base.New().Delete(programPath(id)), &info)
+	return info, err
+}
+
+// History returns a program's turns.
+func (c *Client) History(ctx context.Context, id structs.ProgramID) (structs.History, error) {
+	var history structs.History
+	err := c.json(ctx, c.base.New().Get(programPath(id)+"/history"), &history)
+	return history, err
+}
+
+func programPath(id structs.ProgramID) string {
+	return "/v1/programs/" + url.PathEscape(string(id))
+}
+
+// json sends the request and decodes the answer into out.
+func (c *Client) json(ctx context.Context, request *sling.Sling, out any) error {
+	response, err := c.send(ctx, request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return errors.Wrap(json.NewDecoder(response.Body).Decode(out), "decode answer")
+}
+
+// send sends the request and returns an answer of status 2xx, or a
+// *RefusedError.
+func (c *Client) send(ctx context.Context, request *sling.Sling) (*http.Response, error) {
+	prepared, err := request.Request()
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	response, err := c.http.Do(prepared.WithContext(ctx))
+	if err != nil {
+		return nil, errors.Wrap(err, "send request")
+	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		return response, nil
+	}
+	defer response.Body.Close()
+	return nil, readRefusal(response)
+}
+
+type errorBody struct {
+	Error struct {
+		Type    structs.RefusalKind `json:"type"`
+		Message string              `json:"message"`
+		Run     structs.Run         `json:"run"`
+	} `json:"error"`
+}
+
+func readRefusal(response *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
+	if err != nil {
+		return errors.Wrap(err, "read error answer")
+	}
+	var parsed errorBody
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&parsed); err != nil {
+		return &RefusedError{Status: response.StatusCode, Run: structs.RunUnknown, Message: string(body)}
+	}
+	return &RefusedError{
+		Status:     response.StatusCode,
+		Kind:       parsed.Error.Type,
+		Run:        parsed.Error.Run,
+		Message:    parsed.Error.Message,
+		RetryAfter: response.Header.Get("Retry-After"),
+	}
+}
+
+// numberHeader carries the number of a call.
+const numberHeader = "Endive-Call"
+
+func numberOf(response *http.Response) uint64 {
+	number, err := strconv.ParseUint(response.Header.Get(numberHeader), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return number
+}
--- /dev/null
+++ b/daemon/gatewayd.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/endivecourse/endivecourse/config/configwatch"
+	"github.com/endivecourse/endivecourse/gateway"
+	"github.com/endivecourse/endivecourse/gateway/forward"
+	"github.com/endivecourse/endivecourse/gateway/quotaclient"
+	"github.com/endivecourse/endivecourse/kernel"
+	_ "github.com/endivecourse/endivecourse/platform/httpplatform" // registers platform.http
+	"github.com/endivecourse/endivecourse/settings"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// Gatewayd is the role of the daemon that terminates callers.
+var Gatewayd = Role{
+	Name:  "gatewayd",
+	Short: "Terminates callers and forwards their requests to the schedulers that own them",
+	Check: func(loaded settings.Daemon) error { return loaded.CheckGateway() },
+	Build: BuildGatewayd,
+}
+
+// BuildGatewayd makes the components of a gatewayd.
+func BuildGatewayd(loaded settings.Daemon, log *slog.Logger) ([]kernel.Component, error) {
+	b, err := newBase(loaded)
+	if err != nil {
+		return nil, err
+	}
+	forwarder := forward.New(forward.Options{
+		Caller:    forward.WireCaller{Client: b.client},
+		Addresses: b.schedulers,
+		Slots:     loaded.Lease.Slots,
+	})
+	quota := quotaclient.New(quotaclient.Options{
+		Holder: b.incarnation,
+		Take: func(ctx context.Context, take structs.TakeQuota) (grant structs.QuotaGrant, err error) {
+			err = forwarder.Call(ctx, loaded.Domain, string(take.Account), structs.MethodTakeQuota, false, take, &grant)
+			return grant, err
+		},
+	})
+	callers := gateway.New(gateway.Options{
+		Domain:    loaded.Domain,
+		Domains:   b.domains,
+		Configs:   gateway.Follow(b.holder),
+		Forwarder: forwarder,
+		Admitter:  quota,
+		Limits:    loaded.Limits,
+		Listen:    loaded.Listen.Callers,
+		TLS:       loaded.CallersTLS,
+		Log:       log,
+	})
+	watch := configwatch.NewGateway(configwatch.GatewayOptions{
+		VM:         loaded.VM,
+		Holder:     b.holder,
+		Wire:       b.client,
+		Schedulers: func() []string { return append(b.ownSchedulers(), b.otherSchedulers()...) },
+	})
+	return []kernel.Component{&wireClient{client: b.client}, b.admin, b.members, watch, quota, callers}, nil
+}
--- /dev/null
+++ b/daemon/schedulerd.go
@@ -0,0 +1,73 @@
+package daemon
+
+import (
+	"log/slog"
+
+	"github.com/endivecourse/endivecourse/config/configwatch"
+	"github.com/endivecourse/endivecourse/kernel"
+	_ "github.com/endivecourse/endivecourse/queue/fifo"        // registers queue.fifo
+	_ "github.com/endivecourse/endivecourse/route/leastloaded" // registers route.leastloaded
+	"github.com/endivecourse/endivecourse/scheduler"
+	"github.com/endivecourse/endivecourse/scheduler/storeonly"
+	"github.com/endivecourse/endivecourse/settings"
+	"github.com/endivecourse/endivecourse/structs"
+	_ "github.com/endivecourse/endivecourse/target/engine" // registers target.engine
+	_ "github.com/endivecourse/endivecourse/target/plain"  // registers target.plain
+	"github.com/endivecourse/endivecourse/wire"
+)
+
+// Schedulerd is the role of the daemon that owns programs.
+var Schedulerd = Role{
+	Name:  "schedulerd",
+	Short: "Owns programs and sends their calls to targets",
+	Check: func(loaded settings.Daemon) error { return loaded.CheckScheduler() },
+	Build: BuildSchedulerd,
+}
+
+// BuildSchedulerd makes the components of a schedulerd.
+func BuildSchedulerd(loaded settings.Daemon, log *slog.Logger) ([]kernel.Component, error) {
+	b, err := newBase(loaded)
+	if err != nil {
+		return nil, err
+	}
+	server := wire.NewServer(b.wireOptions)
+	watch := configwatch.NewScheduler(configwatch.SchedulerOptions{
+		Self:   loaded.Listen.Wire,
+		VM:     loaded.VM,
+		Domain: loaded.Domain,
+		Holder: b.holder,
+		Table:  b.services.Table,
+		Wire:   b.client,
+		Peers:  b.ownSchedulers,
+		Others: b.otherSchedulers,
+		Poll:   loaded.Config.Poll.Std(),
+	})
+	owner := storeonly.New(storeonly.Options{
+		Settings:    loaded,
+		Incarnation: b.incarnation,
+		Table:       b.services.Table,
+		Objects:     b.services.Objects,
+		Log:         log,
+	})
+	core := scheduler.New(scheduler.Options{
+		Settings:  loaded,
+		Ownership: owner,
+		Journal:   owner,
+		Config:    b.snapshot,
+		Leaving:   func(id structs.TargetID) bool { return b.members.View().TargetLeaving(id) },
+	})
+	watch.RegisterHandlers(server)
+	core.RegisterHandlers(server)
+	return []kernel.Component{
+		&wireClient{client: b.client}, b.admin, b.members, watch, owner, core,
+		&wireServer{server: server, address: loaded.Listen.Wire},
+	}, nil
+}
+
+// snapshot returns the configuration in force, or nil.
+func (b *base) snapshot() scheduler.Snapshot {
+	if current := b.holder.Current(); current != nil {
+		return current
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/wire.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"context"
+	"net"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/kernel"
+	"github.com/endivecourse/endivecourse/wire"
+)
+
+// wireServer is the component that serves the protocol between daemons.
+type wireServer struct {
+	server   *wire.Server
+	address  string
+	listener net.Listener
+}
+
+// Name returns "wire".
+func (w *wireServer) Name() string { return "wire" }
+
+// Provision opens the address.
+func (w *wireServer) Provision(*kernel.Kernel) error {
+	listener, err := net.Listen("tcp", w.address)
+	w.listener = listener
+	return errors.Wrap(err, "listen for daemons")
+}
+
+// Start starts the duty that accepts connections.
+func (w *wireServer) Start(_ context.Context, k *kernel.Kernel) error {
+	k.Go("wire.accept", func(context.Context) error { return w.server.Serve(w.listener) })
+	return nil
+}
+
+// Drain refuses new requests and waits for the running ones.
+func (w *wireServer) Drain(ctx context.Context) error { return w.server.Drain(ctx) }
+
+// Stop closes all connections.
+func (w *wireServer) Stop(context.Context) error { return w.server.Close() }
+
+// wireClient is the component that owns the connections to other daemons. It
+// starts first, so that it is stopped last.
+type wireClient struct{ client *wire.Client }
+
+// Name returns "wire.client".
+func (w *wireClient) Name() string { return "wire.client" }
+
+// Start does nothing: connections open when they are needed.
+func (w *wireClient) Start(context.Context, *kernel.Kernel) error { return nil }
+
+// Stop closes the connections.
+func (w *wireClient) Stop(context.Context) error {
+	w.client.Close()
+	return nil
+}
--- a/gateway/ids.go
+++ b/gateway/ids.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/endivecourse/endivecourse/program"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -68,10 +69,10 @@
 	return structs.NewProgramID(home(x.g.opts.Domains(), random), random)
 }
 
-// rehome gives the program's ID another home.
-func rehome(id structs.ProgramID, domain structs.DomainID) structs.ProgramID {
-	_, random, _ := strings.Cut(string(id), "/")
-	return structs.NewProgramID(domain, random)
+// childOf makes the ID of a sub-program of parent from a drawn ID's random part.
+func childOf(parent, drawn structs.ProgramID) structs.ProgramID {
+	_, random, _ := strings.Cut(string(drawn), "/")
+	return program.NewChildID(parent, random)
 }
 
 // home chooses a domain by rendezvous hashing, whatever the list's order.
--- /dev/null
+++ b/internal/devsite/ready.go
@@ -0,0 +1,49 @@
+package devsite
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/caller"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// WaitReady waits until the gateway is ready and its schedulers own the slots,
+// or a daemon has failed.
+func (s *Site) WaitReady(ctx context.Context, timeout, interval time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	client := caller.New(s.URL, s.Key, nil)
+	for {
+		err := s.probe(ctx, client)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+			return errors.Wrap(err, "wait for the site")
+		}
+	}
+}
+
+// probe creates a program and ends it.
+func (s *Site) probe(ctx context.Context, client *caller.Client) error {
+	response, err := http.Get(s.URL + "/readyz")
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return &caller.RefusedError{Status: response.StatusCode, Kind: structs.RefusedNotReady, Run: structs.RunNo}
+	}
+	info, err := client.Create(ctx, caller.NewProgram{Program: Kind})
+	if err != nil {
+		return err
+	}
+	_, err = client.End(ctx, info.ID)
+	return err
+}
