Kill test with the real daemons on both example sites

Cause: recovery was only shown inside one process.

Change: the integration tests build gatewayd and schedulerd, start nine VMs' worth of both with the example settings (ports replaced by free ones) against stand-ins, run a program through each gateway, kill the scheduler that owns one with SIGKILL, and check that each answer belongs to the program's whole history.

--- /dev/null
+++ b/integration/fleet_test.go
@@ -0,0 +1,306 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/caller"
+	"github.com/endivecourse/endivecourse/config"
+	"github.com/endivecourse/endivecourse/internal/site"
+	"github.com/endivecourse/endivecourse/internal/standin/engine"
+	"github.com/endivecourse/endivecourse/internal/standin/plain"
+	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/program"
+	"github.com/endivecourse/endivecourse/settings"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// startTimeout bounds how long the fleet takes to serve its first program.
+const startTimeout = 60 * time.Second
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "endivecourse")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../cmd/gatewayd", "../cmd/schedulerd")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// daemonProcess is one daemon of the fleet.
+type daemonProcess struct {
+	settings settings.Daemon
+	file     string
+	binary   string
+	cmd      *exec.Cmd
+}
+
+// fleet is one site: nine VMs with both daemons each, and stand-ins.
+type fleet struct {
+	t          *testing.T
+	site       *site.Site
+	document   config.Document
+	gateways   []*daemonProcess
+	schedulers []*daemonProcess
+	keys       map[structs.AccountID]string
+}
+
+// fleetOptions changes what the example files say.
+type fleetOptions struct {
+	name   string // of the example
+	engine engine.Options
+	plain  plain.Options
+	// rewrite changes the text of every settings file.
+	rewrite func(string) string
+}
+
+func startFleet(t *testing.T, opts fleetOptions) *fleet {
+	t.Helper()
+	dir := filepath.Join("..", "examples", opts.name)
+	ports := newPortMap(t)
+	f := &fleet{t: t, keys: readKeys(t, dir)}
+	f.document = readDocument(t, dir, ports)
+	var vms []platform.VM
+	for _, name := range schedulerFiles(t, dir) {
+		scheduler := f.prepare(dir, name, "schedulerd", ports, opts.rewrite)
+		gateway := f.prepare(dir, strings.Replace(name, "schedulerd", "gatewayd", 1), "gatewayd", ports, opts.rewrite)
+		f.schedulers = append(f.schedulers, scheduler)
+		f.gateways = append(f.gateways, gateway)
+		vms = append(vms, platform.VM{
+			ID: scheduler.settings.VM, Domain: scheduler.settings.Domain, State: platform.VMLive,
+			Scheduler: scheduler.settings.Listen.Wire, Gateway: gateway.settings.Listen.Callers,
+		})
+	}
+	started, err := site.Start(t.Context(), site.Options{
+		Document:     f.document,
+		PlatformAddr: strings.TrimPrefix(f.schedulers[0].settings.Platform.URL, "http://"),
+		VMs:          vms,
+		Engine:       opts.engine,
+		Plain:        opts.plain,
+	})
+	assert.NilError(t, err)
+	f.site = started
+	t.Cleanup(f.stop)
+	for i := range f.schedulers {
+		f.start(f.schedulers[i])
+		f.start(f.gateways[i])
+	}
+	f.waitReady()
+	return f
+}
+
+func schedulerFiles(t *testing.T, dir string) []string {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join(dir, "*schedulerd.jsonc"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(paths), 9)
+	names := make([]string, len(paths))
+	for i, path := range paths {
+		names[i] = filepath.Base(path)
+	}
+	return names
+}
+
+var loopbackPort = regexp.MustCompile(`127\.0\.0\.1:2[12]\d{3}`)
+
+// newPortMap replaces the example addresses by free ones, each always by the
+// same.
+func newPortMap(t *testing.T) func(string) string {
+	known := make(map[string]string)
+	return func(text string) string {
+		return loopbackPort.ReplaceAllStringFunc(text, func(addr string) string {
+			if known[addr] == "" {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				assert.NilError(t, err)
+				known[addr] = listener.Addr().String()
+				listener.Close()
+			}
+			return known[addr]
+		})
+	}
+}
+
+func readDocument(t *testing.T, dir string, ports func(string) string) config.Document {
+	t.Helper()
+	sources, err := config.ReadSources(filepath.Join(dir, "base.jsonc"), filepath.Join(dir, "overlay.jsonc"))
+	assert.NilError(t, err)
+	for i := range sources {
+		sources[i].Data = []byte(ports(string(sources[i].Data)))
+	}
+	document, err := config.Parse(sources...)
+	assert.NilError(t, err)
+	return document
+}
+
+var keyRow = regexp.MustCompile("(?m)^\\| ([a-z-]+) \\| `(ek_[^`]+)` \\|")
+
+func readKeys(t *testing.T, dir string) map[structs.AccountID]string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(dir, "EXAMPLE-KEYS.md"))
+	assert.NilError(t, err)
+	keys := make(map[structs.AccountID]string)
+	for _, row := range keyRow.FindAllStringSubmatch(string(text), -1) {
+		keys[structs.AccountID(row[1])] = row[2]
+	}
+	assert.Assert(t, len(keys) > 0)
+	return keys
+}
+
+func (f *fleet) prepare(dir, name, binary string, ports, rewrite func(string) string) *daemonProcess {
+	text, err := os.ReadFile(filepath.Join(dir, name))
+	assert.NilError(f.t, err)
+	changed := ports(string(text))
+	if rewrite != nil {
+		changed = rewrite(changed)
+	}
+	file := filepath.Join(f.t.TempDir(), name)
+	assert.NilError(f.t, os.WriteFile(file, []byte(changed), 0o600))
+	loaded, err := settings.Load(file)
+	assert.NilError(f.t, err)
+	return &daemonProcess{settings: loaded, file: file, binary: binary}
+}
+
+func (f *fleet) start(d *daemonProcess) {
+	d.cmd = exec.Command(filepath.Join(binaries, d.binary), "--settings", d.file)
+	log, err := os.Create(d.file + ".log")
+	assert.NilError(f.t, err)
+	defer log.Close()
+	d.cmd.Stderr = log
+	assert.NilError(f.t, d.cmd.Start())
+}
+
+// kill ends a daemon with SIGKILL.
+func (f *fleet) kill(d *daemonProcess) {
+	f.t.Logf("kill %s on %s", d.binary, d.settings.VM)
+	f.signal(d, syscall.SIGKILL)
+	_ = d.cmd.Wait() // reports the signal
+	d.cmd = nil
+}
+
+func (f *fleet) signal(d *daemonProcess, s syscall.Signal) {
+	assert.NilError(f.t, d.cmd.Process.Signal(s))
+}
+
+func (f *fleet) stop() {
+	for _, d := range append(f.schedulers, f.gateways...) {
+		if d.cmd == nil {
+			continue
+		}
+		_ = d.cmd.Process.Kill()
+		_ = d.cmd.Wait()
+		if f.t.Failed() {
+			log, _ := os.ReadFile(d.file + ".log")
+			f.t.Logf("%s on %s:\n%s", d.binary, d.settings.VM, tail(log))
+		}
+	}
+	f.site.Close()
+}
+
+const maxLogShown = 2000 // bytes
+
+func tail(log []byte) []byte { return log[max(0, len(log)-maxLogShown):] }
+
+// client returns a client of a gateway.
+func (f *fleet) client(d *daemonProcess, account structs.AccountID) *caller.Client {
+	return caller.New("http://"+d.settings.Listen.Callers, f.keys[account], nil)
+}
+
+func (f *fleet) waitReady() {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(f.t.Context(), startTimeout)
+	defer cancel()
+	for _, d := range f.gateways {
+		for !ready(ctx, "http://"+d.settings.Listen.Callers+"/readyz") {
+			assert.NilError(f.t, ctx.Err(), "gateway on %s", d.settings.VM)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	for f.ownedSlots() < 3*f.schedulers[0].settings.Lease.Slots {
+		assert.NilError(f.t, ctx.Err(), "%d slots owned", f.ownedSlots())
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func ready(ctx context.Context, url string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+type schedulerDump struct {
+	Components struct {
+		Scheduler struct {
+			Owned []structs.Slot `json:"owned_slots"`
+		} `json:"scheduler"`
+	} `json:"components"`
+}
+
+// dump reads a scheduler's state dump.
+func (f *fleet) dump(d *daemonProcess) (schedulerDump, error) {
+	var dump schedulerDump
+	response, err := http.Get(fmt.Sprintf("http://%s/dump", d.settings.Listen.Admin))
+	if err != nil {
+		return dump, err
+	}
+	defer response.Body.Close()
+	return dump, json.NewDecoder(response.Body).Decode(&dump)
+}
+
+func (f *fleet) ownedSlots() int {
+	owned := 0
+	for _, d := range f.schedulers {
+		if dump, err := f.dump(d); err == nil {
+			owned += len(dump.Components.Scheduler.Owned)
+		}
+	}
+	return owned
+}
+
+// ownerOf returns the scheduler that owns a program as its caller sees it.
+func (f *fleet) ownerOf(public structs.ProgramID) *daemonProcess {
+	f.t.Helper()
+	id := structs.ProgramID(strings.Replace(string(public), "~", "/", 1))
+	for _, d := range f.schedulers {
+		if d.cmd == nil || d.settings.Domain != id.Home() {
+			continue
+		}
+		dump, err := f.dump(d)
+		assert.NilError(f.t, err)
+		for _, slot := range dump.Components.Scheduler.Owned {
+			if slot == program.SlotOf(id, d.settings.Lease.Slots) {
+				return d
+			}
+		}
+	}
+	f.t.Fatalf("no scheduler owns %s", id)
+	return nil
+}
