Programs: count the cost of calls that their owner did not see end

Cause: a model call under way when its scheduler stops was not charged, so a program could get more tokens than its budget.

A recovered intent without its turn costs its reservation; an intent that came to nothing is withdrawn before its reservation is given back. Headers no longer count in the fingerprint. A planned stop refuses new calls in its second half, and ticks look only at programs for which time matters.

Conclusion: one more write before a model call is sent.

--- a/journal/journal.go
+++ b/journal/journal.go
@@ -42,6 +42,10 @@
 	Fingerprint    uint64            `msgpack:"f"`
 	IdempotencyKey string            `msgpack:"i,omitempty"`
 	Reserved       int64             `msgpack:"r"`
+	// Repeatable says that the call may be sent again: without its turn it
+	// costs its reservation and its number stays free. One with nothing
+	// reserved withdraws the intent before it.
+	Repeatable bool `msgpack:"y,omitempty"`
 }
 
 // Ended says that a program has ended and why.
@@ -57,7 +61,10 @@
 	// other error leaves the outcome unknown.
 	Append(ctx context.Context, records []Record) error
 	// Recover returns every durable record of a slot's live programs written
-	// under earlier epochs, ordered by program and Seq. It is called by the
+	// under earlier epochs, ordered by program and Seq. A program counts as
+	// live as long as its root does, since a parent's budget counts its ended
+	// children; one that ended under the last epoch may be among them, so that
+	// a duplicate of its calls is still recognised. It is called by the
 	// owner of a new epoch before it serves the slot.
 	Recover(ctx context.Context, slot structs.Slot, epoch structs.Epoch) ([]Record, error)
 }
--- a/program/core.go
+++ b/program/core.go
@@ -19,7 +19,8 @@
 	MaxAnswer     int   // bytes of one answer
 	DefaultOutput int64 // tokens of output of a call without a limit
 	RetryDelay    time.Duration
-	// KeepEnded is how long an ended program is remembered.
+	// KeepEnded is how long an ended program is remembered, and thereby how
+	// long a duplicate of its calls is recognised.
 	KeepEnded time.Duration
 	// IdleLimit returns the idle limit of a kind for recovered programs; nil
 	// means none.
@@ -43,7 +44,7 @@
 	setDefault(&o.MaxAnswer, 8<<20)
 	setDefault(&o.DefaultOutput, 1024)
 	setDefault(&o.RetryDelay, 200*time.Millisecond)
-	setDefault(&o.KeepEnded, time.Minute)
+	setDefault(&o.KeepEnded, 2*time.Minute)
 	return o
 }
 
@@ -179,10 +180,9 @@
 // List describes the programs of one account, or all when it is empty.
 func (c *Core) List(account structs.AccountID) []structs.ProgramInfo {
 	var infos []structs.ProgramInfo
-	for _, p := range c.sorted() {
-		if account == "" || p.spec.Account == account {
-			infos = append(infos, p.info())
-		}
+	mine := func(p *program) bool { return account == "" || p.spec.Account == account }
+	for _, p := range c.sorted(mine) {
+		infos = append(infos, p.info())
 	}
 	return infos
 }
--- a/program/finish.go
+++ b/program/finish.go
@@ -58,6 +58,7 @@
 	c.settle(call.program, call.reserved, call.reserved)
 	call.lost += call.reserved
 	call.reserved = 0
+	call.intent = false
 	if again := c.reserveCall(call); again != nil {
 		c.failUnknown(call, refusal)
 		return
@@ -143,7 +144,7 @@
 	p.running = nil
 	p.active = c.now
 	if call == nil { // the turn of a recovered intent
-		p.unknown = nil
+		p.open = nil
 		c.settle(p, turn.Charged, turn.Charged)
 	} else {
 		c.settle(p, call.reserved, turn.Charged-call.lost)
@@ -181,20 +182,39 @@
 // failNotRun ends a call of which nothing ran: its number stays free.
 func (c *Core) failNotRun(call *call, refusal *structs.Refusal) {
 	p := call.program
-	c.settle(p, call.reserved, 0)
-	call.reserved = 0
 	p.running = nil
 	c.dropCall(call, refusal)
 	if call.spec.EndAfter && (p.ephemeral || len(p.unwritten) > 0) {
+		c.settle(p, call.reserved, 0)
 		c.dropProgram(p, refusal.Kind)
 		return
 	}
+	if call.intent && !call.spec.EndAfter && p.state == stateLive {
+		c.voidIntent(call)
+		return
+	}
+	c.settle(p, call.reserved, 0)
 	if call.spec.EndAfter {
 		c.end(p, reasonSingle)
 	}
 	c.proceed(p)
 }
 
+// voidIntent records that an intent came to nothing. Its reservation is given
+// back once that is durable: until then a successor would count it.
+func (c *Core) voidIntent(call *call) {
+	p := call.program
+	p.voided = call.reserved
+	void := journal.Intent{Number: call.number, Service: call.spec.Service(), Fingerprint: call.fingerprint, Repeatable: true}
+	c.append(p, writeVoid, nil, c.record(p, journal.KindIntent, void))
+}
+
+func (c *Core) voidDurable(p *program) {
+	c.settle(p, p.voided, 0)
+	p.voided = 0
+	c.proceed(p)
+}
+
 // dropCall refuses a call to its callers and forgets it.
 func (c *Core) dropCall(call *call, refusal *structs.Refusal) {
 	delete(c.calls, call.id)
--- a/program/id.go
+++ b/program/id.go
@@ -36,12 +36,18 @@
 }
 
 // Fingerprint identifies the content of a call: two calls with the same
-// fingerprint ask for the same thing.
+// fingerprint ask for the same thing. Headers do not count, since those of a
+// repeated request differ in dates and trace IDs.
 func Fingerprint(call *structs.Call) uint64 {
 	content := struct {
 		Model *structs.ModelCall
 		Plain *structs.PlainCall
-	}{call.Model, call.Plain}
+	}{Model: call.Model}
+	if call.Plain != nil {
+		plain := *call.Plain
+		plain.Header = nil
+		content.Plain = &plain
+	}
 	return digestOf(content)
 }
 
--- a/program/model_test.go
+++ b/program/model_test.go
@@ -33,6 +33,8 @@
 	ranIn     map[string]structs.Epoch     // epoch of the last such arrival
 	acked     map[structs.ProgramID]uint64 // highest acknowledged call
 	injected  map[string]int
+	budgets   map[structs.ProgramID]int64 // of programs that were created
+	used      map[structs.ProgramID]int64 // tokens that targets gave, descendants included
 }
 
 type askedCall struct {
@@ -60,6 +62,8 @@
 		ranIn:    make(map[string]structs.Epoch),
 		acked:    make(map[structs.ProgramID]uint64),
 		injected: make(map[string]int),
+		budgets:  make(map[structs.ProgramID]int64),
+		used:     make(map[structs.ProgramID]int64),
 	}
 	w.takeOver()
 	return w
@@ -127,14 +131,15 @@
 func (w *world) cancel(a Cancel) {
 	for _, s := range w.sends {
 		if s.Call == a.Call && s.Attempt == a.Attempt && w.draw(2) == 0 {
-			w.arrived(s)
+			w.arrived(s, s.Request.MaxTokens)
 		}
 	}
 	w.sends = remove(w.sends, func(s Send) bool { return s.Call == a.Call && s.Attempt == a.Attempt })
 }
 
-// arrived counts a request that reached its target.
-func (w *world) arrived(s Send) {
+// arrived counts a request that reached its target and the tokens that it
+// used there.
+func (w *world) arrived(s Send, tokens int64) {
 	id := s.Request.Hold
 	if plain := s.Request.Plain; plain != nil {
 		key := plain.Path
@@ -148,12 +153,25 @@
 		}
 		return
 	}
+	w.use(id, tokens)
 	if w.holds[id] == nil {
 		w.holds[id] = make(map[structs.TargetID]bool)
 	}
 	w.holds[id][s.Target] = true
 }
 
+func (w *world) use(id structs.ProgramID, tokens int64) {
+	for owner, budget := range w.budgets {
+		if id != owner && !strings.HasPrefix(string(id), string(owner)+childSeparator) {
+			continue
+		}
+		w.used[owner] += tokens
+		if w.used[owner] > budget {
+			w.fail("targets gave %s %d tokens of %d", owner, w.used[owner], budget)
+		}
+	}
+}
+
 func (w *world) reply(a Reply) {
 	asked, known := w.asked[a.Token]
 	if !known || a.Event.Kind != structs.EventDone {
@@ -234,6 +252,12 @@
 			w.fail("%s: record %d leaves a gap after %d", r.Program, r.Seq, len(list))
 		}
 		w.durable[r.Program] = append(list, r)
+		if r.Kind == journal.KindCreated {
+			var spec structs.CreateProgram
+			if err := decode(r.Body, &spec); err == nil {
+				w.budgets[r.Program] = spec.Budget
+			}
+		}
 	}
 }
 
@@ -279,17 +303,23 @@
 	s := w.sends[i]
 	w.sends = append(w.sends[:i:i], w.sends[i+1:]...)
 	result := []Result{ResultDone, ResultDone, ResultDone, ResultNotSent, ResultBroken, ResultRefused, ResultFailed}[w.draw(7)]
-	if result != ResultNotSent {
-		w.arrived(s)
+	usage := structs.Usage{}
+	if s.Request.Plain == nil {
+		usage = structs.Usage{PromptTokens: int64(1 + w.draw(20)), OutputTokens: int64(w.draw(8))}
+	}
+	switch result {
+	case ResultNotSent:
+	case ResultDone:
+		w.arrived(s, usage.Total())
+	case ResultRefused:
+		w.arrived(s, 0)
+	default:
+		w.arrived(s, s.Request.MaxTokens)
 	}
 	w.injected[fmt.Sprintf("result %d", result)]++
 	if result == ResultDone || result == ResultBroken && w.draw(2) == 0 {
 		w.step(Part{Call: s.Call, Attempt: s.Attempt, Status: 200, Data: []byte("answer")})
 	}
-	usage := structs.Usage{}
-	if s.Request.Plain == nil {
-		usage = structs.Usage{PromptTokens: int64(1 + w.draw(30)), OutputTokens: int64(w.draw(8))}
-	}
 	w.step(Finished{Call: s.Call, Attempt: s.Attempt, Result: result, Usage: usage})
 }
 
@@ -355,7 +385,7 @@
 	}
 	for _, s := range w.sends {
 		if w.draw(2) == 0 {
-			w.arrived(s)
+			w.arrived(s, s.Request.MaxTokens)
 		}
 	}
 	if w.draw(2) == 0 { // a loss that the owner sees
--- a/program/recover.go
+++ b/program/recover.go
@@ -90,6 +90,9 @@
 		last = r
 	}
 	p.seq = last.Seq
+	if p.state != stateEnded {
+		c.supersede(p, p.epoch)
+	}
 	return nil
 }
 
@@ -102,6 +105,7 @@
 		return bad("stands after the end")
 	}
 	var err error
+	c.supersede(p, r.Epoch)
 	switch r.Kind {
 	case journal.KindCreated:
 		id := p.spec.ID
@@ -111,8 +115,8 @@
 			return bad("is of another program")
 		}
 	case journal.KindIntent:
-		p.unknown = &journal.Intent{}
-		err = msgpack.Unmarshal(r.Body, p.unknown)
+		p.open = &openIntent{epoch: r.Epoch}
+		err = msgpack.Unmarshal(r.Body, &p.open.Intent)
 	case journal.KindTurn:
 		err = c.applyTurn(p, r)
 	case journal.KindEnded:
@@ -140,10 +144,20 @@
 	}
 	c.addTurn(p, turn)
 	p.spent += turn.Charged
-	p.unknown = nil
+	p.open = nil
 	return nil
 }
 
+// supersede counts the cost of a call that may be repeated and that its owner
+// left without a turn, when a later owner's records begin.
+func (c *Core) supersede(p *program, epoch structs.Epoch) {
+	if p.open == nil || !p.open.Repeatable || p.open.epoch >= epoch {
+		return
+	}
+	p.spent += p.open.Reserved
+	p.open = nil
+}
+
 // link joins recovered programs to their parents, descendants first, and
 // counts their budgets.
 func (c *Core) link(recovered []*program) {
@@ -171,7 +185,7 @@
 	if p.state != stateLive {
 		return
 	}
-	if p.unknown != nil {
+	if p.open != nil {
 		c.closeUnknown(p)
 	}
 	orphan := p.spec.Parent != "" && (p.parent == nil || p.parent.state != stateLive)
@@ -184,7 +198,7 @@
 }
 
 func (c *Core) closeUnknown(p *program) {
-	intent := p.unknown
+	intent := p.open
 	c.reserve(p, intent.Reserved)
 	turn := structs.Turn{
 		Program: p.spec.ID, Number: intent.Number, Epoch: p.epoch, Prev: p.lastHash(), Service: intent.Service,
@@ -201,10 +215,8 @@
 		return
 	}
 	delete(c.slots, slot)
-	for _, p := range c.sorted() {
-		if p.slot == slot {
-			c.loseProgram(p)
-		}
+	for _, p := range c.sorted(func(p *program) bool { return p.slot == slot }) {
+		c.loseProgram(p)
 	}
 }
 
--- a/program/run.go
+++ b/program/run.go
@@ -79,15 +79,21 @@
 		return
 	}
 	call.target = e.Target
-	if call.repeatable || call.intent || c.opts.rules.skipIntent {
+	c.startSend(call)
+}
+
+// startSend sends a call that has a target once its intent is durable. A call
+// that may be repeated and costs nothing needs none.
+func (c *Core) startSend(call *call) {
+	p := call.program
+	if call.intent || call.repeatable && call.spec.Model == nil || c.opts.rules.skipIntent {
 		c.send(call)
 		return
 	}
 	call.stage = stageIntent
-	p := call.program
 	intent := journal.Intent{
-		Number: call.number, Service: call.spec.Service(), Target: e.Target, Fingerprint: call.fingerprint,
-		IdempotencyKey: call.spec.IdempotencyKey, Reserved: call.reserved,
+		Number: call.number, Service: call.spec.Service(), Target: call.target, Fingerprint: call.fingerprint,
+		IdempotencyKey: call.spec.IdempotencyKey, Reserved: call.lost + call.reserved, Repeatable: call.repeatable,
 	}
 	c.append(p, writeIntent, nil, c.record(p, journal.KindIntent, intent))
 }
@@ -98,24 +104,28 @@
 	if call == nil || call.stage != stageQueued {
 		return
 	}
+	c.giveUpCall(call, *e.Refusal)
+}
+
+// giveUpCall ends a call that is not at a target.
+func (c *Core) giveUpCall(call *call, refusal structs.Refusal) {
 	if call.lost > 0 {
-		refusal := *e.Refusal
 		refusal.Run = structs.RunUnknown
 		c.failUnknown(call, &refusal)
 		return
 	}
-	c.failNotRun(call, e.Refusal)
+	c.failNotRun(call, &refusal)
 }
 
 // intentDurable sends the call, unless it was given up meanwhile.
 func (c *Core) intentDurable(p *program) {
 	call := p.running
+	call.intent = true
 	if call.expired || p.state == stateEnding {
 		c.emit(Abort{Call: call.id, Target: call.target})
-		c.failNotRun(call, c.endedRefusal(p))
+		c.giveUpCall(call, *c.endedRefusal(p))
 		return
 	}
-	call.intent = true
 	c.send(call)
 }
 
@@ -149,13 +159,16 @@
 		c.fault("call_order", "%s: call %d is sent before call %d", p.spec.ID, call.number, p.next())
 		return false
 	}
-	if call.repeatable || c.opts.rules.skipIntent {
+	if c.opts.rules.skipIntent {
 		return true
 	}
-	if !call.intent {
+	if !call.intent && (!call.repeatable || call.spec.Model != nil) {
 		c.fault("intent_before_send", "%s: call %d has no durable intent", p.spec.ID, call.number)
 		return false
 	}
+	if call.repeatable {
+		return true
+	}
 	if call.sent {
 		c.fault("sent_once", "%s: call %d is sent again", p.spec.ID, call.number)
 		return false
--- a/program/state.go
+++ b/program/state.go
@@ -29,6 +29,7 @@
 	ephemeral bool            // one call that may be repeated: nothing is recorded
 
 	spent, reserved int64
+	voided          int64 // reservation of an intent that is being withdrawn
 	historyTokens   int64 // prompt and output of the last model turn
 
 	seq       uint64           // of the last record handed to the journal
@@ -41,7 +42,7 @@
 
 	running *call
 	window  map[uint64]*call // calls that wait for an earlier number
-	unknown *journal.Intent  // recovered without its turn
+	open    *openIntent      // recovered without its turn
 
 	parent   *program
 	children map[structs.ProgramID]*program
@@ -53,6 +54,12 @@
 	enders    []Token
 }
 
+// openIntent is a recovered intent of which no turn is known.
+type openIntent struct {
+	journal.Intent
+	epoch structs.Epoch
+}
+
 // hold is engine memory that a target may keep for a program.
 type hold struct {
 	asked   bool // a Release is under way
@@ -112,7 +119,7 @@
 
 	target   structs.TargetID
 	attempt  int
-	intent   bool // durable
+	intent   bool // its intent, with all that it may cost, is durable
 	sent     bool // bytes may have reached a target without a known end
 	expired  bool // refused while its intent was being written
 	reserved int64
@@ -127,12 +134,14 @@
 	refusal *structs.Refusal // for a turn whose outcome is unknown
 }
 
-// sorted returns the programs in the order of their IDs, so that equal inputs
-// give equal outputs.
-func (c *Core) sorted() []*program {
-	list := make([]*program, 0, len(c.programs))
+// sorted returns the programs that match in the order of their IDs, so that
+// equal inputs give equal outputs.
+func (c *Core) sorted(match func(*program) bool) []*program {
+	var list []*program
 	for _, p := range c.programs {
-		list = append(list, p)
+		if match(p) {
+			list = append(list, p)
+		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].spec.ID < list[j].spec.ID })
 	return list
--- a/program/tick.go
+++ b/program/tick.go
@@ -2,9 +2,22 @@
 
 import "github.com/endivecourse/endivecourse/structs"
 
-// tick looks at every limit and retry.
+// due reports whether time may change anything about the program.
+func (c *Core) due(p *program) bool {
+	switch {
+	case p.writing != nil && p.writing.retry, p.running != nil, len(p.window) > 0:
+		return true
+	case p.state == stateEnded:
+		return len(p.holds) > 0 || c.now >= p.endedAt.Add(c.opts.KeepEnded)
+	case p.state == stateLive && p.idleLimit > 0:
+		return c.now >= p.active.Add(p.idleLimit)
+	}
+	return false
+}
+
+// tick looks at every limit and retry that is due.
 func (c *Core) tick() {
-	for _, p := range c.sorted() {
+	for _, p := range c.sorted(c.due) {
 		if c.programs[p.spec.ID] != p {
 			continue // dropped by a step before
 		}
--- a/program/write.go
+++ b/program/write.go
@@ -12,6 +12,7 @@
 const (
 	writeCreated writeKind = iota + 1
 	writeIntent
+	writeVoid
 	writeTurn
 	writeEnded
 )
@@ -92,6 +93,8 @@
 		c.created(p)
 	case writeIntent:
 		c.intentDurable(p)
+	case writeVoid:
+		c.voidDurable(p)
 	case writeTurn:
 		c.turnDurable(p, *w.turn)
 	case writeEnded:
@@ -125,7 +128,7 @@
 		p.seq++
 	}
 	c.emit(Abort{Call: p.running.id, Target: p.running.target})
-	c.failNotRun(p.running, structs.Refuse(structs.RefusedTailFull, structs.RunNo, "the journal has no room"))
+	c.giveUpCall(p.running, *structs.Refuse(structs.RefusedTailFull, structs.RunNo, "the journal has no room"))
 }
 
 // retryWrite repeats a write whose delay is over.
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -47,6 +47,10 @@
 }
 
 func (l *loop) arrive(arrived program.Arrived) {
+	if l.s.closed.Load() {
+		l.s.refuse(program.Refuse{Token: arrived.Token, Refusal: notReady("the process is stopping")})
+		return
+	}
 	if refusal := l.refuseArrival(&arrived); refusal != nil {
 		l.s.refuse(program.Refuse{Token: arrived.Token, Refusal: refusal})
 		return
@@ -97,11 +101,8 @@
 	return send(event)
 }
 
-// detach tells the core that a caller is gone. The post outlives the request's
-// context, and waits for room only as long as the daemon runs.
+// detach tells the core that a caller is gone. It is left out when the ring is
+// full: the core then forgets the caller with its call.
 func (s *Scheduler) detach(box *mailbox) {
-	s.kernel.Go("scheduler.detach", func(ctx context.Context) error {
-		s.post(ctx, message{event: program.Detached{Token: box.token}})
-		return nil
-	})
+	s.events.TryPut(message{event: program.Detached{Token: box.token}})
 }
--- a/scheduler/check.go
+++ b/scheduler/check.go
@@ -48,11 +48,11 @@
 		return none, structs.Refuse(structs.RefusedBadRequest, structs.RunNo, "service %q is of kind %q", call.Service(), service.Kind)
 	}
 	arrived := program.Arrived{Call: *call, Timeout: s.timeoutOf(call, service)}
-	if call.Model != nil {
-		arrived.Repeatable = true
-	} else {
-		arrived.Repeatable = service.MayRepeat(call.Plain.Method)
+	method := ""
+	if call.Plain != nil {
+		method = call.Plain.Method
 	}
+	arrived.Repeatable = service.MayRepeat(method)
 	if !call.EndAfter || call.Kind == "" {
 		return arrived, nil
 	}
--- a/scheduler/dispatcher.go
+++ b/scheduler/dispatcher.go
@@ -1,7 +1,8 @@
 package scheduler
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/endivecourse/endivecourse/config"
@@ -39,6 +40,7 @@
 	route   route.Policy
 	leaving func(structs.TargetID) bool
 	targets map[structs.TargetID]*backEnd
+	order   []structs.TargetID // keys of targets, sorted
 	flying  map[program.CallID][]flight
 }
 
@@ -103,7 +105,8 @@
 // there is none, those of other domains.
 func (d *dispatcher) candidates(now structs.Instant) []route.Target {
 	var near, far []route.Target
-	for id, b := range d.targets {
+	for _, id := range d.order {
+		b := d.targets[id]
 		if b.isDown(now) || d.leaving(id) {
 			continue
 		}
@@ -113,14 +116,15 @@
 			far = append(far, b.candidate(now, false))
 		}
 	}
-	list := near
-	if len(list) == 0 {
-		list = far
+	if len(near) == 0 {
+		return far
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	return list
+	return near
 }
 
+// sortTargets renews the order after the targets have changed.
+func (d *dispatcher) sortTargets() { d.order = slices.Sorted(maps.Keys(d.targets)) }
+
 func (b *backEnd) isDown(now structs.Instant) bool { return b.downUntil != 0 && now < b.downUntil }
 
 func (b *backEnd) candidate(now structs.Instant, near bool) route.Target {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -35,6 +35,7 @@
 	box      mailboxes
 
 	draining atomic.Bool  // slots are handed over as they fall idle
+	closed   atomic.Bool  // no new call is taken
 	handing  atomic.Int64 // slots whose hand-over is under way
 	stats    stats
 }
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -116,11 +116,16 @@
 const drainStep = 20 * time.Millisecond
 
 // Drain hands every slot over as soon as nothing runs in it, and returns when
-// none is left. New calls are taken as long as their slot is here, so that no
-// call is refused for the stop.
+// none is left. In the first half of its time, new calls are taken as long as
+// their slot is here, so that none is refused for the stop; after that they
+// are refused as not ready, so that every slot falls idle.
 func (s *Scheduler) Drain(ctx context.Context) error {
 	releaser, ok := s.opts.Ownership.(Releaser)
 	s.draining.Store(true)
+	if deadline, limited := ctx.Deadline(); limited {
+		stop := time.AfterFunc(time.Until(deadline)/2, func() { s.closed.Store(true) })
+		defer stop.Stop()
+	}
 	if ok {
 		releaser.StopAcquiring()
 	}
--- a/scheduler/storeonly/recover.go
+++ b/scheduler/storeonly/recover.go
@@ -111,13 +111,18 @@
 	}
 }
 
-// liveOnly drops the records of programs whose root has ended and keeps each
-// other record once, by program and number. Programs of one root stay
-// together, because a parent's budget counts its ended children.
+// liveOnly drops the records of programs whose root ended under an epoch
+// before the last one. Programs of one root stay together, because a parent's
+// budget counts its ended children; one that ended last is kept so that a
+// duplicate of its calls is recognised.
 func liveOnly(records []journal.Record) []journal.Record {
+	var last structs.Epoch
+	for _, r := range records {
+		last = max(last, r.Epoch)
+	}
 	ended := make(map[structs.ProgramID]bool)
 	for _, r := range records {
-		if r.Kind == journal.KindEnded && program.RootOf(r.Program) == r.Program {
+		if r.Kind == journal.KindEnded && r.Epoch < last && program.RootOf(r.Program) == r.Program {
 			ended[r.Program] = true
 		}
 	}
--- a/scheduler/targets.go
+++ b/scheduler/targets.go
@@ -67,6 +67,7 @@
 			l.addTarget(d, id, configured)
 		}
 	}
+	d.sortTargets()
 }
 
 func specOf(service structs.ServiceID, id structs.TargetID, t config.Target) target.Spec {
