--- a/scheduler/fake_test.go
+++ b/scheduler/fake_test.go
@@ -55,13 +55,21 @@
 		p.rows[w.Key] = row
 		written = append(written, row)
 	}
-	return written, nil
+	return written, p.answered()
 }
 
 // view is one node's way to the platform; it can be cut.
 type view struct {
 	*fakePlatform
-	cut *atomic.Bool
+	cut  *atomic.Bool
+	lost *atomic.Bool // writes take effect and are not answered
+}
+
+func (v view) answered() error {
+	if v.lost.Load() {
+		return &platform.UnknownOutcomeError{Service: "platform"}
+	}
+	return nil
 }
 
 func (v view) err() error {
@@ -93,10 +101,13 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.objects[key] = bytes.Clone(value)
-	return nil
+	return o.answered()
 }
 
 func (o fakeObjects) Get(_ context.Context, key string) ([]byte, error) {
+	if err := o.err(); err != nil {
+		return nil, err
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	value, found := o.objects[key]
@@ -107,6 +118,9 @@
 }
 
 func (o fakeObjects) List(_ context.Context, prefix string) ([]string, error) {
+	if err := o.err(); err != nil {
+		return nil, err
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var keys []string
@@ -120,6 +134,9 @@
 }
 
 func (o fakeObjects) Delete(_ context.Context, key string) error {
+	if err := o.err(); err != nil {
+		return err
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.objects, key)
@@ -304,6 +321,7 @@
 	*Scheduler
 	store  *storeonly.Store
 	cut    atomic.Bool
+	lost   atomic.Bool
 	cancel context.CancelFunc
 	done   chan error
 }
@@ -323,7 +341,7 @@
 	daemon := testSettings(name + ":1")
 	log := slog.New(slog.DiscardHandler)
 	n := &node{done: make(chan error, 1)}
-	platform := view{s.platform, &n.cut}
+	platform := view{s.platform, &n.cut, &n.lost}
 	store := storeonly.New(storeonly.Options{
 		Settings: daemon, Incarnation: structs.Incarnation(name),
 		Table: fakeTable{platform}, Objects: fakeObjects{platform}, Log: log,
