--- a/journal/tail/doc.go
+++ b/journal/tail/doc.go
@@ -9,7 +9,9 @@
 // so a successor that reads a majority of the witnesses after their promises,
 // and the store, misses none that was acknowledged.
 //
-// A successor stores what it read before it takes the next epoch and records
-// the epoch up to which it did so. Entries of those epochs are not read again,
-// so one that was never acknowledged can't come back later.
+// A successor stores what it read before it takes the next epoch. The store
+// holds a mark of how far it has the tail. Entries before it are not read from
+// witnesses again, so neither a record that was never acknowledged nor one of a
+// program that has ended can come back later. The owner stores all its entries
+// at a time, so a mark of one epoch covers what was carried into it.
 package tail
--- a/journal/tail/merge.go
+++ b/journal/tail/merge.go
@@ -4,16 +4,23 @@
 	"bytes"
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 
 	"github.com/endivecourse/endivecourse/journal"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
-// After returns the entries of epochs after the one up to which everything has
-// been collected before.
-func After(collected structs.Epoch, entries []Entry) []Entry {
-	return slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return e.Epoch <= collected })
+// Whole returns the mark of an epoch that is stored to its end.
+func Whole(epoch structs.Epoch) Place { return Place{Epoch: epoch, Position: math.MaxUint64} }
+
+// After returns the entries that were added after the mark, a place up to which
+// the store has had everything. The others must not be read again: their
+// programs may have ended and been left out since.
+func After(mark Place, entries []Entry) []Entry {
+	return slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool {
+		return e.Origin.Epoch < mark.Epoch || e.Origin.Epoch == mark.Epoch && e.Origin.Position <= mark.Position
+	})
 }
 
 // Merge returns each record of live programs once, ordered by program and Seq.
--- a/journal/tail/owner.go
+++ b/journal/tail/owner.go
@@ -1,6 +1,8 @@
 package tail
 
 import (
+	"slices"
+
 	"github.com/endivecourse/endivecourse/journal"
 	"github.com/endivecourse/endivecourse/lease"
 	"github.com/endivecourse/endivecourse/structs"
@@ -36,7 +38,8 @@
 func (o *Owner) Append(records []journal.Record) uint64 {
 	for _, r := range records {
 		o.last++
-		o.entries = append(o.entries, Entry{Epoch: o.epoch, Position: o.last, Record: r})
+		at := Place{Epoch: o.epoch, Position: o.last}
+		o.entries = append(o.entries, Entry{Place: at, Origin: at, Record: r})
 	}
 	return o.last
 }
@@ -59,11 +62,11 @@
 func (o *Owner) Carry(epoch structs.Epoch) uint64 {
 	shift := o.stored
 	o.epoch, o.stored, o.last = epoch, 0, 0
+	o.entries = slices.Clone(o.entries) // batches on their way share the old ones
 	for i := range o.entries {
 		o.last++
-		o.entries[i].Epoch, o.entries[i].Position = epoch, o.last
+		o.entries[i].Place = Place{Epoch: epoch, Position: o.last}
 	}
-	o.entries = append([]Entry(nil), o.entries...)
 	o.carried = o.last
 	o.acked = make(map[structs.Incarnation]uint64)
 	return shift
--- a/journal/tail/tail_test.go
+++ b/journal/tail/tail_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -18,6 +19,7 @@
 type faults struct {
 	noFence       bool
 	storeOnly     bool // a successor doesn't read the witnesses
+	noMark        bool // entries that the store has had are read again
 	witnessesOnly bool // a successor doesn't read the store
 }
 
@@ -29,7 +31,9 @@
 	faults    faults
 	storeUp   bool
 	stored    []journal.Record
-	collected structs.Epoch
+	mark      Place
+	ended     map[structs.ProgramID]bool // and acknowledged
+	unsettled map[structs.ProgramID]bool // its end was written
 	epoch     structs.Epoch
 	sets      [][]lease.Member
 	witnesses map[structs.Incarnation]*Witness
@@ -47,6 +51,7 @@
 	sets    [][]lease.Member
 	next    map[structs.ProgramID]uint64
 	waiting []waiting
+	ended   int
 }
 
 type waiting struct {
@@ -58,6 +63,7 @@
 	m := &model{
 		rng: rand.New(rand.NewPCG(seed, 2)), faults: f, storeUp: true, epoch: 1,
 		witnesses: make(map[structs.Incarnation]*Witness), stats: make(map[string]int),
+		ended: make(map[structs.ProgramID]bool), unsettled: make(map[structs.ProgramID]bool),
 	}
 	set := m.newSet(nil)
 	m.sets = [][]lease.Member{set}
@@ -113,9 +119,20 @@
 		m.stats["refused"]++
 		return
 	}
-	program := structs.ProgramID(fmt.Sprint("d/", m.rng.IntN(3)))
+	program := structs.ProgramID(fmt.Sprint("d/", o.self, m.rng.IntN(3), o.ended))
+	for _, known := range slices.Sorted(maps.Keys(o.next)) {
+		if m.rng.IntN(len(o.next)) == 0 {
+			program = known
+		}
+	}
 	o.next[program]++
 	r := journal.Record{Epoch: o.tail.Epoch(), Program: program, Seq: o.next[program], Kind: journal.KindTurn}
+	if m.rng.IntN(10) == 0 {
+		r.Kind = journal.KindEnded
+		delete(o.next, program)
+		o.ended++
+		m.unsettled[program] = true
+	}
 	r.Body = []byte(fmt.Sprint(o.self, r.Epoch, r.Seq))
 	o.waiting = append(o.waiting, waiting{upto: o.tail.Append([]journal.Record{r}), records: []journal.Record{r}})
 }
@@ -142,16 +159,32 @@
 	for _, e := range o.tail.Unstored() {
 		m.stored = append(m.stored, e.Record)
 	}
+	m.mark = Place{Epoch: o.tail.Epoch(), Position: o.tail.Last()}
 	m.stats["drains"]++
+	if m.rng.IntN(3) == 0 {
+		m.compact()
+	}
 	if m.rng.IntN(4) != 0 {
 		o.tail.MarkStored(o.tail.Last())
 	}
 }
 
+// compact leaves ended programs out of the store.
+func (m *model) compact() {
+	live, err := Merge(m.stored)
+	if err != nil {
+		m.failure = err.Error()
+	}
+	m.stored = live
+}
+
 func (m *model) acknowledge(o *modelOwner) {
 	durable := o.tail.Durable(o.sets)
 	for len(o.waiting) > 0 && o.waiting[0].upto <= durable {
-		m.acked = append(m.acked, o.waiting[0].records...)
+		for _, r := range o.waiting[0].records {
+			m.acked = append(m.acked, r)
+			m.ended[r.Program] = m.ended[r.Program] || r.Kind == journal.KindEnded
+		}
 		o.waiting = o.waiting[1:]
 	}
 }
@@ -218,7 +251,10 @@
 			}
 			w.Promise(0, m.epoch)
 			entries, _ := w.Read(0, m.epoch)
-			tails = append(tails, After(m.collected, entries))
+			if !m.faults.noMark {
+				entries = After(m.mark, entries)
+			}
+			tails = append(tails, entries)
 			read++
 		}
 		if 2*read <= len(set) {
@@ -236,7 +272,7 @@
 		m.failure = err.Error()
 		return
 	}
-	m.stored, m.collected = live, m.epoch
+	m.stored, m.mark = live, Whole(m.epoch)
 	m.checkAcked()
 	m.epoch++
 	m.sets = [][]lease.Member{m.newSet(m.sets[len(m.sets)-1])}
@@ -251,13 +287,21 @@
 	m.stats["successions"]++
 }
 
-// checkAcked asserts that no acknowledged record is missing.
+// checkAcked asserts that no acknowledged record of a live program is missing,
+// and that no program is back whose end was acknowledged.
 func (m *model) checkAcked() {
 	have := make(map[string]bool)
 	for _, r := range m.stored {
+		if m.ended[r.Program] {
+			m.failure = fmt.Sprintf("epoch %d: ended program %s is back", m.epoch, r.Program)
+			return
+		}
 		have[fmt.Sprint(r.Program, r.Seq, string(r.Body))] = true
 	}
 	for _, r := range m.acked {
+		if m.ended[r.Program] || m.unsettled[r.Program] {
+			continue
+		}
 		if !have[fmt.Sprint(r.Program, r.Seq, string(r.Body))] {
 			m.failure = fmt.Sprintf("epoch %d: record %d of %s, acknowledged under epoch %d, is missing", m.epoch, r.Seq, r.Program, r.Epoch)
 			return
@@ -305,7 +349,7 @@
 // Each part of the rule is taken out in turn; the same run must see it.
 func TestMutationsAreCaught(t *testing.T) {
 	for name, f := range map[string]faults{
-		"no fence": {noFence: true}, "store only": {storeOnly: true}, "witnesses only": {witnessesOnly: true},
+		"no fence": {noFence: true}, "no mark": {noMark: true}, "store only": {storeOnly: true}, "witnesses only": {witnessesOnly: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			caught := 0
--- a/journal/tail/witness.go
+++ b/journal/tail/witness.go
@@ -6,11 +6,18 @@
 	"github.com/endivecourse/endivecourse/structs"
 )
 
-// Entry is one record with its place in its epoch.
+// Place is a position in an epoch.
+type Place struct {
+	Epoch    structs.Epoch `msgpack:"e"`
+	Position uint64        `msgpack:"p"`
+}
+
+// Entry is one record with its place, and the place where it was first added:
+// the two differ once an owner has carried it into its next epoch.
 type Entry struct {
-	Epoch    structs.Epoch  `msgpack:"e"`
-	Position uint64         `msgpack:"p"`
-	Record   journal.Record `msgpack:"r"`
+	Place  Place          `msgpack:"p"`
+	Origin Place          `msgpack:"o"`
+	Record journal.Record `msgpack:"r"`
 }
 
 // entryOverhead is what an entry takes besides its body and program ID, in
@@ -111,7 +118,7 @@
 	}
 	if len(fresh) > 0 {
 		l.entries = append(l.entries, fresh...)
-		l.upto = fresh[len(fresh)-1].Position
+		l.upto = fresh[len(fresh)-1].Place.Position
 		w.bytes += need
 	}
 	ack.Upto = l.upto
@@ -121,7 +128,7 @@
 // freshEntries returns the entries that follow position upto without a gap.
 func freshEntries(upto uint64, entries []Entry) []Entry {
 	for i, e := range entries {
-		if e.Position == upto+1 {
+		if e.Place.Position == upto+1 {
 			return entries[i:]
 		}
 	}
@@ -139,7 +146,7 @@
 // trim drops the entries up to a position, which are stored.
 func (w *Witness) trim(l *log, stored uint64) {
 	n := 0
-	for n < len(l.entries) && l.entries[n].Position <= stored {
+	for n < len(l.entries) && l.entries[n].Place.Position <= stored {
 		n++
 	}
 	w.bytes -= sizeOf(l.entries[:n])
--- a/lease/node.go
+++ b/lease/node.go
@@ -98,6 +98,13 @@
 	return g.row, g.known && g.version > 0
 }
 
+// Version returns the version of the group's row as last seen; 0 for none.
+func (n *Node) Version(id Group) uint64 { return n.groups[id].version }
+
+// Sets returns the witness sets that must each have a majority for what this
+// process writes as the group's owner.
+func (n *Node) Sets(id Group) [][]Member { return n.possibleSets(n.groups[id]) }
+
 // PromisedEpoch returns the highest epoch of the group that this process, as a
 // witness, has promised to acknowledge no more.
 func (n *Node) PromisedEpoch(id Group) structs.Epoch { return n.witness.promised[id] }
