--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,9 +5,12 @@
 package quarantine
 
 import (
+	"encoding/binary"
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -22,15 +25,19 @@
 	MaxEntries int
 }
 
+// DefaultPeriod is how long a crash is remembered and a request kept from
+// targets, where Options say nothing.
+const DefaultPeriod = 10 * time.Minute
+
 func (o Options) withDefaults() Options {
 	if o.Targets == 0 {
 		o.Targets = 2
 	}
 	if o.Suspect == 0 {
-		o.Suspect = 10 * time.Minute
+		o.Suspect = DefaultPeriod
 	}
 	if o.Period == 0 {
-		o.Period = 10 * time.Minute
+		o.Period = DefaultPeriod
 	}
 	if o.MaxEntries == 0 {
 		o.MaxEntries = 4096
@@ -117,6 +124,24 @@
 	return reports
 }
 
+// Digest is the same for reports that differ only in the time that is left.
+func Digest(reports []Report) uint64 {
+	digest := xxhash.New()
+	var number [8]byte
+	for _, r := range reports {
+		binary.BigEndian.PutUint64(number[:], r.Fingerprint)
+		digest.Write(number[:])
+		for _, id := range r.Targets {
+			digest.WriteString(string(id))
+			digest.Write([]byte{0})
+		}
+		if r.Left > 0 {
+			digest.Write([]byte{1})
+		}
+	}
+	return digest.Sum64()
+}
+
 // Import merges the reports of another scheduler. A crash that is known keeps
 // its instant, so that reports passed around do not stay alive for ever.
 func (l *List) Import(now structs.Instant, reports []Report) {
--- a/scheduler/fake_test.go
+++ b/scheduler/fake_test.go
@@ -90,7 +90,20 @@
 	return t.rows[key], nil
 }
 
-func (t fakeTable) List(context.Context, string) ([]platform.Row, error) { return nil, nil }
+func (t fakeTable) List(_ context.Context, prefix string) ([]platform.Row, error) {
+	if err := t.err(); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
 
 type fakeObjects struct{ view }
 
@@ -349,7 +362,7 @@
 	n.store = store
 	snapshot := &fakeSnapshot{doc: testDocument()}
 	n.Scheduler = New(Options{
-		Settings: daemon, Ownership: store, Journal: store,
+		Settings: daemon, Ownership: store, Journal: store, Table: fakeTable{platform},
 		Config:    func() Snapshot { return snapshot },
 		Leaving:   func(id structs.TargetID) bool { _, leaving := s.leaving.Load(id); return leaving },
 		NewDriver: func(spec target.Spec) (target.Driver, error) { return s.targets[spec.ID], nil },
--- a/scheduler/handlers.go
+++ b/scheduler/handlers.go
@@ -8,7 +8,8 @@
 	"github.com/endivecourse/endivecourse/wire"
 )
 
-// RegisterHandlers sets the handlers of the scheduler's methods.
+// RegisterHandlers sets the handlers of the scheduler's methods. The server
+// takes requests only after the scheduler has started.
 func (s *Scheduler) RegisterHandlers(server *wire.Server) {
 	wire.Unary(server, structs.MethodCreateProgram, s.createProgram)
 	wire.Unary(server, structs.MethodEndProgram, s.endProgram)
--- a/scheduler/loop.go
+++ b/scheduler/loop.go
@@ -44,7 +44,7 @@
 	return &loop{
 		s:           s,
 		core:        program.New(s.coreOptions()),
-		quarantine:  quarantine.New(s.quarantineOptions()),
+		quarantine:  quarantine.New(quarantine.Options{}),
 		dispatchers: make(map[structs.ServiceID]*dispatcher),
 		cancels:     make(map[dispatchID]context.CancelFunc),
 		epochs:      make(map[structs.Slot]structs.Epoch),
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -7,6 +7,7 @@
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/journal"
 	"github.com/endivecourse/endivecourse/kernel"
+	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/target"
@@ -55,6 +56,9 @@
 	Config func() Snapshot
 	// Quota defaults to a token bucket with this domain's even share.
 	Quota QuotaHolder
+	// Table exchanges crash reports with the other schedulers; nil keeps them
+	// to this process.
+	Table platform.Table
 	// Leaving reports a target that takes nothing new; Gone one that has left
 	// with its memory. Nil means none.
 	Leaving, Gone func(structs.TargetID) bool
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -7,7 +7,6 @@
 
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/program"
-	"github.com/endivecourse/endivecourse/quarantine"
 	"github.com/endivecourse/endivecourse/queue"
 	"github.com/endivecourse/endivecourse/route"
 	"github.com/endivecourse/endivecourse/structs"
@@ -76,6 +75,9 @@
 func (s *Scheduler) Start(_ context.Context, k *kernel.Kernel) error {
 	k.Go("scheduler.loop", s.loop.run)
 	k.Go("scheduler.slots", s.followSlots)
+	if s.opts.Table != nil {
+		k.Go("scheduler.quarantine", s.shareQuarantine)
+	}
 	for range releaseWorkers {
 		k.Go("scheduler.release", s.releaseHolds)
 	}
@@ -97,8 +99,6 @@
 	}
 }
 
-func (s *Scheduler) quarantineOptions() quarantine.Options { return quarantine.Options{} }
-
 // post hands an event to the loop.
 func (s *Scheduler) post(ctx context.Context, m message) error { return s.events.Put(ctx, m) }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/endivecourse/endivecourse/program"
+	"github.com/endivecourse/endivecourse/quarantine"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/target"
 )
@@ -211,6 +212,34 @@
 	})
 }
 
+func TestQuarantineHoldsAtOtherSchedulers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite()
+		first := site.start("one")
+		owned(first)
+		crash := func(target.Request) error { return &target.BrokenError{Cause: io.ErrUnexpectedEOF} }
+		site.targets["a"].fail, site.targets["b"].fail = crash, crash
+		first.create(t, "north/p")
+		_, err := first.do(background, ask("north/p", 1, "poison"))
+		assert.Equal(t, refusalOf(err).Run, structs.RunUnknown)
+		time.Sleep(2 * shareInterval)
+		first.stop(t)
+		second := site.start("two")
+		owned(second)
+		time.Sleep(2 * shareInterval)
+		requests := site.targets["a"].requests() + site.targets["b"].requests()
+		second.create(t, "north/q")
+		_, err = second.do(background, ask("north/q", 1, "poison"))
+		assert.Equal(t, refusalOf(err).Kind, structs.RefusedQuarantined)
+		assert.Equal(t, site.targets["a"].requests()+site.targets["b"].requests(), requests)
+		time.Sleep(quarantine.DefaultPeriod)
+		site.targets["a"].fail, site.targets["b"].fail = nil, nil
+		_, err = second.do(background, ask("north/q", 1, "poison"))
+		assert.NilError(t, err)
+		second.stop(t)
+	})
+}
+
 func TestLeavingTargetGetsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		site := newSite()
--- a/scheduler/storeonly_test.go
+++ b/scheduler/storeonly_test.go
@@ -27,10 +27,12 @@
 	draw  func(int) int
 	nodes []*ownerNode
 
-	mu     sync.Mutex
-	acked  map[structs.Slot]int // records acknowledged for each slot
-	faults map[string]int
-	err    error
+	mu    sync.Mutex
+	acked map[structs.Slot]int // records acknowledged for each slot
+
+	reports sync.Mutex
+	faults  map[string]int
+	err     error
 }
 
 type ownerNode struct {
@@ -38,7 +40,15 @@
 	serving map[structs.Slot]structs.Epoch // recovered; guarded by owners.mu
 }
 
+func (o *owners) count(name string) {
+	o.reports.Lock()
+	defer o.reports.Unlock()
+	o.faults[name]++
+}
+
 func (o *owners) fail(format string, args ...any) {
+	o.reports.Lock()
+	defer o.reports.Unlock()
 	if o.err == nil {
 		o.err = fmt.Errorf(format, args...)
 	}
@@ -88,7 +98,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.faults["succession"]++
+	o.count("succession")
 	known := make(map[uint64]bool)
 	for _, r := range records {
 		known[r.Seq] = true
@@ -131,7 +141,7 @@
 		o.mu.Lock()
 		o.acked[slot]++
 		o.mu.Unlock()
-		o.faults["acknowledged"]++
+		o.count("acknowledged")
 	}
 }
 
@@ -140,12 +150,12 @@
 	switch o.draw(40) {
 	case 0:
 		n.cut.Store(true)
-		o.faults["cut"]++
+		o.count("cut")
 	case 1, 2:
 		n.cut.Store(false)
 	case 3:
 		n.lost.Store(true)
-		o.faults["answers lost"]++
+		o.count("answers lost")
 	case 4, 5:
 		n.lost.Store(false)
 	}
--- a/scheduler/wire_test.go
+++ b/scheduler/wire_test.go
@@ -36,6 +36,16 @@
 	return nil, nil
 }
 
+// signal is a component that says when those before it have started.
+type signal struct{ started chan struct{} }
+
+func (s signal) Name() string { return "signal" }
+func (s signal) Start(context.Context, *kernel.Kernel) error {
+	close(s.started)
+	return nil
+}
+func (s signal) Stop(context.Context) error { return nil }
+
 func TestHandlersOverWire(t *testing.T) {
 	site := newSite()
 	owner := newMemoryOwner()
@@ -46,9 +56,11 @@
 		NewDriver: func(spec target.Spec) (target.Driver, error) { return site.targets[spec.ID], nil },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	k := kernel.New(slog.New(slog.DiscardHandler), s)
+	ready := signal{started: make(chan struct{})}
+	k := kernel.New(slog.New(slog.DiscardHandler), s, ready)
 	ran := make(chan error, 1)
 	go func() { ran <- k.Run(ctx, time.Minute) }()
+	<-ready.started
 	server := wire.NewServer(wire.Options{})
 	s.RegisterHandlers(server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
