Benchmark of a call over the wire; refused targets rest

Cause: a target that refuses was tried again at once, which used up the attempts of a call within a moment.

Change: a target that refuses a call gets nothing new for a second, as one that is not reached.

--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -121,7 +121,7 @@
 	delete(l.cancels, dispatchID{a.Call, a.Attempt})
 	d := l.dispatchers[a.Service]
 	d.ended(now, a.Call, a.Target, end.usage, end.result == program.ResultDone)
-	if end.result == program.ResultNotSent || end.crashed {
+	if end.result == program.ResultNotSent || end.result == program.ResultRefused || end.crashed {
 		d.down(now, a.Target)
 	}
 	if end.crashed && l.quarantine.Crashed(now, a.Fingerprint, a.Target) {
--- a/scheduler/wire_test.go
+++ b/scheduler/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -46,7 +47,9 @@
 }
 func (s signal) Stop(context.Context) error { return nil }
 
-func TestHandlersOverWire(t *testing.T) {
+// serveWire starts a scheduler with a journal in memory behind a server on
+// loopback, and returns a client, the address and a function that stops all.
+func serveWire(t testing.TB) (*wire.Client, string, func()) {
 	site := newSite()
 	owner := newMemoryOwner()
 	snapshot := &fakeSnapshot{doc: testDocument()}
@@ -67,30 +70,64 @@
 	assert.NilError(t, err)
 	go server.Serve(listener)
 	client := wire.NewClient(wire.Options{})
-	defer client.Close()
-	addr := listener.Addr().String()
+	return client, listener.Addr().String(), func() {
+		client.Close()
+		assert.NilError(t, server.Close())
+		cancel()
+		assert.NilError(t, <-ran)
+	}
+}
 
-	var info structs.ProgramInfo
-	create := structs.CreateProgram{ID: "north/p", Account: "acme", Kind: "plan"}
-	for { // until the slots are recovered
-		err = client.Call(ctx, addr, structs.MethodCreateProgram, create, &info)
+// createOver creates a program once the slots are recovered.
+func createOver(t testing.TB, client *wire.Client, addr string, id structs.ProgramID) {
+	create := structs.CreateProgram{ID: id, Account: "acme", Kind: "plan"}
+	for {
+		var info structs.ProgramInfo
+		err := client.Call(context.Background(), addr, structs.MethodCreateProgram, create, &info)
 		if refusalOf(err).Kind != structs.RefusedNotReady {
-			break
+			assert.NilError(t, err)
+			return
 		}
 		time.Sleep(time.Millisecond)
 	}
-	assert.NilError(t, err)
-	stream, err := client.Stream(ctx, addr, structs.MethodCall, ask("north/p", 1, "first"))
+}
+
+// eventsOf runs a call and returns the kinds of its events.
+func eventsOf(t testing.TB, client *wire.Client, addr string, call structs.Call) []structs.CallEventKind {
+	stream, err := client.Stream(context.Background(), addr, structs.MethodCall, call)
 	assert.NilError(t, err)
 	var kinds []structs.CallEventKind
 	for {
 		var event structs.CallEvent
 		if err = stream.Recv(&event); err != nil {
-			break
+			assert.Equal(t, err, io.EOF)
+			return kinds
 		}
 		kinds = append(kinds, event.Kind)
 	}
-	assert.Equal(t, err, io.EOF)
+}
+
+// BenchmarkCall measures a call over the wire with a target that answers at
+// once and a journal in memory.
+func BenchmarkCall(b *testing.B) {
+	client, addr, stop := serveWire(b)
+	defer stop()
+	createOver(b, client, addr, "north/first")
+	b.ResetTimer()
+	for i := range b.N {
+		id := structs.NewProgramID("north", fmt.Sprintf("b%d", i))
+		call := ask(id, 1, "text")
+		call.Kind, call.EndAfter = "plan", true
+		eventsOf(b, client, addr, call)
+	}
+}
+
+func TestHandlersOverWire(t *testing.T) {
+	ctx := context.Background()
+	client, addr, stop := serveWire(t)
+	defer stop()
+	createOver(t, client, addr, "north/p")
+	kinds := eventsOf(t, client, addr, ask("north/p", 1, "first"))
 	assert.DeepEqual(t, kinds, []structs.CallEventKind{structs.EventStarted, structs.EventData, structs.EventData, structs.EventDone})
 
 	ref := structs.ProgramRef{ID: "north/p", Account: "acme"}
@@ -106,9 +143,7 @@
 	var grant structs.QuotaGrant
 	assert.NilError(t, client.Call(ctx, addr, structs.MethodTakeQuota, structs.TakeQuota{Account: "acme", Want: 3}, &grant))
 	assert.Equal(t, grant.Granted, 3)
+	var info structs.ProgramInfo
 	assert.NilError(t, client.Call(ctx, addr, structs.MethodEndProgram, ref, &info))
 	assert.Assert(t, info.Ended)
-	assert.NilError(t, server.Close())
-	cancel()
-	assert.NilError(t, <-ran)
 }
