--- a/program/arrive.go
+++ b/program/arrive.go
@@ -72,7 +72,10 @@
 	if refusal := c.refuseRoom(); refusal != nil {
 		return nil, refusal
 	}
-	spec := structs.CreateProgram{ID: e.Call.Program, Account: e.Call.Account, Kind: e.Call.Kind, Budget: e.Budget, Request: e.Call.Request}
+	spec := structs.CreateProgram{
+		ID: e.Call.Program, Account: e.Call.Account, Kind: e.Call.Kind,
+		Budget: e.Budget, Request: e.Call.Request, Single: true,
+	}
 	p = c.addProgram(spec, e.IdleLimit)
 	p.ephemeral = e.Call.Kind == "" && e.Repeatable
 	if !p.ephemeral {
--- a/program/core_test.go
+++ b/program/core_test.go
@@ -328,6 +328,21 @@
 			b.wantRefused(2, structs.RefusedOutcomeUnknown, structs.RunUnknown)
 			assert.Equal(b, len(b.sends), 1)
 		}},
+		{"recovered single call ends", Options{}, func(b *bench) {
+			single := modelCall("north/s", 1, "x")
+			single.EndAfter, single.Kind = true, "k"
+			b.call(1, single)
+			b.step(SlotLost{Slot: 0})
+			b.step(SlotGained{Slot: 0, Epoch: 2, Records: b.records})
+			b.call(2, single)
+			b.finish(ResultDone, "a", someUsage)
+			assert.Assert(b, b.done(2))
+			assert.Equal(b, b.info("north/s").Spent, int64(113+10))
+			b.step(SlotGained{Slot: 0, Epoch: 3, Records: b.records[:3]})
+			b.now = b.now.Add(2 * singleIdleLimit)
+			b.step(Tick{})
+			assert.Assert(b, b.info("north/s").Ended)
+		}},
 		{"gap in the history", Options{}, func(b *bench) {
 			for n := range uint64(3) {
 				b.call(Token(n), modelCall(p, n+1, "x"))
--- a/program/recover.go
+++ b/program/recover.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"sort"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -57,6 +58,10 @@
 	return lists
 }
 
+// singleIdleLimit is how long a recovered program that was made for one call
+// waits for that call to be asked again.
+const singleIdleLimit = time.Minute
+
 func (c *Core) recoverProgram(slot structs.Slot, records []journal.Record) *program {
 	p := c.addProgram(structs.CreateProgram{ID: records[0].Program}, 0)
 	p.slot = slot
@@ -67,6 +72,9 @@
 	if c.opts.IdleLimit != nil {
 		p.idleLimit = c.opts.IdleLimit(p.spec.Kind)
 	}
+	if p.spec.Single {
+		p.idleLimit = singleIdleLimit
+	}
 	return p
 }
 
--- a/structs/rpc.go
+++ b/structs/rpc.go
@@ -25,6 +25,8 @@
 	Budget  int64     `msgpack:"b"` // tokens; 0 takes the budget of the kind
 	Parent  ProgramID `msgpack:"p,omitempty"`
 	Request RequestID `msgpack:"q"`
+	// Single is set in the record of a program that was made for one call.
+	Single bool `msgpack:"s,omitempty"`
 }
 
 // ProgramRef names a program on behalf of an account. An empty Account is an
