--- a/config/configwatch/watch_test.go
+++ b/config/configwatch/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math"
 	"net"
 	"sort"
 	"sync"
@@ -180,3 +181,57 @@
 	f.await("polls of the old store", func() bool { return old.Reads() > seen+5 })
 	assert.Equal(t, currentVersion(fresh), uint64(2))
 }
+
+// A scheduler that has lost the store is passed over by those that follow it,
+// and takes the version from them.
+func TestReaderWithoutStoreIsPassedOver(t *testing.T) {
+	f := newFleet(t, 2)
+	cut := tabletest.New()
+	cut.SetDown(true)
+	reader, _ := f.scheduler(0, cut)
+	second, _ := f.scheduler(1, f.table)
+	f.publish(0)
+	f.awaitVersion(1, second, reader)
+	f.await("report", func() bool { return inForce(t, f.table, "d") == 1 })
+}
+
+// An answer confirms only what the peer itself had confirmed, counted from when
+// the question was sent.
+func TestConfirmationKeepsThePeersAge(t *testing.T) {
+	f := newFleet(t, 1)
+	ages := make(chan time.Duration, 1)
+	arrived := make(chan structs.Instant, 3)
+	server := wire.NewServer(wire.Options{})
+	wire.Unary(server, structs.MethodWatchConfig, func(context.Context, structs.ConfigQuery) (structs.ConfigVersion, error) {
+		arrived <- structs.Now()
+		return structs.ConfigVersion{Age: <-ages}, nil
+	})
+	f.group.Go(func() { assert.Check(t, server.Serve(f.listeners[0])) })
+	t.Cleanup(func() { server.Close() })
+	a := asker{from: "test", holder: &config.Holder{}, wire: f.client}
+
+	ages <- math.MaxInt64
+	_, err := a.ask(t.Context(), f.addresses[0], 0)
+	assert.NilError(t, err)
+	assert.Equal(t, a.holder.Age(structs.Now()), time.Duration(math.MaxInt64))
+
+	ages <- time.Hour
+	_, err = a.ask(t.Context(), f.addresses[0], 0)
+	assert.NilError(t, err)
+	assert.Assert(t, a.holder.Age(structs.Now()) >= time.Hour)
+
+	<-arrived
+	<-arrived
+	var heldSince structs.Instant
+	asked := structs.Now()
+	go func() {
+		heldSince = <-arrived
+		sleep(t.Context(), 20*time.Millisecond)
+		ages <- 0
+	}()
+	_, err = a.ask(t.Context(), f.addresses[0], 0)
+	assert.NilError(t, err)
+	answered := structs.Now()
+	assert.Assert(t, a.holder.Age(answered) >= answered.Sub(heldSince), "counted from the answer")
+	assert.Assert(t, a.holder.Age(answered) <= answered.Sub(asked), "counted from before the question")
+}
--- a/config/load_test.go
+++ b/config/load_test.go
@@ -154,7 +154,7 @@
 		{"no targets", `"m1": {"domain": "dundee-a", "url": "http://127.0.0.1:1001", "protocol": "engine", "checks_fence": true},`, ``, "overlay", 4, "services.models.targets", "at least one target"},
 		{"region", `"region": "east-scot"`, ``, "overlay", 2, "domains.dundee-a.region", "is missing"},
 		{"delete of nothing", `"domains"`, `"routes": {"shop": null}, "domains"`, "overlay", 2, "routes.shop", "null deletes a member of the base file"},
-		{"member twice", `"region": "east-scot"`, `"region": "east-scot", "region": "west-scot"`, "overlay", 2, "domains.dundee-a.region", "given twice"},
+		{"member twice", `"region": "east-scot"`, `"region": "east-scot", "region": "west-scot"`, "overlay", 2, "domains.dundee-a.region", "given 2 times"},
 		{"overlay type", `{"dundee-a": {"region": "east-scot"}}`, `[1]`, "overlay", 2, "domains", "must be an object, not an array"},
 	}
 	for _, c := range cases {
--- a/internal/strictjson/node.go
+++ b/internal/strictjson/node.go
@@ -168,20 +168,25 @@
 }
 
 func (b *builder) buildMembers(n *Node, object *hujson.Object, path Path) {
-	first := make(map[string]int, len(object.Members))
+	lines := make(map[string][]int, len(object.Members))
+	var repeated []string
 	for _, m := range object.Members {
 		name := m.Name.Value.(hujson.Literal).String()
 		line := b.line(m.Name.StartOffset)
-		if earlier, twice := first[name]; twice {
-			b.problems = append(b.problems, Problem{
-				File: b.file, Line: line, Field: path.Key(name).String(),
-				Message: fmt.Sprintf("is given twice, first in line %d; one is allowed", earlier),
-			})
-			continue
+		lines[name] = append(lines[name], line)
+		switch len(lines[name]) {
+		case 1:
+			value := b.build(m.Value, path.Key(name))
+			value.Line = line
+			n.members = append(n.members, member{name: name, value: value})
+		case 2:
+			repeated = append(repeated, name)
 		}
-		first[name] = line
-		value := b.build(m.Value, path.Key(name))
-		value.Line = line
-		n.members = append(n.members, member{name: name, value: value})
+	}
+	for _, name := range repeated {
+		b.problems = append(b.problems, Problem{
+			File: b.file, Line: lines[name][1], Field: path.Key(name).String(),
+			Message: fmt.Sprintf("is given %d times, in lines %v; one is allowed", len(lines[name]), lines[name]),
+		})
 	}
 }
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -69,7 +69,7 @@
 		{"peer twice", `127.0.0.1:22004`, `127.0.0.1:22003`, 12, "schedulers.perth-b[0]", "repeats schedulers.dundee-a[0]"},
 		{"empty domain", `["127.0.0.1:22004"]`, `[]`, 12, "schedulers.perth-b", "at least one"},
 		{"own domain absent", `"dundee-a": [`, `"dundee-b": [`, 10, "schedulers", "own failure domain"},
-		{"duplicate member", `"region": "east-scot",`, `"region": "east-scot", "region": "west-scot",`, 5, "region", "given twice"},
+		{"duplicate member", `"region": "east-scot",`, `"region": "east-scot", "region": "west-scot",`, 5, "region", "given 2 times"},
 		{"platform host", `http://127.0.0.1:22000`, `http://store:22000`, 14, "platform.url", "not numeric"},
 		{"platform scheme", `http://127`, `ftp://127`, 14, "platform.url", "http or https"},
 		{"bad duration", `"platform"`, `"config": {"poll": "soon"}, "platform"`, 14, "config.poll", "must be a duration such as"},
@@ -130,6 +130,7 @@
 	f.Add([]byte(valid))
 	f.Add([]byte(`{"listen": {"admin": null}, "schedulers": {"": [1]}}`))
 	f.Add([]byte("[[[/*"))
+	f.Add([]byte(`{"": "", "": "", "": ""}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		d, err := Parse("fuzz", data)
 		if err == nil {
