--- a/gateway/fault_test.go
+++ b/gateway/fault_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -198,6 +201,56 @@
 	assert.Equal(t, b.do("POST", "/services/orders", "").status, 401)
 }
 
+// A withdrawal also ends a request whose body is still arriving.
+func TestWithdrawalEndsSlowBody(t *testing.T) {
+	s := newScheduler(t)
+	var b *bed
+	b = newBed(t, func(o *Options) {
+		o.BodyTimeout = time.Hour
+		o.Admitter = admitFunc(func() *structs.Refusal {
+			time.AfterFunc(10*time.Millisecond, func() {
+				b.holder.set(&fakeSnapshot{version: 2, withdrawn: true})
+			})
+			return nil
+		})
+	}, s)
+	resp, body := b.raw("POST /services/orders HTTP/1.1\r\nHost: a\r\nX-Api-Key: "+testKey+
+		"\r\nContent-Length: 10\r\n\r\nabc", false)
+	assert.Equal(t, resp.StatusCode, 401, body)
+	assert.Assert(t, strings.Contains(body, `"run":"no"`), body)
+	assert.Equal(t, len(s.seen()), 0)
+}
+
+// A caller that does not read its stream does not hold up the cancellation of
+// its call.
+func TestWithdrawalEndsStalledStream(t *testing.T) {
+	s := newScheduler(t)
+	var sent atomic.Int64
+	cancelled := make(chan struct{})
+	s.answer = func(ctx context.Context, e *emitter) error {
+		defer close(cancelled)
+		_ = e.start(200)
+		text := strings.Repeat("x", 64<<10)
+		for ctx.Err() == nil {
+			_ = e.data(text)
+			sent.Add(1)
+		}
+		return ctx.Err()
+	}
+	b := newBed(t, func(o *Options) { o.WriteTimeout = time.Hour }, s)
+	conn, err := net.Dial("tcp", b.g.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /services/orders HTTP/1.1\r\nHost: a\r\nX-Api-Key: "+testKey+"\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	for before := int64(-1); before != sent.Load() || before == 0; {
+		before = sent.Load()
+		time.Sleep(100 * time.Millisecond)
+	}
+	b.holder.set(&fakeSnapshot{version: 2, withdrawn: true})
+	<-cancelled
+}
+
 // A key that is withdrawn after the request was authenticated and before it is
 // forwarded runs nothing.
 func TestWithdrawalBeforeForwarding(t *testing.T) {
