Advertised wire address; forwarders for the integration tests

Change: listen.advertise, checked for schedulerd only; the integration fleet can put a forwarder before each scheduler and between each scheduler and the platform.

--- a/daemon/schedulerd.go
+++ b/daemon/schedulerd.go
@@ -32,7 +32,7 @@
 	}
 	server := wire.NewServer(b.wireOptions)
 	watch := configwatch.NewScheduler(configwatch.SchedulerOptions{
-		Self:   loaded.Listen.Wire,
+		Self:   loaded.Listen.Reachable(),
 		VM:     loaded.VM,
 		Domain: loaded.Domain,
 		Holder: b.holder,
@@ -45,6 +45,7 @@
 	owner := storeonly.New(storeonly.Options{
 		Settings:    loaded,
 		Incarnation: b.incarnation,
+		Addr:        loaded.Listen.Reachable(),
 		Table:       b.services.Table,
 		Objects:     b.services.Objects,
 		Log:         log,
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -65,6 +65,8 @@
 	gateways   []*daemonProcess
 	schedulers []*daemonProcess
 	keys       map[structs.AccountID]string
+	// links lead to a scheduler, stores from it to the platform, by VM.
+	links, stores map[structs.VMID]*forwarder
 }
 
 // fleetOptions changes what the example files say.
@@ -72,8 +74,11 @@
 	name   string // of the example
 	engine engine.Options
 	plain  plain.Options
-	// rewrite changes the text of every settings file.
-	rewrite func(string) string
+	// change edits the settings of every daemon.
+	change func(*settings.Daemon)
+	// cuttable puts a forwarder before each scheduler, and one between each
+	// scheduler and the platform.
+	cuttable bool
 }
 
 func startFleet(t *testing.T, opts fleetOptions) *fleet {
@@ -82,20 +87,26 @@
 	ports := newPortMap(t)
 	f := &fleet{t: t, keys: readKeys(t, dir)}
 	f.document = readDocument(t, dir, ports)
-	var vms []platform.VM
 	for _, name := range schedulerFiles(t, dir) {
-		scheduler := f.prepare(dir, name, "schedulerd", ports, opts.rewrite)
-		gateway := f.prepare(dir, strings.Replace(name, "schedulerd", "gatewayd", 1), "gatewayd", ports, opts.rewrite)
-		f.schedulers = append(f.schedulers, scheduler)
-		f.gateways = append(f.gateways, gateway)
+		f.schedulers = append(f.schedulers, f.load(dir, name, "schedulerd", ports))
+		f.gateways = append(f.gateways, f.load(dir, strings.Replace(name, "schedulerd", "gatewayd", 1), "gatewayd", ports))
+	}
+	platformAddr := strings.TrimPrefix(f.schedulers[0].settings.Platform.URL, "http://")
+	if opts.cuttable {
+		f.putForwarders(platformAddr)
+	}
+	var vms []platform.VM
+	for i, scheduler := range f.schedulers {
+		f.write(scheduler, opts.change)
+		f.write(f.gateways[i], opts.change)
 		vms = append(vms, platform.VM{
 			ID: scheduler.settings.VM, Domain: scheduler.settings.Domain, State: platform.VMLive,
-			Scheduler: scheduler.settings.Listen.Wire, Gateway: gateway.settings.Listen.Callers,
+			Scheduler: scheduler.settings.Listen.Reachable(), Gateway: f.gateways[i].settings.Listen.Callers,
 		})
 	}
 	started, err := site.Start(t.Context(), site.Options{
 		Document:     f.document,
-		PlatformAddr: strings.TrimPrefix(f.schedulers[0].settings.Platform.URL, "http://"),
+		PlatformAddr: platformAddr,
 		VMs:          vms,
 		Engine:       opts.engine,
 		Plain:        opts.plain,
@@ -168,18 +179,42 @@
 	return keys
 }
 
-func (f *fleet) prepare(dir, name, binary string, ports, rewrite func(string) string) *daemonProcess {
+// load reads an example's settings file.
+func (f *fleet) load(dir, name, binary string, ports func(string) string) *daemonProcess {
 	text, err := os.ReadFile(filepath.Join(dir, name))
 	assert.NilError(f.t, err)
-	changed := ports(string(text))
-	if rewrite != nil {
-		changed = rewrite(changed)
+	loaded, err := settings.Parse(name, []byte(ports(string(text))))
+	assert.NilError(f.t, err)
+	return &daemonProcess{settings: loaded, file: filepath.Join(f.t.TempDir(), name), binary: binary}
+}
+
+// write writes the settings file that the daemon is started with.
+func (f *fleet) write(d *daemonProcess, change func(*settings.Daemon)) {
+	if change != nil {
+		change(&d.settings)
 	}
-	file := filepath.Join(f.t.TempDir(), name)
-	assert.NilError(f.t, os.WriteFile(file, []byte(changed), 0o600))
-	loaded, err := settings.Load(file)
+	text, err := json.Marshal(d.settings)
 	assert.NilError(f.t, err)
-	return &daemonProcess{settings: loaded, file: file, binary: binary}
+	assert.NilError(f.t, os.WriteFile(d.file, text, 0o600))
+}
+
+// putForwarders leads all connections between daemons, and those of schedulers
+// to the platform, through forwarders.
+func (f *fleet) putForwarders(platformAddr string) {
+	f.links = make(map[structs.VMID]*forwarder)
+	f.stores = make(map[structs.VMID]*forwarder)
+	addrs := make(map[structs.DomainID][]string)
+	for _, d := range f.schedulers {
+		link := startForwarder(f.t, d.settings.Listen.Wire)
+		store := startForwarder(f.t, platformAddr)
+		f.links[d.settings.VM], f.stores[d.settings.VM] = link, store
+		d.settings.Listen.Advertise = link.addr()
+		d.settings.Platform.URL = "http://" + store.addr()
+		addrs[d.settings.Domain] = append(addrs[d.settings.Domain], link.addr())
+	}
+	for _, d := range append(f.schedulers, f.gateways...) {
+		d.settings.Schedulers = addrs
+	}
 }
 
 func (f *fleet) start(d *daemonProcess) {
--- a/settings/check.go
+++ b/settings/check.go
@@ -43,6 +43,9 @@
 	if d.Listen.Wire != "" {
 		r.Add(keys("listen", "wire"), "is of use to a schedulerd only; a gatewayd must leave it out")
 	}
+	if d.Listen.Advertise != "" {
+		r.Add(keys("listen", "advertise"), "is of use to a schedulerd only; a gatewayd must leave it out")
+	}
 }
 
 func checkScheduler(d *Daemon, r *strictjson.Report) {
@@ -79,6 +82,9 @@
 		}
 		used[f.address] = f.name
 	}
+	if d.Listen.Advertise != "" {
+		r.CheckAddress(keys("listen", "advertise"), d.Listen.Advertise, strictjson.PortFixed)
+	}
 	if d.Listen.Admin == "" {
 		r.Add(keys("listen", "admin"), "is missing; must be %s", strictjson.AddressForm)
 	}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -62,6 +62,17 @@
 	Callers string `json:"callers,omitempty"` // gatewayd: HTTP for callers
 	Wire    string `json:"wire,omitempty"`    // schedulerd: frames from gateways and schedulers
 	Admin   string `json:"admin"`             // health, metrics, state dump
+	// Advertise is the address at which other daemons reach Wire; empty means
+	// Wire itself.
+	Advertise string `json:"advertise,omitempty"`
+}
+
+// Reachable returns the wire address that other daemons use.
+func (l Listen) Reachable() string {
+	if l.Advertise != "" {
+		return l.Advertise
+	}
+	return l.Wire
 }
 
 // Platform names the platform driver and its address.
