Require config.max_stale to exceed a healthy daemon's confirmation age

Cause: a gateway's confirmation came to 2.2 s in a state dump with a poll interval of 1 s, so a limit just above the interval would refuse keyed requests while nothing is wrong.

Change: the limit must be 0 or at least config.poll and 10 s.

Conclusion: the settings tests refuse 10.9s and name 11s as the least.

--- a/settings/check.go
+++ b/settings/check.go
@@ -6,6 +6,7 @@
 	"math"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/endivecourse/endivecourse/internal/strictjson"
 	"github.com/endivecourse/endivecourse/structs"
@@ -20,6 +21,10 @@
 	frameOverhead = 64 << 10
 	maxBody       = wire.DefaultMaxFrame - frameOverhead
 	minHeader     = 1 << 10
+	// confirmationDelay bounds how old the confirmation of a healthy daemon
+	// gets beyond the interval of polls: two hops of questions, each held for
+	// up to a second, with room for slow answers.
+	confirmationDelay = 10 * time.Second
 )
 
 var keys = strictjson.Keys
@@ -197,8 +202,9 @@
 		r.Add(keys("policy", "route"), `is empty; must name a registered route policy, such as "leastloaded"`)
 	}
 	checkPositive(r, keys("config", "poll"), d.Config.Poll)
-	if stale := d.Config.MaxStale; stale != 0 && stale <= d.Config.Poll {
-		r.Add(keys("config", "max_stale"), "must be 0 (no limit) or longer than config.poll (%s), not %s", d.Config.Poll.Std(), stale.Std())
+	least := d.Config.Poll.Std() + confirmationDelay
+	if stale := d.Config.MaxStale.Std(); stale != 0 && stale < least {
+		r.Add(keys("config", "max_stale"), "must be 0 (no limit) or at least %s (config.poll and %s), not %s", least, confirmationDelay, stale)
 	}
 	if hash := d.OperatorTokenHash; hash != "" && !strictjson.IsHex(hash, sha256Bytes) {
 		r.Add(keys("operator_token_hash"), "must be empty or the SHA-256 of the token as %d hexadecimal digits", 2*sha256Bytes)
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -75,7 +75,7 @@
 		{"bad duration", `"platform"`, `"config": {"poll": "soon"}, "platform"`, 14, "config.poll", "must be a duration such as"},
 		{"number for duration", `"platform"`, `"config": {"poll": 3}, "platform"`, 14, "config.poll", "must be a duration such as"},
 		{"poll 0", `"platform"`, `"config": {"poll": "0s"}, "platform"`, 14, "config.poll", "longer than 0"},
-		{"stale below poll", `"platform"`, `"config": {"max_stale": "1s"}, "platform"`, 14, "config.max_stale", "longer than config.poll"},
+		{"stale too short", `"platform"`, `"config": {"max_stale": "10.9s"}, "platform"`, 14, "config.max_stale", "at least 11s"},
 		{"half wire TLS", `"platform"`, `"wire_tls": {"cert": "c", "ca": "a"}, "platform"`, 14, "wire_tls.key", "together or not at all"},
 		{"half callers TLS", `"platform"`, `"callers_tls": {"key": "k"}, "platform"`, 14, "callers_tls.cert", "together or not at all"},
 		{"log level", `"platform"`, `"log": {"level": "loud"}, "platform"`, 14, "log.level", "one of debug, info, warn, error"},
