--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -13,6 +13,7 @@
 	"math/big"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
@@ -208,6 +209,18 @@
 	assert.Equal(t, got.protocol, "HTTP/2.0")
 }
 
+// A connection whose read deadline was moved is not used again, even when the
+// body had arrived.
+func TestExpiredBodyReadIsNotInTime(t *testing.T) {
+	control := http.NewResponseController(httptest.NewRecorder())
+	var read bodyRead
+	read.begin(control, time.Hour)
+	assert.Assert(t, read.end(control))
+	read.begin(control, time.Hour)
+	read.expire(control)
+	assert.Assert(t, !read.end(control))
+}
+
 func TestHalfTLSIsRefused(t *testing.T) {
 	g := New(Options{TLS: settings.CallersTLS{Cert: "a.pem"}})
 	var half *HalfTLSError
