gateway: route sub-programs to their root's owner

Cause: all programs of one root share the root's slot, and a sub-program's ID extends its parent's; the gateway drew an unrelated ID and hashed the whole of it, so a sub-program could be sent to another owner than its parent's.

Change: a sub-program's ID is its parent's ID, a dot and a random part; the owner is found by the root's ID. A refusal that the client account does not exist is passed on by the quota client.

--- a/gateway/flow_test.go
+++ b/gateway/flow_test.go
@@ -32,7 +32,7 @@
 	assert.Assert(t, strings.Contains(ended.body, `"ended":true`), ended.body)
 
 	sub := b.do("POST", "/v1/programs", `{"program":"plan","parent":"south~1"}`)
-	assert.Assert(t, strings.Contains(sub.body, `"id":"south~`), sub.body)
+	assert.Assert(t, strings.Contains(sub.body, `"id":"south~1.`), sub.body)
 	assert.Assert(t, strings.Contains(sub.body, `"parent":"south~1"`), sub.body)
 
 	one := b.do("POST", "/v1/programs", `{"program":"plan"}`, headerIdem, "x")
@@ -40,6 +40,14 @@
 	assert.Equal(t, one.body, two.body)
 }
 
+// All programs of one root have the root's owner, whatever the home's name.
+func TestSubProgramHasOwnerOfRoot(t *testing.T) {
+	assert.Equal(t, ownerKey("a.b/root"), "a.b/root")
+	child := childOf("a.b/root", "north/x")
+	assert.Equal(t, child, structs.ProgramID("a.b/root.x"))
+	assert.Equal(t, ownerKey(childOf(child, "north/y")), "a.b/root")
+}
+
 func TestModelCall(t *testing.T) {
 	s := newScheduler(t)
 	s.answer = whole("caf\xc3", "\xa9 ", "two")
--- a/gateway/ids.go
+++ b/gateway/ids.go
@@ -16,7 +16,7 @@
 const idSeparator = "~"
 
 // maxID bounds a program ID from a caller, in bytes.
-const maxID = 200
+const maxID = 1024
 
 // encodeID writes a program ID as callers see it.
 func encodeID(id structs.ProgramID) structs.ProgramID {
@@ -68,10 +68,22 @@
 	return structs.NewProgramID(home(x.g.opts.Domains(), random), random)
 }
 
-// rehome gives the program's ID another home.
-func rehome(id structs.ProgramID, domain structs.DomainID) structs.ProgramID {
-	_, random, _ := strings.Cut(string(id), "/")
-	return structs.NewProgramID(domain, random)
+// childSeparator joins a sub-program's random part to the ID of its parent.
+const childSeparator = "."
+
+// childOf gives a sub-program, whose own ID was drawn, the ID that its parent's
+// owner finds it under.
+func childOf(parent, drawn structs.ProgramID) structs.ProgramID {
+	_, random, _ := strings.Cut(string(drawn), "/")
+	return parent + structs.ProgramID(childSeparator+random)
+}
+
+// ownerKey returns the key whose slot owns the program: the ID of the root
+// program, since all programs of one root have one owner.
+func ownerKey(id structs.ProgramID) string {
+	home, random, _ := strings.Cut(string(id), "/")
+	root, _, _ := strings.Cut(random, childSeparator)
+	return home + "/" + root
 }
 
 // home chooses a domain by rendezvous hashing, whatever the list's order.
--- a/gateway/programs.go
+++ b/gateway/programs.go
@@ -57,7 +57,7 @@
 		return create, err
 	}
 	create.Parent = parent
-	create.ID = rehome(create.ID, parent.Home())
+	create.ID = childOf(parent, create.ID)
 	return create, nil
 }
 
--- a/gateway/quotaclient/client.go
+++ b/gateway/quotaclient/client.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -151,7 +153,7 @@
 	a.fetching = false
 	now := c.opts.Clock()
 	if err != nil {
-		a.refuseAll(unreachable())
+		a.refuseAll(refusalOf(err))
 		return
 	}
 	a.receive(now, sent, min(grant.Granted, take.Want), grant)
@@ -172,6 +174,16 @@
 	return refusal
 }
 
+// refusalOf makes the refusal for requests whose batch failed. They have not
+// run, whatever became of the request for the batch.
+func refusalOf(err error) *structs.Refusal {
+	var refusal *structs.Refusal
+	if errors.As(err, &refusal) && refusal.Kind == structs.RefusedForbidden {
+		return refusal
+	}
+	return unreachable()
+}
+
 func unreachable() *structs.Refusal {
 	refusal := structs.Refuse(structs.RefusedNotReady, structs.RunNo, "the quota of the client account cannot be reached")
 	refusal.RetryAfter = time.Second
--- a/gateway/quotaclient/client_test.go
+++ b/gateway/quotaclient/client_test.go
@@ -168,6 +168,8 @@
 		refusal := c.Admit(t.Context(), "acme")
 		assert.Equal(t, refusal.Kind, structs.RefusedNotReady)
 		assert.Equal(t, refusal.Run, structs.RunNo)
+		c = newClient(&holder{err: structs.Refuse(structs.RefusedForbidden, structs.RunNo, "no account")})
+		assert.Equal(t, c.Admit(t.Context(), "acme").Kind, structs.RefusedForbidden)
 	})
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -45,7 +45,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout+timeoutSlack)
 	defer cancel()
-	attempts := x.g.opts.Forwarder.Begin(call.Program.Home(), string(call.Program))
+	attempts := x.g.opts.Forwarder.Begin(call.Program.Home(), ownerKey(call.Program))
 	defer attempts.End()
 	s := &sending{x: x, call: call, checker: answer.NewChecker(call.Request), attempts: attempts, out: out}
 	for {
@@ -195,7 +195,7 @@
 		return err
 	}
 	x.sent.Store(true)
-	return x.g.opts.Forwarder.Call(ctx, id.Home(), string(id), method, true, in, out)
+	return x.g.opts.Forwarder.Call(ctx, id.Home(), ownerKey(id), method, true, in, out)
 }
 
 // unaryTimeout bounds a request that reaches no target.
