--- a/daemon/gatewayd.go
+++ b/daemon/gatewayd.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"log/slog"
 
 	"github.com/endivecourse/endivecourse/config/configwatch"
@@ -11,7 +10,6 @@
 	"github.com/endivecourse/endivecourse/kernel"
 	_ "github.com/endivecourse/endivecourse/platform/httpplatform" // registers platform.http
 	"github.com/endivecourse/endivecourse/settings"
-	"github.com/endivecourse/endivecourse/structs"
 )
 
 // Gatewayd is the role of the daemon that terminates callers.
@@ -35,10 +33,7 @@
 	})
 	quota := quotaclient.New(quotaclient.Options{
 		Holder: b.incarnation,
-		Take: func(ctx context.Context, take structs.TakeQuota) (grant structs.QuotaGrant, err error) {
-			err = forwarder.Call(ctx, loaded.Domain, string(take.Account), structs.MethodTakeQuota, false, take, &grant)
-			return grant, err
-		},
+		Take:   quotaclient.Over(forwarder, loaded.Domain),
 	})
 	callers := gateway.New(gateway.Options{
 		Domain:    loaded.Domain,
