--- a/scheduler/storeonly/store.go
+++ b/scheduler/storeonly/store.go
@@ -84,29 +84,44 @@
 	return nil
 }
 
-// watchInterval bounds how late the end of the lease is noticed.
-const watchInterval = 20 * time.Millisecond
-
 func (s *Store) run(ctx context.Context) error {
 	renew := time.NewTicker(s.opts.Settings.Lease.Renew.Std())
 	defer renew.Stop()
-	watch := time.NewTicker(watchInterval)
-	defer watch.Stop()
-	s.round(ctx)
+	end := time.NewTimer(s.opts.ownFor())
+	defer end.Stop()
+	for {
+		s.round(ctx)
+		end.Reset(s.lapsesIn())
+		if !s.waitRound(ctx, renew, end) {
+			return nil
+		}
+	}
+}
+
+// waitRound waits until the next round is due, and gives the slots up when the
+// lease ends before. It reports false at the end of ctx.
+func (s *Store) waitRound(ctx context.Context, renew *time.Ticker, end *time.Timer) bool {
 	for {
 		select {
 		case <-renew.C:
-			s.round(ctx)
+			return true
 		case <-s.wake:
-			s.round(ctx)
-		case <-watch.C:
+			return true
+		case <-end.C:
 			s.dropLapsed(ctx)
 		case <-ctx.Done():
-			return nil
+			return false
 		}
 	}
 }
 
+// lapsesIn returns the time until the lease ends.
+func (s *Store) lapsesIn() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.until.Sub(structs.Now()), 0)
+}
+
 // roundTries bounds the tries of one round after conflicts.
 const roundTries = 8
 
