TestSoakFleet ends at its first violation

Cause: with recovery taken out on a scratch copy, callers asked for their lost programs without end and the test ran into its time limit.

Change: a caller whose own program does not exist is a violation, and callers stop after the first.

--- a/scheduler/soak_test.go
+++ b/scheduler/soak_test.go
@@ -49,6 +49,12 @@
 	}
 }
 
+func (f *fleet) failed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.err != nil
+}
+
 // disturbTarget makes a target slow, unreachable or break its answers.
 func (f *fleet) disturbTarget(req target.Request) error {
 	kind := f.draw(20)
@@ -121,7 +127,7 @@
 		return
 	}
 	acked := 0
-	for number := uint64(1); int(number) <= calls; {
+	for number := uint64(1); int(number) <= calls && !f.failed(); {
 		outcome := f.runCall(id, number)
 		switch {
 		case outcome == structs.RunYes:
@@ -171,7 +177,7 @@
 	f.count("run " + string(run))
 	isOrder := call.Plain != nil
 	switch {
-	case run == "":
+	case run == "" || refusalOf(err).Kind == structs.RefusedNotFound:
 		f.fail("%s: %v", path, err)
 	case isOrder && ran > 1:
 		f.fail("%s ran %d times", path, ran)
