--- a/scheduler/fake_test.go
+++ b/scheduler/fake_test.go
@@ -1,13 +1,10 @@
 package scheduler
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"log/slog"
 	"runtime"
-	"sort"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,7 +16,6 @@
 
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
 	_ "github.com/endivecourse/endivecourse/queue/fifo"
 	_ "github.com/endivecourse/endivecourse/route/leastloaded"
 	"github.com/endivecourse/endivecourse/scheduler/storeonly"
@@ -37,135 +33,6 @@
 	synctest.Test(t, f)
 }
 
-// fakePlatform is a table and an object store in memory.
-type fakePlatform struct {
-	mu      sync.Mutex
-	rows    map[string]platform.Row
-	objects map[string][]byte
-}
-
-func newFakePlatform() *fakePlatform {
-	return &fakePlatform{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
-}
-
-func (p fakeTable) Commit(_ context.Context, txn platform.Txn) ([]platform.Row, error) {
-	if err := p.err(); err != nil {
-		return nil, err
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range txn.Require {
-		if p.rows[c.Key].Version != c.Version {
-			return nil, &platform.ConflictError{Found: []platform.Row{p.rows[c.Key]}}
-		}
-	}
-	var written []platform.Row
-	for _, w := range txn.Writes {
-		row := platform.Row{Key: w.Key, Value: w.Value, Version: p.rows[w.Key].Version + 1}
-		p.rows[w.Key] = row
-		written = append(written, row)
-	}
-	return written, p.answered()
-}
-
-// view is one node's way to the platform; it can be cut.
-type view struct {
-	*fakePlatform
-	cut  *atomic.Bool
-	lost *atomic.Bool // writes take effect and are not answered
-}
-
-func (v view) answered() error {
-	if v.lost.Load() {
-		return &platform.UnknownOutcomeError{Service: "platform"}
-	}
-	return nil
-}
-
-func (v view) err() error {
-	if v.cut.Load() {
-		return &platform.UnavailableError{Service: "platform"}
-	}
-	return nil
-}
-
-type fakeTable struct{ view }
-
-func (t fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
-	if err := t.err(); err != nil {
-		return platform.Row{}, err
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.rows[key], nil
-}
-
-func (t fakeTable) List(_ context.Context, prefix string) ([]platform.Row, error) {
-	if err := t.err(); err != nil {
-		return nil, err
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var rows []platform.Row
-	for key, row := range t.rows {
-		if strings.HasPrefix(key, prefix) {
-			rows = append(rows, row)
-		}
-	}
-	return rows, nil
-}
-
-type fakeObjects struct{ view }
-
-func (o fakeObjects) Put(_ context.Context, key string, value []byte) error {
-	if err := o.err(); err != nil {
-		return err
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.objects[key] = bytes.Clone(value)
-	return o.answered()
-}
-
-func (o fakeObjects) Get(_ context.Context, key string) ([]byte, error) {
-	if err := o.err(); err != nil {
-		return nil, err
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	value, found := o.objects[key]
-	if !found {
-		return nil, &platform.NotFoundError{Key: key}
-	}
-	return value, nil
-}
-
-func (o fakeObjects) List(_ context.Context, prefix string) ([]string, error) {
-	if err := o.err(); err != nil {
-		return nil, err
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	var keys []string
-	for key := range o.objects {
-		if strings.HasPrefix(key, prefix) {
-			keys = append(keys, key)
-		}
-	}
-	sort.Strings(keys)
-	return keys, nil
-}
-
-func (o fakeObjects) Delete(_ context.Context, key string) error {
-	if err := o.err(); err != nil {
-		return err
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.objects, key)
-	return nil
-}
-
 // fakeTarget answers a model call with the number of messages that it saw.
 // Its fail function may make a request fail.
 type fakeTarget struct {
