Integration fleet: fixed port sets below the ephemeral range

Cause: the kill test failed in 3 of 7 runs. Free ports were drawn one by one from the ephemeral range and released before use: once two targets got the same port, and daemons lost theirs to outgoing connections, so that a gateway never became ready.

Ruled out: recovery itself; in the failing runs the programs had not begun or the daemon that was missing had not bound its address.

Change: a site's example ports are moved as one set to the first set of which all are free, all below the ephemeral range.

Conclusion: the fault was the test's.

--- a/gateway/flow_test.go
+++ b/gateway/flow_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/program"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -42,10 +43,10 @@
 
 // All programs of one root have the root's owner, whatever the home's name.
 func TestSubProgramHasOwnerOfRoot(t *testing.T) {
-	assert.Equal(t, ownerKey("a.b/root"), "a.b/root")
+	assert.Equal(t, string(program.RootOf("a.b/root")), "a.b/root")
 	child := childOf("a.b/root", "north/x")
 	assert.Equal(t, child, structs.ProgramID("a.b/root.x"))
-	assert.Equal(t, ownerKey(childOf(child, "north/y")), "a.b/root")
+	assert.Equal(t, string(program.RootOf(childOf(child, "north/y"))), "a.b/root")
 }
 
 func TestModelCall(t *testing.T) {
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -84,7 +85,7 @@
 func startFleet(t *testing.T, opts fleetOptions) *fleet {
 	t.Helper()
 	dir := filepath.Join("..", "examples", opts.name)
-	ports := newPortMap(t)
+	ports := newPortMap(t, dir)
 	f := &fleet{t: t, keys: readKeys(t, dir)}
 	f.document = readDocument(t, dir, ports)
 	for _, name := range schedulerFiles(t, dir) {
@@ -134,23 +135,64 @@
 	return names
 }
 
-var loopbackPort = regexp.MustCompile(`127\.0\.0\.1:2[12]\d{3}`)
-
-// newPortMap replaces the example addresses by free ones, each always by the
-// same.
-func newPortMap(t *testing.T) func(string) string {
-	known := make(map[string]string)
-	return func(text string) string {
-		return loopbackPort.ReplaceAllStringFunc(text, func(addr string) string {
-			if known[addr] == "" {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				assert.NilError(t, err)
-				known[addr] = listener.Addr().String()
-				listener.Close()
-			}
-			return known[addr]
-		})
+var loopbackPort = regexp.MustCompile(`127\.0\.0\.1:(2[12]\d{3})`)
+
+const (
+	// portStep is the distance between two sets of ports; the examples use
+	// 21000 to 22999. All sets lie below the ports that the system draws for
+	// outgoing connections.
+	portStep = 2000
+	portSets = 5
+)
+
+// newPortMap moves the example addresses of a site to the first set of ports
+// of which all are free.
+func newPortMap(t *testing.T, dir string) func(string) string {
+	t.Helper()
+	ports := portsOf(t, dir)
+	for set := range portSets {
+		if allFree(ports, set*portStep) {
+			return func(text string) string { return movePorts(text, set*portStep) }
+		}
+	}
+	t.Fatal("no set of ports is free")
+	return nil
+}
+
+func movePorts(text string, by int) string {
+	return loopbackPort.ReplaceAllStringFunc(text, func(addr string) string {
+		port, err := strconv.Atoi(addr[strings.Index(addr, ":")+1:])
+		if err != nil {
+			return addr
+		}
+		return fmt.Sprintf("127.0.0.1:%d", port+by)
+	})
+}
+
+func portsOf(t *testing.T, dir string) map[string]bool {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(dir, "*.jsonc"))
+	assert.NilError(t, err)
+	ports := make(map[string]bool)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		for _, addr := range loopbackPort.FindAllString(string(text), -1) {
+			ports[addr] = true
+		}
+	}
+	return ports
+}
+
+func allFree(addrs map[string]bool, by int) bool {
+	for addr := range addrs {
+		listener, err := net.Listen("tcp", movePorts(addr, by))
+		if err != nil {
+			return false
+		}
+		listener.Close()
 	}
+	return true
 }
 
 func readDocument(t *testing.T, dir string, ports func(string) string) config.Document {
