--- a/keeper/peers.go
+++ b/keeper/peers.go
@@ -48,7 +48,6 @@
 		live = append(live, k.opts.Self)
 	}
 	k.stepLocked(lease.Peers{Members: live})
-	k.stepLocked(lease.Running{Sent: structs.Now(), Member: k.opts.Self})
 	for _, m := range k.namedMembers() {
 		k.account(m)
 	}
--- a/lease/node.go
+++ b/lease/node.go
@@ -283,7 +283,7 @@
 			continue
 		}
 		n.named[m.Incarnation] = namedMember{vm: m.VM, at: now}
-		if n.gone[m.VM] {
+		if n.gone[m.VM] || m.VM == n.self.VM { // this process runs after it
 			n.setEnded(now, m.Incarnation)
 		}
 	}
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -104,6 +104,10 @@
 		n.pursueRelease(now, g)
 		return nil
 	}
+	if g.row.Mark != nil && !g.held(now) {
+		n.revoke(now, g) // as a successor like any other
+		return nil
+	}
 	if err := n.startRound(now, g); err != nil {
 		return err
 	}
@@ -112,12 +116,10 @@
 	}
 	switch {
 	case g.write != nil:
-	case g.row.Mark == nil:
-		n.changeSet(now, g)
-	case g.held(now):
+	case g.row.Mark != nil:
 		n.takeAgain(now, g)
 	default:
-		n.revoke(now, g)
+		n.changeSet(now, g)
 	}
 	return nil
 }
--- a/lease/successor.go
+++ b/lease/successor.go
@@ -100,7 +100,8 @@
 			continue
 		}
 		if m.Incarnation == n.self.Incarnation {
-			g.next.promised[m.Incarnation] = n.witness.promise(now, g.id, g.row.Epoch, n.ownerEnded(g))
+			given := n.ownerEnded(g) || g.mine(n.self)
+			g.next.promised[m.Incarnation] = n.witness.promise(now, g.id, g.row.Epoch, given)
 			continue
 		}
 		n.send(Promise, m, g.id, g.row.Epoch, 0)
