Quota: loans of shares between holders and gateways

Cause: an account's rate and burst have to hold over all gateways together, while VMs die, freeze and are cut off, without a store access per request.

Change: package quota, a pure decision package. A domain's holder (Lender) lends integer units of its base share to gateways (Borrower) of any domain. Numbered exchanges state the whole loan, so that lost, late and repeated messages neither mint nor copy units. A new holder waits one term and takes over the loans presented to it.

Ruled out: loans from holder to holder (two terms in a chain; gateways ask the other domains' holders directly instead); many loans with IDs per pair (a numbered statement of the whole loan needs no table of applied IDs); crediting a new holder's bucket (not provable while rate is lent).

In calm at 90% of the rate, four patterns of load and eight limits: no wrongful refusal.

--- /dev/null
+++ b/quota/calm_test.go
@@ -0,0 +1,50 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// evenLoad offers evenly spaced requests for a time; pick chooses the gateway.
+func (f *fleet) evenLoad(perSecond float64, d time.Duration, pick func(n int) int) {
+	gap := time.Duration(float64(time.Second) / perSecond)
+	n := 0
+	for at := gap; at < d; at += gap {
+		i := pick(n)
+		f.at(at, func() { f.request(f.gateways[i]) })
+		n++
+	}
+}
+
+var calmLimits = []Limit{{1, 1}, {1, 4}, {5, 2}, {10, 10}, {50, 20}, {200, 400}, {500, 50}, {2000, 4000}}
+
+// TestCalmRefusesNothing offers 90% of the rate from a standing start.
+func TestCalmRefusesNothing(t *testing.T) {
+	const run = 30 * time.Second
+	patterns := map[string]func(f *fleet, n int, at time.Duration) int{
+		"one gateway":  func(*fleet, int, time.Duration) int { return 4 },
+		"all in turn":  func(_ *fleet, n int, _ time.Duration) int { return n % 9 },
+		"all random":   func(f *fleet, _ int, _ time.Duration) int { return f.rng.IntN(9) },
+		"one shifting": func(_ *fleet, _ int, at time.Duration) int { return int(at/(5*time.Second)) * 4 % 9 },
+	}
+	for name, pick := range patterns {
+		t.Run(name, func(t *testing.T) {
+			for _, limit := range calmLimits {
+				f := newFleet(1, limit, rules{}, false)
+				f.runUntil(10 * time.Second)
+				rate := 0.9 * limit.Rate
+				f.evenLoad(rate, run, func(n int) int {
+					return pick(f, n, time.Duration(float64(n)/rate*float64(time.Second)))
+				})
+				f.runUntil(f.t + run + time.Second)
+				c := f.counts
+				t.Logf("%v: offered %d admitted %d refused %d wrongful %d messages %d", limit, c.offered, c.admitted, c.refused, c.wrongful, c.messages)
+				assert.Check(t, c.offered > 0)
+				assert.Check(t, c.wrongful == 0, "limit %v", limit)
+				assert.Check(t, c.violations == 0, c.first)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/quota/share.go
@@ -0,0 +1,97 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// Units counts equal parts of an account's whole rate or whole burst.
+type Units int64
+
+// Whole is the number of units of the whole.
+const Whole Units = 1 << 30
+
+// Part is a part of an account's rate and of its burst.
+type Part struct {
+	Rate  Units `msgpack:"r,omitempty" json:"rate_units"`
+	Burst Units `msgpack:"b,omitempty" json:"burst_units"`
+}
+
+func (p Part) plus(q Part) Part  { return Part{Rate: p.Rate + q.Rate, Burst: p.Burst + q.Burst} }
+func (p Part) minus(q Part) Part { return Part{Rate: p.Rate - q.Rate, Burst: p.Burst - q.Burst} }
+func (p Part) min(q Part) Part {
+	return Part{Rate: min(p.Rate, q.Rate), Burst: min(p.Burst, q.Burst)}
+}
+func (p Part) positive() Part { return Part{Rate: max(p.Rate, 0), Burst: max(p.Burst, 0)} }
+func (p Part) zero() bool     { return p == Part{} }
+func (p Part) within(q Part) bool {
+	return p.Rate >= 0 && p.Burst >= 0 && p.Rate <= q.Rate && p.Burst <= q.Burst
+}
+
+// Limit is an account's rate in requests per second and its burst in requests.
+type Limit struct {
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+}
+
+// perSecond returns the rate that the units are worth.
+func (l Limit) perSecond(u Units) float64 { return l.Rate * float64(u) / float64(Whole) }
+
+// tokens returns the burst that the units are worth.
+func (l Limit) tokens(u Units) float64 { return l.Burst * float64(u) / float64(Whole) }
+
+// burstUnits returns the fewest units that are worth the tokens.
+func (l Limit) burstUnits(tokens float64) Units { return unitsFor(tokens, l.Burst) }
+
+// rateUnits returns the fewest units that are worth the rate.
+func (l Limit) rateUnits(perSecond float64) Units { return unitsFor(perSecond, l.Rate) }
+
+func unitsFor(amount, whole float64) Units {
+	if amount <= 0 || whole <= 0 {
+		return 0
+	}
+	if amount >= whole {
+		return Whole
+	}
+	u := Units(amount / whole * float64(Whole))
+	if float64(u)/float64(Whole)*whole < amount {
+		u++
+	}
+	return min(u, Whole)
+}
+
+// Base returns the base share of the domain at the index among the sorted
+// domains of the deployment. Remainders go to domains by the account's hash,
+// so that the shares of all domains sum to the whole.
+func Base(account structs.AccountID, index, domains int) Part {
+	n := Units(domains)
+	share := Whole / n
+	rank := (index + domains - firstDomain(account, domains)) % domains
+	if Units(rank) < Whole%n {
+		share++
+	}
+	return Part{Rate: share, Burst: share}
+}
+
+// firstDomain returns the index of the domain that an account's gateways ask
+// first when they have to ask several in a common order.
+func firstDomain(account structs.AccountID, domains int) int {
+	return int(structs.SlotOf(string(account), domains))
+}
+
+// Terms are the durations that lenders and borrowers agree on.
+type Terms struct {
+	// Term is how long a loan runs on after the request that renewed it.
+	Term time.Duration
+	// Drift bounds the relative difference of two clocks' speeds.
+	Drift float64
+}
+
+// DefaultTerms are the terms of a deployment.
+var DefaultTerms = Terms{Term: 3 * time.Second, Drift: 0.001}
+
+// reclaimAfter returns how long a lender waits before it reuses what it lent.
+func (t Terms) reclaimAfter() time.Duration {
+	return t.Term + time.Duration(2*t.Drift*float64(t.Term)) + time.Millisecond
+}
