--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -68,10 +68,13 @@
 
 // Offer counts a new request and reports whether it is admitted at once.
 func (b *Borrower) Offer(now structs.Instant) bool {
-	b.demand.count(now, b.policy.DemandWindow)
+	b.Count(now)
 	return b.Take(now)
 }
 
+// Count counts a new request that has to wait behind others.
+func (b *Borrower) Count(now structs.Instant) { b.demand.count(now, b.policy.DemandWindow) }
+
 // Take admits one request when a token is there.
 func (b *Borrower) Take(now structs.Instant) bool {
 	b.advance(now)
--- /dev/null
+++ b/quota/holder/holder.go
@@ -0,0 +1,206 @@
+// Package holder runs the lenders of the accounts whose slots a scheduler
+// owns, and answers the gateways' exchanges.
+package holder
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/endivecourse/endivecourse/journal"
+	"github.com/endivecourse/endivecourse/kernel"
+	"github.com/endivecourse/endivecourse/quota"
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/wire"
+)
+
+// sweepEvery is how often epochs are noted and idle lenders forgotten.
+const sweepEvery = 200 * time.Millisecond
+
+// Options configures a Holder.
+type Options struct {
+	// Index is the position of the holder's domain among the Domains sorted
+	// domains of the deployment. All processes have to agree on both.
+	Index, Domains int
+	Slots          int
+	Snapshot       quota.Snapshot
+	Ownership      journal.Ownership
+	Terms          quota.Terms
+	Now            func() structs.Instant
+	Log            *slog.Logger
+}
+
+type epoch struct {
+	number structs.Epoch
+	since  structs.Instant
+}
+
+type entry struct {
+	lender *quota.Lender
+	slot   structs.Slot
+	epoch  structs.Epoch
+	limit  quota.Limit
+}
+
+// Holder is the holder of a failure domain's accounts in one scheduler.
+type Holder struct {
+	opts    Options
+	mu      sync.Mutex
+	epochs  map[structs.Slot]epoch
+	lenders map[structs.AccountID]*entry
+}
+
+// New makes a holder. Terms, Now and Log have defaults.
+func New(opts Options) *Holder {
+	if opts.Terms.Term == 0 {
+		opts.Terms = quota.DefaultTerms
+	}
+	if opts.Now == nil {
+		opts.Now = structs.Now
+	}
+	if opts.Log == nil {
+		opts.Log = slog.Default()
+	}
+	return &Holder{opts: opts, epochs: make(map[structs.Slot]epoch), lenders: make(map[structs.AccountID]*entry)}
+}
+
+// Name returns the component's name.
+func (h *Holder) Name() string { return "quota.holder" }
+
+// RegisterHandlers sets the handler of MethodExchangeQuota.
+func (h *Holder) RegisterHandlers(s *wire.Server) {
+	wire.Unary(s, structs.MethodExchangeQuota, func(_ context.Context, in quota.Exchange) (quota.ExchangeReply, error) {
+		return h.Exchange(in), nil
+	})
+}
+
+// Start starts the sweep.
+func (h *Holder) Start(_ context.Context, k *kernel.Kernel) error {
+	k.Go("quota.sweep", h.sweepLoop)
+	return nil
+}
+
+// Stop does nothing: the duty ends with the kernel.
+func (h *Holder) Stop(context.Context) error { return nil }
+
+func (h *Holder) sweepLoop(ctx context.Context) error {
+	for {
+		h.sweep()
+		jitter := rand.N(sweepEvery / 4)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(sweepEvery + jitter):
+		}
+	}
+}
+
+// Exchange processes one gateway's requests.
+func (h *Holder) Exchange(in quota.Exchange) quota.ExchangeReply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	exchanges.Inc()
+	reply := quota.ExchangeReply{Grants: make([]quota.AccountGrant, 0, len(in.Asks))}
+	for i := range in.Asks {
+		if grant, ok := h.handle(in.From, &in.Asks[i]); ok {
+			reply.Grants = append(reply.Grants, grant)
+		}
+	}
+	return reply
+}
+
+// handle reads the clock before it asks for the ownership, so that the
+// decision is taken at an instant at which the slot was owned, even when the
+// process is paused in between.
+func (h *Holder) handle(from structs.Incarnation, in *quota.AccountAsk) (quota.AccountGrant, bool) {
+	out := quota.AccountGrant{Account: in.Account}
+	slot := structs.SlotOf(string(in.Account), h.opts.Slots)
+	now := h.opts.Now()
+	since, held := h.note(slot)
+	if !held {
+		out.NotOwner = true
+		out.Owner = h.opts.Ownership.OwnerAddr(slot)
+		redirects.Inc()
+		return out, true
+	}
+	limit, known := quota.LimitOf(h.opts.Snapshot, in.Account)
+	if !known {
+		return out, false
+	}
+	e := h.entry(in.Account, slot, since, limit)
+	if limit != e.limit {
+		e.lender.SetLimit(now, limit)
+		e.limit = limit
+	}
+	grant, ok, err := e.lender.Handle(now, from, in.Ask)
+	if err != nil {
+		violations.Inc()
+		h.opts.Log.Error("quota invariant violated", "account", in.Account, "error", err)
+		return out, false
+	}
+	countGrant(in.Ask, grant)
+	out.Grant = grant
+	return out, ok
+}
+
+// note records when the process first saw itself own the slot's epoch. The
+// clock is read after the ownership, so that the record is not too early.
+func (h *Holder) note(slot structs.Slot) (epoch, bool) {
+	number, held := h.opts.Ownership.Held(slot)
+	if !held {
+		return epoch{}, false
+	}
+	e, ok := h.epochs[slot]
+	if !ok || e.number != number {
+		e = epoch{number: number, since: h.opts.Now()}
+		h.epochs[slot] = e
+	}
+	return e, true
+}
+
+func (h *Holder) entry(id structs.AccountID, slot structs.Slot, since epoch, limit quota.Limit) *entry {
+	e := h.lenders[id]
+	if e == nil || e.epoch != since.number {
+		base := quota.Base(id, h.opts.Index, h.opts.Domains)
+		e = &entry{lender: quota.NewLender(since.since, base, limit, h.opts.Terms), slot: slot, epoch: since.number, limit: limit}
+		h.lenders[id] = e
+	}
+	return e
+}
+
+// sweep notes new epochs and forgets the lenders that lend nothing or belong
+// to an epoch that has ended.
+func (h *Holder) sweep() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for slot := range h.opts.Slots {
+		h.note(structs.Slot(slot))
+	}
+	now := h.opts.Now()
+	for id, e := range h.lenders {
+		current, held := h.note(e.slot)
+		if !held || current.number != e.epoch || e.lender.Idle(now) {
+			delete(h.lenders, id)
+		}
+	}
+}
+
+// State is the holder's part of the state dump.
+type State struct {
+	Accounts int                                     `json:"accounts"`
+	Lenders  map[structs.AccountID]quota.LenderState `json:"lenders"`
+}
+
+// DumpState returns the state of all lenders.
+func (h *Holder) DumpState() any {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.opts.Now()
+	state := State{Accounts: len(h.lenders), Lenders: make(map[structs.AccountID]quota.LenderState, len(h.lenders))}
+	for id, e := range h.lenders {
+		state.Lenders[id] = e.lender.State(now)
+	}
+	return state
+}
--- a/quota/message.go
+++ b/quota/message.go
@@ -1,5 +1,34 @@
 package quota
 
+import "github.com/endivecourse/endivecourse/structs"
+
+// Exchange carries a gateway's requests about many accounts to one holder.
+type Exchange struct {
+	From structs.Incarnation `msgpack:"f"`
+	Asks []AccountAsk        `msgpack:"a"`
+}
+
+// AccountAsk is an Ask about one account.
+type AccountAsk struct {
+	Account structs.AccountID `msgpack:"i"`
+	Ask     Ask               `msgpack:"q"`
+}
+
+// ExchangeReply answers an Exchange. Requests that were repeated or concern an
+// unknown account have no reply.
+type ExchangeReply struct {
+	Grants []AccountGrant `msgpack:"g"`
+}
+
+// AccountGrant is a Grant of one account, or says who holds the account.
+type AccountGrant struct {
+	Account structs.AccountID `msgpack:"i"`
+	Grant   Grant             `msgpack:"g"`
+	// NotOwner says that the account is held elsewhere, at Owner if known.
+	NotOwner bool   `msgpack:"n,omitempty"`
+	Owner    string `msgpack:"o,omitempty"`
+}
+
 // Ask is a borrower's request about one account. It states the whole loan as
 // it stands once the request is sent.
 type Ask struct {
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -329,7 +329,7 @@
 		f.admit()
 	} else {
 		if len(g.waiters) > 0 {
-			g.borrower.demand.count(now, g.borrower.policy.DemandWindow)
+			g.borrower.Count(now)
 		}
 		g.waiters = append(g.waiters, waiter{until: f.t + maxWait, shadow: shadow})
 	}
--- a/structs/rpc.go
+++ b/structs/rpc.go
@@ -12,6 +12,7 @@
 	MethodListPrograms  = "program.list"    // ListPrograms -> ProgramList
 	MethodHistory       = "program.history" // ProgramRef -> History
 	MethodTakeQuota     = "quota.take"      // TakeQuota -> QuotaGrant
+	MethodExchangeQuota = "quota.exchange"  // quota.Exchange -> quota.ExchangeReply
 	MethodOwners        = "cluster.owners"  // OwnersQuery -> Owners
 	MethodWatchConfig   = "config.watch"    // ConfigQuery -> stream of ConfigVersion
 )
