Quota: shorter encoding of the exchange

Cause: integers of the exchange took nine bytes each.

Change: Ask, Grant and Part are encoded as arrays with the shortest form of each integer; a message with another number of fields is a LengthError.

Ruled out: unit counts of four bytes in the decision state, since sums of needs exceed them.

--- a/quota/bench_test.go
+++ b/quota/bench_test.go
@@ -83,3 +83,23 @@
 		oneAsk, oneReply, (manyAsk-oneAsk)/100, (manyReply-oneReply)/100)
 	assert.Assert(t, manyAsk < 101*oneAsk)
 }
+
+func TestMessagesSurviveTheCodec(t *testing.T) {
+	in := Exchange{From: "g", Asks: []AccountAsk{{Account: "a", Ask: Ask{Seq: 7, Applied: 6, Hold: Part{1, 2}, Tokens: 1.5, Want: Part{Whole, 3}}}, {Account: "b"}}}
+	body, err := msgpack.Marshal(&in)
+	assert.NilError(t, err)
+	var out Exchange
+	assert.NilError(t, msgpack.Unmarshal(body, &out))
+	assert.DeepEqual(t, in, out)
+
+	reply := ExchangeReply{Grants: []AccountGrant{{Account: "a", Grant: Grant{Seq: 7, Add: Part{4, 5}, Tokens: 0.25, Target: Part{6, 7}, Lost: true}}, {Account: "b", NotOwner: true, Owner: "x"}}}
+	body, err = msgpack.Marshal(&reply)
+	assert.NilError(t, err)
+	var back ExchangeReply
+	assert.NilError(t, msgpack.Unmarshal(body, &back))
+	assert.DeepEqual(t, reply, back)
+
+	body, err = msgpack.Marshal([]int{1})
+	assert.NilError(t, err)
+	assert.ErrorContains(t, msgpack.Unmarshal(body, &Ask{}), "has 1 fields")
+}
--- a/quota/message.go
+++ b/quota/message.go
@@ -33,27 +33,27 @@
 // it stands once the request is sent.
 type Ask struct {
 	// Seq grows with every request of a borrower to one domain.
-	Seq uint64 `msgpack:"s"`
+	Seq uint64
 	// Applied is the Seq of the last reply that the borrower applied.
-	Applied uint64 `msgpack:"p,omitempty"`
+	Applied uint64
 	// Hold is what the borrower still holds of the loan.
-	Hold Part `msgpack:"h"`
+	Hold Part
 	// Tokens are given back along with the units by which Hold shrank.
-	Tokens float64 `msgpack:"t,omitempty"`
+	Tokens float64
 	// Want is what the borrower asks for in addition to Hold.
-	Want Part `msgpack:"w"`
+	Want Part
 }
 
 // Grant answers an Ask.
 type Grant struct {
-	Seq uint64 `msgpack:"s"`
+	Seq uint64
 	// Add is lent in addition to what the request stated as held.
-	Add Part `msgpack:"a"`
+	Add Part
 	// Tokens are moved to the borrower along with the units of Add.
-	Tokens float64 `msgpack:"t,omitempty"`
+	Tokens float64
 	// Target is the loan that the lender wishes the borrower to shrink to.
-	Target Part `msgpack:"g"`
+	Target Part
 	// Lost says that the lender does not know the stated loan: the borrower
 	// drops it.
-	Lost bool `msgpack:"l,omitempty"`
+	Lost bool
 }
--- a/quota/share.go
+++ b/quota/share.go
@@ -14,8 +14,8 @@
 
 // Part is a part of an account's rate and of its burst.
 type Part struct {
-	Rate  Units `msgpack:"r,omitempty" json:"rate_units"`
-	Burst Units `msgpack:"b,omitempty" json:"burst_units"`
+	Rate  Units `json:"rate_units"`
+	Burst Units `json:"burst_units"`
 }
 
 func (p Part) plus(q Part) Part  { return Part{Rate: p.Rate + q.Rate, Burst: p.Burst + q.Burst} }
