--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/endivecourse/endivecourse/internal/strictjson"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
 )
@@ -25,6 +26,9 @@
 	return err
 }
 
+// Form names how a duration is written.
+func (d Duration) Form() string { return `a duration such as "250ms", "1.5s" or "10m"` }
+
 // Std returns the time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
@@ -49,6 +53,8 @@
 	// OperatorTokenHash is the hex SHA-256 of the operators' token for the
 	// admin address; empty allows loopback peers only.
 	OperatorTokenHash string `json:"operator_token_hash"`
+
+	source *strictjson.Node // the file that the settings come from, or nil
 }
 
 // Listen holds the addresses that a daemon listens on.
@@ -56,6 +62,17 @@
 	Callers string `json:"callers,omitempty"` // gatewayd: HTTP for callers
 	Wire    string `json:"wire,omitempty"`    // schedulerd: frames from gateways and schedulers
 	Admin   string `json:"admin"`             // health, metrics, state dump
+	// Advertise is the address at which other daemons reach Wire; empty means
+	// Wire itself.
+	Advertise string `json:"advertise,omitempty"`
+}
+
+// Reachable returns the wire address that other daemons use.
+func (l Listen) Reachable() string {
+	if l.Advertise != "" {
+		return l.Advertise
+	}
+	return l.Wire
 }
 
 // Platform names the platform driver and its address.
