--- a/daemon/common.go
+++ b/daemon/common.go
@@ -12,6 +12,7 @@
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/membership"
 	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/quota"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
@@ -116,3 +117,25 @@
 	slices.Sort(domains)
 	return domains
 }
+
+// limits reads the accounts' limits of the configuration in force.
+func (b *base) limits() quota.Snapshot { return heldLimits{holder: b.holder} }
+
+// heldLimits is a quota.Snapshot that follows the configuration.
+type heldLimits struct{ holder *config.Holder }
+
+// Account returns an account of the version in force.
+func (l heldLimits) Account(id structs.AccountID) (config.Account, bool) {
+	if current := l.holder.Current(); current != nil {
+		return current.Account(id)
+	}
+	return config.Account{}, false
+}
+
+// Version returns the version in force, or 0 before the first.
+func (l heldLimits) Version() uint64 {
+	if current := l.holder.Current(); current != nil {
+		return current.Version()
+	}
+	return 0
+}
--- a/daemon/gatewayd.go
+++ b/daemon/gatewayd.go
@@ -6,9 +6,9 @@
 	"github.com/endivecourse/endivecourse/config/configwatch"
 	"github.com/endivecourse/endivecourse/gateway"
 	"github.com/endivecourse/endivecourse/gateway/forward"
-	"github.com/endivecourse/endivecourse/gateway/quotaclient"
 	"github.com/endivecourse/endivecourse/kernel"
 	_ "github.com/endivecourse/endivecourse/platform/httpplatform" // registers platform.http
+	"github.com/endivecourse/endivecourse/quota/borrower"
 	"github.com/endivecourse/endivecourse/settings"
 )
 
@@ -31,9 +31,16 @@
 		Addresses: b.schedulers,
 		Slots:     loaded.Lease.Slots,
 	})
-	quota := quotaclient.New(quotaclient.Options{
-		Holder: b.incarnation,
-		Take:   quotaclient.Over(forwarder, loaded.Domain),
+	quota := borrower.New(borrower.Options{
+		Self:     b.incarnation,
+		Domain:   loaded.Domain,
+		Domains:  b.domains(),
+		Slots:    loaded.Lease.Slots,
+		Snapshot: b.limits(),
+		Client:   b.client,
+		Owner:    forwarder.Owner,
+		Peers:    b.schedulers,
+		Log:      log,
 	})
 	callers := gateway.New(gateway.Options{
 		Domain:    loaded.Domain,
--- a/daemon/schedulerd.go
+++ b/daemon/schedulerd.go
@@ -2,10 +2,12 @@
 
 import (
 	"log/slog"
+	"slices"
 
 	"github.com/endivecourse/endivecourse/config/configwatch"
 	"github.com/endivecourse/endivecourse/kernel"
-	_ "github.com/endivecourse/endivecourse/queue/fifo"        // registers queue.fifo
+	_ "github.com/endivecourse/endivecourse/queue/fifo" // registers queue.fifo
+	"github.com/endivecourse/endivecourse/quota/holder"
 	_ "github.com/endivecourse/endivecourse/route/leastloaded" // registers route.leastloaded
 	"github.com/endivecourse/endivecourse/scheduler"
 	"github.com/endivecourse/endivecourse/scheduler/storeonly"
@@ -50,6 +52,14 @@
 		Objects:     b.services.Objects,
 		Log:         log,
 	})
+	quota := holder.New(holder.Options{
+		Index:     slices.Index(b.domains(), loaded.Domain),
+		Domains:   len(b.domains()),
+		Slots:     loaded.Lease.Slots,
+		Snapshot:  b.limits(),
+		Ownership: owner,
+		Log:       log,
+	})
 	core := scheduler.New(scheduler.Options{
 		Settings:  loaded,
 		Ownership: owner,
@@ -58,9 +68,10 @@
 		Leaving:   func(id structs.TargetID) bool { return b.members.View().TargetLeaving(id) },
 	})
 	watch.RegisterHandlers(server)
+	quota.RegisterHandlers(server)
 	core.RegisterHandlers(server)
 	return []kernel.Component{
-		&wireClient{client: b.client}, b.admin, b.members, watch, owner, core,
+		&wireClient{client: b.client}, b.admin, b.members, watch, owner, quota, core,
 		&wireServer{server: server, address: loaded.Listen.Wire},
 	}, nil
 }
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -119,6 +119,11 @@
 // firstSpread is the range from which the first address is drawn.
 const firstSpread = 1 << 16
 
+// Owner returns the address of a slot's owner as far as known, else "".
+func (f *Forwarder) Owner(domain structs.DomainID, slot structs.Slot) string {
+	return f.owner(place{domain: domain, slot: slot})
+}
+
 func (f *Forwarder) owner(p place) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
