--- a/keeper/append.go
+++ b/keeper/append.go
@@ -49,6 +49,7 @@
 	}
 	if have := k.unstored(); have+size > k.opts.MaxTail {
 		signal(k.drainNow)
+		refusedTotal.Inc()
 		return nil, &journal.FullError{Bytes: have, Max: k.opts.MaxTail}
 	}
 	var waiters []*waiter
@@ -56,6 +57,7 @@
 		g := k.groups[id]
 		w := &waiter{slot: records[0].Slot, epoch: records[0].Epoch, upto: g.tail.Append(records), done: make(chan error, 1)}
 		g.waiting = append(g.waiting, w)
+		recordsTotal.Add(len(records))
 		waiters = append(waiters, w)
 		k.appendLocally(g)
 		k.settle(g)
--- a/keeper/collect.go
+++ b/keeper/collect.go
@@ -49,6 +49,7 @@
 		k.step(lease.Collected{Group: a.Group, Epoch: a.Epoch})
 		return
 	}
+	collectErrors.Inc()
 	k.opts.Log.Warn("tail not collected", "group", a.Group, "epoch", a.Epoch, "error", err)
 	if !k.current(a) {
 		return
--- a/keeper/drain.go
+++ b/keeper/drain.go
@@ -28,6 +28,7 @@
 			return
 		}
 		if err := k.drain(ctx); err != nil {
+			drainErrors.Inc()
 			k.opts.Log.Warn("tail not stored", "error", err)
 		}
 		k.mu.Lock()
@@ -88,6 +89,7 @@
 		return err
 	}
 	k.markStored(parts)
+	drainsTotal.Inc()
 	return nil
 }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -150,6 +150,7 @@
 	run("keeper.jobs", jobTasks, k.serveJobs)
 	run("keeper.calls", callTasks, k.serveCalls)
 	run("keeper.drain", 1, k.serveDrain)
+	run("keeper.sweep", 1, k.serveSweep)
 	run("keeper.poll", 1, k.servePoll)
 	run("keeper.tick", 1, k.serveTicks)
 	return nil
@@ -161,8 +162,16 @@
 	return nil
 }
 
+// wakes is how often successions go on in one renewal interval.
+const wakes = 4
+
 func (k *Keeper) serveTicks(ctx context.Context) {
-	every(ctx, k.cfg.Renew, func() {
+	n := 0
+	every(ctx, k.cfg.Renew/wakes, func() {
+		if n++; n%wakes != 1 {
+			k.step(lease.Wake{})
+			return
+		}
 		k.tellMembership()
 		k.step(lease.Tick{})
 		k.mu.Lock()
@@ -196,6 +205,7 @@
 func (k *Keeper) stepLocked(ev lease.Event) {
 	actions, err := k.node.Step(structs.Now(), ev)
 	if err != nil {
+		violationsTotal.Inc()
 		k.opts.Log.Error("lease invariant", "error", err)
 	}
 	for g := range k.leases {
@@ -242,8 +252,10 @@
 	case lease.MoveTail:
 		k.beginMove(a)
 	case lease.Gained:
+		gainsTotal.Inc()
 		k.gained(a)
 	case lease.Lost:
+		lossesTotal.Inc()
 		k.lost(a)
 	}
 }
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -205,6 +205,20 @@
 		records, err := k.Recover(t.Context(), slot, now)
 		assert.NilError(t, err)
 		assert.Equal(t, len(records), 3*maxObjects)
+
+		// Only what an index lists is kept, and all of it.
+		unlisted, err := k.unlisted(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, len(unlisted) >= maxObjects)
+		suspects := k.sweep(t.Context(), nil, unlisted)
+		assert.Equal(t, len(suspects), len(unlisted))
+		assert.Equal(t, len(k.sweep(t.Context(), suspects, unlisted)), 0)
+		unlisted, err = k.unlisted(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(unlisted), 0)
+		again, err := k.Recover(t.Context(), slot, now)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again, records)
 	})
 }
 
--- a/lease/event.go
+++ b/lease/event.go
@@ -34,6 +34,8 @@
 type (
 	// Tick drives renewals and timeouts. It comes once each renewal interval.
 	Tick struct{}
+	// Wake goes on with successions between Ticks. It may come at any time.
+	Wake struct{}
 	// Received is a message from another process.
 	Received struct{ Message Message }
 	// RowRead is a group's row as the table held it at some instant after
@@ -91,6 +93,7 @@
 )
 
 func (Tick) event()          {}
+func (Wake) event()          {}
 func (Received) event()      {}
 func (RowRead) event()       {}
 func (RowWritten) event()    {}
--- a/lease/node.go
+++ b/lease/node.go
@@ -122,6 +122,8 @@
 	switch ev := ev.(type) {
 	case Tick:
 		return n.tick(now)
+	case Wake:
+		n.wake(now)
 	case Received:
 		return n.receive(now, ev.Message)
 	case RowRead:
@@ -176,6 +178,19 @@
 	return nil
 }
 
+// wake goes on with the groups that wait for their next owner.
+func (n *Node) wake(now structs.Instant) {
+	for _, g := range n.groups {
+		switch {
+		case g.row.Mark == nil && !g.row.Released:
+		case g.own.epoch == 0:
+			n.succeed(now, g)
+		case g.row.Mark != nil && !g.own.released && !g.held(now):
+			n.revoke(now, g)
+		}
+	}
+}
+
 func (n *Node) receive(now structs.Instant, msg Message) error {
 	if msg.To.Incarnation != n.self.Incarnation && !n.rules.answerForAnother {
 		return nil
@@ -305,11 +320,23 @@
 }
 
 // rank returns how many live schedulers are better placed to take a group.
+// Witnesses of its row come first, since they hear when its owner is silent.
 func (n *Node) rank(g *group) int {
 	loads := n.loads()
+	witnesses := g.row.Members()
+	mine := contains(witnesses, n.self.Incarnation)
 	rank := 0
 	for _, p := range n.peers {
-		if p.Incarnation != n.self.Incarnation && before(loads, g.id, p.Incarnation, n.self.Incarnation) {
+		if p.Incarnation == n.self.Incarnation || p.Incarnation == g.row.Owner.Incarnation {
+			continue
+		}
+		if theirs := contains(witnesses, p.Incarnation); theirs != mine {
+			if theirs {
+				rank++
+			}
+			continue
+		}
+		if before(loads, g.id, p.Incarnation, n.self.Incarnation) {
 			rank++
 		}
 	}
--- a/lease/sim_test.go
+++ b/lease/sim_test.go
@@ -150,6 +150,7 @@
 		s.membership(pr)
 		s.step(pr, Tick{})
 	})
+	s.after(s.upTo(simConfig.Renew), func() { s.deliver(pr, func() { s.step(pr, Wake{}) }) })
 	if s.rng.IntN(3) == 0 {
 		for g := range simConfig.Groups {
 			s.read(pr, Group(g))
--- a/lease/successor.go
+++ b/lease/successor.go
@@ -48,7 +48,7 @@
 	if !g.next.pending {
 		g.next.pending, g.next.since = true, now
 	}
-	delay := n.cfg.Renew * 2 * time.Duration(min(n.rank(g), maxRank))
+	delay := n.cfg.Renew * time.Duration(min(n.rank(g), maxRank))
 	return now.Sub(g.next.since) >= delay
 }
 
