--- a/journal/tail/doc.go
+++ b/journal/tail/doc.go
@@ -9,9 +9,12 @@
 // so a successor that reads a majority of the witnesses after their promises,
 // and the store, misses none that was acknowledged.
 //
-// A successor stores what it read before it takes the next epoch. The store
-// holds a mark of how far it has the tail. Entries before it are not read from
-// witnesses again, so neither a record that was never acknowledged nor one of a
-// program that has ended can come back later. The owner stores all its entries
-// at a time, so a mark of one epoch covers what was carried into it.
+// A successor stores what it read before it takes the next epoch, and the row of
+// its lease says since which epoch it is the owner. The store also holds a mark
+// of how far the owner has stored its tail. Entries of epochs before the first,
+// and those up to the mark, are not read from witnesses again, so neither a
+// record that was never acknowledged nor one of a program that has ended can
+// come back later. The owner stores all its entries at a time, so a mark of one
+// epoch covers what was carried into it. A successor doesn't move the mark: the
+// owner may outrun it and carry on entries that it didn't find.
 package tail
--- a/journal/tail/tail_test.go
+++ b/journal/tail/tail_test.go
@@ -19,6 +19,7 @@
 type faults struct {
 	noFence       bool
 	storeOnly     bool // a successor doesn't read the witnesses
+	markTooSoon   bool // a successor that is outrun has moved the mark
 	noMark        bool // entries that the store has had are read again
 	witnessesOnly bool // a successor doesn't read the store
 }
@@ -35,6 +36,7 @@
 	ended     map[structs.ProgramID]bool // and acknowledged
 	unsettled map[structs.ProgramID]bool // its end was written
 	epoch     structs.Epoch
+	since     structs.Epoch // of the owner
 	sets      [][]lease.Member
 	witnesses map[structs.Incarnation]*Witness
 	owners    []*modelOwner // the last one is the owner
@@ -61,7 +63,7 @@
 
 func newModel(seed uint64, f faults) *model {
 	m := &model{
-		rng: rand.New(rand.NewPCG(seed, 2)), faults: f, storeUp: true, epoch: 1,
+		rng: rand.New(rand.NewPCG(seed, 2)), faults: f, storeUp: true, epoch: 1, since: 1,
 		witnesses: make(map[structs.Incarnation]*Witness), stats: make(map[string]int),
 		ended: make(map[structs.ProgramID]bool), unsettled: make(map[structs.ProgramID]bool),
 	}
@@ -252,7 +254,7 @@
 			w.Promise(0, m.epoch)
 			entries, _ := w.Read(0, m.epoch)
 			if !m.faults.noMark {
-				entries = After(m.mark, entries)
+				entries = After(Whole(m.since-1), After(m.mark, entries))
 			}
 			tails = append(tails, entries)
 			read++
@@ -267,14 +269,19 @@
 	if m.faults.witnessesOnly {
 		m.stored = nil
 	}
+	if m.rng.IntN(3) == 0 {
+		m.outrun(tails)
+		return
+	}
 	live, err := Merge(m.stored, tails...)
 	if err != nil {
 		m.failure = err.Error()
 		return
 	}
-	m.stored, m.mark = live, Whole(m.epoch)
+	m.stored = live
 	m.checkAcked()
 	m.epoch++
+	m.since = m.epoch
 	m.sets = [][]lease.Member{m.newSet(m.sets[len(m.sets)-1])}
 	m.dead = 0
 	m.starts++
@@ -287,6 +294,20 @@
 	m.stats["successions"]++
 }
 
+// outrun stores what a successor read, then the owner takes the next epoch.
+func (m *model) outrun(tails [][]Entry) {
+	for _, entries := range tails {
+		for _, e := range entries {
+			m.stored = append(m.stored, e.Record)
+		}
+	}
+	if m.faults.markTooSoon {
+		m.mark = Whole(m.epoch)
+	}
+	m.stats["outrun"]++
+	m.takeAgain()
+}
+
 // checkAcked asserts that no acknowledged record of a live program is missing,
 // and that no program is back whose end was acknowledged.
 func (m *model) checkAcked() {
@@ -318,7 +339,9 @@
 		}
 	}
 	m.storeUp = true
-	m.succeed()
+	for n := m.stats["successions"]; m.stats["successions"] == n && m.failure == ""; {
+		m.succeed()
+	}
 	return m
 }
 
@@ -349,7 +372,7 @@
 // Each part of the rule is taken out in turn; the same run must see it.
 func TestMutationsAreCaught(t *testing.T) {
 	for name, f := range map[string]faults{
-		"no fence": {noFence: true}, "no mark": {noMark: true}, "store only": {storeOnly: true}, "witnesses only": {witnessesOnly: true},
+		"no fence": {noFence: true}, "mark too soon": {markTooSoon: true}, "no mark": {noMark: true}, "store only": {storeOnly: true}, "witnesses only": {witnessesOnly: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			caught := 0
--- a/keeper/append.go
+++ b/keeper/append.go
@@ -210,6 +210,9 @@
 		return out, nil
 	}
 	for _, batch := range in.Batches {
+		if int(batch.Group) >= len(k.groups) {
+			continue
+		}
 		out.Acks = append(out.Acks, k.witness.Append(batch))
 	}
 	return out, nil
--- a/keeper/collect.go
+++ b/keeper/collect.go
@@ -78,22 +78,20 @@
 	if err != nil {
 		return err
 	}
-	if index.Mark.Epoch >= a.Epoch && index.Mark == tail.Whole(a.Epoch) {
-		return nil // another successor has done it
-	}
 	entries, err := k.readTails(ctx, a)
 	if err != nil {
 		return err
 	}
+	entries = tail.After(tail.Whole(a.Row.Since-1), entries)
 	fresh := distinct(tail.After(index.Mark, entries))
+	if len(fresh) == 0 {
+		return nil
+	}
+	// The mark stays: the owner may yet outrun this and carry its tail on.
 	next := *index
-	next.Mark = tail.Whole(a.Epoch)
-	var segments []segment
 	key := k.nextObject()
-	if len(fresh) > 0 {
-		next.Objects = append(slices.Clone(next.Objects), key)
-		segments = []segment{{Group: a.Group, Records: fresh}}
-	}
+	next.Objects = append(slices.Clone(next.Objects), key)
+	segments := []segment{{Group: a.Group, Records: fresh}}
 	_, err = k.storeSegments(ctx, key, segments, []addition{{group: a.Group, leaseVersion: version, index: next}})
 	return err
 }
--- a/keeper/ownership.go
+++ b/keeper/ownership.go
@@ -50,13 +50,14 @@
 	k.change(a.Group, a.Epoch, true)
 }
 
-// lost ends the tail of an epoch, or carries it on when this process has taken
-// the next epoch itself.
+// lost ends the tail of an epoch, or carries it on when this process has outrun
+// a revocation. When it followed itself like any successor, the records that
+// may count are in the store, and the others were never acknowledged.
 func (k *Keeper) lost(a lease.Lost) {
 	g := k.groups[a.Group]
 	k.change(a.Group, a.Epoch, false)
 	row, _ := k.node.Row(a.Group)
-	if row.Owner.Incarnation == k.opts.Self.Incarnation && !row.Released && row.Epoch > a.Epoch {
+	if row.Owner.Incarnation == k.opts.Self.Incarnation && !row.Released && row.Epoch > a.Epoch && row.Since <= a.Epoch {
 		shift := g.tail.Carry(row.Epoch)
 		for _, w := range g.waiting {
 			w.upto -= shift
--- a/lease/row.go
+++ b/lease/row.go
@@ -48,8 +48,11 @@
 
 // Row is the table row of one group.
 type Row struct {
-	Group     Group         `msgpack:"g"`
-	Epoch     structs.Epoch `msgpack:"e"`
+	Group Group         `msgpack:"g"`
+	Epoch structs.Epoch `msgpack:"e"`
+	// Since is the epoch under which the owner followed another. Everything of
+	// earlier epochs was stored by then.
+	Since     structs.Epoch `msgpack:"s"`
 	Owner     Member        `msgpack:"o"`
 	Witnesses []Member      `msgpack:"w"`
 	// Pending is the next witness set while a change is under way.
--- a/lease/successor.go
+++ b/lease/successor.go
@@ -172,6 +172,7 @@
 	return Row{
 		Group:     g.id,
 		Epoch:     g.row.Epoch + 1,
+		Since:     g.row.Epoch + 1,
 		Owner:     n.self,
 		Witnesses: n.chooseSet(g.id, nil),
 	}
