Keeper: a failed rewrite of objects does not hold up the tail

Cause: when a group had many objects and reading them failed, the drain failed with it and the tail filled up. Ruled out: rewriting in a duty of its own, which would race with the drain for the index row.

--- a/keeper/drain.go
+++ b/keeper/drain.go
@@ -64,6 +64,7 @@
 	key := k.nextObject()
 	var segments []segment
 	var additions []addition
+	compacted := false
 	for i := range parts {
 		p := &parts[i]
 		if err := k.loadIndex(ctx, p); err != nil {
@@ -72,12 +73,9 @@
 		next := *p.index
 		next.Mark = p.mark()
 		records := recordsOf(p.entries)
-		if len(next.Objects) >= maxObjects {
-			compacted, err := k.compact(ctx, p.group.id, next.Objects, records)
-			if err != nil {
-				return err
-			}
-			records, next.Objects = compacted, nil
+		if len(next.Objects) >= maxObjects && !compacted {
+			compacted = true // one a drain, so that it ends in time
+			records, next.Objects = k.compact(ctx, p.group.id, next.Objects, records)
 		}
 		next.Objects = append(slices.Clone(next.Objects), key)
 		segments = append(segments, segment{Group: p.group.id, Records: records})
@@ -162,14 +160,21 @@
 	}
 }
 
-// compact reads a group's objects and returns the records of live programs,
-// the new ones included.
-func (k *Keeper) compact(ctx context.Context, g lease.Group, objects []string, fresh []journal.Record) ([]journal.Record, error) {
+// compact reads a group's objects and returns the records of live programs, the
+// new ones included, and no objects. When that fails, it returns both as they
+// are: storing the tail comes first.
+func (k *Keeper) compact(ctx context.Context, g lease.Group, objects []string, fresh []journal.Record) ([]journal.Record, []string) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
 	stored, err := k.readObjects(ctx, g, objects)
+	if err == nil {
+		stored, err = tail.Merge(append(stored, fresh...))
+	}
 	if err != nil {
-		return nil, err
+		k.opts.Log.Warn("journal objects not rewritten", "group", g, "error", err)
+		return fresh, objects
 	}
-	return tail.Merge(append(stored, fresh...))
+	return stored, nil
 }
 
 func recordsOf(entries []tail.Entry) []journal.Record {
