Keeper: test of an owner that reaches its neighbours but not the store

Cause: the rule promises service to an owner that is cut from the store alone, and no test showed it in the runtime. Change: a link fault between one VM and the platform, and a test of five minutes in virtual time. Ruled out: relying on the soak, whose cuts take a VM off from everything.

--- a/keeper/fake_test.go
+++ b/keeper/fake_test.go
@@ -36,12 +36,14 @@
 	lose    int  // each so many commits lose their answer; 0 for none
 	commits int
 	cut     map[string]bool // addresses cut off from everything
-	running map[string]*running
-	gone    map[structs.VMID]bool
-	calls   int // between peers
-	bytes   int // of requests and replies between peers
-	reads   int // of the table
-	read    int // bytes of rows read
+	// storeCut is an address that reaches its peers but not the platform.
+	storeCut string
+	running  map[string]*running
+	gone     map[structs.VMID]bool
+	calls    int // between peers
+	bytes    int // of requests and replies between peers
+	reads    int // of the table
+	read     int // bytes of rows read
 }
 
 type running struct {
@@ -195,7 +197,7 @@
 	time.Sleep(time.Millisecond)
 	e.d.mu.Lock()
 	defer e.d.mu.Unlock()
-	if e.d.down || e.d.cut[e.vm] {
+	if e.d.down || e.d.cut[e.vm] || e.d.storeCut == e.vm {
 		return &platform.UnavailableError{Service: service, Cause: io.ErrUnexpectedEOF}
 	}
 	return nil
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -77,6 +77,22 @@
 	})
 }
 
+// An owner that reaches its neighbours but not the store serves on.
+func TestOwnerCutFromStoreServesOn(t *testing.T) {
+	withDomain(t, three, func(t *testing.T, d *domain) {
+		d.waitOwned(20 * time.Second)
+		time.Sleep(time.Minute)
+		before := d.owners()["a"]
+		slot, epoch := heldSlot(t, d, "a")
+		d.set(func() { d.storeCut = "a" })
+		for seq := uint64(1); seq <= 60; seq++ {
+			time.Sleep(5 * time.Second)
+			assert.NilError(t, d.running["a"].keeper.Append(t.Context(), []journal.Record{turn(slot, epoch, "d/1", seq)}))
+		}
+		assert.Equal(t, d.owners()["a"], before)
+	})
+}
+
 func heldSlot(t *testing.T, d *domain, vm string) (structs.Slot, structs.Epoch) {
 	for slot := range structs.Slot(testSlots) {
 		if epoch, held := d.running[vm].keeper.Held(slot); held {
