--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -77,6 +77,22 @@
 	})
 }
 
+// An owner that reaches its neighbours but not the store serves on.
+func TestOwnerCutFromStoreServesOn(t *testing.T) {
+	withDomain(t, three, func(t *testing.T, d *domain) {
+		d.waitOwned(20 * time.Second)
+		time.Sleep(time.Minute)
+		before := d.owners()["a"]
+		slot, epoch := heldSlot(t, d, "a")
+		d.set(func() { d.storeCut = "a" })
+		for seq := uint64(1); seq <= 60; seq++ {
+			time.Sleep(5 * time.Second)
+			assert.NilError(t, d.running["a"].keeper.Append(t.Context(), []journal.Record{turn(slot, epoch, "d/1", seq)}))
+		}
+		assert.Equal(t, d.owners()["a"], before)
+	})
+}
+
 func heldSlot(t *testing.T, d *domain, vm string) (structs.Slot, structs.Epoch) {
 	for slot := range structs.Slot(testSlots) {
 		if epoch, held := d.running[vm].keeper.Held(slot); held {
@@ -205,6 +221,20 @@
 		records, err := k.Recover(t.Context(), slot, now)
 		assert.NilError(t, err)
 		assert.Equal(t, len(records), 3*maxObjects)
+
+		// Only what an index lists is kept, and all of it.
+		unlisted, err := k.unlisted(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, len(unlisted) >= maxObjects)
+		suspects := k.sweep(t.Context(), nil, unlisted)
+		assert.Equal(t, len(suspects), len(unlisted))
+		assert.Equal(t, len(k.sweep(t.Context(), suspects, unlisted)), 0)
+		unlisted, err = k.unlisted(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(unlisted), 0)
+		again, err := k.Recover(t.Context(), slot, now)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again, records)
 	})
 }
 
