Gateway refuses any text that has the form of a key

Cause: only the presented key was searched for. A request on an open route without Authorization was not searched at all, so a key in its query, path, body or a forwarded header went to the target; neither was a second key beside the presented one. Change: every request is searched for the form of a key (ek_ID_SECRET), escaped or not, beside the presented one, and again at the last step before the wire. TestLastCheckSearchesEveryField held that a search without a presented key finds nothing; that was the fault, so it now holds that such a search refuses each of those fields, with a harmless call as the control. Ruled out: comparing with the keys in force (misses withdrawn ones).

--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -35,14 +35,13 @@
 			}
 		}
 	}
-	if presented == "" {
-		return nil
-	}
-	account, keyID, ok := x.snapshot.Authenticate(presented)
-	if ok {
-		x.account, x.keyID = account, keyID
+	if presented != "" {
+		account, keyID, ok := x.snapshot.Authenticate(presented)
+		if ok {
+			x.account, x.keyID = account, keyID
+		}
+		x.secrets = newSecrets(presented, keyID)
 	}
-	x.secrets = newSecrets(presented, keyID)
 	return x.searchRequest()
 }
 
--- a/gateway/leak_test.go
+++ b/gateway/leak_test.go
@@ -58,6 +58,30 @@
 	assert.Assert(t, !strings.Contains(b.logs.text(), testSecret))
 }
 
+// A key that is not presented, or is another's, is refused as well.
+func TestOtherKeysAreRefused(t *testing.T) {
+	other := "ek_0123456789abcdef_" + strings.Repeat("5e", 32)
+	percent := strings.ReplaceAll(other, "_", "%5F")
+	escaped := strings.ReplaceAll(other, "_", `\u005f`)
+	s := newScheduler(t)
+	b := newBed(t, nil, s)
+	for _, presented := range []string{"", "Bearer " + testKey} {
+		for _, request := range []struct{ path, body, header string }{
+			{"/services/notices?token=" + other, "", ""},
+			{"/services/notices?token=" + percent, "", ""},
+			{"/services/notices/" + other, "", ""},
+			{"/services/notices", "key=" + other, ""},
+			{"/services/notices", "key=" + percent, ""},
+			{"/services/notices", `{"key":"` + escaped + `"}`, ""},
+			{"/services/notices", "", other},
+		} {
+			got := b.do("POST", request.path, request.body, "Authorization", presented, "Traceparent", request.header)
+			assert.Equal(t, got.refusal(t).Kind, structs.RefusedBadRequest, "%+v", request)
+		}
+	}
+	assert.Equal(t, len(s.seen()), 0)
+}
+
 // The headers that carry the key reach neither the wire nor the log, and the
 // last check finds it in each field of a call.
 func TestKeyIsStripped(t *testing.T) {
@@ -102,11 +126,14 @@
 		"body":            {Plain: &structs.PlainCall{Body: []byte("x" + testKey)}},
 	}
 	found := newSecrets(testKey, "k1")
+	harmless := structs.Call{Model: &structs.ModelCall{Messages: []structs.Message{{Content: "ek_ and k1_"}}}}
+	assert.NilError(t, found.checkCall(&harmless))
+	assert.NilError(t, secrets{}.checkCall(&harmless))
 	for name, call := range calls {
 		t.Run(name, func(t *testing.T) {
 			var refusal *structs.Refusal
 			assert.Assert(t, errors.As(found.checkCall(&call), &refusal))
-			assert.NilError(t, secrets{}.checkCall(&call))
+			assert.Assert(t, errors.As(secrets{}.checkCall(&call), &refusal))
 		})
 	}
 }
--- a/gateway/secrets.go
+++ b/gateway/secrets.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"regexp"
 	"strings"
 
 	"github.com/endivecourse/endivecourse/structs"
@@ -11,7 +12,8 @@
 // itself, in bytes.
 const minSecret = 8
 
-// secrets searches text for the presented key. Its zero value finds nothing.
+// secrets searches text for the presented key, and for anything that has the
+// form of a key. Its zero value searches for the form alone.
 type secrets struct{ text string }
 
 // newSecrets searches for the secret part of a key, and so for any text that
@@ -24,25 +26,29 @@
 	return secrets{text: presented}
 }
 
-// in reports whether the text holds the key as it is or escaped.
+// in reports whether the text holds a key as it is or escaped.
 func (s secrets) in(text string) bool {
-	if s.text == "" || len(text) < len(s.text) {
-		return false
+	if s.inPlain(text) {
+		return true
 	}
-	return strings.Contains(text, s.text) || strings.Contains(unescape(text), s.text)
+	return strings.ContainsAny(text, `%\`) && s.inPlain(unescape(text))
+}
+
+func (s secrets) inPlain(text string) bool {
+	return s.text != "" && strings.Contains(text, s.text) || keyForm.MatchString(text)
 }
 
 // inBytes is in for a body.
 func (s secrets) inBytes(body []byte) bool {
-	if s.text == "" || len(body) < len(s.text) {
-		return false
-	}
-	if bytes.Contains(body, []byte(s.text)) {
+	if s.text != "" && bytes.Contains(body, []byte(s.text)) || keyForm.Match(body) {
 		return true
 	}
 	return bytes.ContainsAny(body, `%\`) && s.in(string(body))
 }
 
+// keyForm is the form of every key that operators issue.
+var keyForm = regexp.MustCompile(`ek_[a-z0-9-]{1,64}_[A-Za-z0-9]{8}`)
+
 // maxEscapes is how many nested encodings are undone.
 const maxEscapes = 3
 
@@ -97,11 +103,8 @@
 }
 
 // checkCall is the last step before a call goes to the wire: it refuses one
-// that holds the key in any field that could reach a target or a history.
+// that holds a key in any field that could reach a target or a history.
 func (s secrets) checkCall(call *structs.Call) error {
-	if s.text == "" {
-		return nil
-	}
 	if s.in(call.IdempotencyKey) || s.in(string(call.Program)) || s.in(call.Kind) {
 		return badRequest("headers", "a key may not be part of an identifier")
 	}
