--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -75,8 +75,9 @@
 	name   string // of the example
 	engine engine.Options
 	plain  plain.Options
-	// change edits the settings of every daemon.
-	change func(*settings.Daemon)
+	// change edits the settings of every daemon, document the operators'.
+	change   func(*settings.Daemon)
+	document func(*config.Document)
 	// cuttable puts a forwarder before each scheduler, and one between each
 	// scheduler and the platform.
 	cuttable bool
@@ -88,6 +89,9 @@
 	ports := newPortMap(t, dir)
 	f := &fleet{t: t, keys: readKeys(t, dir)}
 	f.document = readDocument(t, dir, ports)
+	if opts.document != nil {
+		opts.document(&f.document)
+	}
 	for _, name := range schedulerFiles(t, dir) {
 		f.schedulers = append(f.schedulers, f.load(dir, name, "schedulerd", ports))
 		f.gateways = append(f.gateways, f.load(dir, strings.Replace(name, "schedulerd", "gatewayd", 1), "gatewayd", ports))
@@ -261,7 +265,7 @@
 
 func (f *fleet) start(d *daemonProcess) {
 	d.cmd = exec.Command(filepath.Join(binaries, d.binary), "--settings", d.file)
-	log, err := os.Create(d.file + ".log")
+	log, err := os.OpenFile(d.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(f.t, err)
 	defer log.Close()
 	d.cmd.Stderr = log
