Enforce config.max_stale and target drain; endivedev prints what endivectl needs

Cause: gatewayd served keyed requests however old its configuration was, schedulerd sent calls to targets that operators had drained, and endivedev printed port 0 as a state dump's address and no platform URL. Change: gateway.Options takes ConfigAge and MaxStale; over the limit, requests that need a key are refused with stale_config, run no, before the key is looked at, since a new key may not have arrived either. A drained target is no candidate; its calls in flight run on. endivedev prints export lines. Ruled out: failing /readyz while stale, which would take open routes along. Conclusion: both fields of the documents are followed.

--- a/cmd/endivedev/main.go
+++ b/cmd/endivedev/main.go
@@ -87,10 +87,8 @@
 	if !serve {
 		return nil
 	}
-	fmt.Fprintf(out, "\ngateway %s\nexport KEY=%s\nstate dumps:\n", site.URL, site.Key)
-	for _, admin := range site.Admins {
-		fmt.Fprintf(out, "  curl http://%s/dump\n", admin)
-	}
+	fmt.Fprintf(out, "\nexport GW=%s\nexport KEY=%s\nexport ENDIVE_PLATFORM=%s\n", site.URL, site.Key, site.PlatformURL)
+	fmt.Fprintf(out, "export GATEWAY_ADMIN=%s\nexport SCHEDULER_ADMIN=%s\n", site.Admins[0], site.Admins[1])
 	<-ctx.Done()
 	return nil
 }
--- a/daemon/gatewayd.go
+++ b/daemon/gatewayd.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"github.com/endivecourse/endivecourse/config/configwatch"
 	"github.com/endivecourse/endivecourse/gateway"
@@ -10,6 +11,7 @@
 	"github.com/endivecourse/endivecourse/kernel"
 	_ "github.com/endivecourse/endivecourse/platform/httpplatform" // registers platform.http
 	"github.com/endivecourse/endivecourse/settings"
+	"github.com/endivecourse/endivecourse/structs"
 )
 
 // Gatewayd is the role of the daemon that terminates callers.
@@ -42,6 +44,8 @@
 		Forwarder: forwarder,
 		Admitter:  quota,
 		Limits:    loaded.Limits,
+		ConfigAge: func() time.Duration { return b.holder.Age(structs.Now()) },
+		MaxStale:  loaded.Config.MaxStale.Std(),
 		Listen:    loaded.Listen.Callers,
 		TLS:       loaded.CallersTLS,
 		Log:       log,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,7 @@
 		"Forwarder": g.opts.Forwarder == nil,
 		"Admitter":  g.opts.Admitter == nil,
 		"Listen":    g.opts.Listen == "",
+		"ConfigAge": g.opts.MaxStale > 0 && g.opts.ConfigAge == nil,
 	} {
 		if missing {
 			return &MissingOptionError{Option: name}
@@ -104,22 +105,30 @@
 // State is the gateway's part of the state dump.
 type State struct {
 	ConfigVersion uint64 `json:"config_version"`
-	Draining      bool   `json:"draining"`
-	InFlight      int64  `json:"in_flight"`
-	OpenInFlight  int64  `json:"open_in_flight"`
-	Keyed         int    `json:"keyed_requests"`
-	Forwarder     any    `json:"forwarder"`
-	Admitter      any    `json:"admitter,omitempty"`
+	// MaxStale is empty when there is no limit. While Stale, requests that
+	// need a key are refused.
+	MaxStale     string `json:"max_stale,omitempty"`
+	Stale        bool   `json:"stale"`
+	Draining     bool   `json:"draining"`
+	InFlight     int64  `json:"in_flight"`
+	OpenInFlight int64  `json:"open_in_flight"`
+	Keyed        int    `json:"keyed_requests"`
+	Forwarder    any    `json:"forwarder"`
+	Admitter     any    `json:"admitter,omitempty"`
 }
 
 // DumpState returns the gateway's State.
 func (g *Gateway) DumpState() any {
 	state := State{
+		Stale:        g.stale(),
 		Draining:     g.draining.Load(),
 		InFlight:     g.inFlight.Load(),
 		OpenInFlight: g.open.Load(),
 		Forwarder:    g.opts.Forwarder.State(),
 	}
+	if g.opts.MaxStale > 0 {
+		state.MaxStale = g.opts.MaxStale.String()
+	}
 	if snapshot := g.opts.Configs.Current(); snapshot != nil {
 		state.ConfigVersion = snapshot.Version()
 	}
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -15,6 +16,9 @@
 	keyPrefix           = "ek_"
 )
 
+// retryStale is when a caller may ask again after a stale configuration.
+const retryStale = 5 * time.Second
+
 // keyParams are the query parameters that are refused because they commonly
 // carry keys.
 var keyParams = []string{"key", "api_key"}
@@ -96,6 +100,9 @@
 // requireKey refuses a request without a valid key, watches the key for its
 // withdrawal, and admits the request by its account's quota.
 func (x *exchange) requireKey(ctx context.Context) error {
+	if x.g.stale() {
+		return staleConfig()
+	}
 	if x.keyID == "" {
 		return refuse(structs.RefusedUnauthorized, "a valid key is required")
 	}
@@ -111,6 +118,18 @@
 	return nil
 }
 
+// stale reports whether the configuration in force is unconfirmed for longer
+// than the settings allow, so that keys may have been withdrawn meanwhile.
+func (g *Gateway) stale() bool {
+	return g.opts.MaxStale > 0 && g.opts.ConfigAge() > g.opts.MaxStale
+}
+
+func staleConfig() *structs.Refusal {
+	refusal := refuse(structs.RefusedStaleConfig, "the configuration could not be confirmed lately")
+	refusal.RetryAfter = retryStale
+	return refusal
+}
+
 // watch lists the request for the withdrawal of its key. The key is checked
 // after it is listed, so that a change in between is seen by one of the two.
 func (g *Gateway) watch(x *exchange) bool {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -84,6 +84,11 @@
 	// an idempotency key. Nil means the own domain only.
 	Domains func() []structs.DomainID
 	Limits  settings.Limits
+	// ConfigAge returns the time since the configuration in force was last
+	// confirmed. Requests that need a key are refused while it exceeds
+	// MaxStale; 0 sets no limit.
+	ConfigAge func() time.Duration
+	MaxStale  time.Duration
 	// Listen is the callers' address, TLS its certificate.
 	Listen  string
 	TLS     settings.CallersTLS
--- a/internal/devsite/devsite.go
+++ b/internal/devsite/devsite.go
@@ -40,6 +40,8 @@
 	demoBurst  = 1000
 	demoBudget = 100_000 // tokens
 	drainFor   = 5 * time.Second
+	// daemonAddrs counts the addresses of the daemons and the platform.
+	daemonAddrs = 5
 )
 
 // Site is a running site.
@@ -48,17 +50,19 @@
 	Key    string // of the account
 	URL    string // of the gateway
 	Admins []string
-	cancel context.CancelFunc
-	group  *errgroup.Group
+	// PlatformURL is what endivectl takes as --platform.
+	PlatformURL string
+	cancel      context.CancelFunc
+	group       *errgroup.Group
 }
 
 // Start starts the site. Its daemons run until Stop.
 func Start(ctx context.Context, log *slog.Logger) (*Site, error) {
-	addrs, err := freeAddrs(4 + engines + 1)
+	addrs, err := freeAddrs(daemonAddrs + engines + 1)
 	if err != nil {
 		return nil, err
 	}
-	key, document, err := document(addrs[4:])
+	key, document, err := document(addrs[daemonAddrs:])
 	if err != nil {
 		return nil, err
 	}
@@ -76,10 +80,11 @@
 		return nil, err
 	}
 	s := &Site{
-		Site:   standins,
-		Key:    key,
-		URL:    "http://" + gatewayd.Listen.Callers,
-		Admins: []string{gatewayd.Listen.Admin, schedulerd.Listen.Admin},
+		Site:        standins,
+		Key:         key,
+		URL:         "http://" + gatewayd.Listen.Callers,
+		PlatformURL: gatewayd.Platform.URL,
+		Admins:      []string{gatewayd.Listen.Admin, schedulerd.Listen.Admin},
 	}
 	if err := s.run(gatewayd, schedulerd, log); err != nil {
 		standins.Close()
@@ -122,7 +127,7 @@
 	common.Lease.Slots = 8
 	gatewayd, schedulerd = common, common
 	gatewayd.Listen = settings.Listen{Callers: addrs[1], Admin: addrs[2]}
-	schedulerd.Listen = settings.Listen{Wire: addrs[0], Admin: "127.0.0.1:0"}
+	schedulerd.Listen = settings.Listen{Wire: addrs[0], Admin: addrs[4]}
 	return gatewayd, schedulerd
 }
 
--- a/scheduler/dispatcher.go
+++ b/scheduler/dispatcher.go
@@ -29,6 +29,7 @@
 	loadAt      structs.Instant // 0 before the first report
 	sinceReport int
 	downUntil   structs.Instant // 0 for one that was reached so far
+	drained     bool            // by the operators; takes nothing new
 	stop        func()          // ends its load reports
 }
 
@@ -107,7 +108,7 @@
 	var near, far []route.Target
 	for _, id := range d.order {
 		b := d.targets[id]
-		if b.isDown(now) || d.leaving(id) {
+		if b.isDown(now) || b.drained || d.leaving(id) {
 			continue
 		}
 		if b.spec.Domain == d.domain {
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -41,6 +41,7 @@
 	Running  int  `json:"reported_running"`
 	Waiting  int  `json:"reported_waiting"`
 	Leaving  bool `json:"leaving"`
+	Drained  bool `json:"drained"`
 	Down     bool `json:"down"`
 }
 
@@ -77,7 +78,7 @@
 	for id, b := range d.targets {
 		state.Targets[id] = TargetState{
 			InFlight: b.inFlight, Limit: b.limit, Running: b.load.Running, Waiting: b.load.Waiting,
-			Leaving: d.leaving(id), Down: b.isDown(now),
+			Leaving: d.leaving(id), Drained: b.drained, Down: b.isDown(now),
 		}
 	}
 	return state
--- a/scheduler/targets.go
+++ b/scheduler/targets.go
@@ -58,6 +58,7 @@
 		configured, kept := service.Targets[id]
 		if kept && b.spec == specOf(d.service, id, configured) {
 			b.limit = limitOf(configured)
+			b.drained = configured.Drain
 			continue
 		}
 		l.dropTarget(d, id, b, kept)
@@ -82,7 +83,7 @@
 		return
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	b := &backEnd{spec: spec, driver: driver, limit: limitOf(configured), stop: stop}
+	b := &backEnd{spec: spec, driver: driver, limit: limitOf(configured), drained: configured.Drain, stop: stop}
 	for _, flights := range d.flying {
 		for _, f := range flights {
 			if f.target == id {
