Metrics of the four measures, slots, queues, rings, traffic and platform

Cause: /metrics showed the Go process only; the gateway's own set was not even served, and a state dump did not say which requests were refused. Change: components write their metrics at each scrape (kernel.MetricWriter). The scheduler exports program latency, prompt tokens computed and cached, the slowdown of the worst and the median client account, refusals by type, slot changes, queue depths; the wire counts bytes by class; platform/meter counts store operations. Labels are fixed words and service names. The gateway's dump lists the last 64 refusals. Slot changes and failed dispatches are logged with their epoch. Ruled out: a label per target or account (6,000 and 2,200 at the target size).

--- a/admin/server.go
+++ b/admin/server.go
@@ -28,8 +28,8 @@
 	// TokenHash is the hex SHA-256 of the operators' token. Empty allows
 	// loopback peers only.
 	TokenHash string
-	// Metrics is written beside the process-wide default set; it may be nil.
-	Metrics *metrics.Set
+	// Metrics are written beside those of the kernel's components.
+	Metrics []kernel.MetricWriter
 }
 
 // Server is the component that serves operators.
@@ -75,7 +75,7 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	s.mux.HandleFunc("GET /readyz", s.serveReady)
-	s.Handle("GET /metrics", http.HandlerFunc(s.serveMetrics))
+	s.Handle("GET /metrics", s.serveMetrics(k))
 	s.Handle("GET /dump", http.HandlerFunc(k.ServeDump))
 	listener, err := net.Listen("tcp", s.opts.Address)
 	if err != nil {
@@ -120,12 +120,16 @@
 	return errors.Wrap(s.http.Shutdown(ctx), "close admin address")
 }
 
-func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	metrics.WritePrometheus(w, true)
-	if s.opts.Metrics != nil {
-		s.opts.Metrics.WritePrometheus(w)
-	}
+// serveMetrics writes the metrics of the process and of the daemon.
+func (s *Server) serveMetrics(k *kernel.Kernel) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		metrics.WritePrometheus(w, true)
+		k.WriteMetrics(w)
+		for _, m := range s.opts.Metrics {
+			m.WriteMetrics(w)
+		}
+	})
 }
 
 // readiness is the body of /readyz: the checks that fail, with their reasons.
--- a/daemon/common.go
+++ b/daemon/common.go
@@ -12,6 +12,7 @@
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/membership"
 	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/platform/meter"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
@@ -44,6 +45,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "make platform client")
 	}
+	counted := meter.New()
+	services = counted.Wrap(services)
 	tlsConfig, err := loaded.WireTLS.Load()
 	if err != nil {
 		return nil, err
@@ -55,7 +58,11 @@
 		wireOptions: wire.Options{TLS: tlsConfig},
 		members:     membership.New(membership.Options{VMs: services.VMs}),
 		holder:      &config.Holder{},
-		admin:       admin.New(admin.Options{Address: loaded.Listen.Admin, TokenHash: loaded.OperatorTokenHash}),
+		admin: admin.New(admin.Options{
+			Address:   loaded.Listen.Admin,
+			TokenHash: loaded.OperatorTokenHash,
+			Metrics:   []kernel.MetricWriter{counted},
+		}),
 	}
 	b.client = wire.NewClient(b.wireOptions)
 	b.admin.AddReadiness("config", func() error {
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/kernel"
@@ -27,6 +30,9 @@
 	return errors.Wrap(err, "listen for daemons")
 }
 
+// WriteMetrics writes the bytes of the server's frames.
+func (w *wireServer) WriteMetrics(out io.Writer) { writeTraffic(out, "server", w.server.Traffic()) }
+
 // Start starts the duty that accepts connections.
 func (w *wireServer) Start(_ context.Context, k *kernel.Kernel) error {
 	k.Go("wire.accept", func(context.Context) error { return w.server.Serve(w.listener) })
@@ -49,8 +55,21 @@
 // Start does nothing: connections open when they are needed.
 func (w *wireClient) Start(context.Context, *kernel.Kernel) error { return nil }
 
+// WriteMetrics writes the bytes of the client's frames.
+func (w *wireClient) WriteMetrics(out io.Writer) { writeTraffic(out, "client", w.client.Traffic()) }
+
 // Stop closes the connections.
 func (w *wireClient) Stop(context.Context) error {
 	w.client.Close()
 	return nil
 }
+
+// writeTraffic writes the counters of one end of the protocol between daemons.
+func writeTraffic(out io.Writer, end string, t *wire.Traffic) {
+	for class, name := range map[wire.TrafficClass]string{wire.Control: "control", wire.Data: "data"} {
+		for direction, count := range map[string]uint64{"sent": t.Sent(class), "received": t.Received(class)} {
+			metrics.WriteCounterUint64(out,
+				fmt.Sprintf(`endive_wire_bytes_total{end=%q,class=%q,direction=%q}`, end, name, direction), count)
+		}
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -158,6 +158,7 @@
 	kind, run := outcomeOK, structs.RunYes
 	if refusal != nil {
 		kind, run = string(refusal.Kind), refusal.Run
+		x.noteRefusal(refusal, took)
 	}
 	x.g.stats.request(x.class, kind, took)
 	x.g.opts.Log.Info("request",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	inFlight atomic.Int64
 	open     atomic.Int64
 	draining atomic.Bool
+	recent   recentRefusals
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -115,6 +116,8 @@
 	Keyed        int    `json:"keyed_requests"`
 	Forwarder    any    `json:"forwarder"`
 	Admitter     any    `json:"admitter,omitempty"`
+	// Refusals lists the last ones, the latest first.
+	Refusals []RecentRefusal `json:"recent_refusals"`
 }
 
 // DumpState returns the gateway's State.
@@ -125,6 +128,7 @@
 		InFlight:     g.inFlight.Load(),
 		OpenInFlight: g.open.Load(),
 		Forwarder:    g.opts.Forwarder.State(),
+		Refusals:     g.recent.list(g.opts.Clock()),
 	}
 	if g.opts.MaxStale > 0 {
 		state.MaxStale = g.opts.MaxStale.String()
--- /dev/null
+++ b/gateway/recent.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// maxRecent is how many refusals the state dump shows.
+const maxRecent = 64
+
+// RecentRefusal is one refused request in the state dump. It holds nothing
+// that the caller wrote but the program's ID.
+type RecentRefusal struct {
+	Request structs.RequestID   `json:"request"`
+	Class   string              `json:"class"`
+	Account structs.AccountID   `json:"account,omitempty"`
+	Program structs.ProgramID   `json:"program,omitempty"`
+	Kind    structs.RefusalKind `json:"kind"`
+	Run     structs.Run         `json:"run"`
+	Retry   string              `json:"retry_after,omitempty"`
+	Took    string              `json:"took"`
+	Ago     string              `json:"ago"`
+	Version uint64              `json:"config_version"`
+
+	at structs.Instant
+}
+
+// recentRefusals keeps the last refusals.
+type recentRefusals struct {
+	mu   sync.Mutex
+	ring [maxRecent]RecentRefusal
+	next int
+	full bool
+}
+
+func (r *recentRefusals) add(refusal RecentRefusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ring[r.next] = refusal
+	r.next++
+	if r.next == maxRecent {
+		r.next, r.full = 0, true
+	}
+}
+
+// list returns the refusals, the last one first.
+func (r *recentRefusals) list(now structs.Instant) []RecentRefusal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := r.next
+	if r.full {
+		count = maxRecent
+	}
+	list := make([]RecentRefusal, 0, count)
+	for i := range count {
+		refusal := r.ring[(r.next-1-i+maxRecent)%maxRecent]
+		refusal.Ago = now.Sub(refusal.at).Round(time.Millisecond).String()
+		list = append(list, refusal)
+	}
+	return list
+}
+
+// noteRefusal keeps a refusal for the state dump.
+func (x *exchange) noteRefusal(refusal *structs.Refusal, took time.Duration) {
+	recent := RecentRefusal{
+		Request: x.id, Class: string(x.class), Account: x.account, Program: x.program,
+		Kind: refusal.Kind, Run: refusal.Run, Took: took.Round(time.Microsecond).String(),
+		at: x.g.opts.Clock(),
+	}
+	if refusal.RetryAfter > 0 {
+		recent.Retry = refusal.RetryAfter.String()
+	}
+	if x.snapshot != nil {
+		recent.Version = x.snapshot.Version()
+	}
+	x.g.recent.add(recent)
+}
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,6 +46,21 @@
 // stats are the gateway's metrics.
 type stats struct{ set *metrics.Set }
 
+// WriteMetrics writes the gateway's metrics.
+func (g *Gateway) WriteMetrics(w io.Writer) {
+	g.opts.Metrics.WritePrometheus(w)
+	metrics.WriteGaugeUint64(w, "endive_gateway_in_flight", uint64(max(0, g.inFlight.Load())))
+	metrics.WriteGaugeUint64(w, "endive_gateway_open_in_flight", uint64(max(0, g.open.Load())))
+	metrics.WriteGaugeUint64(w, "endive_gateway_config_stale", flag(g.stale()))
+}
+
+func flag(set bool) uint64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 func newStats(set *metrics.Set) *stats { return &stats{set: set} }
 
 func (s *stats) request(class routeClass, kind string, took time.Duration) {
--- /dev/null
+++ b/internal/devsite/leak_test.go
@@ -0,0 +1,141 @@
+package devsite
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// lockedBuffer collects the logs of all daemons.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+const (
+	bodyMarker  = "marker-of-a-body"
+	tokenMarker = "marker-of-a-token"
+	// otherKey is a key that no account has and that is not presented.
+	otherKey    = "ek_0f1e2d3c4b5a6978_" + otherSecret
+	otherSecret = "5d41402abc4b2a76b9719d911017c5925d41402abc4b2a76b9719d911017c592"
+)
+
+// leakRequests present the key, valid and invalid, in every part of a request
+// and a marker in every body.
+func leakRequests(s *Site) []*http.Request {
+	secret := s.Key[strings.LastIndexByte(s.Key, '_')+1:]
+	var list []*http.Request
+	add := func(method, path, body string, headers ...string) {
+		r, err := http.NewRequest(method, s.URL+path, strings.NewReader(body))
+		if err != nil {
+			panic(err)
+		}
+		for i := 0; i < len(headers); i += 2 {
+			r.Header.Set(headers[i], headers[i+1])
+		}
+		list = append(list, r)
+	}
+	bearer := "Bearer " + s.Key
+	for _, key := range []string{s.Key, secret, s.Key + "0", "ek_unknown_" + secret, otherKey} {
+		add("GET", "/v1/programs/"+key, "", "Authorization", bearer)
+		add("GET", "/services/"+key, "", "X-Api-Key", key)
+		add("GET", "/services/notices/a?q="+key, "", "Authorization", bearer)
+		add("GET", "/services/notices/a?api_key="+key, "")
+		add("POST", "/v1/programs", `{"program": "`+key+`"}`, "Authorization", bearer)
+		add("POST", "/v1/programs", `{"`+key+`": "`+bodyMarker+`"}`, "Authorization", bearer)
+		add("POST", "/v1/programs", `{"program": "demo-agent", "parent": "`+key+`"}`, "Authorization", bearer)
+		add("POST", "/v1/programs", `{}`, "Authorization", bearer, "Idempotency-Key", key)
+		add("POST", "/v1/programs", `{}`, "Authorization", bearer, "Endive-Program", key)
+		add("POST", "/v1/programs", `{}`, "Authorization", key)
+		add("POST", "/v1/programs", `{}`, "Authorization", "Basic "+key)
+		add("POST", "/v1/programs", `{}`, "Authorization", bearer, "Cookie", "session="+key)
+		add("POST", "/v1/programs", `{}`, "Authorization", bearer, "X-Api-Key", key)
+		add(strings.ToUpper(secret), "/v1/programs", "", "Authorization", bearer)
+		add("POST", "/v1/chat/completions", fmt.Sprintf(
+			`{"model": %q, "messages": [{"role": "user", "content": "%s %s"}]}`, ModelService, bodyMarker, key), "Authorization", bearer)
+		add("POST", "/v1/chat/completions", fmt.Sprintf(
+			`{"model": %q, "messages": [{"role": "user", "content": "x"}]}`, key), "Authorization", bearer)
+	}
+	add("POST", "/v1/chat/completions", fmt.Sprintf(
+		`{"model": %q, "messages": [{"role": "user", "content": %q}]}`, ModelService, bodyMarker), "Authorization", bearer)
+	return list
+}
+
+// No key, operators' token or body is found in any log, dump or metric.
+func TestNothingSecretIsShown(t *testing.T) {
+	logs := &lockedBuffer{}
+	s, err := Start(t.Context(), slog.New(slog.NewJSONHandler(logs, &slog.HandlerOptions{Level: slog.LevelDebug})))
+	assert.NilError(t, err)
+	assert.NilError(t, s.WaitReady(t.Context(), 15*time.Second, 20*time.Millisecond))
+	answered := 0
+	for _, r := range leakRequests(s) {
+		answer, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, answer.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, answer.Body.Close())
+		if answer.StatusCode == http.StatusOK {
+			answered++
+		}
+	}
+	assert.Assert(t, answered > 0, "no request was served")
+	shown := map[string]string{}
+	for _, admin := range s.Admins {
+		for _, path := range []string{"/dump", "/metrics", "/readyz"} {
+			shown[admin+path] = get(t, "http://"+admin+path)
+		}
+	}
+	assert.NilError(t, s.Stop())
+	shown["logs"] = logs.String()
+	assert.Assert(t, strings.Contains(shown["logs"], `"kind":"unauthorized"`))
+	id, secret, _ := strings.Cut(strings.TrimPrefix(s.Key, "ek_"), "_")
+	for where, text := range shown {
+		for _, needle := range []string{s.Key, secret, strings.ToUpper(secret), "ek_" + id, bodyMarker, tokenMarker, otherSecret} {
+			at := strings.Index(text, needle)
+			assert.Check(t, at < 0, "%s shows %q: %s", where, needle, text[max(0, at-200):max(0, at)])
+		}
+	}
+}
+
+func get(t *testing.T, url string) string {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodGet, url, nil)
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+tokenMarker)
+	answer, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	assert.Equal(t, answer.StatusCode, http.StatusOK)
+	body, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	return string(body)
+}
+
+// The example program that the quick start runs is answered whole.
+func TestExample(t *testing.T) {
+	s, err := Start(t.Context(), slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	assert.NilError(t, s.WaitReady(t.Context(), 15*time.Second, 20*time.Millisecond))
+	assert.NilError(t, RunExample(t.Context(), s, io.Discard))
+	assert.NilError(t, s.Stop())
+}
--- a/program/event.go
+++ b/program/event.go
@@ -110,6 +110,23 @@
 	ResultFailed                    // the target failed after running it
 )
 
+// String names the result for logs.
+func (r Result) String() string {
+	switch r {
+	case ResultDone:
+		return "done"
+	case ResultNotSent:
+		return "not_sent"
+	case ResultBroken:
+		return "broken"
+	case ResultRefused:
+		return "refused"
+	case ResultFailed:
+		return "failed"
+	}
+	return "unknown"
+}
+
 // Finished reports the end of a Send action.
 type Finished struct {
 	Call    CallID
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -26,6 +26,8 @@
 	Released    int64                              `json:"released_total"`
 	Suspects    int                                `json:"quarantine_entries"`
 	Services    map[structs.ServiceID]ServiceState `json:"services"`
+	// Slowdowns lists the client accounts, the worst served first.
+	Slowdowns []AccountSlowdown `json:"account_slowdowns"`
 }
 
 // ServiceState is one service in the state dump.
@@ -67,6 +69,7 @@
 		Released: stats.released.Load(), Suspects: l.quarantine.Len(),
 		Services: make(map[structs.ServiceID]ServiceState),
 	}
+	state.Slowdowns = l.measures.accounts.slowdowns(structs.Now())
 	for id, d := range l.dispatchers {
 		state.Services[id] = d.state(structs.Now())
 	}
--- a/scheduler/loop.go
+++ b/scheduler/loop.go
@@ -32,6 +32,7 @@
 	version     uint64                         // of the configuration that the targets follow
 	synced      bool
 	todo        []program.Event
+	measures    *measures
 }
 
 // dispatchID names one dispatch of a call.
@@ -48,6 +49,7 @@
 		dispatchers: make(map[structs.ServiceID]*dispatcher),
 		cancels:     make(map[dispatchID]context.CancelFunc),
 		epochs:      make(map[structs.Slot]structs.Epoch),
+		measures:    newMeasures(),
 	}
 }
 
@@ -91,9 +93,7 @@
 		for len(l.todo) > 0 {
 			event := l.todo[0]
 			l.todo = l.todo[1:]
-			for _, action := range l.core.Step(structs.Now(), event) {
-				l.act(action)
-			}
+			l.step(event)
 		}
 		l.todo = nil
 		if !l.pump() {
@@ -102,6 +102,19 @@
 	}
 }
 
+// step gives the core one event and carries its actions out.
+func (l *loop) step(event program.Event) {
+	now := structs.Now()
+	l.measures.event(now, event)
+	for _, action := range l.core.Step(now, event) {
+		l.measures.action(now, action)
+		l.act(action)
+	}
+	if lost, ok := event.(program.SlotLost); ok {
+		l.measures.slotLost(lost.Slot, l.s.opts.Settings.Lease.Slots)
+	}
+}
+
 // pump chooses targets for waiting calls.
 func (l *loop) pump() bool {
 	now := structs.Now()
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/pkg/errors"
@@ -119,6 +120,8 @@
 func (l *loop) dispatched(a program.Send, end dispatchEnd) {
 	now := structs.Now()
 	delete(l.cancels, dispatchID{a.Call, a.Attempt})
+	l.measures.ended(now, a.Call, end)
+	l.logDispatch(a, end)
 	d := l.dispatchers[a.Service]
 	d.ended(now, a.Call, a.Target, end.usage, end.result == program.ResultDone)
 	if end.result == program.ResultNotSent || end.result == program.ResultRefused || end.crashed {
@@ -131,6 +134,18 @@
 	l.queue(program.Finished{Call: a.Call, Attempt: a.Attempt, Result: end.result, Usage: end.usage, Detail: end.detail})
 }
 
+// logDispatch logs the end of a dispatch: one that is not whole always, any
+// other one when debugging.
+func (l *loop) logDispatch(a program.Send, end dispatchEnd) {
+	level := slog.LevelDebug
+	if end.result != program.ResultDone {
+		level = slog.LevelInfo
+	}
+	l.s.log.Log(context.Background(), level, "dispatch ended",
+		"request", a.Request.Request, "program", a.Request.Hold, "slot", a.Slot, "epoch", a.Epoch,
+		"service", a.Service, "target", a.Target, "attempt", a.Attempt, "result", end.result.String())
+}
+
 const (
 	releaseWorkers = 2
 	releaseTimeout = 5 * time.Second
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -30,6 +30,7 @@
 }
 
 func (s *Scheduler) changed(ctx context.Context, change journal.Change, room chan struct{}) {
+	s.noteChange(change)
 	s.post(ctx, message{do: func(l *loop) {
 		if change.Held {
 			l.epochs[change.Slot] = change.Epoch
@@ -53,6 +54,17 @@
 	})
 }
 
+// noteChange counts and logs a slot that was gained or lost.
+func (s *Scheduler) noteChange(change journal.Change) {
+	if change.Held {
+		s.loop.measures.gained.Add(1)
+		s.log.Info("slot gained", "slot", change.Slot, "epoch", change.Epoch)
+		return
+	}
+	s.loop.measures.lost.Add(1)
+	s.log.Info("slot lost", "slot", change.Slot, "epoch", change.Epoch)
+}
+
 // recoverSlot reads the journal of a slot until it succeeds or the slot has
 // moved on.
 func (s *Scheduler) recoverSlot(ctx context.Context, change journal.Change) {
@@ -98,9 +110,7 @@
 			continue
 		}
 		delete(l.epochs, slot)
-		for _, action := range l.core.Step(structs.Now(), program.SlotLost{Slot: slot}) {
-			l.act(action)
-		}
+		l.step(program.SlotLost{Slot: slot})
 		l.s.handing.Add(1)
 		l.s.kernel.Go("scheduler.handover", func(ctx context.Context) error {
 			defer l.s.handing.Add(-1)
--- a/wire/client.go
+++ b/wire/client.go
@@ -16,8 +16,9 @@
 // Client sends requests to any number of peers over one connection each, which
 // it opens when it is first needed.
 type Client struct {
-	opts  Options
-	dials singleflight.Group
+	opts    Options
+	dials   singleflight.Group
+	traffic Traffic
 
 	mu     sync.Mutex
 	conns  map[string]*clientConn
@@ -65,7 +66,7 @@
 	if err != nil {
 		return nil, &NotSentError{Addr: addr, Cause: err}
 	}
-	return peer.open(ctx, whole)
+	return peer.open(ctx, classOf(method), whole)
 }
 
 func (c *Client) peer(ctx context.Context, addr string) (*clientConn, error) {
@@ -113,7 +114,7 @@
 
 func (c *Client) adopt(addr string, nc net.Conn) (*clientConn, error) {
 	peer := &clientConn{addr: addr, streams: make(map[uint64]*Stream)}
-	peer.conn = newConn(nc, c.opts.maxFrame(), peer.handle, func() {
+	peer.conn = newConn(nc, c.opts.maxFrame(), &c.traffic, peer.handle, func() {
 		c.drop(addr, peer)
 		peer.failAll()
 	})
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -19,15 +19,19 @@
 	closed  chan struct{}
 	once    sync.Once
 	cause   atomic.Pointer[error]
-	handle  func(frame)
+	handle  func(frame) TrafficClass
+	traffic *Traffic
 	onClose func()
 	group   sync.WaitGroup
 }
 
-func newConn(nc net.Conn, max int, handle func(frame), onClose func()) *conn {
+// newConn makes a connection whose frames go to handle, which returns the
+// class of the request that a frame belongs to.
+func newConn(nc net.Conn, max int, traffic *Traffic, handle func(frame) TrafficClass, onClose func()) *conn {
 	return &conn{
 		net:     nc,
 		max:     max,
+		traffic: traffic,
 		out:     make(chan frame, writeQueue),
 		closed:  make(chan struct{}),
 		handle:  handle,
@@ -85,9 +89,11 @@
 			c.close(err)
 			return
 		}
+		class := Control
 		if f.kind != framePing {
-			c.handle(f)
+			class = c.handle(f)
 		}
+		c.traffic.countReceived(class, f)
 	}
 }
 
@@ -101,7 +107,7 @@
 		case f := <-c.out:
 			buf = c.gather(buf[:0], f)
 		case <-ping.C:
-			buf = appendFrame(buf[:0], frame{kind: framePing})
+			buf = c.encode(buf[:0], frame{kind: framePing})
 		case <-c.closed:
 			return
 		}
@@ -112,13 +118,18 @@
 	}
 }
 
+func (c *conn) encode(buf []byte, f frame) []byte {
+	c.traffic.countSent(f)
+	return appendFrame(buf, f)
+}
+
 // gather joins the frames that wait into one write.
 func (c *conn) gather(buf []byte, first frame) []byte {
-	buf = appendFrame(buf, first)
+	buf = c.encode(buf, first)
 	for len(buf) < bodyStep {
 		select {
 		case f := <-c.out:
-			buf = appendFrame(buf, f)
+			buf = c.encode(buf, f)
 		default:
 			return buf
 		}
--- a/wire/server.go
+++ b/wire/server.go
@@ -45,6 +45,7 @@
 // Server serves the requests of many connections.
 type Server struct {
 	opts     Options
+	traffic  Traffic
 	mu       sync.Mutex
 	handlers map[string]Handler
 	conns    map[*conn]struct{}
@@ -101,7 +102,7 @@
 	session := &serverConn{server: s, running: make(map[uint64]*ReplyWriter)}
 	ctx, cancel := context.WithCancel(context.Background())
 	session.ctx = ctx
-	session.conn = newConn(nc, s.opts.maxFrame(), session.handle, func() {
+	session.conn = newConn(nc, s.opts.maxFrame(), &s.traffic, session.handle, func() {
 		cancel()
 		s.forget(session.conn)
 	})
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -29,20 +29,21 @@
 type Stream struct {
 	peer   *clientConn
 	id     uint64
+	class  TrafficClass
 	ctx    context.Context
 	frames chan frame
 	taken  int
 	ended  error // set once the last frame was taken
 }
 
-func (p *clientConn) open(ctx context.Context, body []byte) (*Stream, error) {
-	s := &Stream{peer: p, ctx: ctx, frames: make(chan frame, streamCredits+1)}
+func (p *clientConn) open(ctx context.Context, class TrafficClass, body []byte) (*Stream, error) {
+	s := &Stream{peer: p, class: class, ctx: ctx, frames: make(chan frame, streamCredits+1)}
 	p.mu.Lock()
 	p.next++
 	s.id = p.next
 	p.streams[s.id] = s
 	p.mu.Unlock()
-	if !p.conn.send(frame{kind: frameRequest, stream: s.id, body: body}) {
+	if !p.conn.send(frame{kind: frameRequest, stream: s.id, body: body, class: class}) {
 		p.forget(s.id)
 		return nil, &NotSentError{Addr: p.addr, Cause: p.conn.err()}
 	}
@@ -61,12 +62,12 @@
 	delete(p.streams, id)
 }
 
-func (p *clientConn) handle(f frame) {
+func (p *clientConn) handle(f frame) TrafficClass {
 	switch f.kind {
 	case frameReply, frameEnd, frameRefuse:
 	default:
 		p.conn.close(&MalformedError{Field: "kind", Value: uint64(f.kind)})
-		return
+		return Control
 	}
 	p.mu.Lock()
 	s := p.streams[f.stream]
@@ -75,13 +76,14 @@
 	}
 	p.mu.Unlock()
 	if s == nil {
-		return // cancelled before
+		return Data // cancelled before, as calls are
 	}
 	select {
 	case s.frames <- f:
 	default:
 		p.conn.close(&MalformedError{Field: "credits", Value: streamCredits})
 	}
+	return s.class
 }
 
 // failAll ends all streams of a closed connection.
@@ -148,7 +150,7 @@
 		return
 	}
 	s.taken = 0
-	s.peer.conn.send(frame{kind: frameCredit, stream: s.id, body: body})
+	s.peer.conn.send(frame{kind: frameCredit, stream: s.id, body: body, class: s.class})
 }
 
 // Close cancels the request if it has not ended. It is idempotent.
@@ -162,7 +164,7 @@
 	delete(s.peer.streams, s.id)
 	s.peer.mu.Unlock()
 	if open {
-		s.peer.conn.send(frame{kind: frameCancel, stream: s.id})
+		s.peer.conn.send(frame{kind: frameCancel, stream: s.id, class: s.class})
 	}
 	return nil
 }
--- /dev/null
+++ b/wire/traffic.go
@@ -0,0 +1,52 @@
+package wire
+
+import (
+	"strings"
+	"sync/atomic"
+)
+
+// TrafficClass tells the requests of callers from what daemons need to agree.
+type TrafficClass uint8
+
+// Classes of traffic.
+const (
+	Control TrafficClass = iota // leases, journal, quota, configuration, pings
+	Data                        // programs and their calls
+	trafficClasses
+)
+
+// dataPrefix begins the methods that carry callers' requests.
+const dataPrefix = "program."
+
+func classOf(method string) TrafficClass {
+	if strings.HasPrefix(method, dataPrefix) {
+		return Data
+	}
+	return Control
+}
+
+// Traffic counts the bytes of frames, by class. The headers of TCP, IP and TLS
+// are not among them.
+type Traffic struct {
+	sent, received [trafficClasses]atomic.Uint64
+}
+
+// Sent returns the bytes of the class that were written.
+func (t *Traffic) Sent(class TrafficClass) uint64 { return t.sent[class].Load() }
+
+// Received returns the bytes of the class that were read.
+func (t *Traffic) Received(class TrafficClass) uint64 { return t.received[class].Load() }
+
+func (t *Traffic) countSent(f frame) {
+	t.sent[f.class].Add(uint64(headerSize + len(f.body)))
+}
+
+func (t *Traffic) countReceived(class TrafficClass, f frame) {
+	t.received[class].Add(uint64(headerSize + len(f.body)))
+}
+
+// Traffic returns the client's counters.
+func (c *Client) Traffic() *Traffic { return &c.traffic }
+
+// Traffic returns the server's counters.
+func (s *Server) Traffic() *Traffic { return &s.traffic }
--- /dev/null
+++ b/wire/traffic_test.go
@@ -0,0 +1,35 @@
+package wire
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Both ends count the same bytes of a request and its reply, under the class
+// of its method.
+func TestTrafficByClass(t *testing.T) {
+	addr, server := startServer(t, func(s *Server) {
+		for _, method := range []string{"quota.echo", "program.echo"} {
+			Unary(s, method, func(_ context.Context, in []byte) ([]byte, error) { return in, nil })
+		}
+	})
+	client := NewClient(Options{})
+	defer client.Close()
+	body := make([]byte, 5000)
+	var out []byte
+	assert.NilError(t, client.Call(t.Context(), addr, "quota.echo", body, &out))
+	assert.Assert(t, client.Traffic().Sent(Control) > 5000)
+	assert.Assert(t, client.Traffic().Received(Control) > 5000)
+	assert.Equal(t, client.Traffic().Sent(Data), uint64(0))
+	assert.NilError(t, client.Call(t.Context(), addr, "program.echo", body, &out))
+	assert.NilError(t, client.Call(t.Context(), addr, "program.echo", body, &out))
+	sent := client.Traffic().Sent(Data)
+	assert.Assert(t, sent > 10000 && sent < 11000, "%d", sent)
+	assert.Assert(t, client.Traffic().Received(Data) > 10000)
+	client.Close()
+	assert.NilError(t, server.Close())
+	assert.Equal(t, server.Traffic().Received(Data), sent)
+	assert.Equal(t, server.Traffic().Sent(Data), client.Traffic().Received(Data))
+}
