--- a/command/command_test.go
+++ b/command/command_test.go
@@ -243,3 +243,17 @@
 	assert.Assert(t, strings.Contains(mustRun(t, "version"), "endivectl"))
 	assert.Assert(t, strings.Contains(mustRun(t), "Exit statuses"))
 }
+
+func TestConfigShow(t *testing.T) {
+	allDomains(t)
+	status, _, errOut := run(t, "config", "show")
+	assert.Equal(t, status, ExitBadInput, errOut)
+	_, _, _ = apply(t)
+	shown := mustRun(t, "config", "show")
+	file := filepath.Join(t.TempDir(), "base.jsonc")
+	assert.NilError(t, os.WriteFile(file, []byte(shown), 0o600))
+	assert.Equal(t, mustRun(t, "config", "diff", "--base", file), "no change from version 1\n")
+	assert.Equal(t, mustRun(t, "config", "show", "1"), shown)
+	status, _, _ = run(t, "config", "show", "9")
+	assert.Equal(t, status, ExitBadInput)
+}
--- a/command/config.go
+++ b/command/config.go
@@ -31,7 +31,7 @@
 
 func (a *app) configCommand() *cobra.Command {
 	c := &cobra.Command{Use: "config", Short: "Check, compare and change the configuration"}
-	c.AddCommand(a.configCheck(), a.configDiff(), a.configApply(), a.configHistory(), a.configRollback())
+	c.AddCommand(a.configCheck(), a.configDiff(), a.configApply(), a.configShow(), a.configHistory(), a.configRollback())
 	return noun(c)
 }
 
--- a/internal/devsite/devsite.go
+++ b/internal/devsite/devsite.go
@@ -27,9 +27,9 @@
 const (
 	Domain       structs.DomainID  = "local"
 	Account      structs.AccountID = "demo"
-	Kind                           = "demo-agent"
-	ModelService structs.ServiceID = "demo-llm"
-	PlainService structs.ServiceID = "demo-app"
+	Kind                           = "round-planner"
+	ModelService structs.ServiceID = "rake-llm"
+	PlainService structs.ServiceID = "courts-app"
 	vm           structs.VMID      = "local-1"
 	engines                        = 2
 )
@@ -146,7 +146,7 @@
 	return presented, config.Document{
 		Domains: map[structs.DomainID]config.Domain{Domain: {Region: string(Domain)}},
 		Accounts: map[structs.AccountID]config.Account{Account: {
-			Rate: demoRate, Burst: demoBurst, Programs: []string{Kind},
+			Rate: demoRate, Burst: demoBurst, Programs: []string{Kind}, Routes: []string{"orders"},
 			Keys: map[string]config.Key{keyID: key},
 		}},
 		Programs: map[string]config.Program{Kind: {
@@ -160,7 +160,10 @@
 				Targets: map[structs.TargetID]config.Target{"app-1": app},
 			},
 		},
-		Routes: map[string]config.Route{"notices": {Prefix: "/notices", Service: PlainService, Open: true}},
+		Routes: map[string]config.Route{
+			"notices": {Prefix: "/notices", Service: PlainService, Open: true},
+			"orders":  {Prefix: "/orders", Service: PlainService},
+		},
 	}, nil
 }
 
--- a/internal/devsite/leak_test.go
+++ b/internal/devsite/leak_test.go
@@ -63,7 +63,7 @@
 		add("GET", "/services/notices/a?api_key="+key, "")
 		add("POST", "/v1/programs", `{"program": "`+key+`"}`, "Authorization", bearer)
 		add("POST", "/v1/programs", `{"`+key+`": "`+bodyMarker+`"}`, "Authorization", bearer)
-		add("POST", "/v1/programs", `{"program": "demo-agent", "parent": "`+key+`"}`, "Authorization", bearer)
+		add("POST", "/v1/programs", `{"program": "round-planner", "parent": "`+key+`"}`, "Authorization", bearer)
 		add("POST", "/v1/programs", `{}`, "Authorization", bearer, "Idempotency-Key", key)
 		add("POST", "/v1/programs", `{}`, "Authorization", bearer, "Endive-Program", key)
 		add("POST", "/v1/programs", `{}`, "Authorization", key)
