A refusal is in the dump before its caller has the answer

Cause: TestDumpExplainsRefusal read the dump right after the answer and failed in one of two runs; the refusal was noted after the answer was written. Conclusion: the dump explains any refusal that a caller has seen.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -99,6 +99,9 @@
 // whether the connection must be cut to show that the answer is not whole.
 func (x *exchange) conclude(ctx context.Context, err error) (abort bool) {
 	refusal := x.refusalOf(ctx, err)
+	if refusal != nil {
+		x.noteRefusal(refusal)
+	}
 	switch {
 	case refusal == nil:
 	case !x.committed:
@@ -158,7 +161,6 @@
 	kind, run := outcomeOK, structs.RunYes
 	if refusal != nil {
 		kind, run = string(refusal.Kind), refusal.Run
-		x.noteRefusal(refusal, took)
 	}
 	x.g.stats.request(x.class, kind, took)
 	x.g.opts.Log.Info("request",
--- a/gateway/recent.go
+++ b/gateway/recent.go
@@ -62,12 +62,14 @@
 	return list
 }
 
-// noteRefusal keeps a refusal for the state dump.
-func (x *exchange) noteRefusal(refusal *structs.Refusal, took time.Duration) {
+// noteRefusal keeps a refusal for the state dump. It comes before the answer,
+// so that a dump taken after the answer has it.
+func (x *exchange) noteRefusal(refusal *structs.Refusal) {
+	now := x.g.opts.Clock()
 	recent := RecentRefusal{
 		Request: x.id, Class: string(x.class), Account: x.account, Program: x.program,
-		Kind: refusal.Kind, Run: refusal.Run, Took: took.Round(time.Microsecond).String(),
-		at: x.g.opts.Clock(),
+		Kind: refusal.Kind, Run: refusal.Run, Took: now.Sub(x.began).Round(time.Microsecond).String(),
+		at: now,
 	}
 	if refusal.RetryAfter > 0 {
 		recent.Retry = refusal.RetryAfter.String()
