Quota: the token-batch path is removed

Cause: scheduler's local quota still answered quota.take from a second bucket, so a gateway of the earlier build would have got the domain's share twice.

A gateway that reaches no holder refuses with not_ready instead of over_rate.

Batch size by rate has no successor: there are no batches.

Ruled out: keeping the old method for mixed builds.

Conclusion: one path.

--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -35,6 +35,7 @@
 	last      structs.Instant
 	demand    demand
 	waiting   int
+	answered  structs.Instant // last reply
 	rules     rules
 }
 
@@ -100,6 +101,7 @@
 		return nil
 	}
 	asked := r.asked
+	b.answered = now
 	r.pending = false
 	r.asked = Part{}
 	if grant.Lost {
@@ -227,6 +229,12 @@
 	return last
 }
 
+// Unanswered reports whether the borrower holds no rate and no holder has
+// replied since the instant.
+func (b *Borrower) Unanswered(since structs.Instant) bool {
+	return b.held.Rate == 0 && b.answered.Before(since)
+}
+
 // RetryAfter estimates when a token will be there.
 func (b *Borrower) RetryAfter() time.Duration {
 	if b.limit.Rate <= 0 {
--- a/quota/borrower/account.go
+++ b/quota/borrower/account.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/endivecourse/endivecourse/quota"
 	"github.com/endivecourse/endivecourse/structs"
@@ -15,6 +14,7 @@
 // waiter is a request that waits for a token.
 type waiter struct {
 	admitted chan struct{}
+	since    structs.Instant
 	done     bool
 }
 
@@ -42,19 +42,19 @@
 	} else if a.core.Offer(at) {
 		return nil, true
 	}
-	w := &waiter{admitted: make(chan struct{})}
+	w := &waiter{admitted: make(chan struct{}), since: at}
 	a.waiters = append(a.waiters, w)
 	a.core.SetWaiting(len(a.waiters))
 	return w, true
 }
 
-// leave takes a waiter out of the queue. It reports false when the waiter was
-// admitted already.
-func (a *account) leave(w *waiter) (time.Duration, bool) {
+// leave takes a waiter out of the queue and returns its refusal, or nil when
+// it was admitted already.
+func (a *account) leave(w *waiter) *structs.Refusal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if w.done {
-		return 0, false
+		return nil
 	}
 	for i, other := range a.waiters {
 		if other == w {
@@ -63,7 +63,12 @@
 		}
 	}
 	a.core.SetWaiting(len(a.waiters))
-	return a.core.RetryAfter(), true
+	refusal := structs.Refuse(structs.RefusedOverRate, structs.RunNo, "account %q is over its rate", a.id)
+	if a.core.Unanswered(w.since) {
+		refusal = structs.Refuse(structs.RefusedNotReady, structs.RunNo, "no holder of account %q answers", a.id)
+	}
+	refusal.RetryAfter = a.core.RetryAfter()
+	return refusal
 }
 
 // serve admits waiters in order while there are tokens.
--- a/quota/borrower/borrower.go
+++ b/quota/borrower/borrower.go
@@ -131,10 +131,8 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	if retryAfter, gone := a.leave(w); gone {
+	if refusal := a.leave(w); refusal != nil {
 		refused.Inc()
-		refusal := structs.Refuse(structs.RefusedOverRate, structs.RunNo, "account %q is over its rate", id)
-		refusal.RetryAfter = retryAfter
 		return refusal
 	}
 	admitted.Inc()
--- a/quota/borrower/borrower_test.go
+++ b/quota/borrower/borrower_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,9 +52,11 @@
 	holders map[string]*holder.Holder
 	delay   time.Duration
 	down    map[string]bool
+	calls   atomic.Int64
 }
 
 func (n *network) Call(ctx context.Context, addr, _ string, in, out any) error {
+	n.calls.Add(1)
 	h := n.holders[addr]
 	if h == nil || n.down[addr] {
 		<-ctx.Done()
@@ -201,3 +204,79 @@
 	assert.NilError(t, server.Close())
 	assert.NilError(t, <-served)
 }
+
+// bed is one gateway of domain a before a holder of the whole.
+func bed(t *testing.T, account config.Account) (*borrower.Borrower, *network, func()) {
+	now := clockFrom(time.Now())
+	accounts := snapshot{"acme": account}
+	h := holder.New(holder.Options{Domains: 1, Slots: slots, Snapshot: accounts, Ownership: ownership{held: true}, Now: now, Log: quiet()})
+	net := &network{holders: map[string]*holder.Holder{"a": h}, delay: time.Millisecond, down: map[string]bool{}}
+	b := borrower.New(borrower.Options{
+		Self: "gw-1", Domain: "a", Domains: domains[:1], Slots: slots, Snapshot: accounts, Client: net, Now: now, Log: quiet(),
+		Peers: func(structs.DomainID) []string { return []string{"a"} },
+	})
+	stop := run(t, b, h)
+	time.Sleep(5 * time.Second)
+	return b, net, stop
+}
+
+func TestWaitersShareExchanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, net, stop := bed(t, config.Account{Rate: 1000, Burst: 1000})
+		defer stop()
+		results := make(chan *structs.Refusal, 100)
+		for range 100 {
+			go func() { results <- b.Admit(t.Context(), "acme") }()
+		}
+		for range 100 {
+			assert.Assert(t, <-results == nil)
+		}
+		assert.Assert(t, net.calls.Load() <= 10, "%d exchanges", net.calls.Load())
+	})
+}
+
+func TestIdleLoansAreGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, net, stop := bed(t, config.Account{Rate: 100, Burst: 100})
+		defer stop()
+		for range 50 {
+			assert.Assert(t, b.Admit(t.Context(), "acme") == nil)
+			time.Sleep(20 * time.Millisecond)
+		}
+		lender := func() quota.LenderState { return net.holders["a"].DumpState().(holder.State).Lenders["acme"] }
+		assert.Assert(t, lender().Lent != quota.Part{})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, lender().Lent, quota.Part{})
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, len(b.DumpState().(borrower.State).Accounts), 0)
+		calls := net.calls.Load()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, net.calls.Load(), calls)
+		assert.Assert(t, b.Admit(t.Context(), "acme") == nil)
+	})
+}
+
+func TestLostHoldersAreNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, net, stop := bed(t, config.Account{Rate: 100, Burst: 100})
+		defer stop()
+		net.down["a"] = true
+		refusal := b.Admit(t.Context(), "acme")
+		assert.Equal(t, refusal.Kind, structs.RefusedNotReady)
+		assert.Equal(t, refusal.Run, structs.RunNo)
+		assert.Assert(t, refusal.RetryAfter > 0)
+	})
+}
+
+func TestLeavingWaiterKeepsNoToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, _, stop := bed(t, config.Account{Rate: 0.1, Burst: 1})
+		defer stop()
+		time.Sleep(10 * time.Second)
+		gone, cancel := context.WithCancel(t.Context())
+		cancel()
+		assert.Equal(t, b.Admit(gone, "acme").Run, structs.RunNo)
+		assert.Assert(t, b.Admit(t.Context(), "acme") == nil)
+		assert.Equal(t, b.Admit(t.Context(), "acme").Kind, structs.RefusedOverRate)
+	})
+}
--- a/scheduler/handlers.go
+++ b/scheduler/handlers.go
@@ -16,7 +16,6 @@
 	wire.Unary(server, structs.MethodGetProgram, s.getProgram)
 	wire.Unary(server, structs.MethodListPrograms, s.listPrograms)
 	wire.Unary(server, structs.MethodHistory, s.history)
-	wire.Unary(server, structs.MethodTakeQuota, s.takeQuota)
 	wire.Unary(server, structs.MethodOwners, s.owners)
 	server.Handle(structs.MethodCall, s.call)
 }
@@ -97,8 +96,3 @@
 	}
 	return owners, nil
 }
-
-// takeQuota gives out tokens of an account whose slot this process owns.
-func (s *Scheduler) takeQuota(ctx context.Context, req structs.TakeQuota) (structs.QuotaGrant, error) {
-	return s.opts.Quota.TakeQuota(ctx, req)
-}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -30,11 +30,6 @@
 	ServiceIDs() []structs.ServiceID
 }
 
-// QuotaHolder gives out tokens of accounts whose slot this process owns.
-type QuotaHolder interface {
-	TakeQuota(ctx context.Context, req structs.TakeQuota) (structs.QuotaGrant, error)
-}
-
 // Releaser is an optional part of a journal.Ownership that can hand slots
 // over without waiting for the lease to end.
 type Releaser interface {
@@ -54,8 +49,6 @@
 	Journal   journal.Journal
 	// Config returns the version in force, or nil while there is none.
 	Config func() Snapshot
-	// Quota defaults to a token bucket with this domain's even share.
-	Quota QuotaHolder
 	// Table exchanges crash reports with the other schedulers; nil keeps them
 	// to this process.
 	Table platform.Table
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -44,9 +44,6 @@
 	opts = opts.withDefaults()
 	s := &Scheduler{opts: opts}
 	s.box.open = make(map[program.Token]*mailbox)
-	if s.opts.Quota == nil {
-		s.opts.Quota = newLocalQuota(s.opts)
-	}
 	return s
 }
 
--- a/structs/rpc.go
+++ b/structs/rpc.go
@@ -11,7 +11,6 @@
 	MethodGetProgram    = "program.get"     // ProgramRef -> ProgramInfo
 	MethodListPrograms  = "program.list"    // ListPrograms -> ProgramList
 	MethodHistory       = "program.history" // ProgramRef -> History
-	MethodTakeQuota     = "quota.take"      // TakeQuota -> QuotaGrant
 	MethodExchangeQuota = "quota.exchange"  // quota.Exchange -> quota.ExchangeReply
 	MethodOwners        = "cluster.owners"  // OwnersQuery -> Owners
 	MethodWatchConfig   = "config.watch"    // ConfigQuery -> ConfigVersion
@@ -89,27 +88,6 @@
 	Refusal *Refusal `msgpack:"r,omitempty"`
 }
 
-// TakeQuota asks the account's holder in this failure domain for tokens, each
-// of which admits one request.
-type TakeQuota struct {
-	Account AccountID `msgpack:"a"`
-	Want    int       `msgpack:"w"`
-	// Holder is the incarnation of the gateway that asks.
-	Holder Incarnation `msgpack:"h"`
-	// Returned gives back unused tokens of an earlier grant.
-	Returned      int    `msgpack:"r,omitempty"`
-	ReturnedGrant uint64 `msgpack:"i,omitempty"`
-}
-
-// QuotaGrant answers TakeQuota. The tokens expire TTL after the request was
-// sent, by the gateway's own clock.
-type QuotaGrant struct {
-	Grant      uint64        `msgpack:"i"`
-	Granted    int           `msgpack:"g"`
-	TTL        time.Duration `msgpack:"t"`
-	RetryAfter time.Duration `msgpack:"a"`
-}
-
 // OwnersQuery asks a scheduler for its view of the slot owners of its domain.
 type OwnersQuery struct{}
 
