Quota: three shares a domain, each with a slot of its own

Cause: when a domain's holder dies, all of the domain's share was out of reach for lease plus term; a request tried silent holders again and again.

Change: an account has three base shares in each domain, held under different slots; a holder that did not reply is not asked for more for half a second; replies are awaited for 60 ms.

Ruled out: longer terms (a new holder's wait grows with them).

Conclusion: a killed holder now costs a ninth of an account's rate, not a third.

--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -6,10 +6,10 @@
 	"github.com/endivecourse/endivecourse/structs"
 )
 
-// relation is a borrower's side of its loan from one domain.
+// relation is a borrower's side of its loan from one share.
 type relation struct {
-	domain  int
-	base    Part // of the domain, the most that it can lend
+	share   int
+	base    Part // the most that can be lent of the share
 	hold    Part
 	until   structs.Instant // hold is usable before this instant
 	seq     uint64
@@ -27,9 +27,9 @@
 	terms     Terms
 	policy    Policy
 	limit     Limit
-	own       int
+	place     Place
 	first     int
-	relations []relation // by index of the domain
+	relations []relation // by share
 	held      Part
 	tokens    float64
 	last      structs.Instant
@@ -39,20 +39,19 @@
 	rules     rules
 }
 
-// NewBorrower makes the borrower of a gateway in the domain at index own among
-// the sorted domains of the deployment.
-func NewBorrower(now structs.Instant, account structs.AccountID, own, domains int, limit Limit, terms Terms) *Borrower {
+// NewBorrower makes the borrower of a gateway at the place.
+func NewBorrower(now structs.Instant, account structs.AccountID, place Place, limit Limit, terms Terms) *Borrower {
 	b := &Borrower{
 		terms:     terms,
 		policy:    DefaultPolicy,
 		limit:     limit,
-		own:       own,
-		first:     firstDomain(account, domains),
-		relations: make([]relation, domains),
+		place:     place,
+		first:     firstShare(account, place.Domains),
+		relations: make([]relation, place.Domains*SharesPerDomain),
 		last:      now,
 	}
 	for i := range b.relations {
-		b.relations[i] = relation{domain: i, base: Base(account, i, domains), target: Part{Rate: Whole, Burst: Whole}}
+		b.relations[i] = relation{share: i, base: Base(account, i, place.Domains), target: Part{Rate: Whole, Burst: Whole}}
 	}
 	return b
 }
@@ -92,11 +91,11 @@
 // SetWaiting tells how many requests wait for a token.
 func (b *Borrower) SetWaiting(n int) { b.waiting = n }
 
-// Apply takes a reply of the domain at the index. A reply to any but the
+// Apply takes a reply of the share's holder. A reply to any but the
 // latest request, or one that comes after its own term, is dropped.
-func (b *Borrower) Apply(now structs.Instant, domain int, grant Grant) error {
+func (b *Borrower) Apply(now structs.Instant, share int, grant Grant) error {
 	b.advance(now)
-	r := &b.relations[domain]
+	r := &b.relations[share]
 	if !b.rules.applyTwice && (!r.pending || grant.Seq != r.seq) {
 		return nil
 	}
@@ -184,7 +183,7 @@
 	for i := range b.relations {
 		sum = sum.plus(b.relations[i].hold)
 		if !b.relations[i].hold.within(Part{Rate: Whole, Burst: Whole}) {
-			return violated("borrower_loan", "loan %v of domain %d", b.relations[i].hold, i)
+			return violated("borrower_loan", "loan %v of share %d", b.relations[i].hold, i)
 		}
 	}
 	if sum != b.held || !sum.within(Part{Rate: Whole, Burst: Whole}) {
@@ -213,7 +212,7 @@
 	return true
 }
 
-// FirstSeq sets the number of the first request to every domain.
+// FirstSeq sets the number of the first request to every holder.
 func (b *Borrower) FirstSeq(seq uint64) {
 	for i := range b.relations {
 		b.relations[i].seq = seq
--- a/quota/borrower/account.go
+++ b/quota/borrower/account.go
@@ -93,11 +93,11 @@
 }
 
 // apply takes a reply and serves the waiters.
-func (a *account) apply(now clock, domain int, grant quota.Grant) error {
+func (a *account) apply(now clock, share int, grant quota.Grant) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	at := now()
-	err := a.core.Apply(at, domain, grant)
+	err := a.core.Apply(at, share, grant)
 	if err == nil {
 		a.serve(at)
 	}
--- a/quota/borrower/borrower.go
+++ b/quota/borrower/borrower.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,7 +68,7 @@
 // Borrower admits the requests of one gateway.
 type Borrower struct {
 	opts    Options
-	own     int
+	place   quota.Place
 	routes  *routes
 	kicks   *kernel.Ring[*account]
 	batches *kernel.Ring[batch]
@@ -87,10 +88,10 @@
 		batches:  kernel.NewRing[batch](nil, "quota.batches", ringDepth),
 		accounts: make(map[structs.AccountID]*account),
 	}
-	for i, d := range opts.Domains {
-		if d == opts.Domain {
-			b.own = i
-		}
+	b.place = quota.Place{
+		Domain:  max(0, slices.Index(opts.Domains, opts.Domain)),
+		Domains: len(opts.Domains),
+		Spread:  int(structs.SlotOf(string(opts.Self), quota.SharesPerDomain)),
 	}
 	return b
 }
@@ -162,7 +163,7 @@
 	if a = b.accounts[id]; a != nil {
 		return a
 	}
-	core := quota.NewBorrower(b.opts.Now(), id, b.own, len(b.opts.Domains), limit, b.opts.Terms)
+	core := quota.NewBorrower(b.opts.Now(), id, b.place, limit, b.opts.Terms)
 	core.FirstSeq(b.lastSeq)
 	a = &account{id: id, core: core}
 	b.accounts[id] = a
--- a/quota/borrower/exchange.go
+++ b/quota/borrower/exchange.go
@@ -68,9 +68,9 @@
 func (b *Borrower) dispatch(accounts []*account) {
 	batches := make(map[destination]*batch)
 	for _, a := range accounts {
-		slot := structs.SlotOf(string(a.id), b.opts.Slots)
 		for _, out := range a.asks(b.opts.Now) {
-			to := destination{addr: b.routes.find(out.Domain, slot), domain: out.Domain}
+			domain, slot := quota.DomainOfShare(out.Share), quota.SlotOfShare(a.id, out.Share, b.opts.Slots)
+			to := destination{addr: b.routes.find(domain, slot), domain: domain}
 			if to.addr == "" {
 				continue
 			}
@@ -79,7 +79,7 @@
 				group = &batch{addr: to.addr, domain: to.domain, exchange: quota.Exchange{From: b.opts.Self}}
 				batches[to] = group
 			}
-			group.exchange.Asks = append(group.exchange.Asks, quota.AccountAsk{Account: a.id, Ask: out.Ask})
+			group.exchange.Asks = append(group.exchange.Asks, quota.AccountAsk{Account: a.id, Share: out.Share, Ask: out.Ask})
 			group.accounts = append(group.accounts, a)
 		}
 	}
@@ -108,32 +108,38 @@
 	sent.Inc()
 	if err := b.opts.Client.Call(ctx, group.addr, structs.MethodExchangeQuota, &group.exchange, &reply); err != nil {
 		failed.Inc()
-		for _, a := range group.accounts {
-			b.routes.forget(group.domain, structs.SlotOf(string(a.id), b.opts.Slots))
+		for _, in := range group.exchange.Asks {
+			b.routes.forget(group.domain, quota.SlotOfShare(in.Account, in.Share, b.opts.Slots))
 		}
 		return
 	}
 	b.takeAll(group, reply)
 }
 
+// asked names what a request was about.
+type asked struct {
+	account structs.AccountID
+	share   int
+}
+
 // takeAll applies the grants of a reply and sends redirected requests on.
 func (b *Borrower) takeAll(group batch, reply quota.ExchangeReply) {
-	index := make(map[structs.AccountID]int, len(group.accounts))
-	for i, a := range group.accounts {
-		index[a.id] = i
+	index := make(map[asked]int, len(group.accounts))
+	for i, in := range group.exchange.Asks {
+		index[asked{account: in.Account, share: in.Share}] = i
 	}
 	onward := make(map[string]*batch)
 	for _, g := range reply.Grants {
-		i, ok := index[g.Account]
+		i, ok := index[asked{account: g.Account, share: g.Share}]
 		if !ok {
 			continue
 		}
 		a := group.accounts[i]
 		if !g.NotOwner {
-			b.take(a, group.domain, g.Grant)
+			b.take(a, g.Share, g.Grant)
 			continue
 		}
-		b.routes.learn(group.domain, structs.SlotOf(string(a.id), b.opts.Slots), g.Owner)
+		b.routes.learn(group.domain, quota.SlotOfShare(a.id, g.Share, b.opts.Slots), g.Owner)
 		if g.Owner == "" || group.redirected {
 			continue
 		}
@@ -152,8 +158,8 @@
 	}
 }
 
-func (b *Borrower) take(a *account, domain int, grant quota.Grant) {
-	if err := a.apply(b.opts.Now, domain, grant); err != nil {
+func (b *Borrower) take(a *account, share int, grant quota.Grant) {
+	if err := a.apply(b.opts.Now, share, grant); err != nil {
 		violations.Inc()
 		b.opts.Log.Error("quota invariant violated", "account", a.id, "error", err)
 	}
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -2,10 +2,11 @@
 // gateways of all failure domains. It has no clock, goroutine or I/O.
 //
 // The whole of an account is divided into integer units of rate and of burst.
-// Every failure domain has a base share of them that depends on the account
-// and the list of domains alone. The domain's holder, a Lender, lends parts of
-// its base share to gateways of any domain; a gateway, a Borrower, keeps one
-// loan per domain and pools what it borrowed in one token bucket.
+// Every failure domain has SharesPerDomain base shares of them that depend on
+// the account and the list of domains alone. A share's holder, a Lender, is the
+// scheduler that owns the share's slot; it lends parts of the share to gateways
+// of any domain. A gateway, a Borrower, keeps one loan per share and pools what
+// it borrowed in one token bucket.
 //
 // Safety rests on three facts. A unit is usable in one place at a time: the
 // lender excludes lent units from its own bucket until the loan is given back
--- a/quota/holder/holder.go
+++ b/quota/holder/holder.go
@@ -49,7 +49,13 @@
 	opts    Options
 	mu      sync.Mutex
 	epochs  map[structs.Slot]epoch
-	lenders map[structs.AccountID]*entry
+	lenders map[key]*entry
+}
+
+// key names one share of an account.
+type key struct {
+	account structs.AccountID
+	share   int
 }
 
 // New makes a holder. Terms, Now and Log have defaults.
@@ -63,7 +69,7 @@
 	if opts.Log == nil {
 		opts.Log = slog.Default()
 	}
-	return &Holder{opts: opts, epochs: make(map[structs.Slot]epoch), lenders: make(map[structs.AccountID]*entry)}
+	return &Holder{opts: opts, epochs: make(map[structs.Slot]epoch), lenders: make(map[key]*entry)}
 }
 
 // Name returns the component's name.
@@ -115,8 +121,11 @@
 // decision is taken at an instant at which the slot was owned, even when the
 // process is paused in between.
 func (h *Holder) handle(from structs.Incarnation, in *quota.AccountAsk) (quota.AccountGrant, bool) {
-	out := quota.AccountGrant{Account: in.Account}
-	slot := structs.SlotOf(string(in.Account), h.opts.Slots)
+	out := quota.AccountGrant{Account: in.Account, Share: in.Share}
+	if in.Share < 0 || quota.DomainOfShare(in.Share) != h.opts.Index {
+		return out, false
+	}
+	slot := quota.SlotOfShare(in.Account, in.Share, h.opts.Slots)
 	now := h.opts.Now()
 	since, held := h.note(slot)
 	if !held {
@@ -129,7 +138,7 @@
 	if !known {
 		return out, false
 	}
-	e := h.entry(in.Account, slot, since, limit)
+	e := h.entry(key{account: in.Account, share: in.Share}, slot, since, limit)
 	if limit != e.limit {
 		e.lender.SetLimit(now, limit)
 		e.limit = limit
@@ -160,10 +169,10 @@
 	return e, true
 }
 
-func (h *Holder) entry(id structs.AccountID, slot structs.Slot, since epoch, limit quota.Limit) *entry {
+func (h *Holder) entry(id key, slot structs.Slot, since epoch, limit quota.Limit) *entry {
 	e := h.lenders[id]
 	if e == nil || e.epoch != since.number {
-		base := quota.Base(id, h.opts.Index, h.opts.Domains)
+		base := quota.Base(id.account, id.share, h.opts.Domains)
 		e = &entry{lender: quota.NewLender(since.since, base, limit, h.opts.Terms), slot: slot, epoch: since.number, limit: limit}
 		h.lenders[id] = e
 	}
@@ -189,8 +198,8 @@
 
 // State is the holder's part of the state dump.
 type State struct {
-	Accounts int                                     `json:"accounts"`
-	Lenders  map[structs.AccountID]quota.LenderState `json:"lenders"`
+	Shares  int                                       `json:"shares"`
+	Lenders map[structs.AccountID][]quota.LenderState `json:"lenders"`
 }
 
 // DumpState returns the state of all lenders.
@@ -198,9 +207,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.opts.Now()
-	state := State{Accounts: len(h.lenders), Lenders: make(map[structs.AccountID]quota.LenderState, len(h.lenders))}
+	state := State{Shares: len(h.lenders), Lenders: make(map[structs.AccountID][]quota.LenderState)}
 	for id, e := range h.lenders {
-		state.Lenders[id] = e.lender.State(now)
+		state.Lenders[id.account] = append(state.Lenders[id.account], e.lender.State(now))
 	}
 	return state
 }
--- a/quota/message.go
+++ b/quota/message.go
@@ -11,6 +11,7 @@
 // AccountAsk is an Ask about one account.
 type AccountAsk struct {
 	Account structs.AccountID `msgpack:"i"`
+	Share   int               `msgpack:"s"`
 	Ask     Ask               `msgpack:"q"`
 }
 
@@ -23,6 +24,7 @@
 // AccountGrant is a Grant of one account, or says who holds the account.
 type AccountGrant struct {
 	Account structs.AccountID `msgpack:"i"`
+	Share   int               `msgpack:"s"`
 	Grant   Grant             `msgpack:"g"`
 	// NotOwner says that the account is held elsewhere, at Owner if known.
 	NotOwner bool   `msgpack:"n,omitempty"`
--- a/quota/policy.go
+++ b/quota/policy.go
@@ -14,12 +14,15 @@
 	RenewEvery time.Duration
 	// ReplyTimeout is how long a reply is awaited before the next request.
 	ReplyTimeout time.Duration
-	// AskGap is the least time between two requests to one domain.
+	// AskGap is the least time between two requests about one share.
 	AskGap time.Duration
-	// DryRetry is how long a domain that had less than was asked for is not
+	// DryRetry is how long a holder that had less than was asked for is not
 	// asked for more. It doubles up to DryRetryMax.
 	DryRetry    time.Duration
 	DryRetryMax time.Duration
+	// SilentRetry is how long a holder that did not reply is not asked for
+	// more.
+	SilentRetry time.Duration
 	// DemandWindow is the time constant of the demand's moving average.
 	DemandWindow time.Duration
 	// Reserve is the demand that the bucket is kept stocked for.
@@ -41,10 +44,11 @@
 // DefaultPolicy is the policy of a deployment.
 var DefaultPolicy = Policy{
 	RenewEvery:   600 * time.Millisecond,
-	ReplyTimeout: 80 * time.Millisecond,
+	ReplyTimeout: 60 * time.Millisecond,
 	AskGap:       5 * time.Millisecond,
 	DryRetry:     25 * time.Millisecond,
 	DryRetryMax:  50 * time.Millisecond,
+	SilentRetry:  500 * time.Millisecond,
 	DemandWindow: 2 * time.Second,
 	Reserve:      500 * time.Millisecond,
 	Backlog:      250 * time.Millisecond,
@@ -154,13 +158,13 @@
 	}
 }
 
-// Outgoing is a request to the domain at an index.
+// Outgoing is a request to the holder of a share.
 type Outgoing struct {
-	Domain int
-	Ask    Ask
+	Share int
+	Ask   Ask
 }
 
-// Asks returns the requests that are due. Domains are asked for more one after
+// Asks returns the requests that are due. Holders are asked for more one after
 // another, each once the one before had less than was asked for.
 func (b *Borrower) Asks(now structs.Instant) []Outgoing {
 	b.advance(now)
@@ -196,27 +200,29 @@
 	return b.limit.Burst < 2
 }
 
-// shortOf reports whether the next domain has to wait for this one.
+// shortOf reports whether the next share has to wait for this one.
 func (b *Borrower) shortOf(r *relation, missing Part) bool {
 	reachable := r.seq == 0 || r.seq == r.applied
 	return missing.Burst > 0 && reachable && r.hold.Burst < r.base.Burst
 }
 
-// inOrder returns the k-th domain to ask: the borrower's own first, or, when
-// shares have to be collected in one order, the account's first.
+// inOrder returns the k-th share to ask for: those of the borrower's own
+// domain first, or, when shares have to be collected in one order, the
+// account's first.
 func (b *Borrower) inOrder(k int) *relation {
-	first := b.own
 	if b.strict() {
-		first = b.first
+		return &b.relations[(b.first+k)%len(b.relations)]
 	}
-	return &b.relations[(first+k)%len(b.relations)]
+	domain := (b.place.Domain + k/SharesPerDomain) % b.place.Domains
+	part := (b.place.Spread + k) % SharesPerDomain
+	return &b.relations[domain*SharesPerDomain+part]
 }
 
 func (b *Borrower) expire(now structs.Instant, r *relation) {
 	if r.pending && now.Sub(r.sentAt) >= b.policy.ReplyTimeout {
 		r.pending = false
 		r.asked = Part{}
-		b.backOff(now, r)
+		r.dry = now.Add(b.policy.SilentRetry)
 	}
 }
 
@@ -293,7 +299,7 @@
 	r.pending = true
 	r.asked = want
 	r.sentAt = now
-	return Outgoing{Domain: r.domain, Ask: Ask{Seq: r.seq, Applied: r.applied, Hold: r.hold, Tokens: tokens, Want: want}}
+	return Outgoing{Share: r.share, Ask: Ask{Seq: r.seq, Applied: r.applied, Hold: r.hold, Tokens: tokens, Want: want}}
 }
 
 // giveBack chooses the units that go back and the tokens under them.
--- a/quota/share.go
+++ b/quota/share.go
@@ -61,23 +61,45 @@
 	return min(u, Whole)
 }
 
-// Base returns the base share of the domain at the index among the sorted
-// domains of the deployment. Remainders go to domains by the account's hash,
-// so that the shares of all domains sum to the whole.
-func Base(account structs.AccountID, index, domains int) Part {
-	n := Units(domains)
-	share := Whole / n
-	rank := (index + domains - firstDomain(account, domains)) % domains
-	if Units(rank) < Whole%n {
-		share++
+// SharesPerDomain is how many base shares of an account each domain has. They
+// belong to different slots, so that one holder's end leaves the others. All
+// processes have to agree on it.
+const SharesPerDomain = 3
+
+// DomainOfShare returns the index of the domain that has the share.
+func DomainOfShare(share int) int { return share / SharesPerDomain }
+
+// SlotOfShare returns the slot, in the share's domain, whose owner holds it.
+func SlotOfShare(account structs.AccountID, share, slots int) structs.Slot {
+	first := int(structs.SlotOf(string(account), slots))
+	step := max(1, slots/SharesPerDomain)
+	return structs.Slot((first + share%SharesPerDomain*step) % slots)
+}
+
+// Base returns the base share of the given index among those of the given
+// number of domains. Remainders go to shares by the account's hash, so that
+// all shares sum to the whole.
+func Base(account structs.AccountID, share, domains int) Part {
+	n := domains * SharesPerDomain
+	units := Whole / Units(n)
+	rank := (share + n - firstShare(account, domains)) % n
+	if Units(rank) < Whole%Units(n) {
+		units++
 	}
-	return Part{Rate: share, Burst: share}
+	return Part{Rate: units, Burst: units}
+}
+
+// firstShare returns the share that an account's gateways ask first when they
+// have to ask several in a common order.
+func firstShare(account structs.AccountID, domains int) int {
+	return int(structs.SlotOf(string(account), domains)) * SharesPerDomain
 }
 
-// firstDomain returns the index of the domain that an account's gateways ask
-// first when they have to ask several in a common order.
-func firstDomain(account structs.AccountID, domains int) int {
-	return int(structs.SlotOf(string(account), domains))
+// Place is where a gateway is: the index of its domain among the sorted
+// domains of the deployment, and a number that spreads the gateways of a
+// domain over its shares.
+type Place struct {
+	Domain, Domains, Spread int
 }
 
 // Terms are the durations that lenders and borrowers agree on.
