--- a/daemon/gatewayd.go
+++ b/daemon/gatewayd.go
@@ -31,15 +31,16 @@
 		Addresses: b.schedulers,
 		Slots:     loaded.Lease.Slots,
 	})
-	admitter := borrower.New(borrower.Options{
+	quota := borrower.New(borrower.Options{
 		Self:     b.incarnation,
 		Domain:   loaded.Domain,
 		Domains:  b.domains(),
 		Slots:    loaded.Lease.Slots,
-		Snapshot: accounts{holder: b.holder},
+		Snapshot: b.limits(),
+		Terms:    b.quotaTerms(),
 		Client:   b.client,
+		Owner:    forwarder.Owner,
 		Peers:    b.schedulers,
-		Terms:    b.quotaTerms(),
 		Log:      log,
 	})
 	callers := gateway.New(gateway.Options{
@@ -47,7 +48,7 @@
 		Domains:   b.domains,
 		Configs:   gateway.Follow(b.holder),
 		Forwarder: forwarder,
-		Admitter:  admitter,
+		Admitter:  quota,
 		Limits:    loaded.Limits,
 		Listen:    loaded.Listen.Callers,
 		TLS:       loaded.CallersTLS,
@@ -59,5 +60,5 @@
 		Wire:       b.client,
 		Schedulers: func() []string { return append(b.ownSchedulers(), b.otherSchedulers()...) },
 	})
-	return []kernel.Component{&wireClient{client: b.client}, b.admin, b.members, watch, admitter, callers}, nil
+	return []kernel.Component{&wireClient{client: b.client}, b.admin, b.members, watch, quota, callers}, nil
 }
--- a/daemon/schedulerd.go
+++ b/daemon/schedulerd.go
@@ -52,6 +52,15 @@
 		Objects:     b.services.Objects,
 		Log:         log,
 	})
+	quota := holder.New(holder.Options{
+		Index:     slices.Index(b.domains(), loaded.Domain),
+		Domains:   len(b.domains()),
+		Slots:     loaded.Lease.Slots,
+		Terms:     b.quotaTerms(),
+		Snapshot:  b.limits(),
+		Ownership: owner,
+		Log:       log,
+	})
 	core := scheduler.New(scheduler.Options{
 		Settings:  loaded,
 		Ownership: owner,
@@ -59,21 +68,11 @@
 		Config:    b.snapshot,
 		Leaving:   func(id structs.TargetID) bool { return b.members.View().TargetLeaving(id) },
 	})
-	domains := b.domains()
-	lender := holder.New(holder.Options{
-		Index:     slices.Index(domains, loaded.Domain),
-		Domains:   len(domains),
-		Slots:     loaded.Lease.Slots,
-		Snapshot:  accounts{holder: b.holder},
-		Ownership: owner,
-		Terms:     b.quotaTerms(),
-		Log:       log,
-	})
 	watch.RegisterHandlers(server)
-	lender.RegisterHandlers(server)
+	quota.RegisterHandlers(server)
 	core.RegisterHandlers(server)
 	return []kernel.Component{
-		&wireClient{client: b.client}, b.admin, b.members, watch, owner, lender, core,
+		&wireClient{client: b.client}, b.admin, b.members, watch, owner, quota, core,
 		&wireServer{server: server, address: loaded.Listen.Wire},
 	}, nil
 }
--- a/quota/borrower/borrower_test.go
+++ b/quota/borrower/borrower_test.go
@@ -285,3 +285,26 @@
 		assert.Equal(t, b.Admit(t.Context(), "acme").Kind, structs.RefusedOverRate)
 	})
 }
+
+func TestStaleOwnerIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := clockFrom(time.Now())
+		accounts := snapshot{"acme": {Rate: 100, Burst: 100}}
+		h := holder.New(holder.Options{Domains: 1, Slots: slots, Snapshot: accounts, Ownership: ownership{held: true}, Now: now, Log: quiet()})
+		net := &network{holders: map[string]*holder.Holder{"a": h}, delay: time.Millisecond}
+		b := borrower.New(borrower.Options{
+			Self: "gw-1", Domain: "a", Domains: domains[:1], Slots: slots, Snapshot: accounts, Client: net, Now: now, Log: quiet(),
+			Owner: func(structs.DomainID, structs.Slot) string { return "dead" },
+			Peers: func(structs.DomainID) []string { return []string{"dead", "a"} },
+		})
+		defer run(t, b, h)()
+		time.Sleep(5 * time.Second)
+		for begin := time.Now(); time.Since(begin) < 5*time.Second; {
+			b.Admit(t.Context(), "acme")
+		}
+		for range 20 {
+			time.Sleep(50 * time.Millisecond)
+			assert.Assert(t, b.Admit(t.Context(), "acme") == nil)
+		}
+	})
+}
--- a/quota/borrower/exchange.go
+++ b/quota/borrower/exchange.go
@@ -136,6 +136,7 @@
 		}
 		a := group.accounts[i]
 		if !g.NotOwner {
+			b.routes.learn(group.domain, quota.SlotOfShare(a.id, g.Share, b.opts.Slots), group.addr)
 			b.take(a, g.Share, g.Grant)
 			continue
 		}
