--- a/daemon/common.go
+++ b/daemon/common.go
@@ -125,6 +125,13 @@
 	return domains
 }
 
+// quotaTerms returns the terms of quota loans under the settings' clock bound.
+func (b *base) quotaTerms() quota.Terms {
+	terms := quota.DefaultTerms
+	terms.Drift = b.settings.Lease.ClockDrift
+	return terms
+}
+
 // limits reads the accounts' limits of the configuration in force.
 func (b *base) limits() quota.Snapshot { return heldLimits{holder: b.holder} }
 
--- a/daemon/schedulerd.go
+++ b/daemon/schedulerd.go
@@ -56,6 +56,7 @@
 		Index:     slices.Index(b.domains(), loaded.Domain),
 		Domains:   len(b.domains()),
 		Slots:     loaded.Lease.Slots,
+		Terms:     b.quotaTerms(),
 		Snapshot:  b.limits(),
 		Ownership: owner,
 		Log:       log,
--- a/quota/borrower/routes.go
+++ b/quota/borrower/routes.go
@@ -12,16 +12,18 @@
 }
 
 // routes finds the holder of a slot: where a redirect pointed, else the owner
-// as the gateway knows it, else the domain's schedulers in turn.
+// as the gateway knows it, else the domain's schedulers in turn. After a failure
+// the gateway's knowledge is passed over until a redirect.
 type routes struct {
 	opts    Options
 	mu      sync.Mutex
 	learned map[route]string
+	failed  map[route]bool
 	turn    int
 }
 
 func newRoutes(opts Options) *routes {
-	return &routes{opts: opts, learned: make(map[route]string)}
+	return &routes{opts: opts, learned: make(map[route]string), failed: make(map[route]bool)}
 }
 
 func (r *routes) find(domain int, slot structs.Slot) string {
@@ -31,7 +33,7 @@
 		return addr
 	}
 	id := r.opts.Domains[domain]
-	if r.opts.Owner != nil {
+	if r.opts.Owner != nil && !r.failed[route{domain, slot}] {
 		if addr := r.opts.Owner(id, slot); addr != "" {
 			return addr
 		}
@@ -47,15 +49,22 @@
 	return peers[r.turn%len(peers)]
 }
 
-// learn keeps a redirect; an empty address forgets what was known.
+// learn keeps the address of an owner; an empty one forgets what was known.
 func (r *routes) learn(domain int, slot structs.Slot, addr string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if addr == "" {
-		delete(r.learned, route{domain, slot})
+		r.forget(domain, slot)
 		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.learned[route{domain, slot}] = addr
+	delete(r.failed, route{domain, slot})
 }
 
-func (r *routes) forget(domain int, slot structs.Slot) { r.learn(domain, slot, "") }
+// forget passes over what is known about a slot's owner.
+func (r *routes) forget(domain int, slot structs.Slot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.learned, route{domain, slot})
+	r.failed[route{domain, slot}] = true
+}
