Virtual-time engine, workloads and endivebench compare; baseline

Cause: the decisions had no measure. Change: bench/vengine (continuous batching, prefix cache in limited memory, late reports and cache events), bench/workload (the two deployments' shapes from a seed), bench/run (the registered queue and route plug-ins in virtual time, one dispatcher per failure domain), package dispatch (the pure part of a dispatcher: order, target, limits) and cmd/endivebench. Capacity is the highest steady rate at which calls finish as fast as they are asked for. Ruled out: calls finished under a large overload, since early calls of programs are cheap and the figure was above any rate that lasts.

--- /dev/null
+++ b/bench/command/root.go
@@ -0,0 +1,70 @@
+// Package command is the command line of endivebench.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	_ "github.com/endivecourse/endivecourse/queue/fifo"        // registers queue.fifo
+	_ "github.com/endivecourse/endivecourse/route/leastloaded" // registers route.leastloaded
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+)
+
+// Run carries the command line out and returns the exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := &cobra.Command{
+		Use:           "endivebench",
+		Short:         "Measure the decisions in virtual time, or a running gateway",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(compareCommand())
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(stderr, "error:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// BadSeedsError says that a text does not name seeds.
+type BadSeedsError struct{ Text string }
+
+// Error shows the form.
+func (e *BadSeedsError) Error() string {
+	return fmt.Sprintf("seeds %q are not of the form 1,2,7 or 1-8", e.Text)
+}
+
+// parseSeeds reads numbers and ranges joined by commas.
+func parseSeeds(text string) ([]uint64, error) {
+	var seeds []uint64
+	for _, part := range strings.Split(text, ",") {
+		low, high, isRange := strings.Cut(part, "-")
+		first, err := strconv.ParseUint(low, 10, 64)
+		if err != nil {
+			return nil, &BadSeedsError{Text: text}
+		}
+		last := first
+		if isRange {
+			if last, err = strconv.ParseUint(high, 10, 64); err != nil || last < first {
+				return nil, &BadSeedsError{Text: text}
+			}
+		}
+		for seed := first; seed <= last; seed++ {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds, nil
+}
--- /dev/null
+++ b/bench/run/run_test.go
@@ -0,0 +1,60 @@
+package run
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/bench/vengine"
+	"github.com/endivecourse/endivecourse/bench/workload"
+	_ "github.com/endivecourse/endivecourse/queue/fifo"
+	_ "github.com/endivecourse/endivecourse/route/leastloaded"
+)
+
+func options(policies string, seed uint64) Options {
+	parsed, err := ParsePolicies(policies)
+	if err != nil {
+		panic(err)
+	}
+	return Options{
+		Workload: workload.Options{Shape: workload.Accra(), Seed: seed, Rate: 2, Duration: 3 * time.Minute},
+		Policies: parsed, Engine: vengine.DefaultParams(), Drain: DefaultDrain, Queued: DefaultQueued,
+	}
+}
+
+var allPolicies = []string{"fifo+leastloaded+none", "fifo+leastloaded+learned"}
+
+func TestSameSeedSameFigures(t *testing.T) {
+	for _, policies := range allPolicies {
+		first, err := Run(options(policies, 3))
+		assert.NilError(t, err)
+		second, err := Run(options(policies, 3))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, first, second)
+	}
+}
+
+func TestEveryProgramEndsUnderEveryFault(t *testing.T) {
+	for _, policies := range allPolicies {
+		for _, fault := range append(Faults, FaultNone) {
+			opts := options(policies, 5)
+			opts.FaultAt = time.Minute
+			opts.Workload.Rate = 0.5
+			opts.Fault = fault
+			figures, err := Run(opts)
+			assert.NilError(t, err, "%s %s", policies, fault)
+			assert.Equal(t, figures.Unfinished, 0, "%s %s", policies, fault)
+			assert.Equal(t, figures.Refused, 0, "%s %s", policies, fault)
+			assert.Equal(t, figures.Programs, len(workload.Make(opts.Workload)), "%s %s", policies, fault)
+		}
+	}
+}
+
+func TestFullQueueRefuses(t *testing.T) {
+	opts := options("fifo+leastloaded+learned", 1)
+	opts.Queued = 0
+	figures, err := Run(opts)
+	assert.NilError(t, err)
+	assert.Equal(t, figures.Refused, len(workload.Make(opts.Workload)))
+}
--- /dev/null
+++ b/route/set.go
@@ -0,0 +1,23 @@
+package route
+
+import (
+	"github.com/endivecourse/endivecourse/queue"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// Set is a list of candidates that is read without being copied. A candidate
+// that takes no calls now has a Limit of 0.
+type Set interface {
+	Len() int
+	At(i int) Target
+	Find(id structs.TargetID) (Target, bool)
+}
+
+// SetPolicy is a Policy that looks at a part of the candidates only, so that
+// the cost of a decision does not grow with their number.
+type SetPolicy interface {
+	Policy
+	// ChooseFrom is Choose among the targets of the own failure domain and
+	// those of the others.
+	ChooseFrom(now structs.Instant, item queue.Item, own, others Set) (structs.TargetID, bool)
+}
