--- a/bench/command/root.go
+++ b/bench/command/root.go
@@ -13,6 +13,7 @@
 	_ "github.com/endivecourse/endivecourse/queue/fifo"        // registers queue.fifo
 	_ "github.com/endivecourse/endivecourse/queue/las"         // registers queue.las
 	_ "github.com/endivecourse/endivecourse/route/leastloaded" // registers route.leastloaded
+	_ "github.com/endivecourse/endivecourse/route/prefix"      // registers route.prefix
 )
 
 // Exit codes.
--- a/bench/run/run_test.go
+++ b/bench/run/run_test.go
@@ -11,6 +11,7 @@
 	_ "github.com/endivecourse/endivecourse/queue/fifo"
 	_ "github.com/endivecourse/endivecourse/queue/las"
 	_ "github.com/endivecourse/endivecourse/route/leastloaded"
+	_ "github.com/endivecourse/endivecourse/route/prefix"
 )
 
 func options(policies string, seed uint64) Options {
@@ -24,7 +25,7 @@
 	}
 }
 
-var allPolicies = []string{"fifo+leastloaded+none", "fifo+leastloaded+learned", "las+leastloaded+learned"}
+var allPolicies = []string{"fifo+leastloaded+none", "fifo+leastloaded+learned", "las+leastloaded+learned", "las+prefix+learned"}
 
 func TestSameSeedSameFigures(t *testing.T) {
 	for _, policies := range allPolicies {
