--- a/bench/command/root.go
+++ b/bench/command/root.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	_ "github.com/endivecourse/endivecourse/queue/fair"        // registers queue.fair
 	_ "github.com/endivecourse/endivecourse/queue/fifo"        // registers queue.fifo
 	_ "github.com/endivecourse/endivecourse/queue/las"         // registers queue.las
 	_ "github.com/endivecourse/endivecourse/route/leastloaded" // registers route.leastloaded
--- a/bench/run/run_test.go
+++ b/bench/run/run_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/endivecourse/endivecourse/bench/vengine"
 	"github.com/endivecourse/endivecourse/bench/workload"
+	_ "github.com/endivecourse/endivecourse/queue/fair"
 	_ "github.com/endivecourse/endivecourse/queue/fifo"
 	_ "github.com/endivecourse/endivecourse/queue/las"
 	_ "github.com/endivecourse/endivecourse/route/leastloaded"
@@ -25,7 +26,7 @@
 	}
 }
 
-var allPolicies = []string{"fifo+leastloaded+none", "fifo+leastloaded+learned", "las+leastloaded+learned", "las+prefix+learned"}
+var allPolicies = []string{"fifo+leastloaded+none", "fifo+leastloaded+learned", "las+leastloaded+learned", "las+prefix+learned", "fair+prefix+learned"}
 
 func TestSameSeedSameFigures(t *testing.T) {
 	for _, policies := range allPolicies {
--- a/queue/las/las_test.go
+++ b/queue/las/las_test.go
@@ -10,7 +10,7 @@
 	"github.com/endivecourse/endivecourse/structs"
 )
 
-func any(queue.Item) bool { return true }
+func fitsAll(queue.Item) bool { return true }
 
 func TestLeastServiceFirst(t *testing.T) {
 	p := New()
@@ -20,7 +20,7 @@
 	p.Push(1, queue.Item{ID: 2, Program: "short", Arrived: 1})
 	p.Push(2, queue.Item{ID: 3, Program: "moved here", Attained: 400, Arrived: 2})
 	for _, want := range []uint64{2, 3, 1} {
-		item, found := p.Next(3, any)
+		item, found := p.Next(3, fitsAll)
 		assert.Assert(t, found)
 		assert.Equal(t, item.ID, want)
 	}
@@ -49,7 +49,7 @@
 		now = now.Add(step)
 		p.Push(now, queue.Item{ID: id, Program: structs.ProgramID(rune(id)), Arrived: now})
 		p.Push(now, queue.Item{ID: 1_000_000 + id, Program: structs.ProgramID(rune(id)), Arrived: now})
-		item, found := p.Next(now, any)
+		item, found := p.Next(now, fitsAll)
 		assert.Assert(t, found)
 		if item.ID == 1 {
 			break
