Keeper hands groups over slot by slot, as the scheduler lets go of them

Cause: the keeper released all groups at once, or waited in a callback for a group to fall idle, while the scheduler's planned stop gives slots up one by one as their calls end. A callback that waits for a long stream would also have held up the collection of other groups' tails.

Change: lease.Leave takes no further groups and lease.ReleaseGroup gives one up; the keeper implements the scheduler's Releaser (StopAcquiring, Excess, Release). Handovers for balance wait, with Options.Deferred, until each slot was given up.

--- a/keeper/collect.go
+++ b/keeper/collect.go
@@ -13,34 +13,17 @@
 	"github.com/endivecourse/endivecourse/structs"
 )
 
-// job is one longer action; exactly one field is set.
-type job struct {
-	collect  *lease.Collect
-	handover *lease.Handover
-}
-
 func (k *Keeper) serveJobs(ctx context.Context) {
 	for {
 		select {
 		case j := <-k.jobs.C():
-			if j.collect != nil {
-				k.collect(ctx, *j.collect)
-			} else {
-				k.handover(ctx, *j.handover)
-			}
+			k.collect(ctx, j)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (k *Keeper) handover(ctx context.Context, a lease.Handover) {
-	if k.opts.Quiesce != nil {
-		k.opts.Quiesce(ctx, lease.SlotsOf(a.Group, k.opts.Lease.Slots))
-	}
-	k.step(lease.HandoverReady(a))
-}
-
 // collect stores what the witnesses of an epoch hold. It is tried again while
 // the row stays as it is.
 func (k *Keeper) collect(ctx context.Context, a lease.Collect) {
@@ -54,7 +37,7 @@
 	if !k.current(a) {
 		return
 	}
-	time.AfterFunc(k.cfg.Renew, func() { k.jobs.TryPut(job{collect: &a}) })
+	time.AfterFunc(k.cfg.Renew, func() { k.jobs.TryPut(a) })
 }
 
 // current reports whether the row is still the one to collect for.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -28,14 +28,15 @@
 	members map[structs.VMID]lease.Member
 	gone    map[structs.VMID]bool
 	leaving map[structs.Incarnation]bool // this process included
-	objects uint64                       // number of the last object written
+	handing map[lease.Group]*handing
+	objects uint64 // number of the last object written
 	changes []journal.Change
 
 	changed   chan struct{} // changes is not empty
 	delivered chan journal.Change
 	reads     *kernel.Ring[lease.Group]
 	writes    *kernel.Ring[lease.WriteRow]
-	jobs      *kernel.Ring[job]
+	jobs      *kernel.Ring[lease.Collect]
 	calls     *kernel.Ring[func(context.Context)]
 	drainNow  chan struct{}
 	drainMu   sync.Mutex
@@ -96,6 +97,7 @@
 		members:   make(map[structs.VMID]lease.Member),
 		gone:      make(map[structs.VMID]bool),
 		leaving:   make(map[structs.Incarnation]bool),
+		handing:   make(map[lease.Group]*handing),
 		changed:   make(chan struct{}, 1),
 		delivered: make(chan journal.Change),
 		drainNow:  make(chan struct{}, 1),
@@ -131,7 +133,7 @@
 	k.stop = stop
 	k.reads = kernel.NewRing[lease.Group](kern, "keeper.reads", ringSize)
 	k.writes = kernel.NewRing[lease.WriteRow](kern, "keeper.writes", ringSize)
-	k.jobs = kernel.NewRing[job](kern, "keeper.jobs", ringSize)
+	k.jobs = kernel.NewRing[lease.Collect](kern, "keeper.jobs", ringSize)
 	k.calls = kernel.NewRing[func(context.Context)](kern, "keeper.calls", ringSize)
 	run := func(name string, tasks int, duty func(context.Context)) {
 		for range tasks {
@@ -246,9 +248,9 @@
 			k.stepLocked(lease.WriteFailed{Group: a.Group, Version: a.Version})
 		}
 	case lease.Collect:
-		k.jobs.TryPut(job{collect: &a})
+		k.jobs.TryPut(a)
 	case lease.Handover:
-		k.jobs.TryPut(job{handover: &a})
+		k.handover(a)
 	case lease.MoveTail:
 		k.beginMove(a)
 	case lease.Gained:
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -162,7 +162,7 @@
 		slot, epoch := heldSlot(t, d, "a")
 		k := d.running["a"].keeper
 		assert.NilError(t, k.Append(t.Context(), []journal.Record{turn(slot, epoch, "d/1", 1)}))
-		assert.NilError(t, k.Release(t.Context()))
+		assert.NilError(t, k.ReleaseAll(t.Context()))
 		assert.Equal(t, d.owners()["a"], 0)
 		d.waitOwned(10 * time.Second)
 		for _, vm := range []string{"b", "c"} {
--- a/keeper/options.go
+++ b/keeper/options.go
@@ -44,10 +44,10 @@
 	// SeenGone reports that a VM was in the VM list and is not any more.
 	SeenGone func(structs.VMID) bool
 	Caller   Caller
-	// Quiesce, if set, ends the work at hand on slots that are about to be
-	// handed to another scheduler for balance.
-	Quiesce func(ctx context.Context, slots []structs.Slot)
-	Log     *slog.Logger
+	// Deferred leaves the groups that another scheduler should have with this
+	// one until each of their slots was given to Release; see Excess.
+	Deferred bool
+	Log      *slog.Logger
 }
 
 const (
--- a/keeper/recover.go
+++ b/keeper/recover.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/journal"
 	"github.com/endivecourse/endivecourse/journal/tail"
-	"github.com/endivecourse/endivecourse/lease"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -44,41 +42,3 @@
 	}
 	return slices.DeleteFunc(g.tail.Unstored(), func(e tail.Entry) bool { return e.Record.Slot != slot })
 }
-
-// Release hands all groups over, for a planned stop. The caller has ended its
-// work on them: appends are refused from here on. It returns when every row
-// says so, or ctx ends.
-func (k *Keeper) Release(ctx context.Context) error {
-	if err := k.drain(ctx); err != nil {
-		k.opts.Log.Warn("tail not stored before release", "error", err)
-	}
-	k.leave()
-	ticker := time.NewTicker(k.cfg.Renew / 10)
-	defer ticker.Stop()
-	for {
-		k.mu.Lock()
-		k.flush()
-		released := k.node.AllReleased()
-		k.mu.Unlock()
-		if released {
-			return nil
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// leave gives up every group and tells the peers, which may not have it from
-// the VM list yet.
-func (k *Keeper) leave() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.leaving[k.opts.Self.Incarnation] = true
-	for _, m := range k.members {
-		k.ask(m)
-	}
-	k.stepLocked(lease.ReleaseAll{})
-}
--- a/keeper/soak_test.go
+++ b/keeper/soak_test.go
@@ -121,7 +121,7 @@
 	if kind == 99 {
 		ctx, cancel := context.WithTimeout(s.t.Context(), 20*time.Second)
 		defer cancel()
-		assert.NilError(s.t, s.d.running[vm].keeper.Release(ctx))
+		assert.NilError(s.t, s.d.running[vm].keeper.ReleaseAll(ctx))
 		s.stats["releases"]++
 	}
 	if kind < 96 {
--- a/lease/event.go
+++ b/lease/event.go
@@ -90,6 +90,14 @@
 	}
 	// ReleaseAll gives up every group for good.
 	ReleaseAll struct{}
+	// Leave takes no further groups. Those that are held stay until
+	// ReleaseGroup or ReleaseAll.
+	Leave struct{}
+	// ReleaseGroup gives up one group. The caller has ended its work on it.
+	ReleaseGroup struct {
+		Group Group
+		Epoch structs.Epoch
+	}
 )
 
 func (Tick) event()          {}
@@ -105,6 +113,8 @@
 func (Collected) event()     {}
 func (HandoverReady) event() {}
 func (ReleaseAll) event()    {}
+func (Leave) event()         {}
+func (ReleaseGroup) event()  {}
 
 // Action is an output of Node.Step.
 type Action interface{ action() }
--- a/lease/node.go
+++ b/lease/node.go
@@ -146,6 +146,12 @@
 		}
 	case ReleaseAll:
 		n.releaseAll(now)
+	case Leave:
+		n.releasing = true
+	case ReleaseGroup:
+		if g := n.groups[ev.Group]; g.own.epoch == ev.Epoch && !g.own.released {
+			n.release(now, g, n.leastLoaded(n.loads()))
+		}
 	}
 	return nil
 }
