Schedulers own slots through the keeper; two faults of its start and balance

Cause: schedulerd owned slots through the store alone, so a store outage stopped every owner. With the keeper in its place the kill test failed on both sites: no owner for a program within 60 s of the kill.

Found: (1) a scheduler that started before its peers created its groups with itself as the only witness; when its process died while its VM stayed listed, nothing could show its end and the groups were stuck. (2) balance went on handing groups to a listed VM whose process was dead; two of 32 slots never settled (epochs 16 and 20 after two minutes).

Ruled out: the wire and the VM list; both dumps showed the right members.

Change: a process that has just started learns the incarnations of all listed peers, for at most two lease durations, before it takes groups; a peer with which exchanges have failed for a lease duration is not live for balance and new witness sets, and is asked again at each look.

Before: TestFirstOwnerIsKilledAtOnce fails without (1) with 0 of 32 slots held, without (2) with 30.

--- /dev/null
+++ b/daemon/keeper.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"log/slog"
+
+	"github.com/endivecourse/endivecourse/keeper"
+	"github.com/endivecourse/endivecourse/lease"
+	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// newKeeper makes the component that owns slots and keeps their journals.
+func (b *base) newKeeper(log *slog.Logger) (*keeper.Keeper, error) {
+	loaded := b.settings
+	return keeper.New(keeper.Options{
+		Domain: loaded.Domain,
+		Self: lease.Member{
+			Incarnation: b.incarnation,
+			VM:          loaded.VM,
+			Addr:        loaded.Listen.Reachable(),
+		},
+		Lease:    loaded.Lease,
+		MaxTail:  loaded.Limits.MaxTail,
+		Daemons:  b.schedulerCount(),
+		Table:    b.services.Table,
+		Objects:  b.services.Objects,
+		Peers:    b.peers,
+		SeenGone: func(id structs.VMID) bool { return b.members.View().SeenGone(id) },
+		Caller:   b.client,
+		Deferred: true,
+		Log:      log,
+	})
+}
+
+// peers lists the schedulers of the own domain as the VM list shows them.
+func (b *base) peers() []keeper.Peer {
+	var peers []keeper.Peer
+	for _, vm := range b.members.View().Peers(b.settings.Domain) {
+		peers = append(peers, keeper.Peer{VM: vm.ID, Addr: vm.Scheduler, Leaving: vm.State == platform.VMLeaving})
+	}
+	return peers
+}
+
+// schedulerCount counts the schedulers of the settings, which share the
+// store's writes.
+func (b *base) schedulerCount() int {
+	count := 0
+	for _, addrs := range b.settings.Schedulers {
+		count += len(addrs)
+	}
+	return count
+}
--- a/daemon/schedulerd.go
+++ b/daemon/schedulerd.go
@@ -10,7 +10,6 @@
 	"github.com/endivecourse/endivecourse/quota/holder"
 	_ "github.com/endivecourse/endivecourse/route/leastloaded" // registers route.leastloaded
 	"github.com/endivecourse/endivecourse/scheduler"
-	"github.com/endivecourse/endivecourse/scheduler/storeonly"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 	_ "github.com/endivecourse/endivecourse/target/engine" // registers target.engine
@@ -44,14 +43,10 @@
 		Others: b.otherSchedulers,
 		Poll:   loaded.Config.Poll.Std(),
 	})
-	owner := storeonly.New(storeonly.Options{
-		Settings:    loaded,
-		Incarnation: b.incarnation,
-		Addr:        loaded.Listen.Reachable(),
-		Table:       b.services.Table,
-		Objects:     b.services.Objects,
-		Log:         log,
-	})
+	owner, err := b.newKeeper(log)
+	if err != nil {
+		return nil, err
+	}
 	quota := holder.New(holder.Options{
 		Index:     slices.Index(b.domains(), loaded.Domain),
 		Domains:   len(b.domains()),
@@ -67,8 +62,10 @@
 		Journal:   owner,
 		Config:    b.snapshot,
 		Leaving:   func(id structs.TargetID) bool { return b.members.View().TargetLeaving(id) },
+		Table:     b.services.Table,
 	})
 	watch.RegisterHandlers(server)
+	owner.RegisterHandlers(server)
 	quota.RegisterHandlers(server)
 	core.RegisterHandlers(server)
 	return []kernel.Component{
--- a/keeper/fake_test.go
+++ b/keeper/fake_test.go
@@ -40,10 +40,11 @@
 	storeCut string
 	running  map[string]*running
 	gone     map[structs.VMID]bool
-	calls    int // between peers
-	bytes    int // of requests and replies between peers
-	reads    int // of the table
-	read     int // bytes of rows read
+	listed   []string // in the VM list, running or not
+	calls    int      // between peers
+	bytes    int      // of requests and replies between peers
+	reads    int      // of the table
+	read     int      // bytes of rows read
 }
 
 type running struct {
@@ -141,7 +142,9 @@
 
 func (d *domain) peers() []Peer {
 	var out []Peer
-	for _, vm := range d.vms() {
+	vms := append(d.vms(), d.listed...)
+	slices.Sort(vms)
+	for _, vm := range slices.Compact(vms) {
 		if !d.seenGone(structs.VMID(vm)) {
 			out = append(out, Peer{VM: structs.VMID(vm), Addr: vm})
 		}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -29,8 +29,12 @@
 	gone    map[structs.VMID]bool
 	leaving map[structs.Incarnation]bool // this process included
 	handing map[lease.Group]*handing
-	objects uint64 // number of the last object written
-	changes []journal.Change
+	failing map[structs.VMID]structs.Instant // since when exchanges fail
+	// startedAt and greeted delay the first step towards a group; see mayAct.
+	startedAt structs.Instant
+	greeted   bool
+	objects   uint64 // number of the last object written
+	changes   []journal.Change
 
 	changed   chan struct{} // changes is not empty
 	delivered chan journal.Change
@@ -98,6 +102,7 @@
 		gone:      make(map[structs.VMID]bool),
 		leaving:   make(map[structs.Incarnation]bool),
 		handing:   make(map[lease.Group]*handing),
+		failing:   make(map[structs.VMID]structs.Instant),
 		changed:   make(chan struct{}, 1),
 		delivered: make(chan journal.Change),
 		drainNow:  make(chan struct{}, 1),
@@ -131,6 +136,7 @@
 func (k *Keeper) Start(_ context.Context, kern *kernel.Kernel) error {
 	ctx, stop := context.WithCancel(context.Background())
 	k.stop = stop
+	k.startedAt = structs.Now()
 	k.reads = kernel.NewRing[lease.Group](kern, "keeper.reads", ringSize)
 	k.writes = kernel.NewRing[lease.WriteRow](kern, "keeper.writes", ringSize)
 	k.jobs = kernel.NewRing[lease.Collect](kern, "keeper.jobs", ringSize)
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -50,6 +50,21 @@
 	})
 }
 
+// A scheduler that started before its peers is killed as soon as the slots are
+// owned, and its VM stays listed. Its groups must have had a whole witness set,
+// or none of its peers could ever revoke them.
+func TestFirstOwnerIsKilledAtOnce(t *testing.T) {
+	withDomain(t, []string{"a"}, func(t *testing.T, d *domain) {
+		d.set(func() { d.listed = three })
+		time.Sleep(2 * time.Second)
+		d.start("b", 1)
+		d.start("c", 1)
+		d.waitOwned(20 * time.Second)
+		d.kill("a")
+		d.waitOwned(20 * time.Second)
+	})
+}
+
 func TestSingleVMServesWithAndWithoutStore(t *testing.T) {
 	withDomain(t, []string{"a"}, func(t *testing.T, d *domain) {
 		d.waitOwned(20 * time.Second)
--- a/keeper/peers.go
+++ b/keeper/peers.go
@@ -34,25 +34,68 @@
 	defer k.mu.Unlock()
 	var live []lease.Member
 	self := true
+	unknown := len(peers) == 0
 	for _, p := range peers {
 		if p.VM == k.opts.Self.VM {
 			self = !p.Leaving
 			continue
 		}
 		k.hello(p)
-		if m, known := k.members[p.VM]; known && !p.Leaving && !k.leaving[m.Incarnation] {
+		m, known := k.members[p.VM]
+		unknown = unknown || !known && !p.Leaving
+		if known && !p.Leaving && !k.leaving[m.Incarnation] && !k.silent(m) {
 			live = append(live, m)
 		}
 	}
 	if self {
 		live = append(live, k.opts.Self)
 	}
+	if !k.mayAct(!unknown) {
+		return
+	}
 	k.stepLocked(lease.Peers{Members: live})
 	for _, m := range k.namedMembers() {
 		k.account(m)
 	}
 }
 
+// silent reports whether exchanges with a peer have failed for a lease duration.
+// A listed VM whose process has died is one; it must neither be handed groups
+// nor witness new epochs. It is asked again at each look, so that its return is
+// noticed.
+func (k *Keeper) silent(m lease.Member) bool {
+	since, failing := k.failing[m.VM]
+	if !failing {
+		return false
+	}
+	k.ask(m)
+	return structs.Now().Sub(since) >= k.cfg.Duration
+}
+
+// noteAnswer records whether an exchange with a VM's scheduler succeeded.
+func (k *Keeper) noteAnswer(vm structs.VMID, answered bool) {
+	if answered {
+		delete(k.failing, vm)
+		return
+	}
+	if _, failing := k.failing[vm]; !failing {
+		k.failing[vm] = structs.Now()
+	}
+}
+
+// mayAct reports whether this process may take groups. One that has just
+// started first learns the incarnations of all listed peers, so that its groups
+// have a whole witness set from the start; it waits for at most greetDurations
+// lease durations.
+func (k *Keeper) mayAct(allKnown bool) bool {
+	patience := greetDurations * k.cfg.Duration
+	k.greeted = k.greeted || allKnown || structs.Now().Sub(k.startedAt) >= patience
+	return k.greeted
+}
+
+// greetDurations bounds the wait for peers after a start, in lease durations.
+const greetDurations = 2
+
 // namedMembers returns the other processes that rows name.
 func (k *Keeper) namedMembers() []lease.Member {
 	seen := map[structs.Incarnation]bool{k.opts.Self.Incarnation: true}
@@ -152,6 +195,7 @@
 	if len(box.messages) == 0 && !box.ask {
 		delete(k.outbox, inc)
 	}
+	k.noteAnswer(box.to.VM, err == nil)
 	if err != nil {
 		k.opts.Log.Debug("exchange failed", "addr", box.to.Addr, "error", err)
 		return
