A lease that ends and is renewed under its epoch loses no slot

Cause: Held may be false for a while (a paused process) and true again under the same epoch, without a Change. The scheduler gave the slot up by itself when a dispatch met such an instant, and so did the core when an append was fenced; no Change followed, so nobody served the slot until the next succession. Change: slots are lost by Change alone. A dispatch without a lease waits for its renewal, its cancel or the slot's loss; a fenced append of an epoch that is still this process's is tried again as one of unknown outcome. The store-only ownership, whose fenced appends may have reached the store, ends the epoch whenever its lease has ended, also when the renewal comes first. Ruled out: recovering again under the same epoch (Recover returns earlier epochs only).

--- a/scheduler/act.go
+++ b/scheduler/act.go
@@ -27,9 +27,7 @@
 	case program.Send:
 		l.send(a)
 	case program.Cancel:
-		if cancel := l.cancels[dispatchID{a.Call, a.Attempt}]; cancel != nil {
-			cancel()
-		}
+		l.cancel(dispatchID{a.Call, a.Attempt})
 	case program.Reply:
 		l.s.box.reply(a)
 	case program.Answer:
@@ -57,11 +55,22 @@
 		appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
 		err := s.opts.Journal.Append(appendCtx, a.Records)
-		s.post(ctx, message{event: program.Wrote{ID: a.ID, Result: writeResult(err)}})
+		s.post(ctx, message{do: func(l *loop) { l.wrote(a, writeResult(err)) }})
 		return nil
 	})
 }
 
+// wrote passes the end of a write on. An epoch that is fenced while it is this
+// process's has a lease that ended and may be renewed: the write is tried again
+// until then, or until the slot is lost.
+func (l *loop) wrote(a program.Write, result program.WriteResult) {
+	first := a.Records[0]
+	if result == program.WriteFenced && l.epochs[first.Slot] == first.Epoch {
+		result = program.WriteUnknown
+	}
+	l.queue(program.Wrote{ID: a.ID, Result: result})
+}
+
 func writeResult(err error) program.WriteResult {
 	var fenced *journal.FencedError
 	var full *journal.FullError
--- a/scheduler/fake_test.go
+++ b/scheduler/fake_test.go
@@ -230,7 +230,9 @@
 }
 
 // start starts a scheduler with a store of its own on the site.
-func (s *site) start(name string) *node {
+func (s *site) start(name string) *node { return s.startWith(name, func(*Options) {}) }
+
+func (s *site) startWith(name string, change func(*Options)) *node {
 	daemon := testSettings(name + ":1")
 	log := slog.New(slog.DiscardHandler)
 	n := &node{done: make(chan error, 1)}
@@ -241,14 +243,16 @@
 	})
 	n.store = store
 	snapshot := &fakeSnapshot{doc: testDocument()}
-	n.Scheduler = New(Options{
+	opts := Options{
 		Settings: daemon, Ownership: store, Journal: store, Table: fakeTable{platform},
 		Config:    func() Snapshot { return snapshot },
 		Leaving:   func(id structs.TargetID) bool { _, leaving := s.leaving.Load(id); return leaving },
 		NewDriver: func(spec target.Spec) (target.Driver, error) { return s.targets[spec.ID], nil },
 
 		TickInterval: testTick,
-	})
+	}
+	change(&opts)
+	n.Scheduler = New(opts)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	k := kernel.New(log, store, n.Scheduler)
--- a/scheduler/loop.go
+++ b/scheduler/loop.go
@@ -32,6 +32,7 @@
 	version     uint64                         // of the configuration that the targets follow
 	synced      bool
 	todo        []program.Event
+	parked      []program.Send // that wait for their slot's lease
 }
 
 // dispatchID names one dispatch of a call.
@@ -81,6 +82,7 @@
 func (l *loop) tick() {
 	l.syncTargets()
 	l.queue(program.Tick{})
+	l.sendParked()
 	l.returnExcess()
 }
 
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,12 +12,16 @@
 	"github.com/endivecourse/endivecourse/target"
 )
 
-// send dispatches a call on a goroutine of its own.
+// send dispatches a call on a goroutine of its own. A call of a slot whose
+// lease has ended waits: the lease may be renewed under the same epoch.
 func (l *loop) send(a program.Send) {
-	d := l.dispatchers[a.Service]
-	b := d.targets[a.Target]
-	if b == nil || !l.s.holds(a.Slot, a.Epoch) {
-		l.notSent(d, a)
+	b := l.dispatchers[a.Service].targets[a.Target]
+	if b == nil {
+		l.notSent(a, "the target has moved")
+		return
+	}
+	if !l.s.holds(a.Slot, a.Epoch) {
+		l.parked = append(l.parked, a)
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -34,14 +39,38 @@
 	})
 }
 
-// notSent answers a Send that is not carried out. Without the slot's lease the
-// slot is given up at once.
-func (l *loop) notSent(d *dispatcher, a program.Send) {
-	d.ended(structs.Now(), a.Call, a.Target, structs.Usage{}, false)
-	l.queue(program.Finished{Call: a.Call, Attempt: a.Attempt, Result: program.ResultNotSent, Detail: "the target or the slot has moved"})
-	if !l.s.holds(a.Slot, a.Epoch) {
-		l.queue(program.SlotLost{Slot: a.Slot})
+// sendParked tries the calls again that wait for their slot's lease.
+func (l *loop) sendParked() {
+	parked := l.parked
+	l.parked = nil
+	for _, a := range parked {
+		if l.epochs[a.Slot] != a.Epoch {
+			l.notSent(a, "the slot has moved")
+			continue
+		}
+		l.send(a)
+	}
+}
+
+// cancel ends a dispatch, or the wait for it.
+func (l *loop) cancel(id dispatchID) {
+	if cancel := l.cancels[id]; cancel != nil {
+		cancel()
+		return
 	}
+	l.parked = slices.DeleteFunc(l.parked, func(a program.Send) bool {
+		found := dispatchID{a.Call, a.Attempt} == id
+		if found {
+			l.dispatchers[a.Service].ended(structs.Now(), a.Call, a.Target, structs.Usage{}, false)
+		}
+		return found
+	})
+}
+
+// notSent answers a Send that is not carried out.
+func (l *loop) notSent(a program.Send, why string) {
+	l.dispatchers[a.Service].ended(structs.Now(), a.Call, a.Target, structs.Usage{}, false)
+	l.queue(program.Finished{Call: a.Call, Attempt: a.Attempt, Result: program.ResultNotSent, Detail: why})
 }
 
 func (s *Scheduler) holds(slot structs.Slot, epoch structs.Epoch) bool {
--- a/scheduler/storeonly/store.go
+++ b/scheduler/storeonly/store.go
@@ -230,8 +230,10 @@
 	return row.plan(s.opts.Incarnation, me, dead, s.giveUp), s.beat
 }
 
-// adopt makes a written row the known one and reports what changed.
+// adopt makes a written row the known one and reports what changed. A lease
+// that has ended meanwhile is not taken up again: its users have seen the loss.
 func (s *Store) adopt(ctx context.Context, row ownersRow, sent structs.Instant) {
+	s.dropLapsed(ctx)
 	s.mu.Lock()
 	s.renewals++
 	s.row = row
@@ -251,6 +253,9 @@
 		delete(s.giveUp, slot)
 	}
 	var changes []journal.Change
+	if s.giveUp[slot] && !held {
+		return nil // freed by the next write
+	}
 	if held && (!mine || epoch != owner.Epoch) {
 		delete(s.held, slot)
 		changes = append(changes, journal.Change{Slot: slot, Epoch: epoch})
