--- a/daemon/gatewayd.go
+++ b/daemon/gatewayd.go
@@ -2,14 +2,16 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"github.com/endivecourse/endivecourse/config/configwatch"
 	"github.com/endivecourse/endivecourse/gateway"
 	"github.com/endivecourse/endivecourse/gateway/forward"
-	"github.com/endivecourse/endivecourse/gateway/quotaclient"
 	"github.com/endivecourse/endivecourse/kernel"
 	_ "github.com/endivecourse/endivecourse/platform/httpplatform" // registers platform.http
+	"github.com/endivecourse/endivecourse/quota/borrower"
 	"github.com/endivecourse/endivecourse/settings"
+	"github.com/endivecourse/endivecourse/structs"
 )
 
 // Gatewayd is the role of the daemon that terminates callers.
@@ -31,9 +33,17 @@
 		Addresses: b.schedulers,
 		Slots:     loaded.Lease.Slots,
 	})
-	quota := quotaclient.New(quotaclient.Options{
-		Holder: b.incarnation,
-		Take:   quotaclient.Over(forwarder, loaded.Domain),
+	quota := borrower.New(borrower.Options{
+		Self:     b.incarnation,
+		Domain:   loaded.Domain,
+		Domains:  b.domains(),
+		Slots:    loaded.Lease.Slots,
+		Snapshot: b.limits(),
+		Terms:    b.quotaTerms(),
+		Client:   b.client,
+		Owner:    forwarder.Owner,
+		Peers:    b.schedulers,
+		Log:      log,
 	})
 	callers := gateway.New(gateway.Options{
 		Domain:    loaded.Domain,
@@ -42,6 +52,8 @@
 		Forwarder: forwarder,
 		Admitter:  quota,
 		Limits:    loaded.Limits,
+		ConfigAge: func() time.Duration { return b.holder.Age(structs.Now()) },
+		MaxStale:  loaded.Config.MaxStale.Std(),
 		Listen:    loaded.Listen.Callers,
 		TLS:       loaded.CallersTLS,
 		Log:       log,
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -99,6 +99,9 @@
 // whether the connection must be cut to show that the answer is not whole.
 func (x *exchange) conclude(ctx context.Context, err error) (abort bool) {
 	refusal := x.refusalOf(ctx, err)
+	if refusal != nil {
+		x.noteRefusal(refusal)
+	}
 	switch {
 	case refusal == nil:
 	case !x.committed:
--- a/lease/sim_test.go
+++ b/lease/sim_test.go
@@ -38,6 +38,7 @@
 	newVMs  int
 	stats   simStats
 	failure string
+	calm    bool // no further faults
 }
 
 type simRow struct {
@@ -122,7 +123,7 @@
 	pr := &proc{
 		place: p,
 		self:  Member{Incarnation: structs.Incarnation(fmt.Sprintf("%s#%d", vm, s.starts)), VM: vm, Addr: fmt.Sprint(p.index)},
-		rate:  1 + simConfig.Drift*(2*s.rng.Float64()-1), offset: s.upTo(time.Hour),
+		rate:  1 + simConfig.Drift*(2*s.rng.Float64()-1), offset: s.upTo(2*time.Hour) - time.Hour,
 		told: make(map[structs.VMID]bool),
 	}
 	pr.node = NewNode(simConfig, pr.self)
@@ -149,6 +150,7 @@
 		s.membership(pr)
 		s.step(pr, Tick{})
 	})
+	s.after(s.upTo(simConfig.Renew), func() { s.deliver(pr, func() { s.step(pr, Wake{}) }) })
 	if s.rng.IntN(3) == 0 {
 		for g := range simConfig.Groups {
 			s.read(pr, Group(g))
@@ -258,6 +260,9 @@
 }
 
 func (s *sim) delay() time.Duration {
+	if s.calm {
+		return s.upTo(20 * time.Millisecond)
+	}
 	switch s.rng.IntN(20) {
 	case 0:
 		return s.upTo(15 * time.Second)
@@ -271,7 +276,7 @@
 func (s *sim) send(pr *proc, msg Message) {
 	var to int
 	fmt.Sscan(msg.To.Addr, &to)
-	if s.rng.IntN(20) == 0 {
+	if !s.calm && s.rng.IntN(20) == 0 {
 		return
 	}
 	s.after(s.delay(), func() {
