--- a/daemon/schedulerd.go
+++ b/daemon/schedulerd.go
@@ -66,6 +66,7 @@
 		Ownership: owner,
 		Journal:   owner,
 		Config:    b.snapshot,
+		Table:     b.services.Table,
 		Leaving:   func(id structs.TargetID) bool { return b.members.View().TargetLeaving(id) },
 	})
 	watch.RegisterHandlers(server)
