A poison request crashes two engines of the whole fleet, not two a scheduler

Cause: crash reports went through the table alone, every 2 s, and only once schedulerd had a table. A caller that sends its request again at once, at another gateway or failure domain, found a scheduler that knew nothing. Change: after a crash its call goes on, to the next target or with a refusal to its caller, only once the other schedulers have been told over the wire (0.5 s at most); one that was not reached reads the table as before. The addresses of the schedulers are joined in a new slice: append could write into the array behind the settings'. Ruled out: reading the table before each dispatch (a store read for each call); a shorter interval (still a race, and writes for nothing). One message to each scheduler for each call that a crash has ended: to be reduced to one a failure domain at the target size.

--- a/daemon/gatewayd.go
+++ b/daemon/gatewayd.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/endivecourse/endivecourse/config/configwatch"
@@ -62,7 +63,7 @@
 		VM:         loaded.VM,
 		Holder:     b.holder,
 		Wire:       b.client,
-		Schedulers: func() []string { return append(b.ownSchedulers(), b.otherSchedulers()...) },
+		Schedulers: func() []string { return slices.Concat(b.ownSchedulers(), b.otherSchedulers()) },
 	})
 	return []kernel.Component{&wireClient{client: b.client}, b.admin, b.members, watch, quota, callers}, nil
 }
--- a/daemon/schedulerd.go
+++ b/daemon/schedulerd.go
@@ -67,6 +67,8 @@
 		Journal:   owner,
 		Config:    b.snapshot,
 		Table:     b.services.Table,
+		Wire:      b.client,
+		Peers:     func() []string { return slices.Concat(b.ownSchedulers(), b.otherSchedulers()) },
 		Leaving:   func(id structs.TargetID) bool { return b.members.View().TargetLeaving(id) },
 	})
 	watch.RegisterHandlers(server)
--- /dev/null
+++ b/integration/stop_test.go
@@ -0,0 +1,87 @@
+package integration
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/caller"
+	"github.com/endivecourse/endivecourse/internal/standin/engine"
+	"github.com/endivecourse/endivecourse/internal/standin/plain"
+)
+
+const (
+	stopToken   = 400 * time.Millisecond
+	orderTime   = 1500 * time.Millisecond
+	daemonsEach = 3 // on the VMs of one failure domain
+)
+
+// Each daemon in turn, one in each failure domain at a time, is stopped as
+// planned while streams of many seconds and calls that may not be repeated run
+// through all daemons. None is cut or refused, and each daemon exits with 0.
+func TestPlannedStops(t *testing.T) {
+	f := startFleet(t, fleetOptions{
+		name: "accra", document: ample,
+		engine: engine.Options{TokenTime: stopToken}, plain: plain.Options{Delay: orderTime},
+	})
+	for _, daemons := range [][]*daemonProcess{f.schedulers, f.gateways} {
+		for n := range daemonsEach {
+			var stopping []*daemonProcess
+			for domain := 0; domain < len(daemons); domain += daemonsEach {
+				stopping = append(stopping, daemons[domain+n])
+			}
+			f.stopUnderLoad(stopping, n)
+		}
+	}
+}
+
+// orderCall is a call that may not be repeated, on its way.
+type orderCall struct {
+	body string
+	done chan error
+}
+
+func (f *fleet) startOrder(gateway *daemonProcess, body string) *orderCall {
+	f.t.Helper()
+	c := f.talk(gateway, "court-wardens", "rake-agent", plainName)
+	o := &orderCall{body: body, done: make(chan error, 1)}
+	call := caller.PlainCall{Call: 1, Service: plainName, Request: caller.PlainRequest{Method: "POST", Path: orderPath, Body: body}}
+	go func() {
+		_, err := c.client.Plain(f.t.Context(), c.id, call)
+		o.done <- err
+	}()
+	return o
+}
+
+func (f *fleet) stopUnderLoad(stopping []*daemonProcess, round int) {
+	f.t.Helper()
+	var streams []*openStream
+	var orders []*orderCall
+	for i, gateway := range f.gateways {
+		name := fmt.Sprintf("%s %d %d", stopping[0].binary, round, i)
+		streams = append(streams, f.stream(gateway, "crew-dispatch", "round-planner", longPrompt(name, longAnswer, longAnswer+2)))
+		orders = append(orders, f.startOrder(gateway, name))
+	}
+	began := time.Now()
+	for _, d := range stopping {
+		f.signal(d, syscall.SIGTERM)
+	}
+	for i, s := range streams {
+		<-s.done
+		assert.NilError(f.t, s.err, "stream at %s", f.gateways[i].settings.VM)
+		assert.Equal(f.t, s.text, engine.Answer(s.prompt))
+	}
+	for i, o := range orders {
+		assert.NilError(f.t, <-o.done, "order at %s", f.gateways[i].settings.VM)
+		assert.Equal(f.t, f.orders()[o.body], 1)
+	}
+	for _, d := range stopping {
+		assert.NilError(f.t, d.cmd.Wait(), "%s on %s", d.binary, d.settings.VM)
+		f.start(d)
+	}
+	f.t.Logf("%s of three VMs stopped in %s", stopping[0].binary, time.Since(began).Round(time.Millisecond))
+	f.waitReady()
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -104,20 +104,30 @@
 	return e.until.Sub(now)
 }
 
+// Report returns what is known of one request.
+func (l *List) Report(now structs.Instant, fingerprint uint64) Report {
+	report := Report{Fingerprint: fingerprint, Left: l.Left(now, fingerprint)}
+	e := l.entries[fingerprint]
+	if e == nil {
+		return report
+	}
+	for id, at := range e.targets {
+		if now.Sub(at) <= l.opts.Suspect {
+			report.Targets = append(report.Targets, id)
+		}
+	}
+	sort.Slice(report.Targets, func(i, j int) bool { return report.Targets[i] < report.Targets[j] })
+	return report
+}
+
 // Export returns what other schedulers have to know, by fingerprint.
 func (l *List) Export(now structs.Instant) []Report {
 	reports := make([]Report, 0, len(l.entries))
-	for fingerprint, e := range l.entries {
-		report := Report{Fingerprint: fingerprint, Left: l.Left(now, fingerprint)}
-		for id, at := range e.targets {
-			if now.Sub(at) <= l.opts.Suspect {
-				report.Targets = append(report.Targets, id)
-			}
-		}
+	for fingerprint := range l.entries {
+		report := l.Report(now, fingerprint)
 		if report.Left == 0 && len(report.Targets) == 0 {
 			continue
 		}
-		sort.Slice(report.Targets, func(i, j int) bool { return report.Targets[i] < report.Targets[j] })
 		reports = append(reports, report)
 	}
 	sort.Slice(reports, func(i, j int) bool { return reports[i].Fingerprint < reports[j].Fingerprint })
--- a/scheduler/handlers.go
+++ b/scheduler/handlers.go
@@ -17,6 +17,7 @@
 	wire.Unary(server, structs.MethodListPrograms, s.listPrograms)
 	wire.Unary(server, structs.MethodHistory, s.history)
 	wire.Unary(server, structs.MethodOwners, s.owners)
+	wire.Unary(server, methodCrash, s.noteCrash)
 	server.Handle(structs.MethodCall, s.call)
 }
 
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -52,6 +52,10 @@
 	// Table exchanges crash reports with the other schedulers; nil keeps them
 	// to this process.
 	Table platform.Table
+	// Wire and Peers, the wire addresses of all schedulers, tell the others of
+	// a crash at once; nil leaves it to the table.
+	Wire  Caller
+	Peers func() []string
 	// Leaving reports a target that takes nothing new; Gone one that has left
 	// with its memory. Nil means none.
 	Leaving, Gone func(structs.TargetID) bool
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -160,7 +160,12 @@
 		l.s.stats.quarantined.Add(1)
 		l.s.log.Warn("request quarantined", "fingerprint", a.Fingerprint, "target", a.Target)
 	}
-	l.queue(program.Finished{Call: a.Call, Attempt: a.Attempt, Result: end.result, Usage: end.usage, Detail: end.detail})
+	finished := program.Finished{Call: a.Call, Attempt: a.Attempt, Result: end.result, Usage: end.usage, Detail: end.detail}
+	if end.crashed {
+		l.finishCrashed(a, finished)
+		return
+	}
+	l.queue(finished)
 }
 
 // logDispatch logs the end of a dispatch: one that is not whole always, any
