An answer that names another request is broken

Cause: an answer was taken for that of the request on its connection. A target that crosses two answers, or sends one twice so that the second comes ahead of the next answer on that connection, had its wrong answer passed on. Change: both drivers compare the X-Request-Id that a target returns with the one sent; a differing one is a broken answer before any byte is passed on, and no crash of the target, as is a failure that an engine reports inside its answer. The stand-ins return the ID and can cross answers; TestSoakFaults draws that fault and compares the answers to orders. Ruled out: telling crossed answers of targets that return no ID. Before: the drivers had no check. After: TestCrossedAnswerIsBroken passes in both.

--- a/integration/agent_test.go
+++ b/integration/agent_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/endivecourse/endivecourse/caller"
 	"github.com/endivecourse/endivecourse/internal/standin/engine"
+	"github.com/endivecourse/endivecourse/internal/standin/plain"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -254,7 +255,10 @@
 	call := caller.PlainCall{Call: r.next(), Service: plainName, Request: caller.PlainRequest{Method: "POST", Path: orderPath, Body: body}}
 	certain := true // that no earlier try has left the outcome open
 	err := a.persist(ctx, fmt.Sprintf("order %d of %s", call.Call, r.id), func(ctx context.Context) error {
-		_, err := a.client.Plain(ctx, r.id, call)
+		answer, err := a.client.Plain(ctx, r.id, call)
+		if want := plain.Answer("POST", orderPath, []byte(body)); err == nil && answer.Text != want {
+			return &unexpected{"answer to another order", answer.Text}
+		}
 		var refused *caller.RefusedError
 		said := errors.As(err, &refused) && refused.Run == structs.RunNo
 		if certain && said && a.f.orders()[body] != 0 {
--- a/integration/injector_test.go
+++ b/integration/injector_test.go
@@ -48,6 +48,8 @@
 		{"engine crash", func(int) func() { i.engine().Crash(); return nil }},
 		{"engine cut", func(int) func() { i.engine().CutNext(1); return nil }},
 		{"failing releases", func(int) func() { i.engine().FailReleases(failedReleases); return nil }},
+		{"engine crossed", func(int) func() { i.engine().CrossNext(1); return nil }},
+		{"plain crossed", func(int) func() { i.plain().CrossNext(1); return nil }},
 		{"plain hang", func(int) func() { i.plain().HangNext(1); return nil }},
 		{"plain cut", func(int) func() { i.plain().CutNext(1); return nil }},
 	}
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -69,7 +69,12 @@
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	request := structs.RequestID(r.Header.Get("X-Request-Id"))
+	request := structs.RequestID(r.Header.Get(target.HeaderRequest))
+	w.Header().Set(target.HeaderRequest, string(request))
+	if s.takeCrossed() {
+		w.Header().Set(target.HeaderRequest, "another request")
+		c.Messages = []structs.Message{{Role: "user", Content: "another prompt"}}
+	}
 	crash, done := s.begin(request, cancel)
 	defer done()
 	if s.opts.CrashMarker != "" && c.contains(s.opts.CrashMarker) {
@@ -84,23 +89,20 @@
 	s.generate(ctx, w, &c, structs.ProgramID(r.Header.Get("X-Hold")), crash)
 }
 
-func (s *Server) takeRefusal() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.refusals == 0 {
-		return false
-	}
-	s.refusals--
-	return true
-}
+func (s *Server) takeRefusal() bool { return s.take(&s.refusals) }
+
+func (s *Server) takeCut() bool { return s.take(&s.cuts) }
+
+func (s *Server) takeCrossed() bool { return s.take(&s.crossed) }
 
-func (s *Server) takeCut() bool {
+// take counts one fault off.
+func (s *Server) take(left *int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.cuts == 0 {
+	if *left == 0 {
 		return false
 	}
-	s.cuts--
+	*left--
 	return true
 }
 
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -72,6 +72,7 @@
 	releaseFails int
 	refusals     int
 	cuts         int
+	crossed      int
 	fence        uint64
 	orders       []target.Order
 	events       []CacheEvent
@@ -156,6 +157,13 @@
 	s.cuts = n
 }
 
+// CrossNext answers the next n completions as if they were another request.
+func (s *Server) CrossNext(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crossed = n
+}
+
 // Runs counts how often the completion with a request ID was started.
 func (s *Server) Runs(id structs.RequestID) int {
 	s.mu.Lock()
--- a/internal/standin/plain/server.go
+++ b/internal/standin/plain/server.go
@@ -21,6 +21,7 @@
 const (
 	defaultMaxRecorded = 10000
 	maxBodyBytes       = 64 << 20
+	headerRequest      = "X-Request-Id"
 )
 
 // Call identifies an execution.
@@ -42,6 +43,7 @@
 	opts       Options
 	hangs      int
 	cuts       int
+	crossed    int
 	executions map[Call]int
 	recorded   []Recorded
 }
@@ -91,6 +93,14 @@
 	s.cuts = n
 }
 
+// CrossNext makes the next n requests take effect and answers each as if it
+// were another one.
+func (s *Server) CrossNext(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crossed = n
+}
+
 // Executions returns how often each call took effect.
 func (s *Server) Executions() map[Call]int {
 	s.mu.Lock()
@@ -129,6 +139,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	answer := Answer(call.Method, call.Path, body)
+	w.Header().Set(headerRequest, r.Header.Get(headerRequest))
+	if s.takeCrossed() {
+		answer = Answer(http.MethodGet, "/another", nil)
+		w.Header().Set(headerRequest, "another request")
+	}
 	w.Header().Set("Content-Type", "text/plain")
 	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
 	w.WriteHeader(status)
@@ -165,6 +180,16 @@
 	return s.opts.Status, false, false
 }
 
+func (s *Server) takeCrossed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crossed == 0 {
+		return false
+	}
+	s.crossed--
+	return true
+}
+
 func sleep(r *http.Request, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -126,7 +126,7 @@
 	case errors.As(err, &status):
 		return dispatchEnd{result: program.ResultFailed, detail: err.Error()}
 	case errors.As(err, &broken):
-		return dispatchEnd{result: program.ResultBroken, detail: err.Error(), crashed: connectionLost(ctx, broken.Cause)}
+		return dispatchEnd{result: program.ResultBroken, detail: err.Error(), crashed: !broken.Alive && connectionLost(ctx, broken.Cause)}
 	default:
 		return dispatchEnd{result: program.ResultBroken, detail: err.Error()}
 	}
--- a/target/engine/driver.go
+++ b/target/engine/driver.go
@@ -19,10 +19,9 @@
 
 // Headers of the engines' interface.
 const (
-	headerHold    = "X-Hold"
-	headerRequest = "X-Request-Id"
-	headerNotRun  = "X-Not-Run"
-	userAgent     = "endivecourse"
+	headerHold   = "X-Hold"
+	headerNotRun = "X-Not-Run"
+	userAgent    = "endivecourse"
 )
 
 const (
@@ -85,7 +84,7 @@
 	}
 	s := d.post("/v1/chat/completions").
 		Set("Accept", "text/event-stream").
-		Set(headerRequest, string(r.Request))
+		Set(target.HeaderRequest, string(r.Request))
 	if r.Hold != "" {
 		s = s.Set(headerHold, string(r.Hold))
 	}
@@ -95,6 +94,10 @@
 		cancel()
 		return nil, err
 	}
+	if err := target.CheckAnswers(d.spec.ID, r.Request, resp.Header); err != nil {
+		cancel()
+		return nil, err
+	}
 	return newStream(d.spec.ID, resp.Body, cancel), nil
 }
 
--- a/target/engine/driver_test.go
+++ b/target/engine/driver_test.go
@@ -218,3 +218,15 @@
 		}
 	}
 }
+
+// An answer that names another request is broken before any of it is passed on.
+func TestCrossedAnswerIsBroken(t *testing.T) {
+	server, driver := start(t, standin.Options{})
+	server.CrossNext(1)
+	_, err := driver.Do(t.Context(), prompt("mine"))
+	var broken *target.BrokenError
+	assert.Assert(t, errors.As(err, &broken))
+	assert.Assert(t, broken.Alive)
+	_, err = driver.Do(t.Context(), prompt("mine"))
+	assert.NilError(t, err)
+}
--- a/target/engine/stream.go
+++ b/target/engine/stream.go
@@ -79,7 +79,10 @@
 	if s.closed.Load() {
 		cause = &ClosedError{}
 	}
-	s.failed = &target.BrokenError{Target: s.target, Received: s.received, Cause: cause}
+	var reported *AnswerError
+	s.failed = &target.BrokenError{
+		Target: s.target, Received: s.received, Alive: errors.As(cause, &reported), Cause: cause,
+	}
 	s.cancel()
 	return s.failed
 }
--- a/target/errors.go
+++ b/target/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -21,10 +22,12 @@
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
 // BrokenError says that the request was sent, wholly or in part, and that its
-// end was not seen. Received counts the answer's bytes that came.
+// end was not seen. Received counts the answer's bytes that came. Alive is set
+// when the target answered, but not as it should: it has not crashed.
 type BrokenError struct {
 	Target   structs.TargetID
 	Received int64
+	Alive    bool
 	Cause    error
 }
 
@@ -36,6 +39,28 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
+// HeaderRequest carries the ID of a request. A target that returns it names
+// the request that its answer belongs to.
+const HeaderRequest = "X-Request-Id"
+
+// CrossedError says that an answer belongs to another request.
+type CrossedError struct{ Want, Got structs.RequestID }
+
+// Error names both requests.
+func (e *CrossedError) Error() string {
+	return fmt.Sprintf("answer to request %q came for request %q", e.Got, e.Want)
+}
+
+// CheckAnswers returns *BrokenError for an answer whose header names another
+// request than the one that was sent.
+func CheckAnswers(id structs.TargetID, want structs.RequestID, header http.Header) error {
+	got := structs.RequestID(header.Get(HeaderRequest))
+	if got == "" || got == want {
+		return nil
+	}
+	return &BrokenError{Target: id, Alive: true, Cause: &CrossedError{Want: want, Got: got}}
+}
+
 // StatusError says that a model engine answered with an HTTP status other
 // than success. Ran tells whether the engine may have run the request.
 type StatusError struct {
--- a/target/plain/driver.go
+++ b/target/plain/driver.go
@@ -14,10 +14,7 @@
 	"github.com/endivecourse/endivecourse/target"
 )
 
-const (
-	headerRequest = "X-Request-Id"
-	userAgent     = "endivecourse"
-)
+const userAgent = "endivecourse"
 
 func init() { kernel.Register("target.plain", target.Factory(New)) }
 
@@ -57,6 +54,10 @@
 		cancel()
 		return nil, d.sendFailed(err)
 	}
+	if err := target.CheckAnswers(d.spec.ID, r.Request, resp.Header); err != nil {
+		cancel()
+		return nil, err
+	}
 	return newStream(d.spec.ID, req.Method, resp, cancel), nil
 }
 
@@ -85,7 +86,7 @@
 		return nil, errors.Wrap(err, "build request")
 	}
 	req.Header = requestHeader(r.Plain.Header)
-	req.Header.Set(headerRequest, string(r.Request))
+	req.Header.Set(target.HeaderRequest, string(r.Request))
 	req.Header.Set("User-Agent", userAgent)
 	return req, nil
 }
--- a/target/plain/driver_test.go
+++ b/target/plain/driver_test.go
@@ -218,3 +218,14 @@
 	_, err = stream.Recv()
 	assertAs[*target.BrokenError](t, err)
 }
+
+// An answer that names another request is broken before any of it is passed on.
+func TestCrossedAnswerIsBroken(t *testing.T) {
+	server, driver := start(t, standin.Options{})
+	server.CrossNext(1)
+	_, err := driver.Do(t.Context(), request("POST", "/orders", "mine"))
+	assert.Assert(t, assertAs[*target.BrokenError](t, err).Alive)
+	_, body, err := receive(t, driver, request("POST", "/orders", "mine"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, standin.Answer("POST", "/orders", []byte("mine")))
+}
