--- a/command/program.go
+++ b/command/program.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -110,7 +111,7 @@
 		Args:    nArgs(1, 1),
 		RunE: func(c *cobra.Command, args []string) error {
 			var info structs.ProgramInfo
-			id := structs.ProgramID(args[0])
+			id := programID(args[0])
 			if id.Home() == "" {
 				return usage("PROGRAM must be DOMAIN/ID, not %q", args[0])
 			}
@@ -123,3 +124,8 @@
 		},
 	}
 }
+
+// programID takes an ID as endivectl prints it or as callers see it.
+func programID(text string) structs.ProgramID {
+	return structs.ProgramID(strings.Replace(text, "~", "/", 1))
+}
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs every check of the project: format, vet, staticcheck, tests with the
-# race detector. Tests listed in KNOWN-RED.txt are passed over and printed.
+# race detector, the commands of the pages. Tests listed in KNOWN-RED.txt are
+# passed over and printed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -23,3 +24,4 @@
 	fi
 fi
 go test -race -count=1 -timeout 20m -skip "$skip" ./...
+./scripts/pages.sh
