--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -13,7 +13,7 @@
 	version  uint64
 	author   string
 	doc      Document
-	digest   [sha256.Size]byte
+	digest   digest
 	accounts map[structs.AccountID]accountIndex
 	keys     map[string]keyIndex
 	programs map[string]map[structs.ServiceID]bool
@@ -47,23 +47,34 @@
 		version:  version,
 		author:   author,
 		doc:      doc,
-		digest:   digest(author, doc),
+		digest:   digestOf(doc),
 		accounts: make(map[structs.AccountID]accountIndex, len(doc.Accounts)),
 		keys:     make(map[string]keyIndex),
 		programs: make(map[string]map[structs.ServiceID]bool, len(doc.Programs)),
 	}
-	for id, account := range doc.Accounts {
-		s.accounts[id] = accountIndex{programs: setOf(account.Programs), routes: setOf(account.Routes)}
-		for keyID, key := range account.Keys {
-			if stored, ok := decodeKey(key); ok {
-				s.keys[keyID] = keyIndex{account: id, key: stored}
-			}
-		}
+	for id := range doc.Accounts {
+		s.indexAccount(id)
 	}
 	for kind, program := range doc.Programs {
 		s.programs[kind] = setOf(program.Services)
 	}
-	for name, route := range doc.Routes {
+	s.indexRoutes()
+	return s
+}
+
+func (s *Snapshot) indexAccount(id structs.AccountID) {
+	account := s.doc.Accounts[id]
+	s.accounts[id] = accountIndex{programs: setOf(account.Programs), routes: setOf(account.Routes)}
+	for keyID, key := range account.Keys {
+		if stored, ok := decodeKey(key); ok {
+			s.keys[keyID] = keyIndex{account: id, key: stored}
+		}
+	}
+}
+
+func (s *Snapshot) indexRoutes() {
+	s.routes = nil
+	for name, route := range s.doc.Routes {
 		s.routes = append(s.routes, namedRoute{name: name, prefix: cleanPrefix(route.Prefix), route: route})
 	}
 	sort.Slice(s.routes, func(i, j int) bool {
@@ -73,7 +84,6 @@
 		}
 		return a.name < b.name
 	})
-	return s
 }
 
 func setOf[T comparable](items []T) map[T]bool {
@@ -84,18 +94,6 @@
 	return set
 }
 
-func digest(author string, doc Document) [sha256.Size]byte {
-	data, err := doc.Encode()
-	if err != nil {
-		panic(&structs.InvariantError{Package: "config", Name: "encodable", Detail: err.Error()})
-	}
-	hash := sha256.New()
-	hash.Write([]byte(author))
-	hash.Write([]byte{0})
-	hash.Write(data)
-	return [sha256.Size]byte(hash.Sum(nil))
-}
-
 // Version returns the number of the version.
 func (s *Snapshot) Version() uint64 { return s.version }
 
@@ -179,4 +177,6 @@
 
 // sameContent reports whether both versions hold the same document by the same
 // author.
-func (s *Snapshot) sameContent(other *Snapshot) bool { return s.digest == other.digest }
+func (s *Snapshot) sameContent(other *Snapshot) bool {
+	return s.author == other.author && s.digest == other.digest
+}
--- /dev/null
+++ b/internal/capacity/program_test.go
@@ -0,0 +1,140 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/program"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+const slots = 256
+
+// core is a program core whose writes are durable and whose targets answer at
+// once.
+type core struct {
+	*program.Core
+	now    structs.Instant
+	answer []byte
+	refuse *structs.Refusal // of the last refused request
+}
+
+func newCore(programs int) *core {
+	c := &core{Core: program.New(program.Options{Domain: "d", Slots: slots, MaxPrograms: programs + 1})}
+	for slot := range slots {
+		c.drive(program.SlotGained{Slot: structs.Slot(slot), Epoch: 1})
+	}
+	return c
+}
+
+// drive gives the core an event and everything that follows from it.
+func (c *core) drive(events ...program.Event) {
+	for len(events) > 0 {
+		event := events[0]
+		events = events[1:]
+		c.now++
+		for _, action := range c.Step(c.now, event) {
+			switch a := action.(type) {
+			case program.Write:
+				events = append(events, program.Wrote{ID: a.ID, Result: program.WriteDurable})
+			case program.Enqueue:
+				events = append(events, program.Chosen{Call: a.Call, Target: "t"})
+			case program.Send:
+				events = append(events, program.Part{Call: a.Call, Attempt: a.Attempt, Data: c.answer},
+					program.Finished{Call: a.Call, Attempt: a.Attempt, Result: program.ResultDone, Usage: structs.Usage{PromptTokens: 1, OutputTokens: 1}})
+			case program.Refuse:
+				c.refuse = a.Refusal
+			}
+		}
+	}
+}
+
+func id(i int) structs.ProgramID { return structs.NewProgramID("d", fmt.Sprintf("%032x", i)) }
+
+func (c *core) create(i int) {
+	c.drive(program.Create{Token: program.Token(i + 1), Request: structs.CreateProgram{ID: id(i), Account: "account", Kind: "kind"}, Budget: 1 << 40, IdleLimit: time.Hour})
+}
+
+func (c *core) call(i int, number uint64, text string) {
+	c.drive(program.Arrived{
+		Token:      program.Token(1<<40 + i),
+		Call:       structs.Call{Program: id(i), Account: "account", Number: number, Request: "r", Model: &structs.ModelCall{Service: "s", MaxTokens: 100, Messages: []structs.Message{{Role: "user", Content: strings.Clone(text)}}}},
+		Repeatable: true, Timeout: time.Hour,
+	})
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// BenchmarkTick is one look of the core at the limits of programs that are
+// idle. It also gives the memory of a program without turns.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{1000, 4000, 16000} {
+		b.Run(fmt.Sprintf("programs=%d", n), func(b *testing.B) {
+			before := heap()
+			c := newCore(n)
+			for i := range n {
+				c.create(i)
+			}
+			assert.Assert(b, c.refuse == nil)
+			assert.Equal(b, c.Counts().Programs, n)
+			used := heap() - before
+			for b.Loop() {
+				c.drive(program.Tick{})
+			}
+			b.ReportMetric(used/float64(n), "B/program")
+			runtime.KeepAlive(c)
+		})
+	}
+}
+
+// BenchmarkHistory is one call of a program with a history of n turns. It also
+// gives the memory of a turn beyond the bytes of its texts.
+func BenchmarkHistory(b *testing.B) {
+	const textBytes = 1000
+	for _, n := range []int{10, 50, 250} {
+		b.Run(fmt.Sprintf("turns=%d", n), func(b *testing.B) {
+			const programs = 20
+			text := strings.Repeat("x", textBytes)
+			before := heap()
+			c := newCore(programs)
+			c.answer = []byte(text)
+			for i := range programs {
+				c.create(i)
+				for number := range n {
+					c.call(i, uint64(number+1), text)
+				}
+			}
+			assert.Assert(b, c.refuse == nil, "%v", c.refuse)
+			used := (heap() - before) / programs / float64(n)
+			number := uint64(n)
+			for b.Loop() {
+				number++
+				c.call(0, number, text)
+				if number >= uint64(n)+20 { // keep to the length
+					b.StopTimer()
+					c = newCore(1)
+					c.answer = []byte(text)
+					c.create(0)
+					for i := range n {
+						c.call(0, uint64(i+1), text)
+					}
+					number = uint64(n)
+					b.StartTimer()
+				}
+			}
+			b.ReportMetric(used-2*textBytes, "B-beyond-text/turn")
+			runtime.KeepAlive(c)
+		})
+	}
+}
