Changes of configuration travel as patches

Cause: a change of one account's rate moved the whole document to every daemon and was indexed anew there. Change: config.watch answers an asker that takes patches with the difference from its version (structs.ConfigQuery.Patches, ConfigVersion.Patch, both optional, so that daemons of two releases work together); a publication stores the patch from the version before beside the whole document, and the reader of a failure domain reads patches. A patch that is missing, does not fit or does not lead to the named digest is followed by the whole document. Ruled out: storing patches only, since rollback, history and a fresh VM need whole documents.

--- a/config/apply_patch.go
+++ b/config/apply_patch.go
@@ -21,6 +21,9 @@
 		}
 		return nil, &PatchError{From: p.From, To: p.To, Have: have, Detail: "it starts from another version"}
 	}
+	if p.To <= p.From {
+		return nil, &PatchError{From: p.From, To: p.To, Have: base.version, Detail: "it does not ascend"}
+	}
 	e := newEditor(base, p)
 	for _, c := range p.Changes {
 		e.remove(c)
@@ -37,6 +40,15 @@
 	return next, nil
 }
 
+// ApplyEncoded applies a patch that is encoded as JSON.
+func ApplyEncoded(data []byte, base *Snapshot) (*Snapshot, error) {
+	var p Patch
+	if err := json.Unmarshal(data, &p); err != nil {
+		return nil, errors.Wrap(err, "decode patch")
+	}
+	return p.Apply(base)
+}
+
 // editor makes a snapshot from another one. It copies the maps that it
 // changes and shares the others.
 type editor struct {
--- a/config/configwatch/ask.go
+++ b/config/configwatch/ask.go
@@ -17,6 +17,7 @@
 	from   string
 	holder *config.Holder
 	wire   *wire.Client
+	whole  bool // the last patch did not fit: the next answer is whole
 }
 
 // ask puts one question to the scheduler at addr. The confirmation is counted
@@ -26,18 +27,14 @@
 func (a *asker) ask(ctx context.Context, addr string, inForce uint64) (age time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	query := structs.ConfigQuery{Have: currentVersion(a.holder), From: a.from, InForce: inForce}
+	query := structs.ConfigQuery{Have: currentVersion(a.holder), From: a.from, InForce: inForce, Patches: !a.whole}
 	sent := structs.Now()
 	var answer structs.ConfigVersion
 	if err := a.wire.Call(ctx, addr, structs.MethodWatchConfig, query, &answer); err != nil {
 		return 0, err
 	}
-	if len(answer.Document) > 0 {
-		doc, err := config.DecodeDocument(answer.Document)
-		if err != nil {
-			return 0, err
-		}
-		a.holder.Apply(config.NewSnapshot(answer.Version, answer.Author, doc))
+	if err := a.apply(answer); err != nil {
+		return 0, err
 	}
 	if answer.Age < neverConfirmed && currentVersion(a.holder) >= answer.Version {
 		a.holder.Confirm(sent.Add(-answer.Age))
@@ -45,6 +42,28 @@
 	return answer.Age, nil
 }
 
+// apply puts the version of an answer in force, if it brought one. After a
+// patch that does not fit, the whole document is asked for.
+func (a *asker) apply(answer structs.ConfigVersion) error {
+	switch {
+	case len(answer.Patch) > 0:
+		next, err := config.ApplyEncoded(answer.Patch, a.holder.Current())
+		a.whole = err != nil
+		if err != nil {
+			return err
+		}
+		a.holder.Apply(next)
+	case len(answer.Document) > 0:
+		doc, err := config.DecodeDocument(answer.Document)
+		if err != nil {
+			return err
+		}
+		a.holder.Apply(config.NewSnapshot(answer.Version, answer.Author, doc))
+		a.whole = false
+	}
+	return nil
+}
+
 // neverConfirmed is longer than any age of a confirmed version.
 const neverConfirmed = 10 * 365 * 24 * time.Hour
 
--- a/config/configwatch/scheduler.go
+++ b/config/configwatch/scheduler.go
@@ -160,7 +160,7 @@
 		return errors.Wrap(err, "read head")
 	}
 	if head.Version > currentVersion(s.opts.Holder) {
-		snapshot, err := s.store.Version(ctx, head.Version)
+		snapshot, err := s.store.After(ctx, s.opts.Holder.Current(), head.Version)
 		if err != nil {
 			return errors.Wrapf(err, "read version %d", head.Version)
 		}
--- a/config/configwatch/server.go
+++ b/config/configwatch/server.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
@@ -21,6 +24,9 @@
 	mu      sync.Mutex
 	version uint64 // that encoded holds
 	encoded []byte
+	from    uint64 // that patch leads from, to version patched
+	patched uint64
+	patch   []byte
 }
 
 func (s *server) register(w *wire.Server) {
@@ -37,7 +43,7 @@
 		changed := s.holder.Changed()
 		current := s.holder.Current()
 		if current != nil && current.Version() > q.Have {
-			return s.whole(current)
+			return s.later(q, current)
 		}
 		select {
 		case <-changed:
@@ -53,6 +59,34 @@
 	}
 }
 
+// later answers with a patch if the asker takes one and its version is still
+// known here, else with the whole document.
+func (s *server) later(q structs.ConfigQuery, current *config.Snapshot) (structs.ConfigVersion, error) {
+	base := s.holder.At(q.Have)
+	if !q.Patches || base == nil {
+		return s.whole(current)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.from != q.Have || s.patched != current.Version() {
+		patch, err := config.Diff(base, current)
+		if err != nil {
+			return structs.ConfigVersion{}, err
+		}
+		encoded, err := json.Marshal(patch)
+		if err != nil {
+			return structs.ConfigVersion{}, errors.Wrap(err, "encode patch")
+		}
+		s.from, s.patched, s.patch = q.Have, current.Version(), encoded
+	}
+	return structs.ConfigVersion{
+		Version: current.Version(),
+		Author:  current.Author(),
+		Patch:   s.patch,
+		Age:     s.holder.Age(structs.Now()),
+	}, nil
+}
+
 func (s *server) whole(current *config.Snapshot) (structs.ConfigVersion, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/config/holder.go
+++ b/config/holder.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,9 @@
 	"github.com/endivecourse/endivecourse/structs"
 )
 
+// keptSnapshots bounds the snapshots that are kept to make patches from.
+const keptSnapshots = 8
+
 // Holder gives the snapshot in force in one process. Versions only ascend:
 // whatever order they arrive in, Current never goes back. The zero value holds
 // none.
@@ -17,6 +21,7 @@
 	current atomic.Pointer[Snapshot]
 
 	mu            sync.Mutex
+	recent        []*Snapshot // the last in force, the current one included
 	changed       chan struct{}
 	confirmed     bool
 	lastConfirmed structs.Instant
@@ -41,6 +46,10 @@
 		return false
 	}
 	h.current.Store(s)
+	h.recent = append(h.recent, s)
+	if len(h.recent) > keptSnapshots {
+		h.recent = slices.Delete(h.recent, 0, 1)
+	}
 	if h.changed != nil {
 		close(h.changed)
 		h.changed = nil
@@ -48,6 +57,18 @@
 	return true
 }
 
+// At returns the snapshot of a version that was in force lately, or nil.
+func (h *Holder) At(version uint64) *Snapshot {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.recent {
+		if s.version == version {
+			return s
+		}
+	}
+	return nil
+}
+
 func (h *Holder) violate(s, current *Snapshot) {
 	h.violations++
 	h.lastViolation = &structs.InvariantError{
--- a/config/patch_test.go
+++ b/config/patch_test.go
@@ -96,6 +96,7 @@
 	from := NewSnapshot(1, "op", Document{})
 	for name, p := range map[string]Patch{
 		"other version":   {From: 2, To: 3, Digest: from.digest[:]},
+		"no ascent":       {From: 1, To: 1, Digest: from.digest[:]},
 		"other digest":    {From: 1, To: 2, Digest: make([]byte, 3)},
 		"unknown section": {From: 1, To: 2, Digest: from.digest[:], Changes: []MemberChange{{Section: "x", Name: "y", Value: []byte("1")}}},
 	} {
--- a/config/snapshot_bench_test.go
+++ b/config/snapshot_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"fmt"
+	"maps"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -80,3 +81,47 @@
 		})
 	}
 }
+
+// BenchmarkApplyPatch is BenchmarkNewSnapshot's counterpart for a change of
+// one account's rate that arrives as a patch.
+func BenchmarkApplyPatch(b *testing.B) {
+	for _, size := range documentSizes {
+		b.Run(fmt.Sprintf("accounts=%d/targets=%d", size.accounts, size.targets), func(b *testing.B) {
+			doc, _ := largeDocument(b, size.accounts, size.targets)
+			before := NewSnapshot(1, "op", doc)
+			changed := doc
+			changed.Accounts = maps.Clone(doc.Accounts)
+			account := changed.Accounts["account-0"]
+			account.Rate++
+			changed.Accounts["account-0"] = account
+			data, err := encodedPatch(before, NewSnapshot(2, "op", changed))
+			assert.NilError(b, err)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err := ApplyEncoded(data, before)
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(float64(len(data)), "patch-bytes")
+		})
+	}
+}
+
+// BenchmarkDiff is the work of a scheduler that answers with a patch, once for
+// all daemons that ask.
+func BenchmarkDiff(b *testing.B) {
+	for _, size := range documentSizes {
+		b.Run(fmt.Sprintf("accounts=%d/targets=%d", size.accounts, size.targets), func(b *testing.B) {
+			doc, _ := largeDocument(b, size.accounts, size.targets)
+			changed := doc
+			changed.Accounts = maps.Clone(doc.Accounts)
+			account := changed.Accounts["account-0"]
+			account.Rate++
+			changed.Accounts["account-0"] = account
+			from, to := NewSnapshot(1, "op", doc), NewSnapshot(2, "op", changed)
+			for b.Loop() {
+				_, err := Diff(from, to)
+				assert.NilError(b, err)
+			}
+		})
+	}
+}
--- a/config/store.go
+++ b/config/store.go
@@ -17,6 +17,7 @@
 const (
 	RowCurrent       = "config/current"
 	RowVersionPrefix = "config/version/"
+	RowPatchPrefix   = "config/patch/"
 	RowInForcePrefix = "config/inforce/"
 )
 
@@ -56,6 +57,10 @@
 // VersionRow returns the key of a version's row.
 func VersionRow(version uint64) string { return fmt.Sprintf("%s%020d", RowVersionPrefix, version) }
 
+// PatchRow returns the key of the row with the patch that leads to a version
+// from the one before.
+func PatchRow(version uint64) string { return fmt.Sprintf("%s%020d", RowPatchPrefix, version) }
+
 // Publish stores doc as the version after expected, which is 0 for the first.
 // Its errors are *settings.FileError for a document that the checks refuse,
 // *LostRaceError, *NotStoredError and *UncertainError.
@@ -70,7 +75,11 @@
 	if current.Version != expected {
 		return 0, &LostRaceError{Version: current.Version, Author: current.Author}
 	}
-	p, err := s.newPublication(expected+1, author, doc, row.Version)
+	before, err := s.before(ctx, expected)
+	if err != nil {
+		return 0, &NotStoredError{Cause: err}
+	}
+	p, err := s.newPublication(before, expected+1, author, doc, row.Version)
 	if err != nil {
 		return 0, &NotStoredError{Cause: err}
 	}
@@ -84,7 +93,16 @@
 	txn  platform.Txn
 }
 
-func (s *Store) newPublication(version uint64, author string, doc Document, currentRow uint64) (*publication, error) {
+// before returns the version that a publication replaces, or nil for the first
+// one.
+func (s *Store) before(ctx context.Context, expected uint64) (*Snapshot, error) {
+	if expected == 0 {
+		return nil, nil
+	}
+	return s.Version(ctx, expected)
+}
+
+func (s *Store) newPublication(before *Snapshot, version uint64, author string, doc Document, currentRow uint64) (*publication, error) {
 	var attempt [attemptBytes]byte
 	if _, err := rand.Read(attempt[:]); err != nil {
 		return nil, errors.Wrap(err, "draw attempt")
@@ -108,12 +126,30 @@
 			{Key: VersionRow(version), Value: whole},
 		},
 	}
+	if before != nil {
+		patch, err := encodedPatch(before, NewSnapshot(version, author, doc))
+		if err != nil {
+			return nil, err
+		}
+		txn.Writes = append(txn.Writes, platform.Write{Key: PatchRow(version), Value: patch})
+	}
 	if version > keptVersions {
-		txn.Writes = append(txn.Writes, platform.Write{Key: VersionRow(version - keptVersions), Delete: true})
+		old := version - keptVersions
+		txn.Writes = append(txn.Writes,
+			platform.Write{Key: VersionRow(old), Delete: true}, platform.Write{Key: PatchRow(old), Delete: true})
 	}
 	return &publication{info: info, txn: txn}, nil
 }
 
+func encodedPatch(from, to *Snapshot) ([]byte, error) {
+	patch, err := Diff(from, to)
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(patch)
+	return data, errors.Wrap(err, "encode patch")
+}
+
 func (s *Store) now() time.Time {
 	if s.Now == nil {
 		return time.Now()
@@ -189,66 +225,3 @@
 		return false
 	}
 }
-
-// Head returns what RowCurrent says of the latest version; Version is 0 when
-// none was stored.
-func (s *Store) Head(ctx context.Context) (VersionInfo, error) {
-	info, _, err := s.currentRow(ctx)
-	return info, err
-}
-
-func (s *Store) currentRow(ctx context.Context) (VersionInfo, platform.Row, error) {
-	row, err := s.Table.Get(ctx, RowCurrent)
-	if err != nil || row.Version == 0 {
-		return VersionInfo{}, row, err
-	}
-	var info VersionInfo
-	if err := json.Unmarshal(row.Value, &info); err != nil {
-		return info, row, &BadRowError{Key: RowCurrent, Cause: err}
-	}
-	return info, row, nil
-}
-
-// Current returns the latest version, or nil when none was stored.
-func (s *Store) Current(ctx context.Context) (*Snapshot, error) {
-	info, err := s.Head(ctx)
-	if err != nil || info.Version == 0 {
-		return nil, err
-	}
-	return s.Version(ctx, info.Version)
-}
-
-// Version returns a stored version. Its error is *NoVersionError when the
-// version was never stored or is no longer kept.
-func (s *Store) Version(ctx context.Context, version uint64) (*Snapshot, error) {
-	key := VersionRow(version)
-	row, err := s.Table.Get(ctx, key)
-	if err != nil {
-		return nil, err
-	}
-	if row.Version == 0 {
-		return nil, &NoVersionError{Version: version}
-	}
-	var stored versionRow
-	if err := json.Unmarshal(row.Value, &stored); err != nil {
-		return nil, &BadRowError{Key: key, Cause: err}
-	}
-	return NewSnapshot(stored.Version, stored.Author, stored.Document), nil
-}
-
-// History returns the versions that are kept, the oldest first.
-func (s *Store) History(ctx context.Context) ([]VersionInfo, error) {
-	rows, err := s.Table.List(ctx, RowVersionPrefix)
-	if err != nil {
-		return nil, err
-	}
-	history := make([]VersionInfo, 0, len(rows))
-	for _, row := range rows {
-		var info VersionInfo
-		if err := json.Unmarshal(row.Value, &info); err != nil {
-			return nil, &BadRowError{Key: row.Key, Cause: err}
-		}
-		history = append(history, info)
-	}
-	return history, nil
-}
--- a/structs/rpc.go
+++ b/structs/rpc.go
@@ -127,6 +127,8 @@
 	// force among it and the daemons that follow it. Both may be left out.
 	From    string `msgpack:"f,omitempty"`
 	InForce uint64 `msgpack:"i,omitempty"`
+	// Patches says that an answer may hold a Patch.
+	Patches bool `msgpack:"p,omitempty"`
 }
 
 // ConfigVersion is one accepted version of the operators' document. Document
@@ -136,6 +138,9 @@
 	Version  uint64 `msgpack:"v"`
 	Author   string `msgpack:"a"`
 	Document []byte `msgpack:"d"`
+	// Patch, in place of Document, leads from the version that the query has
+	// to Version: a config.Patch as JSON.
+	Patch []byte `msgpack:"p,omitempty"`
 	// Age is the time since the store last confirmed to the sender that no
 	// later version exists.
 	Age time.Duration `msgpack:"g,omitempty"`
