Followers of the configuration form a tree; gateways spread over schedulers

Cause: all daemons of a failure domain asked one scheduler. By the 171 B/s that each follower costs at each end (BenchmarkFleet, 24 schedulers), 56 followers would cost it 9.6 KB/s, above the 9 KB/s of control for a daemon. Change: a scheduler follows the parent in a tree of fan-out 8 over the live addresses below its own; a gateway starts at a scheduler chosen by its VM. Ruled out: holding questions longer, which makes confirmations older. Conclusion: TestFollowersAreSpread and TestFollowingHasNoCycle pass; at most 8 schedulers follow one, two steps deep at 57.

--- a/config/configwatch/decisions_test.go
+++ b/config/configwatch/decisions_test.go
@@ -53,6 +53,28 @@
 	})
 }
 
+// No scheduler of a large failure domain serves more than fanOut others, and
+// each is at most two steps from the one that polls.
+func TestFollowersAreSpread(t *testing.T) {
+	const schedulers = 57
+	var peers []string
+	for i := range schedulers {
+		peers = append(peers, fmt.Sprintf("127.0.0.1:%d", 9000+i))
+	}
+	followers, depth := make(map[string]int), make(map[string]int)
+	for _, self := range peers {
+		parent := newSources(self).next(0, peers)
+		if parent == "" {
+			assert.Equal(t, self, peers[0])
+			continue
+		}
+		followers[parent]++
+		depth[self] = depth[parent] + 1
+		assert.Assert(t, followers[parent] <= fanOut)
+		assert.Assert(t, depth[self] <= 2)
+	}
+}
+
 func TestLowestInForce(t *testing.T) {
 	var f followers
 	f.note(0, "a", 4)
--- a/config/configwatch/source.go
+++ b/config/configwatch/source.go
@@ -1,6 +1,7 @@
 package configwatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/endivecourse/endivecourse/structs"
@@ -9,9 +10,13 @@
 // suspectFor is how long a peer that failed is passed over.
 const suspectFor = 5 * time.Second
 
-// sources chooses where a scheduler gets versions from. A scheduler follows
-// only peers with a lower address than its own, so that no two follow each
-// other.
+// fanOut bounds the schedulers that follow one scheduler.
+const fanOut = 8
+
+// sources chooses where a scheduler gets versions from. The schedulers in the
+// order of their addresses form a tree with fanOut children a node; the first
+// one polls the store. A scheduler follows only peers with a lower address than
+// its own, so that no two follow each other.
 type sources struct {
 	self     string
 	suspects map[string]structs.Instant // until when
@@ -23,16 +28,18 @@
 
 // next returns the peer to follow, or "" to poll the store.
 func (s *sources) next(now structs.Instant, peers []string) string {
-	lowest := s.self
+	var lower []string
 	for _, peer := range peers {
-		if peer < lowest && !s.suspected(now, peer) {
-			lowest = peer
+		if peer < s.self && !s.suspected(now, peer) {
+			lower = append(lower, peer)
 		}
 	}
-	if lowest == s.self {
+	if len(lower) == 0 {
 		return ""
 	}
-	return lowest
+	slices.Sort(lower)
+	lower = slices.Compact(lower)
+	return lower[(len(lower)-1)/fanOut]
 }
 
 // suspect passes a peer over for a while.
--- a/daemon/common.go
+++ b/daemon/common.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/admin"
@@ -104,6 +105,16 @@
 // ownSchedulers returns the schedulers of the own domain.
 func (b *base) ownSchedulers() []string { return b.schedulers(b.settings.Domain) }
 
+// spread rotates addresses by the VM's ID, so that the VMs of a failure domain
+// do not all prefer the same one.
+func (b *base) spread(addrs []string) []string {
+	if len(addrs) == 0 {
+		return nil
+	}
+	first := int(xxhash.Sum64String(string(b.settings.VM)) % uint64(len(addrs)))
+	return slices.Concat(addrs[first:], addrs[:first])
+}
+
 // otherSchedulers returns the schedulers of all other domains.
 func (b *base) otherSchedulers() []string {
 	var addrs []string
--- a/daemon/gatewayd.go
+++ b/daemon/gatewayd.go
@@ -61,7 +61,7 @@
 		VM:         loaded.VM,
 		Holder:     b.holder,
 		Wire:       b.client,
-		Schedulers: func() []string { return append(b.ownSchedulers(), b.otherSchedulers()...) },
+		Schedulers: func() []string { return append(b.spread(b.ownSchedulers()), b.otherSchedulers()...) },
 	})
 	return []kernel.Component{&wireClient{client: b.client}, b.admin, b.members, watch, quota, callers}, nil
 }
