--- a/command/command_test.go
+++ b/command/command_test.go
@@ -257,3 +257,20 @@
 	status, _, _ = run(t, "config", "show", "9")
 	assert.Equal(t, status, ExitBadInput)
 }
+
+func TestTargetOrderUsage(t *testing.T) {
+	allDomains(t)
+	_, _, _ = apply(t)
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"permit-app-1", "load", "m"}, "KIND must be"},
+		{[]string{"nobody", "load_model", "m"}, `no target "nobody"`},
+		{[]string{"permit-app-1", "load_model", "m"}, "plain service"},
+	} {
+		status, _, errOut := run(t, append([]string{"target", "order"}, c.args...)...)
+		assert.Equal(t, status, ExitBadInput)
+		assert.Assert(t, strings.Contains(errOut, c.want), errOut)
+	}
+}
--- a/command/target.go
+++ b/command/target.go
@@ -14,8 +14,8 @@
 )
 
 func (a *app) targetCommand() *cobra.Command {
-	c := &cobra.Command{Use: "target", Short: "List and drain targets"}
-	c.AddCommand(a.targetList(), a.targetDrain())
+	c := &cobra.Command{Use: "target", Short: "List, drain and order targets"}
+	c.AddCommand(a.targetList(), a.targetDrain(), a.targetOrder())
 	return noun(c)
 }
 
