--- a/daemon/gatewayd.go
+++ b/daemon/gatewayd.go
@@ -39,6 +39,7 @@
 		Domains:  b.domains(),
 		Slots:    loaded.Lease.Slots,
 		Snapshot: b.limits(),
+		Terms:    b.quotaTerms(),
 		Client:   b.client,
 		Owner:    forwarder.Owner,
 		Peers:    b.schedulers,
--- a/keeper/collect.go
+++ b/keeper/collect.go
@@ -13,34 +13,17 @@
 	"github.com/endivecourse/endivecourse/structs"
 )
 
-// job is one longer action; exactly one field is set.
-type job struct {
-	collect  *lease.Collect
-	handover *lease.Handover
-}
-
 func (k *Keeper) serveJobs(ctx context.Context) {
 	for {
 		select {
 		case j := <-k.jobs.C():
-			if j.collect != nil {
-				k.collect(ctx, *j.collect)
-			} else {
-				k.handover(ctx, *j.handover)
-			}
+			k.collect(ctx, j)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (k *Keeper) handover(ctx context.Context, a lease.Handover) {
-	if k.opts.Quiesce != nil {
-		k.opts.Quiesce(ctx, lease.SlotsOf(a.Group, k.opts.Lease.Slots))
-	}
-	k.step(lease.HandoverReady(a))
-}
-
 // collect stores what the witnesses of an epoch hold. It is tried again while
 // the row stays as it is.
 func (k *Keeper) collect(ctx context.Context, a lease.Collect) {
@@ -49,11 +32,12 @@
 		k.step(lease.Collected{Group: a.Group, Epoch: a.Epoch})
 		return
 	}
+	collectErrors.Inc()
 	k.opts.Log.Warn("tail not collected", "group", a.Group, "epoch", a.Epoch, "error", err)
 	if !k.current(a) {
 		return
 	}
-	time.AfterFunc(k.cfg.Renew, func() { k.jobs.TryPut(job{collect: &a}) })
+	time.AfterFunc(k.cfg.Renew, func() { k.jobs.TryPut(a) })
 }
 
 // current reports whether the row is still the one to collect for.
@@ -77,22 +61,20 @@
 	if err != nil {
 		return err
 	}
-	if index.Mark.Epoch >= a.Epoch && index.Mark == tail.Whole(a.Epoch) {
-		return nil // another successor has done it
-	}
 	entries, err := k.readTails(ctx, a)
 	if err != nil {
 		return err
 	}
+	entries = tail.After(tail.Whole(a.Row.Since-1), entries)
 	fresh := distinct(tail.After(index.Mark, entries))
+	if len(fresh) == 0 {
+		return nil
+	}
+	// The mark stays: the owner may yet outrun this and carry its tail on.
 	next := *index
-	next.Mark = tail.Whole(a.Epoch)
-	var segments []segment
 	key := k.nextObject()
-	if len(fresh) > 0 {
-		next.Objects = append(slices.Clone(next.Objects), key)
-		segments = []segment{{Group: a.Group, Records: fresh}}
-	}
+	next.Objects = append(slices.Clone(next.Objects), key)
+	segments := []segment{{Group: a.Group, Records: fresh}}
 	_, err = k.storeSegments(ctx, key, segments, []addition{{group: a.Group, leaseVersion: version, index: next}})
 	return err
 }
--- a/lease/event.go
+++ b/lease/event.go
@@ -34,6 +34,8 @@
 type (
 	// Tick drives renewals and timeouts. It comes once each renewal interval.
 	Tick struct{}
+	// Wake goes on with successions between Ticks. It may come at any time.
+	Wake struct{}
 	// Received is a message from another process.
 	Received struct{ Message Message }
 	// RowRead is a group's row as the table held it at some instant after
@@ -88,9 +90,18 @@
 	}
 	// ReleaseAll gives up every group for good.
 	ReleaseAll struct{}
+	// Leave takes no further groups. Those that are held stay until
+	// ReleaseGroup or ReleaseAll.
+	Leave struct{}
+	// ReleaseGroup gives up one group. The caller has ended its work on it.
+	ReleaseGroup struct {
+		Group Group
+		Epoch structs.Epoch
+	}
 )
 
 func (Tick) event()          {}
+func (Wake) event()          {}
 func (Received) event()      {}
 func (RowRead) event()       {}
 func (RowWritten) event()    {}
@@ -102,6 +113,8 @@
 func (Collected) event()     {}
 func (HandoverReady) event() {}
 func (ReleaseAll) event()    {}
+func (Leave) event()         {}
+func (ReleaseGroup) event()  {}
 
 // Action is an output of Node.Step.
 type Action interface{ action() }
--- a/lease/node.go
+++ b/lease/node.go
@@ -1,12 +1,6 @@
 package lease
 
 import (
-	"cmp"
-	"fmt"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -122,6 +116,8 @@
 	switch ev := ev.(type) {
 	case Tick:
 		return n.tick(now)
+	case Wake:
+		n.wake(now)
 	case Received:
 		return n.receive(now, ev.Message)
 	case RowRead:
@@ -150,6 +146,12 @@
 		}
 	case ReleaseAll:
 		n.releaseAll(now)
+	case Leave:
+		n.releasing = true
+	case ReleaseGroup:
+		if g := n.groups[ev.Group]; g.own.epoch == ev.Epoch && !g.own.released {
+			n.release(now, g, n.leastLoaded(n.loads()))
+		}
 	}
 	return nil
 }
@@ -176,6 +178,19 @@
 	return nil
 }
 
+// wake goes on with the groups that wait for their next owner.
+func (n *Node) wake(now structs.Instant) {
+	for _, g := range n.groups {
+		switch {
+		case g.row.Mark == nil && !g.row.Released:
+		case g.own.epoch == 0:
+			n.succeed(now, g)
+		case g.row.Mark != nil && !g.own.released && !g.held(now):
+			n.revoke(now, g)
+		}
+	}
+}
+
 func (n *Node) receive(now structs.Instant, msg Message) error {
 	if msg.To.Incarnation != n.self.Incarnation && !n.rules.answerForAnother {
 		return nil
@@ -239,108 +254,3 @@
 	}
 	w.answered = true
 }
-
-// observe takes a row as it was in the table after the instant sent.
-func (n *Node) observe(now, sent structs.Instant, g *group, row Row, version uint64) error {
-	if g.known && version < g.version {
-		return nil
-	}
-	if row.Mark != nil && row.Mark.Epoch != row.Epoch {
-		return violation("mark names the row's epoch", fmt.Sprintf("group %d: %d, %d", g.id, row.Mark.Epoch, row.Epoch))
-	}
-	if g.write != nil && version > g.write.version {
-		g.write = nil
-	}
-	if !g.known || version > g.version {
-		if row.Released && row.Owner.Incarnation == n.self.Incarnation {
-			n.tellNext(g, row)
-		}
-		if err := n.adopt(now, g, row, version); err != nil {
-			return err
-		}
-	}
-	if version == 0 {
-		return nil
-	}
-	return n.reconcile(now, sent, g)
-}
-
-func (n *Node) adopt(now structs.Instant, g *group, row Row, version uint64) error {
-	if row.Epoch < g.row.Epoch {
-		return violation("epochs grow", fmt.Sprintf("group %d: %d after %d", g.id, row.Epoch, g.row.Epoch))
-	}
-	if row.Epoch > g.row.Epoch {
-		g.seenAt = now
-		n.countOvertaken(g, row)
-	}
-	if row.Epoch == g.own.epoch && g.own.epoch != 0 && row.Owner.Incarnation != n.self.Incarnation {
-		return violation("an epoch has one owner", fmt.Sprintf("group %d epoch %d", g.id, row.Epoch))
-	}
-	g.known, g.row, g.version = true, row, version
-	g.next = successor{}
-	for _, m := range append(row.Members(), row.Owner) {
-		if _, seen := n.named[m.Incarnation]; seen || m.Incarnation == "" {
-			continue
-		}
-		n.named[m.Incarnation] = namedMember{vm: m.VM, at: now}
-		if n.gone[m.VM] || m.VM == n.self.VM { // this process runs after it
-			n.setEnded(now, m.Incarnation)
-		}
-	}
-	return nil
-}
-
-const maxOvertaken = 8
-
-// countOvertaken grows the patience with an owner that outran a revocation of
-// this process, and forgets it when another owner follows.
-func (n *Node) countOvertaken(g *group, row Row) {
-	if g.row.Owner.Incarnation != row.Owner.Incarnation {
-		g.overtaken = 0
-		return
-	}
-	if g.marked != 0 && g.marked == g.row.Epoch {
-		g.overtaken = min(g.overtaken+1, maxOvertaken)
-	}
-}
-
-// rank returns how many live schedulers are better placed to take a group.
-func (n *Node) rank(g *group) int {
-	loads := n.loads()
-	rank := 0
-	for _, p := range n.peers {
-		if p.Incarnation != n.self.Incarnation && before(loads, g.id, p.Incarnation, n.self.Incarnation) {
-			rank++
-		}
-	}
-	return rank
-}
-
-// before orders processes by load, then by a hash that differs by group.
-func before(loads map[structs.Incarnation]int, g Group, a, b structs.Incarnation) bool {
-	return cmp.Or(cmp.Compare(loads[a], loads[b]), cmp.Compare(weight(g, a), weight(g, b)), cmp.Compare(a, b)) < 0
-}
-
-func weight(g Group, inc structs.Incarnation) uint64 {
-	return xxhash.Sum64String(fmt.Sprintf("%d/%s", g, inc))
-}
-
-// chooseSet returns the witness set that this process as owner wants, keeping
-// current ones that live. It is nil while this process may not own groups.
-func (n *Node) chooseSet(g Group, current []Member) []Member {
-	if !contains(n.peers, n.self.Incarnation) {
-		return nil
-	}
-	others := slices.DeleteFunc(slices.Clone(n.peers), func(m Member) bool { return m.Incarnation == n.self.Incarnation })
-	slices.SortFunc(others, func(a, b Member) int {
-		if was, is := contains(current, a.Incarnation), contains(current, b.Incarnation); was != is {
-			if was {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(weight(g, a.Incarnation), weight(g, b.Incarnation))
-	})
-	count := witnessCount(len(n.peers))
-	return append([]Member{n.self}, others[:count-1]...)
-}
