--- a/daemon/schedulerd.go
+++ b/daemon/schedulerd.go
@@ -61,7 +61,6 @@
 		Ownership: owner,
 		Journal:   owner,
 		Config:    b.snapshot,
-		Table:     b.services.Table,
 		Wire:      b.client,
 		Peers:     func() []string { return slices.Concat(b.ownSchedulers(), b.otherSchedulers()) },
 		Leaving:   func(id structs.TargetID) bool { return b.members.View().TargetLeaving(id) },
