--- a/bench/run/program.go
+++ b/bench/run/program.go
@@ -71,8 +71,12 @@
 func (s *sim) wait(c *callRun) {
 	c.target = nil
 	d := c.domain()
+	var parent structs.ProgramID
+	if c.run.parent != nil {
+		parent = c.run.parent.program.ID
+	}
 	d.dispatcher.Push(s.line.now, queue.Item{
-		ID: c.id, Program: c.run.program.ID, Account: c.run.program.Account, Service: s.opts.Workload.Shape.Service,
+		ID: c.id, Program: c.run.program.ID, Parent: parent, Account: c.run.program.Account, Service: s.opts.Workload.Shape.Service,
 		Number: uint64(c.run.next), Prompt: c.call.Prompt(), Output: c.call.Output, Attained: c.run.spent,
 		Weight: s.weightOf(c.run.program.Account), Arrived: c.ready, Prefixes: c.call.Prefixes,
 	})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -78,7 +78,12 @@
 func (d *Dispatcher) Waiting() int { return d.opts.Queue.Len() }
 
 // ForgetProgram drops what is remembered of an ended program.
-func (d *Dispatcher) ForgetProgram(id structs.ProgramID) { d.opts.Queue.Forget(id) }
+func (d *Dispatcher) ForgetProgram(id structs.ProgramID) {
+	d.opts.Queue.Forget(id)
+	if p, ok := d.opts.Route.(route.ProgramForgetter); ok {
+		p.ForgetProgram(id)
+	}
+}
 
 // Observe passes a cache event on to the route policy.
 func (d *Dispatcher) Observe(now structs.Instant, event route.CacheEvent) {
--- a/program/run.go
+++ b/program/run.go
@@ -40,7 +40,7 @@
 	call.stage = stageQueued
 	p := call.program
 	item := queue.Item{
-		ID: uint64(call.id), Program: p.spec.ID, Account: p.spec.Account, Service: call.spec.Service(),
+		ID: uint64(call.id), Program: p.spec.ID, Parent: p.spec.Parent, Account: p.spec.Account, Service: call.spec.Service(),
 		Number: call.number, Output: call.output, Attained: p.spent, Weight: 1, Arrived: c.now,
 	}
 	if call.spec.Model != nil {
--- a/queue/las/las.go
+++ b/queue/las/las.go
@@ -23,9 +23,12 @@
 	maxAsked = 16
 )
 
-// Policy orders calls by the service that their programs have attained.
+// Policy orders calls by the service that their programs have attained. Calls
+// of programs that have run go before first calls: what an engine has cached
+// for a program is lost when too many programs are under way.
 type Policy struct {
-	byService *heap.Heap[uint64, queue.Item]
+	started   *heap.Heap[uint64, queue.Item] // calls of programs that have run, by service
+	fresh     *heap.Heap[uint64, queue.Item] // first calls of programs, by service
 	byArrival *heap.Heap[uint64, queue.Item]
 	attained  map[structs.ProgramID]int64
 }
@@ -33,7 +36,8 @@
 // New makes an empty queue.
 func New() *Policy {
 	return &Policy{
-		byService: heap.New[uint64, queue.Item](),
+		started:   heap.New[uint64, queue.Item](),
+		fresh:     heap.New[uint64, queue.Item](),
 		byArrival: heap.New[uint64, queue.Item](),
 		attained:  make(map[structs.ProgramID]int64),
 	}
@@ -41,7 +45,11 @@
 
 // Push adds an item.
 func (p *Policy) Push(_ structs.Instant, item queue.Item) {
-	p.byService.Push(item.ID, item, float64(p.serviceOf(item)))
+	calls := p.fresh
+	if item.Started() {
+		calls = p.started
+	}
+	calls.Push(item.ID, item, float64(p.serviceOf(item)))
 	p.byArrival.Push(item.ID, item, float64(item.Arrived))
 }
 
@@ -55,14 +63,18 @@
 }
 
 // Next returns the oldest item when it has waited for too long, else the one
-// whose program has had the least service.
+// whose program has had the least service among those that have run, else a
+// first call.
 func (p *Policy) Next(now structs.Instant, fits func(queue.Item) bool) (queue.Item, bool) {
 	oldest, _, found := p.byArrival.Min()
 	if found && now.Sub(oldest.Arrived) > maxWait && fits(oldest) {
 		p.Remove(oldest.ID)
 		return oldest, true
 	}
-	item, found := p.byService.TakeFirst(maxAsked, fits)
+	item, found := p.started.TakeFirst(maxAsked, fits)
+	if !found {
+		item, found = p.fresh.TakeFirst(maxAsked, fits)
+	}
 	if found {
 		p.byArrival.Remove(item.ID)
 	}
@@ -78,7 +90,7 @@
 // Remove drops a waiting item.
 func (p *Policy) Remove(id uint64) bool {
 	p.byArrival.Remove(id)
-	return p.byService.Remove(id)
+	return p.started.Remove(id) || p.fresh.Remove(id)
 }
 
 // Charge adds to the service of the program.
@@ -90,4 +102,4 @@
 func (p *Policy) Forget(program structs.ProgramID) { delete(p.attained, program) }
 
 // Len returns the number of waiting items.
-func (p *Policy) Len() int { return p.byService.Len() }
+func (p *Policy) Len() int { return p.byArrival.Len() }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -10,6 +10,7 @@
 type Item struct {
 	ID       uint64 // unique in this process
 	Program  structs.ProgramID
+	Parent   structs.ProgramID // of a sub-agent
 	Account  structs.AccountID
 	Service  structs.ServiceID
 	Number   uint64 // of the call in its program
@@ -23,6 +24,10 @@
 	Prefixes []Prefix
 }
 
+// Started reports whether the call belongs to a program that has run already,
+// or to a sub-agent of one.
+func (i Item) Started() bool { return i.Number > 1 || i.Parent != "" }
+
 // Prefix is one prefix of a prompt: its hash and length in tokens.
 type Prefix struct {
 	Hash   uint64
--- a/route/prefix/prefix.go
+++ b/route/prefix/prefix.go
@@ -40,27 +40,26 @@
 
 // Policy chooses by estimated cost.
 type Policy struct {
-	index *index
-	rng   uint64
+	index   *index
+	windows *windows
+	rng     uint64
 }
 
 // New makes a policy that knows of no cached prefix.
-func New() *Policy { return &Policy{index: newIndex(), rng: 1} }
+func New() *Policy { return &Policy{index: newIndex(), windows: newWindows(), rng: 1} }
 
 // ChooseFrom returns the free target of the least estimated cost. An item with
 // a cached prefix waits for a busy target for as long as computing the prefix
 // again would take.
 func (p *Policy) ChooseFrom(now structs.Instant, item queue.Item, own, others route.Set) (structs.TargetID, bool) {
-	c := choice{item: item}
+	c := choice{item: item, windows: p.windows}
 	p.index.holders(item.Prefixes, func(id structs.TargetID, tokens int64) {
 		if t, found := own.Find(id); found {
 			c.consider(t, tokens, 0)
-		} else if t, found := others.Find(id); found {
-			c.consider(t, tokens, distance(t))
 		}
 	})
 	p.look(&c, own, false)
-	if !c.found {
+	if !c.up {
 		p.look(&c, others, true)
 	}
 	if c.found && c.heldBack(now) {
@@ -106,14 +105,20 @@
 // choice is the best target found so far for one item.
 type choice struct {
 	item     queue.Item
+	windows  *windows
 	best     structs.TargetID
 	bestCost int64
 	cached   int64 // tokens at the best target
 	found    bool
+	up       bool  // a target takes calls, though it may be at its limit
 	busy     int64 // most tokens cached at a target without room
 }
 
 func (c *choice) consider(t route.Target, cached, extra int64) {
+	c.up = c.up || t.Limit > 0
+	if !c.item.Started() && !c.windows.open(c.item, t.ID) {
+		return
+	}
 	if !t.Free() {
 		if t.Limit > 0 {
 			c.busy = max(c.busy, cached)
@@ -150,7 +155,8 @@
 }
 
 // Dispatched records that the target will cache the prompt.
-func (p *Policy) Dispatched(_ structs.Instant, item queue.Item, target structs.TargetID) {
+func (p *Policy) Dispatched(now structs.Instant, item queue.Item, target structs.TargetID) {
+	p.windows.enter(now, item, target)
 	if n := len(item.Prefixes); n > 0 {
 		p.index.add(target, item.Prefixes[0])
 		p.index.add(target, item.Prefixes[n-1])
@@ -159,8 +165,11 @@
 
 // Finished corrects the estimate: prefixes beyond the cached tokens were not
 // there before the call; the prompt is there now if the call succeeded.
-func (p *Policy) Finished(_ structs.Instant, item queue.Item, target structs.TargetID, cached, _ int64, ok bool) {
+func (p *Policy) Finished(now structs.Instant, item queue.Item, target structs.TargetID, cached, output int64, ok bool) {
 	n := len(item.Prefixes)
+	if ok && n > 0 {
+		p.windows.answered(now, item, target, cached, output)
+	}
 	for i := 0; i < n; i++ {
 		if prefix := item.Prefixes[i]; !ok || prefix.Tokens > cached {
 			p.index.remove(target, prefix.Hash)
@@ -182,7 +191,13 @@
 }
 
 // Forget drops what is remembered of a target.
-func (p *Policy) Forget(target structs.TargetID) { p.index.forget(target) }
+func (p *Policy) Forget(target structs.TargetID) {
+	p.index.forget(target)
+	p.windows.forget(target)
+}
+
+// ForgetProgram counts the cache of an ended program as free.
+func (p *Policy) ForgetProgram(program structs.ProgramID) { p.windows.leave(program) }
 
 // slice is a route.Set over a slice.
 type slice []route.Target
--- a/route/set.go
+++ b/route/set.go
@@ -21,3 +21,8 @@
 	// those of the others.
 	ChooseFrom(now structs.Instant, item queue.Item, own, others Set) (structs.TargetID, bool)
 }
+
+// ProgramForgetter is a Policy that remembers programs until they end.
+type ProgramForgetter interface {
+	ForgetProgram(structs.ProgramID)
+}
