--- a/daemon/gatewayd.go
+++ b/daemon/gatewayd.go
@@ -1,15 +1,15 @@
 package daemon
 
 import (
-	"context"
 	"log/slog"
+	"time"
 
 	"github.com/endivecourse/endivecourse/config/configwatch"
 	"github.com/endivecourse/endivecourse/gateway"
 	"github.com/endivecourse/endivecourse/gateway/forward"
-	"github.com/endivecourse/endivecourse/gateway/quotaclient"
 	"github.com/endivecourse/endivecourse/kernel"
 	_ "github.com/endivecourse/endivecourse/platform/httpplatform" // registers platform.http
+	"github.com/endivecourse/endivecourse/quota/borrower"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -33,12 +33,17 @@
 		Addresses: b.schedulers,
 		Slots:     loaded.Lease.Slots,
 	})
-	quota := quotaclient.New(quotaclient.Options{
-		Holder: b.incarnation,
-		Take: func(ctx context.Context, take structs.TakeQuota) (grant structs.QuotaGrant, err error) {
-			err = forwarder.Call(ctx, loaded.Domain, string(take.Account), structs.MethodTakeQuota, false, take, &grant)
-			return grant, err
-		},
+	quota := borrower.New(borrower.Options{
+		Self:     b.incarnation,
+		Domain:   loaded.Domain,
+		Domains:  b.domains(),
+		Slots:    loaded.Lease.Slots,
+		Snapshot: b.limits(),
+		Terms:    b.quotaTerms(),
+		Client:   b.client,
+		Owner:    forwarder.Owner,
+		Peers:    b.schedulers,
+		Log:      log,
 	})
 	callers := gateway.New(gateway.Options{
 		Domain:    loaded.Domain,
@@ -47,6 +52,8 @@
 		Forwarder: forwarder,
 		Admitter:  quota,
 		Limits:    loaded.Limits,
+		ConfigAge: func() time.Duration { return b.holder.Age(structs.Now()) },
+		MaxStale:  loaded.Config.MaxStale.Std(),
 		Listen:    loaded.Listen.Callers,
 		TLS:       loaded.CallersTLS,
 		Log:       log,
--- a/internal/devsite/devsite.go
+++ b/internal/devsite/devsite.go
@@ -27,9 +27,9 @@
 const (
 	Domain       structs.DomainID  = "local"
 	Account      structs.AccountID = "demo"
-	Kind                           = "demo-agent"
-	ModelService structs.ServiceID = "demo-llm"
-	PlainService structs.ServiceID = "demo-app"
+	Kind                           = "round-planner"
+	ModelService structs.ServiceID = "rake-llm"
+	PlainService structs.ServiceID = "courts-app"
 	vm           structs.VMID      = "local-1"
 	engines                        = 2
 )
@@ -40,6 +40,8 @@
 	demoBurst  = 1000
 	demoBudget = 100_000 // tokens
 	drainFor   = 5 * time.Second
+	// daemonAddrs counts the addresses of the daemons and the platform.
+	daemonAddrs = 5
 )
 
 // Site is a running site.
@@ -48,17 +50,19 @@
 	Key    string // of the account
 	URL    string // of the gateway
 	Admins []string
-	cancel context.CancelFunc
-	group  *errgroup.Group
+	// PlatformURL is what endivectl takes as --platform.
+	PlatformURL string
+	cancel      context.CancelFunc
+	group       *errgroup.Group
 }
 
 // Start starts the site. Its daemons run until Stop.
 func Start(ctx context.Context, log *slog.Logger) (*Site, error) {
-	addrs, err := freeAddrs(4 + engines + 1)
+	addrs, err := freeAddrs(daemonAddrs + engines + 1)
 	if err != nil {
 		return nil, err
 	}
-	key, document, err := document(addrs[4:])
+	key, document, err := document(addrs[daemonAddrs:])
 	if err != nil {
 		return nil, err
 	}
@@ -76,10 +80,11 @@
 		return nil, err
 	}
 	s := &Site{
-		Site:   standins,
-		Key:    key,
-		URL:    "http://" + gatewayd.Listen.Callers,
-		Admins: []string{gatewayd.Listen.Admin, schedulerd.Listen.Admin},
+		Site:        standins,
+		Key:         key,
+		URL:         "http://" + gatewayd.Listen.Callers,
+		PlatformURL: gatewayd.Platform.URL,
+		Admins:      []string{gatewayd.Listen.Admin, schedulerd.Listen.Admin},
 	}
 	if err := s.run(gatewayd, schedulerd, log); err != nil {
 		standins.Close()
@@ -122,7 +127,7 @@
 	common.Lease.Slots = 8
 	gatewayd, schedulerd = common, common
 	gatewayd.Listen = settings.Listen{Callers: addrs[1], Admin: addrs[2]}
-	schedulerd.Listen = settings.Listen{Wire: addrs[0], Admin: "127.0.0.1:0"}
+	schedulerd.Listen = settings.Listen{Wire: addrs[0], Admin: addrs[4]}
 	return gatewayd, schedulerd
 }
 
@@ -141,7 +146,7 @@
 	return presented, config.Document{
 		Domains: map[structs.DomainID]config.Domain{Domain: {Region: string(Domain)}},
 		Accounts: map[structs.AccountID]config.Account{Account: {
-			Rate: demoRate, Burst: demoBurst, Programs: []string{Kind},
+			Rate: demoRate, Burst: demoBurst, Programs: []string{Kind}, Routes: []string{"orders"},
 			Keys: map[string]config.Key{keyID: key},
 		}},
 		Programs: map[string]config.Program{Kind: {
@@ -155,7 +160,10 @@
 				Targets: map[structs.TargetID]config.Target{"app-1": app},
 			},
 		},
-		Routes: map[string]config.Route{"notices": {Prefix: "/notices", Service: PlainService, Open: true}},
+		Routes: map[string]config.Route{
+			"notices": {Prefix: "/notices", Service: PlainService, Open: true},
+			"orders":  {Prefix: "/orders", Service: PlainService},
+		},
 	}, nil
 }
 
--- a/lease/row.go
+++ b/lease/row.go
@@ -48,8 +48,11 @@
 
 // Row is the table row of one group.
 type Row struct {
-	Group     Group         `msgpack:"g"`
-	Epoch     structs.Epoch `msgpack:"e"`
+	Group Group         `msgpack:"g"`
+	Epoch structs.Epoch `msgpack:"e"`
+	// Since is the epoch under which the owner followed another. Everything of
+	// earlier epochs was stored by then.
+	Since     structs.Epoch `msgpack:"s"`
 	Owner     Member        `msgpack:"o"`
 	Witnesses []Member      `msgpack:"w"`
 	// Pending is the next witness set while a change is under way.
@@ -77,8 +80,8 @@
 	return r, nil
 }
 
-// sets returns the witness sets whose majorities the row asks for.
-func (r Row) sets() [][]Member {
+// Sets returns the witness sets whose majorities the row asks for.
+func (r Row) Sets() [][]Member {
 	if r.Pending == nil {
 		return [][]Member{r.Witnesses}
 	}
@@ -86,7 +89,7 @@
 }
 
 // Members returns every witness of the row once.
-func (r Row) Members() []Member { return union(r.sets()) }
+func (r Row) Members() []Member { return union(r.Sets()) }
 
 func union(sets [][]Member) []Member {
 	var all []Member
--- a/lease/successor.go
+++ b/lease/successor.go
@@ -48,7 +48,7 @@
 	if !g.next.pending {
 		g.next.pending, g.next.since = true, now
 	}
-	delay := n.cfg.Renew * 2 * time.Duration(min(n.rank(g), maxRank))
+	delay := n.cfg.Renew * time.Duration(min(n.rank(g), maxRank))
 	return now.Sub(g.next.since) >= delay
 }
 
@@ -100,7 +100,8 @@
 			continue
 		}
 		if m.Incarnation == n.self.Incarnation {
-			g.next.promised[m.Incarnation] = n.witness.promise(now, g.id, g.row.Epoch, n.ownerEnded(g))
+			given := n.ownerEnded(g) || g.mine(n.self)
+			g.next.promised[m.Incarnation] = n.witness.promise(now, g.id, g.row.Epoch, given)
 			continue
 		}
 		n.send(Promise, m, g.id, g.row.Epoch, 0)
@@ -120,7 +121,7 @@
 // advance takes the next epoch once everything that it needs is had.
 func (n *Node) advance(now structs.Instant, g *group) {
 	if !g.next.ready {
-		quorum := majorities(g.row.sets(), func(m Member) bool {
+		quorum := majorities(g.row.Sets(), func(m Member) bool {
 			return g.next.promised[m.Incarnation] || n.countsEnded(now, m)
 		})
 		if !quorum && !n.rules.storeAloneRevokes {
@@ -171,6 +172,7 @@
 	return Row{
 		Group:     g.id,
 		Epoch:     g.row.Epoch + 1,
+		Since:     g.row.Epoch + 1,
 		Owner:     n.self,
 		Witnesses: n.chooseSet(g.id, nil),
 	}
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -26,6 +26,8 @@
 	Released    int64                              `json:"released_total"`
 	Suspects    int                                `json:"quarantine_entries"`
 	Services    map[structs.ServiceID]ServiceState `json:"services"`
+	// Slowdowns lists the client accounts, the worst served first.
+	Slowdowns []AccountSlowdown `json:"account_slowdowns"`
 }
 
 // ServiceState is one service in the state dump.
@@ -41,6 +43,7 @@
 	Running  int  `json:"reported_running"`
 	Waiting  int  `json:"reported_waiting"`
 	Leaving  bool `json:"leaving"`
+	Drained  bool `json:"drained"`
 	Down     bool `json:"down"`
 }
 
@@ -66,6 +69,7 @@
 		Released: stats.released.Load(), Suspects: l.quarantine.Len(),
 		Services: make(map[structs.ServiceID]ServiceState),
 	}
+	state.Slowdowns = l.measures.accounts.slowdowns(structs.Now())
 	for id, d := range l.dispatchers {
 		state.Services[id] = d.state(structs.Now())
 	}
@@ -77,7 +81,7 @@
 	for id, b := range d.targets {
 		state.Targets[id] = TargetState{
 			InFlight: b.inFlight, Limit: b.limit, Running: b.load.Running, Waiting: b.load.Waiting,
-			Leaving: d.leaving(id), Down: b.isDown(now),
+			Leaving: d.leaving(id), Drained: b.drained, Down: b.isDown(now),
 		}
 	}
 	return state
