The scheduler uses package dispatch; fair and prefix are the default policy

Change: scheduler/dispatcher.go keeps drivers and lets package dispatch choose; a model target without max_in_flight has a learned limit; an account's weight is its rate; queue.fair and route.prefix are the default. Checks: dispatch tests (rapid) assert that no call is lost or given twice and no limit is passed; a route policy that ignores the limit fails the invariant. make run, integration, gateway, command and scheduler tests pass with -race. Cache events do not reach the scheduler yet: the engine driver has no interface for them, so the estimate lives on dispatches and answers.

--- a/bench/run/sim.go
+++ b/bench/run/sim.go
@@ -117,7 +117,6 @@
 	}
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Domain: d.ID, Queue: queue, Route: route,
-		Learned: s.opts.Policies.Limit == LimitLearned,
 		Leaving: func(id structs.TargetID) bool { return s.isCut(d.index, s.byID[id].domain.index) },
 	})
 	return nil
@@ -128,6 +127,7 @@
 		for _, e := range s.engines {
 			d.dispatcher.Set(dispatch.TargetSpec{
 				ID: e.id, Domain: e.domain.ID, Near: e.domain.Region == d.Region, Most: noLimit,
+				Learned: s.opts.Policies.Limit == LimitLearned,
 			})
 		}
 	}
--- a/daemon/schedulerd.go
+++ b/daemon/schedulerd.go
@@ -6,9 +6,12 @@
 
 	"github.com/endivecourse/endivecourse/config/configwatch"
 	"github.com/endivecourse/endivecourse/kernel"
+	_ "github.com/endivecourse/endivecourse/queue/fair" // registers queue.fair
 	_ "github.com/endivecourse/endivecourse/queue/fifo" // registers queue.fifo
+	_ "github.com/endivecourse/endivecourse/queue/las"  // registers queue.las
 	"github.com/endivecourse/endivecourse/quota/holder"
 	_ "github.com/endivecourse/endivecourse/route/leastloaded" // registers route.leastloaded
+	_ "github.com/endivecourse/endivecourse/route/prefix"      // registers route.prefix
 	"github.com/endivecourse/endivecourse/scheduler"
 	"github.com/endivecourse/endivecourse/scheduler/storeonly"
 	"github.com/endivecourse/endivecourse/settings"
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,10 +14,9 @@
 
 // Options say how a Dispatcher decides.
 type Options struct {
-	Domain  structs.DomainID // the own failure domain
-	Queue   queue.Policy
-	Route   route.Policy
-	Learned bool // limits are learned below the most of each target
+	Domain structs.DomainID // the own failure domain
+	Queue  queue.Policy
+	Route  route.Policy
 	// Leaving reports a target that gets nothing new; nil means none.
 	Leaving func(structs.TargetID) bool
 }
@@ -28,6 +27,9 @@
 	Domain structs.DomainID
 	Near   bool // in the own region
 	Most   int  // calls in flight at most
+	// Learned lets the limit be learned below Most.
+	Learned bool
+	Closed  bool // takes nothing new
 }
 
 // Load is a target's report.
@@ -126,7 +128,7 @@
 			return d.sets.ChooseFrom(now, item, &d.own, &d.others)
 		}
 	}
-	candidates := d.candidates(now)
+	candidates := d.candidates()
 	return func(item queue.Item) (structs.TargetID, bool) {
 		return d.opts.Route.Choose(now, item, candidates)
 	}
@@ -134,11 +136,11 @@
 
 // candidates lists the targets of the own failure domain that take calls; when
 // there is none, those of other domains.
-func (d *Dispatcher) candidates(now structs.Instant) []route.Target {
+func (d *Dispatcher) candidates() []route.Target {
 	for _, s := range []*set{&d.own, &d.others} {
 		var up []route.Target
 		for _, t := range s.targets {
-			if !t.isDown(now) && !d.opts.Leaving(t.spec.ID) {
+			if d.takesCalls(t) {
 				up = append(up, d.view(t))
 			}
 		}
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -33,14 +33,6 @@
 	return l
 }
 
-func (l *limit) setMost(most int) {
-	l.most = most
-	l.value = min(l.value, most)
-	if !l.learned {
-		l.value = most
-	}
-}
-
 func (l *limit) report(now structs.Instant, load Load, inFlight int) {
 	if !l.learned || l.changed != 0 && now.Sub(l.changed) < limitSettles {
 		return
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -33,22 +33,47 @@
 		ID: t.spec.ID, Domain: t.spec.Domain, Near: t.spec.Near, InFlight: t.inFlight, Limit: t.limit.value,
 		Running: t.load.Running, Waiting: t.load.Waiting, SinceReport: t.sinceReport, ReportAge: age,
 	}
-	if t.isDown(d.now) || d.opts.Leaving(t.spec.ID) {
+	if !d.takesCalls(t) {
 		view.Limit = 0
 	}
 	return view
 }
 
+func (d *Dispatcher) takesCalls(t *state) bool {
+	return !t.spec.Closed && !t.isDown(d.now) && !d.opts.Leaving(t.spec.ID)
+}
+
+// Status is one target in a state dump.
+type Status struct {
+	InFlight, Limit  int
+	Running, Waiting int // as reported
+	Down             bool
+}
+
+// Status returns what is known of a target.
+func (d *Dispatcher) Status(now structs.Instant, id structs.TargetID) Status {
+	t := d.targets[id]
+	if t == nil {
+		return Status{}
+	}
+	return Status{
+		InFlight: t.inFlight, Limit: t.limit.value,
+		Running: t.load.Running, Waiting: t.load.Waiting, Down: t.isDown(now),
+	}
+}
+
 // Set adds a target or changes its description.
 func (d *Dispatcher) Set(spec TargetSpec) {
 	if t := d.targets[spec.ID]; t != nil {
 		d.setOf(t).remove(t)
+		if t.spec.Learned != spec.Learned || t.spec.Most != spec.Most {
+			t.limit = newLimit(spec.Most, spec.Learned)
+		}
 		t.spec = spec
-		t.limit.setMost(spec.Most)
 		d.setOf(t).add(t)
 		return
 	}
-	t := &state{spec: spec, limit: newLimit(spec.Most, d.opts.Learned)}
+	t := &state{spec: spec, limit: newLimit(spec.Most, spec.Learned)}
 	for _, flights := range d.flying {
 		for _, f := range flights {
 			if f.target == spec.ID {
--- a/scheduler/act.go
+++ b/scheduler/act.go
@@ -20,7 +20,7 @@
 		l.enqueue(a)
 	case program.Dequeue:
 		if d := l.dispatchers[a.Service]; d != nil {
-			d.remove(a.Call)
+			d.Remove(uint64(a.Call))
 		}
 	case program.Abort:
 		l.abort(a)
@@ -40,11 +40,10 @@
 		l.release(a)
 	case program.Forget:
 		for _, d := range l.dispatchers {
-			d.queue.Forget(a.Program)
+			d.ForgetProgram(a.Program)
 		}
 	case program.Fault:
-		l.s.stats.faults.Add(1)
-		l.s.log.Error("invariant violated", "package", a.Err.Package, "name", a.Err.Name, "detail", a.Err.Detail)
+		l.fault(a.Err)
 	}
 }
 
@@ -83,7 +82,8 @@
 		l.queue(program.Rejected{Call: a.Call, Refusal: refusal})
 		return
 	}
-	l.dispatcher(a.Item.Service).push(structs.Now(), a.Item)
+	a.Item.Weight = l.weightOf(a.Item.Account)
+	l.dispatcher(a.Item.Service).Push(structs.Now(), a.Item)
 }
 
 func (l *loop) refuseQuarantined(fingerprint uint64) *structs.Refusal {
@@ -109,3 +109,19 @@
 		l.queue(program.Released{Program: a.Program, Target: a.Target, OK: false})
 	}
 }
+
+// fault counts and logs a violated invariant of a decision package.
+func (l *loop) fault(err error) {
+	l.s.stats.faults.Add(1)
+	l.s.log.Error("invariant violated", "error", err)
+}
+
+// weightOf returns an account's share of service: its rate of requests.
+func (l *loop) weightOf(id structs.AccountID) float64 {
+	if snapshot := l.s.snapshot(); snapshot != nil {
+		if account, found := snapshot.Account(id); found && account.Rate > 0 {
+			return account.Rate
+		}
+	}
+	return 1
+}
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -77,11 +77,12 @@
 }
 
 func (d *dispatcher) state(now structs.Instant) ServiceState {
-	state := ServiceState{Waiting: d.queue.Len(), Targets: make(map[structs.TargetID]TargetState)}
+	state := ServiceState{Waiting: d.Waiting(), Targets: make(map[structs.TargetID]TargetState)}
 	for id, b := range d.targets {
+		seen := d.Status(now, id)
 		state.Targets[id] = TargetState{
-			InFlight: b.inFlight, Limit: b.limit, Running: b.load.Running, Waiting: b.load.Waiting,
-			Leaving: d.leaving(id), Drained: b.drained, Down: b.isDown(now),
+			InFlight: seen.InFlight, Limit: seen.Limit, Running: seen.Running, Waiting: seen.Waiting,
+			Leaving: d.leaving(id), Drained: b.drained, Down: seen.Down,
 		}
 	}
 	return state
--- a/scheduler/fake_test.go
+++ b/scheduler/fake_test.go
@@ -16,8 +16,10 @@
 
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/kernel"
+	_ "github.com/endivecourse/endivecourse/queue/fair"
 	_ "github.com/endivecourse/endivecourse/queue/fifo"
 	_ "github.com/endivecourse/endivecourse/route/leastloaded"
+	_ "github.com/endivecourse/endivecourse/route/prefix"
 	"github.com/endivecourse/endivecourse/scheduler/storeonly"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
--- a/scheduler/loop.go
+++ b/scheduler/loop.go
@@ -120,7 +120,7 @@
 	now := structs.Now()
 	for _, d := range l.dispatchers {
 		for {
-			call, target, found := d.next(now)
+			call, target, found := l.next(now, d)
 			if !found {
 				break
 			}
--- a/scheduler/targets.go
+++ b/scheduler/targets.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/endivecourse/endivecourse/config"
+	"github.com/endivecourse/endivecourse/dispatch"
 	"github.com/endivecourse/endivecourse/program"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/target"
@@ -57,8 +58,8 @@
 	for id, b := range d.targets {
 		configured, kept := service.Targets[id]
 		if kept && b.spec == specOf(d.service, id, configured) {
-			b.limit = limitOf(configured)
 			b.drained = configured.Drain
+			d.Set(l.specIn(id, configured))
 			continue
 		}
 		l.dropTarget(d, id, b, kept)
@@ -68,7 +69,6 @@
 			l.addTarget(d, id, configured)
 		}
 	}
-	d.sortTargets()
 }
 
 func specOf(service structs.ServiceID, id structs.TargetID, t config.Target) target.Spec {
@@ -83,15 +83,9 @@
 		return
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	b := &backEnd{spec: spec, driver: driver, limit: limitOf(configured), drained: configured.Drain, stop: stop}
-	for _, flights := range d.flying {
-		for _, f := range flights {
-			if f.target == id {
-				b.inFlight++
-			}
-		}
-	}
+	b := &backEnd{spec: spec, driver: driver, drained: configured.Drain, stop: stop}
 	d.targets[id] = b
+	d.Set(l.specIn(id, configured))
 	l.s.kernel.Go("scheduler.load", func(kernelCtx context.Context) error {
 		defer stop()
 		l.s.pollLoad(kernelCtx, ctx, d.service, spec.ID, driver)
@@ -104,7 +98,7 @@
 func (l *loop) dropTarget(d *dispatcher, id structs.TargetID, b *backEnd, kept bool) {
 	b.stop()
 	delete(d.targets, id)
-	d.route.Forget(id)
+	d.Drop(id)
 	if !kept {
 		l.queue(program.TargetLeft{Target: id})
 	}
@@ -144,10 +138,7 @@
 	if d == nil || d.targets[id] == nil {
 		return
 	}
-	b := d.targets[id]
-	b.load = load
-	b.loadAt = structs.Now()
-	b.sinceReport = 0
+	d.Loaded(structs.Now(), id, dispatch.Load{Running: load.Running, Waiting: load.Waiting, Age: load.Age})
 	if len(load.HeldPrograms) == 0 {
 		return
 	}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -138,7 +138,7 @@
 			CallTimeout: Duration(10 * time.Minute), DrainTimeout: Duration(10 * time.Minute),
 		},
 		Lease:  Lease{Slots: 256, Duration: Duration(3 * time.Second), Renew: Duration(time.Second), ClockDrift: 0.01},
-		Policy: Policy{Queue: "fifo", Route: "leastloaded"},
+		Policy: Policy{Queue: "fair", Route: "prefix"},
 		Config: Config{Poll: Duration(time.Second)},
 	}
 }
