--- a/bench/run/figures.go
+++ b/bench/run/figures.go
@@ -27,7 +27,7 @@
 	Median        float64                       `json:"slowdown_median"`
 	WorstOfMedian float64                       `json:"slowdown_worst_of_median"`
 	Refused       int                           `json:"refused"` // by the queue, within the rate
-	Retries       int                           `json:"retries"`
+	Retries       int                           `json:"retries"` // of calls that a target did not finish
 	LinkBytes     int64                         `json:"link_bytes"`
 	CallsPerS     float64                       `json:"calls_per_s"` // finished after the warm-up and before the last arrival
 	// Timeline is the mean slowdown of calls by the time at which they were
@@ -47,7 +47,7 @@
 	wasted    int64
 	linkBytes int64
 	refused   int64
-	broken    int64
+	retries   int64
 	finished  []structs.Instant // of calls
 	sums      []float64
 	counts    []float64
@@ -66,7 +66,7 @@
 }
 
 func (s *sim) figures() Figures {
-	f := Figures{Slowdown: make(map[structs.AccountID]float64), LinkBytes: s.m.linkBytes, Refused: int(s.m.refused), Retries: int(s.m.broken)}
+	f := Figures{Slowdown: make(map[structs.AccountID]float64), LinkBytes: s.m.linkBytes, Refused: int(s.m.refused), Retries: int(s.m.retries)}
 	counts := make(map[structs.AccountID]float64)
 	for _, r := range s.m.programs {
 		if r.arrived < structs.Instant(s.opts.Warmup) || r.refused {
--- a/bench/run/program.go
+++ b/bench/run/program.go
@@ -100,7 +100,7 @@
 	e := c.target
 	d := c.domain()
 	if s.isCut(d.index, e.domain.index) {
-		s.failed(c, true)
+		s.failed(c)
 		return
 	}
 	delete(s.calls, c.id)
@@ -114,24 +114,21 @@
 	c.run.holds[e] = c.call.Answer
 	c.run.spent += usage.Total()
 	d.dispatcher.Ended(s.line.now, c.id, e.id, usage, true)
-	d.budget.succeeded()
 	delay := s.transfer(e.domain, d, done.Output*bytesPerToken)
 	s.line.after(delay, func() { c.run.answered(c) })
 	s.pump(d)
 }
 
-// failed takes a call that its target did not finish.
-func (s *sim) failed(c *callRun, crashed bool) {
+// failed takes a call that its target did not finish and lets it wait again.
+func (s *sim) failed(c *callRun) {
 	e := c.target
 	d := c.domain()
 	c.target = nil
 	c.tries++
+	s.m.retries++
 	d.dispatcher.Ended(s.line.now, c.id, e.id, structs.Usage{}, false)
 	d.dispatcher.Down(s.line.now, e.id, targetDownFor)
-	if crashed {
-		s.m.broken++
-	}
-	s.line.after(d.budget.delay(s, c), func() { s.wait(c) })
+	s.wait(c)
 }
 
 // answered goes on after the answer of a call has come.
--- a/bench/run/sim.go
+++ b/bench/run/sim.go
@@ -43,7 +43,6 @@
 	workload.Domain
 	index      int
 	dispatcher *dispatch.Dispatcher
-	budget     retryBudget
 }
 
 // engine is one target.
@@ -182,7 +181,7 @@
 			return // it was lost with its target meanwhile
 		}
 		if e.dead || e.life != c.life || s.isCut(d.index, e.domain.index) {
-			s.failed(c, false)
+			s.failed(c)
 			return
 		}
 		e.engine.Submit(&vengine.Request{ID: c.id, Prefixes: c.call.Prefixes, Output: c.call.Output, Answer: c.call.Answer})
@@ -235,14 +234,14 @@
 	e.life++
 	for _, id := range e.engine.Crash() {
 		if c := s.calls[id]; c != nil {
-			s.failed(c, true)
+			s.failed(c)
 		}
 	}
 	// Calls on their way to the target and answers of its last step are lost as
 	// well.
 	for _, c := range s.sortedCalls() {
 		if c.target == e {
-			s.failed(c, true)
+			s.failed(c)
 		}
 	}
 }
