--- a/bench/run/sim.go
+++ b/bench/run/sim.go
@@ -43,7 +43,6 @@
 	workload.Domain
 	index      int
 	dispatcher *dispatch.Dispatcher
-	budget     retryBudget
 }
 
 // engine is one target.
@@ -117,7 +116,6 @@
 	}
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Domain: d.ID, Queue: queue, Route: route,
-		Learned: s.opts.Policies.Limit == LimitLearned,
 		Leaving: func(id structs.TargetID) bool { return s.isCut(d.index, s.byID[id].domain.index) },
 	})
 	return nil
@@ -128,6 +126,7 @@
 		for _, e := range s.engines {
 			d.dispatcher.Set(dispatch.TargetSpec{
 				ID: e.id, Domain: e.domain.ID, Near: e.domain.Region == d.Region, Most: noLimit,
+				Learned: s.opts.Policies.Limit == LimitLearned,
 			})
 		}
 	}
@@ -182,7 +181,7 @@
 			return // it was lost with its target meanwhile
 		}
 		if e.dead || e.life != c.life || s.isCut(d.index, e.domain.index) {
-			s.failed(c, false)
+			s.failed(c)
 			return
 		}
 		e.engine.Submit(&vengine.Request{ID: c.id, Prefixes: c.call.Prefixes, Output: c.call.Output, Answer: c.call.Answer})
@@ -235,14 +234,14 @@
 	e.life++
 	for _, id := range e.engine.Crash() {
 		if c := s.calls[id]; c != nil {
-			s.failed(c, true)
+			s.failed(c)
 		}
 	}
 	// Calls on their way to the target and answers of its last step are lost as
 	// well.
 	for _, c := range s.sortedCalls() {
 		if c.target == e {
-			s.failed(c, true)
+			s.failed(c)
 		}
 	}
 }
