--- a/integration/faults_test.go
+++ b/integration/faults_test.go
@@ -25,21 +25,24 @@
 	finishWithin = 60 * time.Second // of the last fault, every program has ended
 	freeWithin   = 30 * time.Second // of the last end, engines hold nothing
 	faultSeed    = 1
+	// maxSeeds bounds the seeds of one run, which take about 16 s each.
+	maxSeeds = 20
 	// plainTimeout is that of a call to a plain target, which may hang.
 	plainTimeout = 2 * time.Second
 	// ampleRate keeps callers below their rate.
 	ampleRate = 2000
 )
 
-func seedOf(t *testing.T) uint64 {
+// number reads a number from the environment.
+func number(t *testing.T, name string, otherwise uint64) uint64 {
 	t.Helper()
-	text := os.Getenv("ENDIVE_SOAK_FIRST")
+	text := os.Getenv(name)
 	if text == "" {
-		return faultSeed
+		return otherwise
 	}
-	seed, err := strconv.ParseUint(text, 10, 64)
+	n, err := strconv.ParseUint(text, 10, 64)
 	assert.NilError(t, err)
-	return seed
+	return n
 }
 
 // accraAgents are the callers' accounts, with the program that each runs.
@@ -52,11 +55,17 @@
 	{"court-wardens", "round-planner"},
 }
 
+// ample raises all rates.
 func ample(document *config.Document) {
 	for id, account := range document.Accounts {
 		account.Rate, account.Burst = ampleRate, ampleRate
 		document.Accounts[id] = account
 	}
+}
+
+// ampleAndShort also shortens the calls to plain targets, which may hang.
+func ampleAndShort(document *config.Document) {
+	ample(document)
 	service := document.Services["courts-app"]
 	service.Timeout = settings.Duration(plainTimeout)
 	document.Services["courts-app"] = service
@@ -65,9 +74,15 @@
 // Callers at all nine gateways run programs while two faults at a time, drawn
 // from the seed, strike the daemons, the platform and the targets.
 func TestSoakFaults(t *testing.T) {
-	seed := seedOf(t)
+	first := number(t, "ENDIVE_SOAK_FIRST", faultSeed)
+	for seed := first; seed < first+min(number(t, "ENDIVE_SOAK_SEEDS", 1), maxSeeds); seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runFaults(t, seed) })
+	}
+}
+
+func runFaults(t *testing.T, seed uint64) {
 	f := startFleet(t, fleetOptions{
-		name: "accra", cuttable: true, document: ample,
+		name: "accra", cuttable: true, document: ampleAndShort,
 		engine: engine.Options{TokenTime: 5 * time.Millisecond},
 		plain:  plain.Options{Delay: 5 * time.Millisecond},
 	})
--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -41,6 +41,7 @@
 // orderCall is a call that may not be repeated, on its way.
 type orderCall struct {
 	body string
+	took time.Duration // once done
 	done chan error
 }
 
@@ -49,8 +50,10 @@
 	c := f.talk(gateway, "court-wardens", "rake-agent", plainName)
 	o := &orderCall{body: body, done: make(chan error, 1)}
 	call := caller.PlainCall{Call: 1, Service: plainName, Request: caller.PlainRequest{Method: "POST", Path: orderPath, Body: body}}
+	began := time.Now()
 	go func() {
 		_, err := c.client.Plain(f.t.Context(), c.id, call)
+		o.took = time.Since(began).Round(time.Millisecond)
 		o.done <- err
 	}()
 	return o
@@ -74,14 +77,17 @@
 		assert.NilError(f.t, s.err, "stream at %s", f.gateways[i].settings.VM)
 		assert.Equal(f.t, s.text, engine.Answer(s.prompt))
 	}
+	slowest := time.Duration(0)
 	for i, o := range orders {
 		assert.NilError(f.t, <-o.done, "order at %s", f.gateways[i].settings.VM)
+		slowest = max(slowest, o.took)
 		assert.Equal(f.t, f.orders()[o.body], 1)
 	}
 	for _, d := range stopping {
 		assert.NilError(f.t, d.cmd.Wait(), "%s on %s", d.binary, d.settings.VM)
 		f.start(d)
 	}
-	f.t.Logf("%s of three VMs stopped in %s", stopping[0].binary, time.Since(began).Round(time.Millisecond))
+	f.t.Logf("%s of three VMs stopped in %s; slowest order %s", stopping[0].binary,
+		time.Since(began).Round(time.Millisecond), slowest)
 	f.waitReady()
 }
