--- a/wire/conn.go
+++ b/wire/conn.go
@@ -19,15 +19,13 @@
 	closed  chan struct{}
 	once    sync.Once
 	cause   atomic.Pointer[error]
-	handle  func(frame) TrafficClass
+	handle  func(frame)
 	traffic *Traffic
 	onClose func()
 	group   sync.WaitGroup
 }
 
-// newConn makes a connection whose frames go to handle, which returns the
-// class of the request that a frame belongs to.
-func newConn(nc net.Conn, max int, traffic *Traffic, handle func(frame) TrafficClass, onClose func()) *conn {
+func newConn(nc net.Conn, max int, traffic *Traffic, handle func(frame), onClose func()) *conn {
 	return &conn{
 		net:     nc,
 		max:     max,
@@ -89,11 +87,10 @@
 			c.close(err)
 			return
 		}
-		class := Control
+		c.traffic.countReceived(f)
 		if f.kind != framePing {
-			class = c.handle(f)
+			c.handle(f)
 		}
-		c.traffic.countReceived(class, f)
 	}
 }
 
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -34,7 +34,6 @@
 	kind   frameKind
 	stream uint64
 	body   []byte
-	class  TrafficClass // of the request; not part of the frame's bytes
 }
 
 func appendFrame(buf []byte, f frame) []byte {
--- a/wire/session.go
+++ b/wire/session.go
@@ -27,7 +27,6 @@
 type ReplyWriter struct {
 	session *serverConn
 	stream  uint64
-	class   TrafficClass
 	ctx     context.Context
 	cancel  context.CancelFunc
 	credits chan struct{}
@@ -48,30 +47,24 @@
 	case <-w.ctx.Done():
 		return w.ctx.Err()
 	}
-	if !w.session.conn.send(frame{kind: frameReply, stream: w.stream, body: body, class: w.class}) {
+	if !w.session.conn.send(frame{kind: frameReply, stream: w.stream, body: body}) {
 		return w.session.conn.err()
 	}
 	return nil
 }
 
-func (s *serverConn) handle(f frame) TrafficClass {
+func (s *serverConn) handle(f frame) {
 	switch f.kind {
 	case frameRequest:
-		return s.open(f)
-	case frameCancel, frameCredit:
-		w := s.find(f.stream)
-		if w == nil {
-			return Data // has ended
-		}
-		if f.kind == frameCancel {
+		s.open(f)
+	case frameCancel:
+		if w := s.find(f.stream); w != nil {
 			w.cancel()
-		} else {
-			s.credit(w, f)
 		}
-		return w.class
+	case frameCredit:
+		s.credit(f)
 	default:
 		s.conn.close(&MalformedError{Field: "kind", Value: uint64(f.kind)})
-		return Control
 	}
 }
 
@@ -81,12 +74,16 @@
 	return s.running[stream]
 }
 
-func (s *serverConn) credit(w *ReplyWriter, f frame) {
+func (s *serverConn) credit(f frame) {
 	var count int
 	if err := msgpack.Unmarshal(f.body, &count); err != nil {
 		s.conn.close(errors.Wrap(err, "decode credit"))
 		return
 	}
+	w := s.find(f.stream)
+	if w == nil {
+		return
+	}
 	for range min(count, streamCredits) {
 		select {
 		case w.credits <- struct{}{}:
@@ -96,31 +93,25 @@
 	}
 }
 
-func (s *serverConn) open(f frame) TrafficClass {
+func (s *serverConn) open(f frame) {
 	var req request
 	if err := msgpack.Unmarshal(f.body, &req); err != nil {
 		s.conn.close(errors.Wrap(err, "decode request"))
-		return Control
+		return
 	}
-	s.begin(f.stream, req)
-	return classOf(req.Method)
-}
-
-// begin runs a request's handler, or refuses the request.
-func (s *serverConn) begin(stream uint64, req request) {
 	handler, known := s.server.handlers[req.Method]
 	if !known {
-		s.refuse(stream, classOf(req.Method), structs.Refuse(structs.RefusedNotFound, structs.RunNo, "method %q does not exist", req.Method))
+		s.refuse(f.stream, structs.Refuse(structs.RefusedNotFound, structs.RunNo, "method %q does not exist", req.Method))
 		return
 	}
 	if !s.server.admit() {
-		s.refuse(stream, classOf(req.Method), structs.Refuse(structs.RefusedNotReady, structs.RunNo, "the process is stopping"))
+		s.refuse(f.stream, structs.Refuse(structs.RefusedNotReady, structs.RunNo, "the process is stopping"))
 		return
 	}
-	w := s.register(stream, req)
+	w := s.register(f.stream, req)
 	if w == nil {
 		s.server.requests.Done()
-		s.refuse(stream, classOf(req.Method), structs.Refuse(structs.RefusedQueueFull, structs.RunNo, "too many requests on one connection"))
+		s.refuse(f.stream, structs.Refuse(structs.RefusedQueueFull, structs.RunNo, "too many requests on one connection"))
 		return
 	}
 	go s.run(handler, &Request{Method: req.Method, Peer: s.conn.net.RemoteAddr().String(), body: req.Body}, w)
@@ -132,7 +123,7 @@
 	if len(s.running) >= maxRunning {
 		return nil
 	}
-	w := &ReplyWriter{session: s, stream: stream, class: classOf(req.Method), credits: make(chan struct{}, streamCredits)}
+	w := &ReplyWriter{session: s, stream: stream, credits: make(chan struct{}, streamCredits)}
 	for range streamCredits {
 		w.credits <- struct{}{}
 	}
@@ -153,21 +144,21 @@
 	s.mu.Unlock()
 	w.cancel()
 	if err == nil {
-		s.conn.send(frame{kind: frameEnd, stream: w.stream, class: w.class})
+		s.conn.send(frame{kind: frameEnd, stream: w.stream})
 		return
 	}
 	var refusal *structs.Refusal
 	if !errors.As(err, &refusal) {
 		refusal = structs.Refuse(structs.RefusedInvariant, structs.RunUnknown, "%s: %v", req.Method, err)
 	}
-	s.refuse(w.stream, w.class, refusal)
+	s.refuse(w.stream, refusal)
 }
 
-func (s *serverConn) refuse(stream uint64, class TrafficClass, refusal *structs.Refusal) {
+func (s *serverConn) refuse(stream uint64, refusal *structs.Refusal) {
 	body, err := msgpack.Marshal(refusal)
 	if err != nil {
 		s.conn.close(errors.Wrap(err, "encode refusal"))
 		return
 	}
-	s.conn.send(frame{kind: frameRefuse, stream: stream, body: body, class: class})
+	s.conn.send(frame{kind: frameRefuse, stream: stream, body: body})
 }
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -29,7 +29,6 @@
 type Stream struct {
 	peer   *clientConn
 	id     uint64
-	class  TrafficClass
 	ctx    context.Context
 	frames chan frame
 	taken  int
@@ -37,13 +36,13 @@
 }
 
 func (p *clientConn) open(ctx context.Context, class TrafficClass, body []byte) (*Stream, error) {
-	s := &Stream{peer: p, class: class, ctx: ctx, frames: make(chan frame, streamCredits+1)}
+	s := &Stream{peer: p, ctx: ctx, frames: make(chan frame, streamCredits+1)}
 	p.mu.Lock()
 	p.next++
-	s.id = p.next
+	s.id = streamID(p.next, class)
 	p.streams[s.id] = s
 	p.mu.Unlock()
-	if !p.conn.send(frame{kind: frameRequest, stream: s.id, body: body, class: class}) {
+	if !p.conn.send(frame{kind: frameRequest, stream: s.id, body: body}) {
 		p.forget(s.id)
 		return nil, &NotSentError{Addr: p.addr, Cause: p.conn.err()}
 	}
@@ -62,12 +61,12 @@
 	delete(p.streams, id)
 }
 
-func (p *clientConn) handle(f frame) TrafficClass {
+func (p *clientConn) handle(f frame) {
 	switch f.kind {
 	case frameReply, frameEnd, frameRefuse:
 	default:
 		p.conn.close(&MalformedError{Field: "kind", Value: uint64(f.kind)})
-		return Control
+		return
 	}
 	p.mu.Lock()
 	s := p.streams[f.stream]
@@ -76,14 +75,13 @@
 	}
 	p.mu.Unlock()
 	if s == nil {
-		return Data // cancelled before, as calls are
+		return // cancelled before
 	}
 	select {
 	case s.frames <- f:
 	default:
 		p.conn.close(&MalformedError{Field: "credits", Value: streamCredits})
 	}
-	return s.class
 }
 
 // failAll ends all streams of a closed connection.
@@ -150,7 +148,7 @@
 		return
 	}
 	s.taken = 0
-	s.peer.conn.send(frame{kind: frameCredit, stream: s.id, body: body, class: s.class})
+	s.peer.conn.send(frame{kind: frameCredit, stream: s.id, body: body})
 }
 
 // Close cancels the request if it has not ended. It is idempotent.
@@ -164,7 +162,7 @@
 	delete(s.peer.streams, s.id)
 	s.peer.mu.Unlock()
 	if open {
-		s.peer.conn.send(frame{kind: frameCancel, stream: s.id, class: s.class})
+		s.peer.conn.send(frame{kind: frameCancel, stream: s.id})
 	}
 	return nil
 }
--- a/wire/traffic.go
+++ b/wire/traffic.go
@@ -38,11 +38,21 @@
 func (t *Traffic) Received(class TrafficClass) uint64 { return t.received[class].Load() }
 
 func (t *Traffic) countSent(f frame) {
-	t.sent[f.class].Add(uint64(headerSize + len(f.body)))
+	t.sent[f.class()].Add(uint64(headerSize + len(f.body)))
 }
 
-func (t *Traffic) countReceived(class TrafficClass, f frame) {
-	t.received[class].Add(uint64(headerSize + len(f.body)))
+func (t *Traffic) countReceived(f frame) {
+	t.received[f.class()].Add(uint64(headerSize + len(f.body)))
+}
+
+// streamID makes the number of a client's stream. Its lowest bit is the class,
+// so that both ends know it of every frame; pings have stream 0.
+func streamID(number uint64, class TrafficClass) uint64 {
+	return number*uint64(trafficClasses) + uint64(class)
+}
+
+func (f frame) class() TrafficClass {
+	return TrafficClass(f.stream % uint64(trafficClasses))
 }
 
 // Traffic returns the client's counters.
--- a/wire/traffic_test.go
+++ b/wire/traffic_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -28,8 +29,14 @@
 	sent := client.Traffic().Sent(Data)
 	assert.Assert(t, sent > 10000 && sent < 11000, "%d", sent)
 	assert.Assert(t, client.Traffic().Received(Data) > 10000)
-	client.Close()
-	assert.NilError(t, server.Close())
-	assert.Equal(t, server.Traffic().Received(Data), sent)
-	assert.Equal(t, server.Traffic().Sent(Data), client.Traffic().Received(Data))
+	// The last frames of a call are on their way when it returns.
+	deadline := time.Now().Add(10 * time.Second)
+	for !sameTraffic(client.Traffic(), server.Traffic()) {
+		assert.Assert(t, time.Now().Before(deadline), "the counters of the two ends stay apart")
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func sameTraffic(client, server *Traffic) bool {
+	return server.Received(Data) == client.Sent(Data) && server.Sent(Data) == client.Received(Data)
 }
