--- a/wire/traffic.go
+++ b/wire/traffic.go
@@ -10,17 +10,19 @@
 
 // Classes of traffic.
 const (
-	Control TrafficClass = iota // leases, journal, quota, configuration, pings
-	Data                        // programs and their calls
+	Control TrafficClass = iota // leases, quota, configuration, pings
+	Data                        // programs, their calls and records
 	trafficClasses
 )
 
-// dataPrefix begins the methods that carry callers' requests.
-const dataPrefix = "program."
+// dataPrefixes begin the methods that carry callers' requests and their records.
+var dataPrefixes = []string{"program.", "keeper.append", "keeper.read"}
 
 func classOf(method string) TrafficClass {
-	if strings.HasPrefix(method, dataPrefix) {
-		return Data
+	for _, prefix := range dataPrefixes {
+		if strings.HasPrefix(method, prefix) {
+			return Data
+		}
 	}
 	return Control
 }
