--- a/bench/command/root.go
+++ b/bench/command/root.go
@@ -31,7 +31,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(compareCommand())
+	root.AddCommand(compareCommand(), loadCommand())
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
