--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -8,8 +8,8 @@
 
 // limit bounds the calls in flight at one target. A learned one keeps the
 // target's own queue short, since targets run calls in order of arrival: it
-// shrinks to what the target runs when calls wait there, and grows while all of
-// it is in use and none waits.
+// shrinks when calls wait there for longer than a step, and grows while all of
+// it is in use and few wait.
 type limit struct {
 	value   int
 	most    int
@@ -20,6 +20,10 @@
 const (
 	firstLearnedLimit = 8 // calls
 	leastLearnedLimit = 2 // calls
+	// A target that runs n calls may let toleratedWaiting + n/toleratedShare
+	// wait: calls that came since its last step wait only for the next one.
+	toleratedWaiting = 1 // calls
+	toleratedShare   = 8
 	// limitSettles is the time between changes, so that each follows from
 	// reports taken after the one before.
 	limitSettles = 2 * time.Second
@@ -39,8 +43,8 @@
 	}
 	next := l.value
 	switch {
-	case load.Waiting > 0:
-		next = min(l.value, load.Running)
+	case load.Waiting > toleratedWaiting+load.Running/toleratedShare:
+		next = min(l.value, max(load.Running, inFlight)-load.Waiting/2)
 	case inFlight >= l.value:
 		next = l.value + 1 + l.value/8
 	}
