--- a/daemon/schedulerd.go
+++ b/daemon/schedulerd.go
@@ -13,7 +13,6 @@
 	_ "github.com/endivecourse/endivecourse/route/leastloaded" // registers route.leastloaded
 	_ "github.com/endivecourse/endivecourse/route/prefix"      // registers route.prefix
 	"github.com/endivecourse/endivecourse/scheduler"
-	"github.com/endivecourse/endivecourse/scheduler/storeonly"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 	_ "github.com/endivecourse/endivecourse/target/engine" // registers target.engine
@@ -47,14 +46,10 @@
 		Others: b.otherSchedulers,
 		Poll:   loaded.Config.Poll.Std(),
 	})
-	owner := storeonly.New(storeonly.Options{
-		Settings:    loaded,
-		Incarnation: b.incarnation,
-		Addr:        loaded.Listen.Reachable(),
-		Table:       b.services.Table,
-		Objects:     b.services.Objects,
-		Log:         log,
-	})
+	owner, err := b.newKeeper(log)
+	if err != nil {
+		return nil, err
+	}
 	quota := holder.New(holder.Options{
 		Index:     slices.Index(b.domains(), loaded.Domain),
 		Domains:   len(b.domains()),
@@ -69,9 +64,13 @@
 		Ownership: owner,
 		Journal:   owner,
 		Config:    b.snapshot,
+		Wire:      b.client,
+		Peers:     func() []string { return slices.Concat(b.ownSchedulers(), b.otherSchedulers()) },
 		Leaving:   func(id structs.TargetID) bool { return b.members.View().TargetLeaving(id) },
+		Table:     b.services.Table,
 	})
 	watch.RegisterHandlers(server)
+	owner.RegisterHandlers(server)
 	quota.RegisterHandlers(server)
 	core.RegisterHandlers(server)
 	return []kernel.Component{
