--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -61,7 +61,7 @@
 
 // fleet is one site: nine VMs with both daemons each, and stand-ins.
 type fleet struct {
-	t          *testing.T
+	t          testing.TB
 	site       *site.Site
 	document   config.Document
 	gateways   []*daemonProcess
@@ -84,7 +84,7 @@
 	cuttable bool
 }
 
-func startFleet(t *testing.T, opts fleetOptions) *fleet {
+func startFleet(t testing.TB, opts fleetOptions) *fleet {
 	t.Helper()
 	dir := filepath.Join("..", "examples", opts.name)
 	ports := newPortMap(t, dir)
@@ -128,7 +128,7 @@
 	return f
 }
 
-func schedulerFiles(t *testing.T, dir string) []string {
+func schedulerFiles(t testing.TB, dir string) []string {
 	t.Helper()
 	paths, err := filepath.Glob(filepath.Join(dir, "*schedulerd.jsonc"))
 	assert.NilError(t, err)
@@ -152,7 +152,7 @@
 
 // newPortMap moves the example addresses of a site to the first set of ports
 // of which all are free.
-func newPortMap(t *testing.T, dir string) func(string) string {
+func newPortMap(t testing.TB, dir string) func(string) string {
 	t.Helper()
 	ports := portsOf(t, dir)
 	for set := range portSets {
@@ -174,7 +174,7 @@
 	})
 }
 
-func portsOf(t *testing.T, dir string) map[string]bool {
+func portsOf(t testing.TB, dir string) map[string]bool {
 	t.Helper()
 	files, err := filepath.Glob(filepath.Join(dir, "*.jsonc"))
 	assert.NilError(t, err)
@@ -200,7 +200,7 @@
 	return true
 }
 
-func readDocument(t *testing.T, dir string, ports func(string) string) config.Document {
+func readDocument(t testing.TB, dir string, ports func(string) string) config.Document {
 	t.Helper()
 	sources, err := config.ReadSources(filepath.Join(dir, "base.jsonc"), filepath.Join(dir, "overlay.jsonc"))
 	assert.NilError(t, err)
@@ -214,7 +214,7 @@
 
 var keyRow = regexp.MustCompile("(?m)^\\| ([a-z-]+) \\| `(ek_[^`]+)` \\|")
 
-func readKeys(t *testing.T, dir string) map[structs.AccountID]string {
+func readKeys(t testing.TB, dir string) map[structs.AccountID]string {
 	t.Helper()
 	text, err := os.ReadFile(filepath.Join(dir, "EXAMPLE-KEYS.md"))
 	assert.NilError(t, err)
--- a/integration/forwarder_test.go
+++ b/integration/forwarder_test.go
@@ -19,7 +19,7 @@
 	conns map[net.Conn]struct{}
 }
 
-func startForwarder(t *testing.T, to string) *forwarder {
+func startForwarder(t testing.TB, to string) *forwarder {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -26,7 +26,7 @@
 }
 
 // readVersion finds the version of the configuration in a state dump.
-func readVersion(t *testing.T, dump string) uint64 {
+func readVersion(t testing.TB, dump string) uint64 {
 	t.Helper()
 	var state struct {
 		Components struct {
