A program that its budget has ended counts as spent

Cause: a call whose charge spends the budget to the last token ends the program; the fault run took the next call's program_ended for a failure. Change: that refusal is accepted for the caller with the tight budget alone.

--- a/integration/agent_test.go
+++ b/integration/agent_test.go
@@ -216,6 +216,10 @@
 		return false, false, err
 	}
 	switch refused.Kind {
+	case structs.RefusedProgramEnded:
+		if a.budget == tightBudget {
+			return false, false, spentError{}
+		}
 	case structs.RefusedOutcomeUnknown:
 		r.turns = append(r.turns, expected{lost: true})
 		a.counts.Lost++
