--- a/wire/traffic.go
+++ b/wire/traffic.go
@@ -10,17 +10,19 @@
 
 // Classes of traffic.
 const (
-	Control TrafficClass = iota // leases, journal, quota, configuration, pings
-	Data                        // programs and their calls
+	Control TrafficClass = iota // leases, quota, configuration, pings
+	Data                        // programs, their calls and records
 	trafficClasses
 )
 
-// dataPrefix begins the methods that carry callers' requests.
-const dataPrefix = "program."
+// dataPrefixes begin the methods that carry callers' requests and their records.
+var dataPrefixes = []string{"program.", "keeper.append", "keeper.read"}
 
 func classOf(method string) TrafficClass {
-	if strings.HasPrefix(method, dataPrefix) {
-		return Data
+	for _, prefix := range dataPrefixes {
+		if strings.HasPrefix(method, prefix) {
+			return Data
+		}
 	}
 	return Control
 }
@@ -38,11 +40,21 @@
 func (t *Traffic) Received(class TrafficClass) uint64 { return t.received[class].Load() }
 
 func (t *Traffic) countSent(f frame) {
-	t.sent[f.class].Add(uint64(headerSize + len(f.body)))
+	t.sent[f.class()].Add(uint64(headerSize + len(f.body)))
 }
 
-func (t *Traffic) countReceived(class TrafficClass, f frame) {
-	t.received[class].Add(uint64(headerSize + len(f.body)))
+func (t *Traffic) countReceived(f frame) {
+	t.received[f.class()].Add(uint64(headerSize + len(f.body)))
+}
+
+// streamID makes the number of a client's stream. Its lowest bit is the class,
+// so that both ends know it of every frame; pings have stream 0.
+func streamID(number uint64, class TrafficClass) uint64 {
+	return number*uint64(trafficClasses) + uint64(class)
+}
+
+func (f frame) class() TrafficClass {
+	return TrafficClass(f.stream % uint64(trafficClasses))
 }
 
 // Traffic returns the client's counters.
