--- a/daemon/common.go
+++ b/daemon/common.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"net/http"
+	"net/http/pprof"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -67,6 +69,8 @@
 		}),
 	}
 	b.client = wire.NewClient(b.wireOptions)
+	b.admin.Handle("/debug/pprof/", http.HandlerFunc(pprof.Index))
+	b.admin.Handle("/debug/pprof/profile", http.HandlerFunc(pprof.Profile))
 	b.admin.AddReadiness("config", func() error {
 		if b.holder.Current() == nil {
 			return &NotReadyError{Missing: "the configuration"}
