--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -107,8 +107,10 @@
 }
 
 func TestLostConnectionIsBroken(t *testing.T) {
+	entered := make(chan struct{})
 	addr, server := startServer(t, func(s *Server) {
 		s.Handle("wait", func(ctx context.Context, _ *Request, _ *ReplyWriter) error {
+			close(entered)
 			<-ctx.Done()
 			return ctx.Err()
 		})
@@ -117,6 +119,7 @@
 	defer client.Close()
 	stream, err := client.Stream(t.Context(), addr, "wait", 0)
 	assert.NilError(t, err)
+	<-entered // a request that comes during the close is refused, not broken
 	go server.Close()
 	var broken *BrokenError
 	assert.Assert(t, errors.As(stream.Recv(nil), &broken))
