Whole failure domains under two faults at a time, in virtual time

Change: package soak has tests only. One to three domains of three schedulers and one gateway's deciding parts each run over the real wire protocol on connections in memory, with the platform stand-in and targets in memory. What must hold is checked throughout and after healing. wire.Options.Dial opens a client's connections, for this.

Ruled out: a model of the transport without wire, which would have left the errors of cut connections to the test.

--- /dev/null
+++ b/soak/node_test.go
@@ -0,0 +1,270 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/endivecourse/endivecourse/config"
+	"github.com/endivecourse/endivecourse/config/configwatch"
+	"github.com/endivecourse/endivecourse/gateway/forward"
+	"github.com/endivecourse/endivecourse/keeper"
+	"github.com/endivecourse/endivecourse/kernel"
+	"github.com/endivecourse/endivecourse/lease"
+	"github.com/endivecourse/endivecourse/membership"
+	"github.com/endivecourse/endivecourse/platform"
+	_ "github.com/endivecourse/endivecourse/queue/fair" // registers queue.fair
+	"github.com/endivecourse/endivecourse/quota"
+	"github.com/endivecourse/endivecourse/quota/borrower"
+	"github.com/endivecourse/endivecourse/quota/holder"
+	_ "github.com/endivecourse/endivecourse/route/prefix" // registers route.prefix
+	"github.com/endivecourse/endivecourse/scheduler"
+	"github.com/endivecourse/endivecourse/settings"
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/target"
+	"github.com/endivecourse/endivecourse/wire"
+)
+
+const (
+	testSlots   = 12
+	testTick    = 250 * time.Millisecond
+	callTimeout = 2 * time.Minute
+	planned     = 5 * time.Minute // for a planned stop
+)
+
+// limits is a quota.Snapshot that follows the configuration in force.
+type limits struct{ *config.Holder }
+
+func (l limits) Account(id structs.AccountID) (config.Account, bool) {
+	if current := l.Current(); current != nil {
+		return current.Account(id)
+	}
+	return config.Account{}, false
+}
+
+func (l limits) Version() uint64 {
+	if current := l.Current(); current != nil {
+		return current.Version()
+	}
+	return 0
+}
+
+// node is one process: a scheduler's or a gateway's.
+type node struct {
+	f       *fleet
+	vm      structs.VMID
+	addr    string
+	domain  structs.DomainID
+	inc     structs.Incarnation
+	dead    atomic.Bool // killed
+	leaving bool        // stops as planned
+	highest uint64      // configuration version seen in force
+	members *membership.Watcher
+	config  *config.Holder
+	client  *wire.Client
+	cancel  context.CancelFunc
+	done    chan error
+
+	// A scheduler's parts.
+	keeper    *keeper.Keeper
+	scheduler *scheduler.Scheduler
+	listener  *listener
+	server    *wire.Server
+
+	// A gateway's parts.
+	forwarder *forward.Forwarder
+	borrower  *borrower.Borrower
+}
+
+// wireParts serves the protocol between the processes of the test.
+type wireParts struct{ n *node }
+
+func (w wireParts) Name() string { return "wire" }
+
+func (w wireParts) Start(_ context.Context, k *kernel.Kernel) error {
+	if w.n.server != nil {
+		k.Go("wire.accept", func(context.Context) error { return w.n.server.Serve(w.n.listener) })
+	}
+	return nil
+}
+
+func (w wireParts) Drain(ctx context.Context) error {
+	if w.n.server == nil {
+		return nil
+	}
+	return w.n.server.Drain(ctx)
+}
+
+func (w wireParts) Stop(context.Context) error {
+	w.n.client.Close()
+	if w.n.server != nil {
+		return w.n.server.Close()
+	}
+	return nil
+}
+
+func (f *fleet) newNode(domain structs.DomainID, vm string) *node {
+	f.starts++
+	n := &node{
+		f: f, vm: structs.VMID(vm), addr: vm, domain: domain,
+		inc:    structs.Incarnation(fmt.Sprintf("%s#%d", vm, f.starts)),
+		config: &config.Holder{}, done: make(chan error, 1),
+	}
+	n.client = wire.NewClient(wire.Options{Dial: func(addr string) (net.Conn, error) {
+		if n.dead.Load() {
+			return nil, net.ErrClosed
+		}
+		return f.net.dial(n.addr, addr)
+	}})
+	n.members = membership.New(membership.Options{VMs: vmList{access{n, f.services}}})
+	return n
+}
+
+// schedulers lists the addresses of a domain as this process knows them.
+func (n *node) schedulers(domain structs.DomainID) []string {
+	var addrs []string
+	for _, vm := range n.members.View().Peers(domain) {
+		addrs = append(addrs, vm.Scheduler)
+	}
+	return addrs
+}
+
+func (n *node) others() []string {
+	var addrs []string
+	for _, d := range n.f.domains {
+		if d != n.domain {
+			addrs = append(addrs, n.schedulers(d)...)
+		}
+	}
+	return addrs
+}
+
+func (n *node) peers() []keeper.Peer {
+	var peers []keeper.Peer
+	for _, vm := range n.members.View().Peers(n.domain) {
+		peers = append(peers, keeper.Peer{VM: vm.ID, Addr: vm.Scheduler, Leaving: vm.State == platform.VMLeaving})
+	}
+	return peers
+}
+
+func (n *node) snapshot() scheduler.Snapshot {
+	if current := n.config.Current(); current != nil {
+		return current
+	}
+	return nil
+}
+
+func (n *node) settings() settings.Daemon {
+	s := settings.Default()
+	s.VM, s.Domain, s.Listen.Wire = n.vm, n.domain, n.addr
+	s.Lease.Slots = testSlots
+	s.Limits.CallTimeout = settings.Duration(callTimeout)
+	return s
+}
+
+func (n *node) run(components ...kernel.Component) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	k := kernel.New(n.f.log, components...)
+	go func() { n.done <- k.Run(ctx, planned) }()
+}
+
+// startScheduler starts a scheduler process on a VM.
+func (f *fleet) startScheduler(domain structs.DomainID, vm string) *node {
+	n := f.newNode(domain, vm)
+	loaded := n.settings()
+	n.listener = f.net.listen(n.addr)
+	n.server = wire.NewServer(wire.Options{})
+	services := platform.Services{Table: table{access{n, f.services}}, Objects: objects{access{n, f.services}}}
+	watch := configwatch.NewScheduler(configwatch.SchedulerOptions{
+		Self: n.addr, VM: n.vm, Domain: domain, Holder: n.config, Table: services.Table, Wire: n.client,
+		Peers: func() []string { return n.schedulers(domain) }, Others: n.others, Poll: loaded.Config.Poll.Std(),
+	})
+	owner, err := keeper.New(keeper.Options{
+		Domain: domain, Self: lease.Member{Incarnation: n.inc, VM: n.vm, Addr: n.addr}, Lease: loaded.Lease,
+		MaxTail: loaded.Limits.MaxTail, Daemons: len(f.domains) * perDomain, Table: services.Table, Objects: services.Objects,
+		Peers: n.peers, SeenGone: func(id structs.VMID) bool { return n.members.View().SeenGone(id) },
+		Caller: n.client, Deferred: true, Log: f.log,
+	})
+	if err != nil {
+		f.fail("keeper: %v", err)
+	}
+	n.keeper = owner
+	lender := holder.New(holder.Options{
+		Index: slices.Index(f.domains, domain), Domains: len(f.domains), Slots: testSlots, Terms: f.terms(),
+		Snapshot: limits{n.config}, Ownership: owner, Now: f.now, Log: f.log,
+	})
+	n.scheduler = scheduler.New(scheduler.Options{
+		Settings: loaded, Ownership: owner, Journal: owner, Config: n.snapshot, Wire: n.client, Table: services.Table,
+		Peers:   func() []string { return slices.Concat(n.schedulers(domain), n.others()) },
+		Leaving: func(id structs.TargetID) bool { return n.members.View().TargetLeaving(id) },
+		NewDriver: func(spec target.Spec) (target.Driver, error) {
+			return &driver{engine: f.targets[spec.ID], n: n}, nil
+		},
+		TickInterval: testTick,
+	})
+	watch.RegisterHandlers(n.server)
+	owner.RegisterHandlers(n.server)
+	lender.RegisterHandlers(n.server)
+	n.scheduler.RegisterHandlers(n.server)
+	n.run(n.members, watch, owner, lender, n.scheduler, wireParts{n})
+	f.set(func() { f.schedulers = append(f.schedulers, n) })
+	return n
+}
+
+// startGateway starts what a gateway process decides with.
+func (f *fleet) startGateway(domain structs.DomainID, vm string) *node {
+	n := f.newNode(domain, vm)
+	n.forwarder = forward.New(forward.Options{Caller: forward.WireCaller{Client: n.client}, Addresses: n.schedulers, Slots: testSlots, Clock: f.now})
+	n.borrower = borrower.New(borrower.Options{
+		Self: n.inc, Domain: domain, Domains: f.domains, Slots: testSlots, Snapshot: limits{n.config}, Terms: f.terms(),
+		Client: n.client, Owner: n.forwarder.Owner, Peers: n.schedulers, Now: f.now, Log: f.log,
+	})
+	watch := configwatch.NewGateway(configwatch.GatewayOptions{
+		VM: n.vm, Holder: n.config, Wire: n.client,
+		Schedulers: func() []string { return slices.Concat(n.schedulers(domain), n.others()) },
+	})
+	n.run(n.members, watch, n.borrower, wireParts{n})
+	f.set(func() { f.gateways = append(f.gateways, n) })
+	return n
+}
+
+// now is a clock that starts after the zero Instant.
+func (f *fleet) now() structs.Instant { return structs.Instant(time.Hour + time.Since(f.began)) }
+
+func (f *fleet) terms() quota.Terms {
+	terms := quota.DefaultTerms
+	terms.Drift = settings.Default().Lease.ClockDrift
+	return terms
+}
+
+// kill ends a process at once: nothing that it does afterwards reaches anyone.
+func (n *node) kill() {
+	n.dead.Store(true)
+	n.client.Close()
+	n.f.set(func() { n.f.schedulers = slices.DeleteFunc(n.f.schedulers, func(o *node) bool { return o == n }) })
+	n.listener.Close()
+	n.server.Close()
+	n.end()
+	<-n.done // its last requests fail
+}
+
+// end stops a process whose result nobody waits for.
+func (n *node) end() {
+	n.f.checkInvariants(n)
+	n.cancel()
+}
+
+// stop ends a scheduler process as planned.
+func (n *node) stop() {
+	n.f.net.set(func() { n.leaving = true })
+	n.cancel()
+	if err := <-n.done; err != nil && n.f.calm() {
+		n.f.fail("planned stop of %s: %v", n.inc, err)
+	}
+	n.listener.Close()
+	n.f.set(func() { n.f.schedulers = slices.DeleteFunc(n.f.schedulers, func(o *node) bool { return o == n }) })
+}
--- a/wire/client.go
+++ b/wire/client.go
@@ -101,7 +101,9 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	var nc net.Conn
 	var err error
-	if c.opts.TLS != nil {
+	if c.opts.Dial != nil {
+		nc, err = c.opts.Dial(addr)
+	} else if c.opts.TLS != nil {
 		nc, err = tls.DialWithDialer(dialer, "tcp", addr, c.opts.TLS)
 	} else {
 		nc, err = dialer.Dial("tcp", addr)
--- a/wire/options.go
+++ b/wire/options.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"os"
 	"time"
 
@@ -26,6 +27,8 @@
 type Options struct {
 	MaxFrame int         // bytes; 0 means DefaultMaxFrame
 	TLS      *tls.Config // nil means plain TCP
+	// Dial opens a client's connections; nil means TCP. TLS is not added.
+	Dial func(addr string) (net.Conn, error)
 }
 
 func (o Options) maxFrame() int {
