--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"crypto/sha256"
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/endivecourse/endivecourse/structs"
@@ -94,6 +96,11 @@
 	return set
 }
 
+// ServiceIDs returns the IDs of all services, sorted.
+func (s *Snapshot) ServiceIDs() []structs.ServiceID {
+	return slices.Sorted(maps.Keys(s.doc.Services))
+}
+
 // Version returns the number of the version.
 func (s *Snapshot) Version() uint64 { return s.version }
 
--- a/daemon/schedulerd.go
+++ b/daemon/schedulerd.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"slices"
 
+	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/config/configwatch"
 	"github.com/endivecourse/endivecourse/kernel"
 	_ "github.com/endivecourse/endivecourse/queue/fair" // registers queue.fair
@@ -79,6 +80,10 @@
 	}, nil
 }
 
+// A scheduler that takes a slot over follows the targets of all services from
+// the start: engines may hold memory for programs whose calls it never sent.
+var _ scheduler.ServiceLister = (*config.Snapshot)(nil)
+
 // snapshot returns the configuration in force, or nil.
 func (b *base) snapshot() scheduler.Snapshot {
 	if current := b.holder.Current(); current != nil {
