Trace of one succession in virtual time

Cause: 7.5 s pass after a kill of one of three schedulers until all slots are owned; where they go was not shown.

--- a/keeper/fake_test.go
+++ b/keeper/fake_test.go
@@ -45,6 +45,9 @@
 	bytes    int      // of requests and replies between peers
 	reads    int      // of the table
 	read     int      // bytes of rows read
+	// watch, if set, sees each request between peers with its reply, and each
+	// commit, once it has taken effect.
+	watch func(vm string, in, out any)
 }
 
 type running struct {
@@ -264,6 +267,9 @@
 		out = append(out, row)
 	}
 	e.d.commits++
+	if e.d.watch != nil {
+		e.d.watch(e.vm, txn, out)
+	}
 	if e.d.lose > 0 && e.d.commits%e.d.lose == 0 {
 		return nil, &platform.UnknownOutcomeError{Service: "table", Cause: io.ErrUnexpectedEOF}
 	}
@@ -320,6 +326,14 @@
 	d.set(func() { d.bytes += len(request) + len(reply) })
 }
 
+func (e *endpoint) seen(in, out any) {
+	e.d.set(func() {
+		if e.d.watch != nil {
+			e.d.watch(e.vm, in, out)
+		}
+	})
+}
+
 // Call reaches a peer unless either end is cut off.
 func (e *endpoint) Call(ctx context.Context, addr, method string, in, out any) error {
 	time.Sleep(time.Millisecond)
@@ -327,7 +341,10 @@
 	peer := e.d.running[addr]
 	reachable := peer != nil && !e.d.cut[addr] && !e.d.cut[e.vm]
 	e.d.calls++
-	defer func() { e.d.countBytes(in, out) }()
+	defer func() {
+		e.d.countBytes(in, out)
+		e.seen(in, out)
+	}()
 	e.d.mu.Unlock()
 	if !reachable {
 		return &wire.NotSentError{Addr: addr, Cause: io.ErrClosedPipe}
