A successor counts the lease from the witnesses' last acknowledgement

Cause (TestTraceOfASuccession, one of three killed, lease 3 s, renewal 1 s): rows marked 3.9 s after the kill, promises asked for 0.25 s later at the next wake, the epoch taken 3.25 s after the promises, since the wait was counted from them although the owner had been silent for longer than a lease.

Change: a promise tells how long ago the witness last acknowledged a renewal of the group. A successor waits the lease plus drift from the last of these in a majority of each set, less the drift of the witness's clock. So that the store bounds it too, a read of the row renews only while the row says so (Row.StoreRenews, which the owner writes when its witnesses fail, and takes back after ten renewals that they counted); else only the write of the row does, and the successor takes the instant at which it saw the version before the mark (Mark.Over). One that did not see it, or a row whose reads renew, counts from the sight of the mark. Witnesses suspect half a renewal before the lease ends (was half a renewal after it), so that mark, promises and collection overlap its end; a suspicion is still no evidence. Own marks and collections go on at once instead of at the next wake. A witness that hears a renewal of an epoch above that of the row it knows reads the row.

Ruled out: shorter rank delays, since the groups of the dead one were shared evenly (11 and 11) in one go. Hints from refused connections: marking earlier gains nothing, since the end of the lease is what is waited for now.

Tests: the lease run suspects at 2.5 s (was 4.5 s), which makes more successions. Three mutations are new: age of the first acknowledgement, reads that renew ignored, the row's age ignored.

--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -1,6 +1,8 @@
 package keeper
 
 import (
+	"time"
+
 	"github.com/endivecourse/endivecourse/journal/tail"
 	"github.com/endivecourse/endivecourse/lease"
 	"github.com/endivecourse/endivecourse/structs"
@@ -33,6 +35,7 @@
 	Group lease.Group
 	Epoch structs.Epoch
 	Round uint64
+	Age   time.Duration
 }
 
 // Append carries entries of all groups to one witness.
--- a/keeper/options.go
+++ b/keeper/options.go
@@ -78,7 +78,7 @@
 		Duration:  duration,
 		Renew:     o.Lease.Renew.Std(),
 		Drift:     o.Lease.ClockDrift,
-		Suspect:   duration + o.Lease.Renew.Std()/2,
+		Suspect:   duration - o.Lease.Renew.Std()/2,
 		GoneGrace: grace,
 	}
 }
--- a/keeper/peers.go
+++ b/keeper/peers.go
@@ -156,7 +156,7 @@
 		k.outbox[msg.To.Incarnation] = box
 	}
 	if len(box.messages) < maxMessages {
-		box.messages = append(box.messages, Message{Kind: msg.Kind, Group: msg.Group, Epoch: msg.Epoch, Round: msg.Round})
+		box.messages = append(box.messages, Message{Kind: msg.Kind, Group: msg.Group, Epoch: msg.Epoch, Round: msg.Round, Age: msg.Age})
 	}
 }
 
@@ -223,7 +223,7 @@
 	for _, m := range in.Messages {
 		k.stepLocked(lease.Received{Message: lease.Message{
 			Kind: m.Kind, From: in.From, To: lease.Member{Incarnation: in.To},
-			Group: m.Group, Epoch: m.Epoch, Round: m.Round,
+			Group: m.Group, Epoch: m.Epoch, Round: m.Round, Age: m.Age,
 		}})
 	}
 }
--- a/lease/config.go
+++ b/lease/config.go
@@ -28,6 +28,15 @@
 	return time.Duration(float64(c.Duration)*(1+c.Drift)/(1-c.Drift)) + 1
 }
 
+// maxAge bounds the age that a witness reports. It exceeds every wait.
+func (c Config) maxAge() time.Duration { return 4 * c.Duration }
+
+// acknowledgedBy returns the latest instant by this process's clock at which a
+// witness can have acknowledged that reported the age in a message received now.
+func (c Config) acknowledgedBy(now structs.Instant, age time.Duration) structs.Instant {
+	return now.Add(-time.Duration(float64(age) * (1 - c.Drift) / (1 + c.Drift)))
+}
+
 func (c Config) grace() time.Duration {
 	return time.Duration(float64(c.GoneGrace)*(1+c.Drift)) + 1
 }
@@ -59,6 +68,9 @@
 	oldSetAlone        bool // a change of the witness set is not counted jointly
 	goneWithoutGrace   bool // evidence of an end counts at once
 	markedRowIsRenewed bool // the store counts renewals of a marked row
+	ageOfFirst         bool // a witness reports the age of its first acknowledgement
+	storeReadsIgnored  bool // a successor overlooks that reads of the row renew
+	rowAgeIgnored      bool // a successor counts with its promises alone
 }
 
 func violation(name, detail string) error {
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -14,16 +14,31 @@
 //
 // The platform's table holds one Row per group. The owner may act until
 // L after the instant at which it sent its last counted renewal, by its own
-// clock. A renewal counts when the store showed the row unmarked, in answer to
-// a request that was sent at that instant, or when a majority of the witnesses
-// acknowledged it.
+// clock. A renewal counts when the owner wrote the row unmarked, when the store
+// showed it unmarked and saying that reads renew, in answer to a request that
+// was sent at that instant, or when a majority of the witnesses acknowledged
+// it. The owner has the row say that reads renew only while the witnesses fail.
 //
 // A successor needs both: the row marked as being revoked (the store then
 // counts no renewal) and promises of a majority of the witnesses never to
 // acknowledge that epoch again. Both quorums meet every quorum that a renewal
 // can count with, so each counted renewal was sent before the successor had
-// both. The successor then waits L plus the bounded clock drift, and takes the
-// next epoch by a compare-and-swap on the version of the marked row.
+// both. The next epoch is taken by a compare-and-swap on the version of the
+// marked row, L plus the bounded clock drift after the last instant at which a
+// counted renewal can have been sent. That is the latest of two:
+//
+//   - When the successor saw the row's last version before the mark. Renewals
+//     counted with other witness sets, and the write of that version, were sent
+//     before. If reads renewed, or the successor didn't see that version, it is
+//     when it saw the mark.
+//   - For a majority of each set, when its members acknowledged last. A promise
+//     tells how long ago that was by the witness's clock, for whatever epoch;
+//     the drift is taken off, and the way of the answer counts as none. A member
+//     that counts as promising unasked may have acknowledged until GoneGrace
+//     after the evidence.
+//
+// Suspicion is never evidence: it only begins a revocation, which may so be
+// whole by the time at which the lease has run out.
 //
 // Witnesses are incarnations. Promises are kept in memory for the life of the
 // process, and another incarnation at the same address never answers for its
--- a/lease/event.go
+++ b/lease/event.go
@@ -1,6 +1,10 @@
 package lease
 
-import "github.com/endivecourse/endivecourse/structs"
+import (
+	"time"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
 
 // Kind tells messages between processes apart.
 type Kind uint8
@@ -25,6 +29,9 @@
 	Group Group
 	Epoch structs.Epoch
 	Round uint64 // of the renewal
+	// Age is, in Promised, how long ago the witness acknowledged a renewal of
+	// the group, by its own clock and at most maxAge.
+	Age time.Duration
 }
 
 // Event is an input of Node.Step.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -130,14 +130,17 @@
 		rules rules
 		first int // a seed that shows the fault
 	}{
-		{"store alone revokes", rules{storeAloneRevokes: true}, 60},
-		{"renewal counted from receipt", rules{renewFromReceipt: true}, 230},
-		{"promise forgotten", rules{promiseForgotten: true}, 23},
-		{"no wait", rules{noWait: true}, 98},
-		{"replaced process answers for its predecessor", rules{answerForAnother: true}, 48},
-		{"old set alone while a change is unknown", rules{oldSetAlone: true}, 5612},
-		{"gone without grace", rules{goneWithoutGrace: true}, 2077},
-		{"store renews a marked row", rules{markedRowIsRenewed: true}, 194},
+		{"store alone revokes", rules{storeAloneRevokes: true}, 68},
+		{"renewal counted from receipt", rules{renewFromReceipt: true}, 234},
+		{"promise forgotten", rules{promiseForgotten: true}, 26},
+		{"no wait", rules{noWait: true}, 101},
+		{"replaced process answers for its predecessor", rules{answerForAnother: true}, 74},
+		{"old set alone while a change is unknown", rules{oldSetAlone: true}, 5744},
+		{"gone without grace", rules{goneWithoutGrace: true}, 2265},
+		{"store renews a marked row", rules{markedRowIsRenewed: true}, 221},
+		{"age of the first acknowledgement", rules{ageOfFirst: true}, 31},
+		{"reads that renew ignored", rules{storeReadsIgnored: true}, 83},
+		{"row's age ignored", rules{rowAgeIgnored: true}, 20},
 	}
 	// With ENDIVE_MUTATION_SEEDS each is run on that many seeds.
 	tries := fromEnv("ENDIVE_MUTATION_SEEDS", 0)
--- a/lease/node.go
+++ b/lease/node.go
@@ -31,11 +31,15 @@
 
 // group is what is known of one group.
 type group struct {
-	id        Group
-	known     bool
-	row       Row
-	version   uint64
-	seenAt    structs.Instant // of this epoch
+	id      Group
+	known   bool
+	row     Row
+	version uint64
+	seenAt  structs.Instant // of this epoch
+	// storedBy is the latest instant at which a renewal can have been sent that
+	// the store counts, or that was counted with other witness sets. It is
+	// final once the row is marked.
+	storedBy  structs.Instant
 	write     *write
 	own       owner
 	next      successor
@@ -121,9 +125,9 @@
 	case Received:
 		return n.receive(now, ev.Message)
 	case RowRead:
-		return n.observe(now, ev.Sent, n.groups[ev.Group], ev.Row, ev.Version)
+		return n.observe(now, ev.Sent, n.groups[ev.Group], ev.Row, ev.Version, ev.Row.StoreRenews)
 	case RowWritten:
-		return n.observe(now, ev.Sent, n.groups[ev.Group], ev.Row, ev.Version)
+		return n.observe(now, ev.Sent, n.groups[ev.Group], ev.Row, ev.Version, true)
 	case WriteFailed:
 		n.writeFailed(n.groups[ev.Group], ev)
 	case Peers:
@@ -139,6 +143,7 @@
 	case Collected:
 		if g := n.groups[ev.Group]; g.next.ready && g.row.Epoch == ev.Epoch {
 			g.next.collected = true
+			n.goOn(now, g)
 		}
 	case HandoverReady:
 		if g := n.groups[ev.Group]; g.own.epoch == ev.Epoch && !g.own.released {
@@ -178,16 +183,20 @@
 	return nil
 }
 
-// wake goes on with the groups that wait for their next owner.
+// wake goes on with the groups of others, which may wait for their next owner.
 func (n *Node) wake(now structs.Instant) {
 	for _, g := range n.groups {
-		switch {
-		case g.row.Mark == nil && !g.row.Released:
-		case g.own.epoch == 0:
-			n.succeed(now, g)
-		case g.row.Mark != nil && !g.own.released && !g.held(now):
-			n.revoke(now, g)
-		}
+		n.goOn(now, g)
+	}
+}
+
+func (n *Node) goOn(now structs.Instant, g *group) {
+	switch {
+	case !g.known:
+	case g.own.epoch == 0:
+		n.succeed(now, g)
+	case g.row.Mark != nil && !g.own.released && !g.held(now):
+		n.revoke(now, g)
 	}
 }
 
@@ -205,12 +214,16 @@
 			kind = Acked
 		}
 		n.reply(kind, msg)
+		if g := n.groups[msg.Group]; g.known && msg.Epoch > g.row.Epoch {
+			n.emit(ReadRow{Group: msg.Group})
+		}
 	case Promise:
 		g := n.groups[msg.Group]
 		kind := Declined
 		if n.witness.promise(now, msg.Group, msg.Epoch, g.row.Epoch == msg.Epoch && n.ownerEnded(g)) {
 			kind = Promised
 		}
+		msg.Age = n.witness.age(now, msg.Group)
 		n.reply(kind, msg)
 	case Acked:
 		return n.acked(now, msg)
@@ -227,7 +240,7 @@
 func (n *Node) reply(kind Kind, msg Message) {
 	n.emit(Send{Message: Message{
 		Kind: kind, From: msg.To, To: msg.From,
-		Group: msg.Group, Epoch: msg.Epoch, Round: msg.Round,
+		Group: msg.Group, Epoch: msg.Epoch, Round: msg.Round, Age: msg.Age,
 	}})
 }
 
--- a/lease/observe.go
+++ b/lease/observe.go
@@ -6,8 +6,9 @@
 	"github.com/endivecourse/endivecourse/structs"
 )
 
-// observe takes a row as it was in the table after the instant sent.
-func (n *Node) observe(now, sent structs.Instant, g *group, row Row, version uint64) error {
+// observe takes a row as it was in the table after the instant sent. It renews
+// if this process owns the row, and the row says so or was just written.
+func (n *Node) observe(now, sent structs.Instant, g *group, row Row, version uint64, renews bool) error {
 	if g.known && version < g.version {
 		return nil
 	}
@@ -28,7 +29,13 @@
 	if version == 0 {
 		return nil
 	}
-	return n.reconcile(now, sent, g)
+	if err := n.reconcile(now, sent, g, renews); err != nil {
+		return err
+	}
+	if g.next.promised == nil && row.Mark != nil && row.Mark.By == n.self.Incarnation {
+		n.goOn(now, g)
+	}
+	return nil
 }
 
 func (n *Node) adopt(now structs.Instant, g *group, row Row, version uint64) error {
@@ -42,6 +49,9 @@
 	if row.Epoch == g.own.epoch && g.own.epoch != 0 && row.Owner.Incarnation != n.self.Incarnation {
 		return violation("an epoch has one owner", fmt.Sprintf("group %d epoch %d", g.id, row.Epoch))
 	}
+	if !n.markedOver(g, row) {
+		g.storedBy = now
+	}
 	g.known, g.row, g.version = true, row, version
 	g.next = successor{}
 	for _, m := range append(row.Members(), row.Owner) {
@@ -56,6 +66,16 @@
 	return nil
 }
 
+// markedOver reports whether the row is the one that this process knows, marked.
+// Then no renewal was counted by the store after this process saw the unmarked
+// row, unless the row says that reads count.
+func (n *Node) markedOver(g *group, row Row) bool {
+	if !g.known || row.Mark == nil || row.Mark.Over != g.version {
+		return false
+	}
+	return !g.row.StoreRenews || n.rules.storeReadsIgnored
+}
+
 const maxOvertaken = 8
 
 // countOvertaken grows the patience with an owner that outran a revocation of
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -16,6 +16,7 @@
 	next      structs.Incarnation
 	rounds    []round
 	lastRound uint64
+	counted   int  // renewals counted by the witnesses since the row's kind of renewal changed
 	moved     bool // the tail stands with the pending set
 	asked     bool // MoveTail was given
 	handing   bool // Handover was given
@@ -28,6 +29,8 @@
 	sent   structs.Instant
 	sets   [][]Member
 	acks   map[structs.Incarnation]bool
+	// counted is set once a majority of each set has acknowledged.
+	counted bool
 }
 
 func (g *group) mine(self Member) bool {
@@ -39,7 +42,7 @@
 }
 
 // reconcile brings ownership in line with the row just observed.
-func (n *Node) reconcile(now, sent structs.Instant, g *group) error {
+func (n *Node) reconcile(now, sent structs.Instant, g *group, renews bool) error {
 	mine := g.mine(n.self)
 	if g.own.epoch != 0 && (!mine || g.row.Epoch != g.own.epoch) {
 		n.drop(g)
@@ -50,7 +53,7 @@
 	if g.own.epoch == 0 {
 		g.own = owner{epoch: g.row.Epoch, released: n.releasing}
 	}
-	if g.row.Mark == nil || n.rules.markedRowIsRenewed {
+	if renews && (g.row.Mark == nil || n.rules.markedRowIsRenewed) {
 		if err := n.extend(now, sent, g); err != nil {
 			return err
 		}
@@ -111,19 +114,38 @@
 	if err := n.startRound(now, g); err != nil {
 		return err
 	}
-	if !g.own.renewed || g.own.until.Before(now.Add(n.cfg.Duration-2*n.cfg.Renew)) {
+	late := !g.own.renewed || g.own.until.Before(now.Add(n.cfg.Duration-3*n.cfg.Renew/2))
+	if late {
 		n.emit(ReadRow{Group: g.id})
 	}
 	switch {
 	case g.write != nil:
 	case g.row.Mark != nil:
 		n.takeAgain(now, g)
+	case late && !g.row.StoreRenews:
+		n.renewByStore(now, g, true)
+	case g.row.StoreRenews && g.own.counted >= settledRounds:
+		n.renewByStore(now, g, false)
 	default:
 		n.changeSet(now, g)
 	}
 	return nil
 }
 
+// settledRounds is how many renewals must have counted by the witnesses before
+// reads of the row count no more.
+const settledRounds = 10
+
+// renewByStore writes whether reads of the row count as renewals. They do only
+// while the witnesses fail, since a successor must else wait as if the row had
+// been read just before it was marked.
+func (n *Node) renewByStore(now structs.Instant, g *group, counts bool) {
+	g.own.counted = 0
+	row := g.row
+	row.StoreRenews = counts
+	n.write(now, g, row)
+}
+
 func (n *Node) startRound(now structs.Instant, g *group) error {
 	g.own.lastRound++
 	r := round{number: g.own.lastRound, sent: now, sets: n.possibleSets(g), acks: make(map[structs.Incarnation]bool)}
@@ -141,6 +163,8 @@
 	if !majorities(r.sets, func(m Member) bool { return r.acks[m.Incarnation] }) {
 		return nil
 	}
+	g.own.rounds[len(g.own.rounds)-1].counted = true
+	g.own.counted++
 	return n.extend(now, now, g)
 }
 
@@ -165,11 +189,15 @@
 	if at < 0 {
 		return nil
 	}
-	r := g.own.rounds[at]
+	r := &g.own.rounds[at]
 	r.acks[msg.From.Incarnation] = true
 	if !majorities(r.sets, func(m Member) bool { return r.acks[m.Incarnation] }) {
 		return nil
 	}
+	if !r.counted {
+		r.counted = true
+		g.own.counted++
+	}
 	return n.extend(now, r.sent, g)
 }
 
--- a/lease/row.go
+++ b/lease/row.go
@@ -44,6 +44,8 @@
 type Mark struct {
 	Epoch structs.Epoch       `msgpack:"e"`
 	By    structs.Incarnation `msgpack:"b"`
+	// Over is the version of the row that the mark was written over.
+	Over uint64 `msgpack:"o"`
 }
 
 // Row is the table row of one group.
@@ -57,6 +59,9 @@
 	Witnesses []Member      `msgpack:"w"`
 	// Pending is the next witness set while a change is under way.
 	Pending []Member `msgpack:"p,omitempty"`
+	// StoreRenews is set while the owner's reads of the row count as renewals.
+	// Without it only the write of the row counts.
+	StoreRenews bool `msgpack:"t,omitempty"`
 	// Mark is set while the epoch is being revoked.
 	Mark *Mark `msgpack:"m,omitempty"`
 	// Released is set when the owner has given the group up on purpose; Next
--- a/lease/sim_test.go
+++ b/lease/sim_test.go
@@ -11,7 +11,7 @@
 
 var simConfig = Config{
 	Groups: 2, Duration: 3 * time.Second, Renew: time.Second, Drift: 0.01,
-	Suspect: 4500 * time.Millisecond, GoneGrace: 10 * time.Second,
+	Suspect: 2500 * time.Millisecond, GoneGrace: 10 * time.Second,
 }
 
 const (
--- a/lease/successor.go
+++ b/lease/successor.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/endivecourse/endivecourse/structs"
@@ -9,9 +10,10 @@
 // successor is this process's attempt to follow the owner of one group. It is
 // begun anew whenever the row changes.
 type successor struct {
-	pending   bool // there is cause to act
-	since     structs.Instant
-	promised  map[structs.Incarnation]bool
+	pending bool // there is cause to act
+	since   structs.Instant
+	// promised holds when each witness that promised can have acknowledged last.
+	promised  map[structs.Incarnation]structs.Instant
 	ready     bool // both quorums are had
 	readyAt   structs.Instant
 	collected bool
@@ -84,7 +86,7 @@
 
 func (n *Node) mark(now structs.Instant, g *group) {
 	row := g.row
-	row.Mark = &Mark{Epoch: row.Epoch, By: n.self.Incarnation}
+	row.Mark = &Mark{Epoch: row.Epoch, By: n.self.Incarnation, Over: g.version}
 	g.marked = row.Epoch
 	n.write(now, g, row)
 }
@@ -93,15 +95,17 @@
 // waits, then takes the next epoch. Whose mark it is doesn't matter.
 func (n *Node) revoke(now structs.Instant, g *group) {
 	if g.next.promised == nil {
-		g.next.promised = make(map[structs.Incarnation]bool)
+		g.next.promised = make(map[structs.Incarnation]structs.Instant)
 	}
 	for _, m := range g.row.Members() {
-		if g.next.promised[m.Incarnation] || n.countsEnded(now, m) {
+		if _, given := g.next.promised[m.Incarnation]; given || n.countsEnded(now, m) {
 			continue
 		}
 		if m.Incarnation == n.self.Incarnation {
 			given := n.ownerEnded(g) || g.mine(n.self)
-			g.next.promised[m.Incarnation] = n.witness.promise(now, g.id, g.row.Epoch, given)
+			if n.witness.promise(now, g.id, g.row.Epoch, given) {
+				g.next.promised[m.Incarnation] = now.Add(-n.witness.age(now, g.id))
+			}
 			continue
 		}
 		n.send(Promise, m, g.id, g.row.Epoch, 0)
@@ -114,7 +118,9 @@
 	if g.row.Mark == nil || g.row.Epoch != msg.Epoch || g.next.promised == nil {
 		return
 	}
-	g.next.promised[msg.From.Incarnation] = true
+	if _, given := g.next.promised[msg.From.Incarnation]; !given {
+		g.next.promised[msg.From.Incarnation] = n.cfg.acknowledgedBy(now, msg.Age)
+	}
 	n.advance(now, g)
 }
 
@@ -122,7 +128,8 @@
 func (n *Node) advance(now structs.Instant, g *group) {
 	if !g.next.ready {
 		quorum := majorities(g.row.Sets(), func(m Member) bool {
-			return g.next.promised[m.Incarnation] || n.countsEnded(now, m)
+			_, given := g.next.promised[m.Incarnation]
+			return given || n.countsEnded(now, m)
 		})
 		if !quorum && !n.rules.storeAloneRevokes {
 			return
@@ -133,20 +140,65 @@
 	if g.write != nil || n.releasing || !g.next.collected {
 		return
 	}
-	if now.Sub(g.next.readyAt) < n.cfg.wait() && !n.rules.noWait {
-		return
-	}
 	if n.turnAfter(now, g) && contains(n.peers, n.self.Incarnation) {
 		n.write(now, g, n.nextRow(g))
 	}
 }
 
-// turnAfter lets the process that marked the row go first.
+// turnAfter reports whether the owner's lease has run out and this process is
+// due. The one that marked the row goes first.
 func (n *Node) turnAfter(now structs.Instant, g *group) bool {
-	if g.row.Mark.By == n.self.Incarnation {
+	if n.rules.noWait {
 		return true
 	}
-	return now.Sub(g.next.readyAt) >= n.cfg.wait()+2*n.cfg.Renew || n.rules.noWait
+	due := n.renewedBy(now, g).Add(n.cfg.wait())
+	if g.row.Mark.By == n.self.Incarnation {
+		return !now.Before(due)
+	}
+	if due.Before(g.next.readyAt) {
+		due = g.next.readyAt
+	}
+	return now.Sub(due) >= 2*n.cfg.Renew
+}
+
+// renewedBy returns the latest instant at which a renewal of the marked epoch
+// can have been sent that counts. Such a renewal was counted by the store or
+// with other sets, or a majority of each set acknowledged it; then so did one of
+// those that have promised since, and not later than it has told.
+func (n *Node) renewedBy(now structs.Instant, g *group) structs.Instant {
+	latest := g.storedBy
+	if n.rules.storeAloneRevokes {
+		return g.next.readyAt
+	}
+	if n.rules.rowAgeIgnored {
+		latest = now.Add(-n.cfg.maxAge())
+	}
+	for _, set := range g.row.Sets() {
+		if by := n.acknowledgedBy(now, g, set); latest.Before(by) {
+			latest = by
+		}
+	}
+	return latest
+}
+
+// acknowledgedBy returns the latest acknowledgement of the majority of a set
+// whose promises tell the least.
+func (n *Node) acknowledgedBy(now structs.Instant, g *group, set []Member) structs.Instant {
+	var known []structs.Instant
+	for _, m := range set {
+		by, given := g.next.promised[m.Incarnation]
+		if at, ended := n.ended[m.Incarnation]; !given && ended && n.countsEnded(now, m) {
+			by, given = at.Add(n.cfg.grace()), true
+			if n.rules.goneWithoutGrace {
+				by = at
+			}
+		}
+		if given {
+			known = append(known, by)
+		}
+	}
+	slices.Sort(known)
+	return known[len(set)/2]
 }
 
 // takeReleased follows an owner that gave the group up. Its tail is collected
--- a/lease/witness.go
+++ b/lease/witness.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"time"
+
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -15,9 +17,13 @@
 	heard    []heard
 }
 
+// heard is the last renewal of the highest epoch, and the last one of any.
 type heard struct {
-	epoch structs.Epoch
-	at    structs.Instant
+	epoch   structs.Epoch
+	at      structs.Instant
+	ever    bool // an epoch was acknowledged
+	acked   structs.Instant
+	ackedOf structs.Epoch // used with rules.ageOfFirst only
 }
 
 func newWitness(cfg Config, self Member) *witness {
@@ -34,12 +40,26 @@
 	if epoch <= w.promised[g] && !w.rules.promiseForgotten {
 		return false
 	}
-	if epoch >= w.heard[g].epoch {
-		w.heard[g] = heard{epoch: epoch, at: now}
+	h := &w.heard[g]
+	if !w.rules.ageOfFirst || !h.ever || h.ackedOf != epoch {
+		h.ever, h.acked, h.ackedOf = true, now, epoch
+	}
+	if epoch >= h.epoch {
+		h.epoch, h.at = epoch, now
 	}
 	return true
 }
 
+// age returns how long ago this witness acknowledged a renewal of the group,
+// whatever its epoch.
+func (w *witness) age(now structs.Instant, g Group) time.Duration {
+	h := w.heard[g]
+	if !h.ever {
+		return w.cfg.maxAge()
+	}
+	return min(max(now.Sub(h.acked), 0), w.cfg.maxAge())
+}
+
 // promise reports whether the witness promises to acknowledge the epoch no
 // more. It declines while it hears of the owner, unless the owner has ended.
 func (w *witness) promise(now structs.Instant, g Group, epoch structs.Epoch, ended bool) bool {
