Compact lease messages; lease of 2 s renewed each 0.5 s

Cause: a group stands still for a lease after its owner's death, and a shorter lease cost too much: each message took about 33 bytes (full-width integers), and all rows were read each second renewal.

Change: messages travel as runs of one kind, round and age with differences of group and epoch; the round is counted by process, so that one Tick's renewals are one run. Rows are read each 4 s to 20 s whatever the renewal interval, since reads renew only while witnesses fail. An exchange may take half a lease at most. The default lease is 2 s / 0.5 s: witnesses suspect after 1.75 s, and a pause of 1 s leaves at most 1.5 s without a renewal. A busy machine with pauses over 1.25 s needs a longer lease. GoneGrace stays at 30 s: it was ten lease durations, and the assumption on the platform must not shrink with the lease.

A fault found on the way: drain held a mutex over requests and ReleaseAll waited for it without regard to its context. In virtual time that stopped the clock (TestReleaseHandsOverWithoutWait hung once under -race). It is a channel now.

Tests: settings' case of a too long renewal names the new default in its message; the keeper's tests run with the default lease.

--- a/keeper/drain.go
+++ b/keeper/drain.go
@@ -53,8 +53,12 @@
 
 // drain stores what is unstored now.
 func (k *Keeper) drain(ctx context.Context) error {
-	k.drainMu.Lock()
-	defer k.drainMu.Unlock()
+	select {
+	case k.draining <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-k.draining }()
 	parts := k.takeParts()
 	if len(parts) == 0 {
 		return nil
--- a/keeper/errors.go
+++ b/keeper/errors.go
@@ -33,3 +33,11 @@
 
 // Error names the group.
 func (e *OutdatedError) Error() string { return fmt.Sprintf("row of group %d has changed", e.Group) }
+
+// MessagesError says that a peer's lease messages can't be read.
+type MessagesError struct{ Bytes int }
+
+// Error tells how long they are.
+func (e *MessagesError) Error() string {
+	return fmt.Sprintf("lease messages of %d bytes are broken", e.Bytes)
+}
--- a/keeper/fake_test.go
+++ b/keeper/fake_test.go
@@ -29,6 +29,7 @@
 type domain struct {
 	t       *testing.T
 	slots   int
+	lease   settings.Lease
 	mu      sync.Mutex
 	rows    map[string]platform.Row
 	objects map[string][]byte
@@ -60,7 +61,7 @@
 
 func newDomain(t *testing.T) *domain {
 	return &domain{
-		t: t, slots: testSlots, rows: make(map[string]platform.Row), objects: make(map[string][]byte),
+		t: t, slots: testSlots, lease: settings.Default().Lease, rows: make(map[string]platform.Row), objects: make(map[string][]byte),
 		cut: make(map[string]bool), running: make(map[string]*running), gone: make(map[structs.VMID]bool),
 	}
 }
@@ -68,9 +69,11 @@
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
 func (d *domain) options(vm string, caller Caller) Options {
+	terms := d.lease
+	terms.Slots = d.slots
 	return Options{
 		Domain: "d", Self: lease.Member{Incarnation: structs.Incarnation(vm + "#1"), VM: structs.VMID(vm), Addr: vm},
-		Lease:   settings.Lease{Slots: d.slots, Duration: settings.Duration(3 * time.Second), Renew: settings.Duration(time.Second), ClockDrift: 0.01},
+		Lease:   terms,
 		MaxTail: 1 << 20, Daemons: 3, GoneGrace: 5 * time.Second,
 		Table: tableEnd{&endpoint{d, vm}}, Objects: objectsEnd{&endpoint{d, vm}}, Caller: caller,
 		Peers: d.peers, SeenGone: d.seenGone, Log: quiet(),
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -43,7 +43,7 @@
 	jobs      *kernel.Ring[lease.Collect]
 	calls     *kernel.Ring[func(context.Context)]
 	drainNow  chan struct{}
-	drainMu   sync.Mutex
+	draining  chan struct{} // holds an element while a drain runs
 	stop      context.CancelFunc
 }
 
@@ -106,6 +106,7 @@
 		changed:   make(chan struct{}, 1),
 		delivered: make(chan journal.Change),
 		drainNow:  make(chan struct{}, 1),
+		draining:  make(chan struct{}, 1),
 	}
 	for g := range cfg.Groups {
 		k.groups = append(k.groups, &groupState{id: lease.Group(g)})
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -1,8 +1,6 @@
 package keeper
 
 import (
-	"time"
-
 	"github.com/endivecourse/endivecourse/journal/tail"
 	"github.com/endivecourse/endivecourse/lease"
 	"github.com/endivecourse/endivecourse/structs"
@@ -21,23 +19,11 @@
 type Exchange struct {
 	From     lease.Member        `msgpack:"f"`
 	To       structs.Incarnation `msgpack:"t"` // empty: whoever answers
-	Messages []Message           `msgpack:"m,omitempty"`
+	Messages Messages            `msgpack:"m,omitempty"`
 	// Leaving says that the sender gives its groups up and takes no others.
 	Leaving bool `msgpack:"l,omitempty"`
 }
 
-// Message is a lease.Message without its ends, as an array.
-type Message struct {
-	//lint:ignore U1000 the codec reads the tag
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Kind  lease.Kind
-	Group lease.Group
-	Epoch structs.Epoch
-	Round uint64
-	Age   time.Duration
-}
-
 // Append carries entries of all groups to one witness.
 type Append struct {
 	To      structs.Incarnation `msgpack:"t"`
--- a/keeper/options.go
+++ b/keeper/options.go
@@ -36,7 +36,7 @@
 	StoreWrites float64
 	Daemons     int
 	// GoneGrace bounds how long a process may act after the VM list has
-	// dropped its VM; 0 takes ten lease durations.
+	// dropped its VM; 0 takes 30 s.
 	GoneGrace time.Duration
 	Table     platform.Table
 	Objects   platform.Objects
@@ -51,7 +51,9 @@
 }
 
 const (
-	graceDurations = 10
+	// defaultGoneGrace depends on how the platform ends VMs, not on the lease.
+	defaultGoneGrace = 30 * time.Second
+
 	minDrain       = 200 * time.Millisecond
 	writesPerDrain = 2 // one object and one transaction
 	// DefaultStoreWrites leaves half of several hundred writes a second to
@@ -71,7 +73,7 @@
 	duration := o.Lease.Duration.Std()
 	grace := o.GoneGrace
 	if grace == 0 {
-		grace = graceDurations * duration
+		grace = defaultGoneGrace
 	}
 	return lease.Config{
 		Groups:    lease.GroupCount(o.Lease.Slots),
--- a/keeper/peers.go
+++ b/keeper/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/endivecourse/endivecourse/lease"
 	"github.com/endivecourse/endivecourse/structs"
@@ -179,8 +180,14 @@
 	}
 }
 
+// exchangeTimeout leaves time for another exchange within a lease, since there
+// is one at a time with each peer.
+func (k *Keeper) exchangeTimeout() time.Duration {
+	return min(requestTimeout, k.cfg.Duration/2)
+}
+
 func (k *Keeper) exchange(ctx context.Context, inc structs.Incarnation, box *outbox, messages []Message) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.exchangeTimeout())
 	defer cancel()
 	out := Exchange{From: k.opts.Self, To: inc, Messages: messages, Leaving: k.isLeaving()}
 	if inc[0] == unknownPrefix {
--- a/keeper/rows.go
+++ b/keeper/rows.go
@@ -30,10 +30,11 @@
 }
 
 // pollInterval returns how often the rows of all groups are read: seldom in a
-// large domain, where rows change seldom and witnesses tell their owner.
+// large domain, where rows change seldom. Owners, witnesses and the next owner
+// learn of a change from messages, so this bounds what others know.
 func (k *Keeper) pollInterval() time.Duration {
-	const slowest = 20
-	return k.cfg.Renew * time.Duration(min(max(2, len(k.opts.Peers())/3), slowest))
+	const fastest, slowest = 4, 20
+	return time.Second * time.Duration(min(max(fastest, len(k.opts.Peers())/3), slowest))
 }
 
 func (k *Keeper) servePoll(ctx context.Context) {
--- a/keeper/traffic_test.go
+++ b/keeper/traffic_test.go
@@ -5,20 +5,28 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/endivecourse/endivecourse/settings"
 )
 
 // Logs what a calm domain costs each scheduler for control, and how long the
 // slots of a killed one have no owner.
 func TestControlTraffic(t *testing.T) {
 	const slots, seconds = 256, 60
-	for _, n := range []int{3, 57} {
-		t.Run(fmt.Sprint(n), func(t *testing.T) {
+	long := settings.Default().Lease
+	long.Duration, long.Renew = settings.Duration(3*time.Second), settings.Duration(time.Second)
+	for _, c := range []struct {
+		n     int
+		lease settings.Lease
+	}{{3, settings.Default().Lease}, {3, long}, {57, settings.Default().Lease}, {57, long}} {
+		n := c.n
+		t.Run(fmt.Sprint(n, " ", c.lease.Duration.Std(), " ", c.lease.Renew.Std()), func(t *testing.T) {
 			if n > 3 && fromEnv("ENDIVE_SOAK_SEEDS", 0) == 0 {
 				t.Skip("runs in the soak only")
 			}
 			synctest.Test(t, func(t *testing.T) {
 				d := newDomain(t)
-				d.slots = slots
+				d.slots, d.lease = slots, c.lease
 				for i := range n {
 					d.start(fmt.Sprintf("vm-%02d", i), 1)
 				}
--- a/lease/node.go
+++ b/lease/node.go
@@ -21,6 +21,7 @@
 	releasing  bool
 	balanced   bool
 	balancedAt structs.Instant // once balanced
+	round      uint64          // number of the renewals of the last Tick
 	out        []Action
 }
 
@@ -162,6 +163,7 @@
 }
 
 func (n *Node) tick(now structs.Instant) error {
+	n.round++
 	for _, g := range n.groups {
 		if !g.known {
 			n.emit(ReadRow{Group: g.id})
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -15,7 +15,6 @@
 	released  bool            // the lease is given up under this epoch
 	next      structs.Incarnation
 	rounds    []round
-	lastRound uint64
 	counted   int  // renewals counted by the witnesses since the row's kind of renewal changed
 	moved     bool // the tail stands with the pending set
 	asked     bool // MoveTail was given
@@ -147,8 +146,7 @@
 }
 
 func (n *Node) startRound(now structs.Instant, g *group) error {
-	g.own.lastRound++
-	r := round{number: g.own.lastRound, sent: now, sets: n.possibleSets(g), acks: make(map[structs.Incarnation]bool)}
+	r := round{number: n.round, sent: now, sets: n.possibleSets(g), acks: make(map[structs.Incarnation]bool)}
 	g.own.rounds = slices.DeleteFunc(g.own.rounds, func(old round) bool { return !now.Before(old.sent.Add(n.cfg.Duration)) })
 	g.own.rounds = append(g.own.rounds, r)
 	for _, m := range union(r.sets) {
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -137,7 +137,7 @@
 			MaxTail: 64 << 20, ReorderWindow: 16, HeaderTimeout: Duration(10 * time.Second),
 			CallTimeout: Duration(10 * time.Minute), DrainTimeout: Duration(10 * time.Minute),
 		},
-		Lease:  Lease{Slots: 64, Duration: Duration(3 * time.Second), Renew: Duration(time.Second), ClockDrift: 0.01},
+		Lease:  Lease{Slots: 64, Duration: Duration(2 * time.Second), Renew: Duration(500 * time.Millisecond), ClockDrift: 0.01},
 		Policy: Policy{Queue: "fair", Route: "prefix"},
 		Config: Config{Poll: Duration(time.Second)},
 	}
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -80,7 +80,7 @@
 		{"half callers TLS", `"platform"`, `"callers_tls": {"key": "k"}, "platform"`, 14, "callers_tls.cert", "together or not at all"},
 		{"log level", `"platform"`, `"log": {"level": "loud"}, "platform"`, 14, "log.level", "one of debug, info, warn, error"},
 		{"log format", `"platform"`, `"log": {"format": "xml"}, "platform"`, 14, "log.format", "one of json, text"},
-		{"renew too long", `"platform"`, `"lease": {"renew": "3s"}, "platform"`, 14, "lease.renew", "shorter than lease.duration (3s)"},
+		{"renew too long", `"platform"`, `"lease": {"renew": "3s"}, "platform"`, 14, "lease.renew", "shorter than lease.duration (2s)"},
 		{"slots", `"platform"`, `"lease": {"slots": 65537}, "platform"`, 14, "lease.slots", "from 1 to 65536"},
 		{"drift", `"platform"`, `"lease": {"clock_drift": 0.5}, "platform"`, 14, "lease.clock_drift", "below 0.5"},
 		{"fraction for whole", `"platform"`, `"limits": {"max_queued_calls": 1.5}, "platform"`, 14, "limits.max_queued_calls", "whole number"},
