--- a/keeper/fake_test.go
+++ b/keeper/fake_test.go
@@ -29,6 +29,7 @@
 type domain struct {
 	t       *testing.T
 	slots   int
+	lease   settings.Lease
 	mu      sync.Mutex
 	rows    map[string]platform.Row
 	objects map[string][]byte
@@ -45,6 +46,9 @@
 	bytes    int      // of requests and replies between peers
 	reads    int      // of the table
 	read     int      // bytes of rows read
+	// watch, if set, sees each request between peers with its reply, and each
+	// commit, once it has taken effect.
+	watch func(vm string, in, out any)
 }
 
 type running struct {
@@ -58,7 +62,7 @@
 
 func newDomain(t *testing.T) *domain {
 	return &domain{
-		t: t, slots: testSlots, rows: make(map[string]platform.Row), objects: make(map[string][]byte),
+		t: t, slots: testSlots, lease: settings.Default().Lease, rows: make(map[string]platform.Row), objects: make(map[string][]byte),
 		cut: make(map[string]bool), running: make(map[string]*running), gone: make(map[structs.VMID]bool),
 	}
 }
@@ -66,9 +70,11 @@
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
 func (d *domain) options(vm string, caller Caller) Options {
+	terms := d.lease
+	terms.Slots = d.slots
 	return Options{
 		Domain: "d", Self: lease.Member{Incarnation: structs.Incarnation(vm + "#1"), VM: structs.VMID(vm), Addr: vm},
-		Lease:   settings.Lease{Slots: d.slots, Duration: settings.Duration(3 * time.Second), Renew: settings.Duration(time.Second), ClockDrift: 0.01},
+		Lease:   terms,
 		MaxTail: 1 << 20, Daemons: 3, GoneGrace: 5 * time.Second,
 		Table: tableEnd{&endpoint{d, vm}}, Objects: objectsEnd{&endpoint{d, vm}}, Caller: caller,
 		Peers: d.peers, SeenGone: d.seenGone, Log: quiet(),
@@ -268,6 +274,9 @@
 		out = append(out, row)
 	}
 	e.d.commits++
+	if e.d.watch != nil {
+		e.d.watch(e.vm, txn, out)
+	}
 	if e.d.lose > 0 && e.d.commits%e.d.lose == 0 {
 		return nil, &platform.UnknownOutcomeError{Service: "table", Cause: io.ErrUnexpectedEOF}
 	}
@@ -324,6 +333,14 @@
 	d.set(func() { d.bytes += len(request) + len(reply) })
 }
 
+func (e *endpoint) seen(in, out any) {
+	e.d.set(func() {
+		if e.d.watch != nil {
+			e.d.watch(e.vm, in, out)
+		}
+	})
+}
+
 // Call reaches a peer unless either end is cut off.
 func (e *endpoint) Call(ctx context.Context, addr, method string, in, out any) error {
 	time.Sleep(time.Millisecond)
@@ -331,7 +348,10 @@
 	peer := e.d.running[addr]
 	reachable := peer != nil && !e.d.cut[addr] && !e.d.cut[e.vm]
 	e.d.calls++
-	defer func() { e.d.countBytes(in, out) }()
+	defer func() {
+		e.d.countBytes(in, out)
+		e.seen(in, out)
+	}()
 	e.d.mu.Unlock()
 	if !reachable {
 		return &wire.NotSentError{Addr: addr, Cause: io.ErrClosedPipe}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -43,7 +43,7 @@
 	jobs      *kernel.Ring[lease.Collect]
 	calls     *kernel.Ring[func(context.Context)]
 	drainNow  chan struct{}
-	draining  chan struct{} // holds the token of the drain under way
+	draining  chan struct{} // holds an element while a drain runs
 	stop      context.CancelFunc
 }
 
--- a/keeper/peers.go
+++ b/keeper/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/endivecourse/endivecourse/lease"
 	"github.com/endivecourse/endivecourse/structs"
@@ -156,7 +157,7 @@
 		k.outbox[msg.To.Incarnation] = box
 	}
 	if len(box.messages) < maxMessages {
-		box.messages = append(box.messages, Message{Kind: msg.Kind, Group: msg.Group, Epoch: msg.Epoch, Round: msg.Round})
+		box.messages = append(box.messages, Message{Kind: msg.Kind, Group: msg.Group, Epoch: msg.Epoch, Round: msg.Round, Age: msg.Age})
 	}
 }
 
@@ -179,8 +180,14 @@
 	}
 }
 
+// exchangeTimeout leaves time for another exchange within a lease, since there
+// is one at a time with each peer.
+func (k *Keeper) exchangeTimeout() time.Duration {
+	return min(requestTimeout, k.cfg.Duration/2)
+}
+
 func (k *Keeper) exchange(ctx context.Context, inc structs.Incarnation, box *outbox, messages []Message) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.exchangeTimeout())
 	defer cancel()
 	out := Exchange{From: k.opts.Self, To: inc, Messages: messages, Leaving: k.isLeaving()}
 	if inc[0] == unknownPrefix {
@@ -223,7 +230,7 @@
 	for _, m := range in.Messages {
 		k.stepLocked(lease.Received{Message: lease.Message{
 			Kind: m.Kind, From: in.From, To: lease.Member{Incarnation: in.To},
-			Group: m.Group, Epoch: m.Epoch, Round: m.Round,
+			Group: m.Group, Epoch: m.Epoch, Round: m.Round, Age: m.Age,
 		}})
 	}
 }
