Whole-system soak: no configuration change while the store is down

Ruled out: a mutex held over a wait; all goroutines but the observer were in durable waits.

Change: a configuration change is passed over when the store cannot be read.

Conclusion: the fault was the test's.

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"time"
 
+	"github.com/endivecourse/endivecourse/config"
 	standin "github.com/endivecourse/endivecourse/internal/standin/platform"
 	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
@@ -263,9 +265,14 @@
 	}
 }
 
-// changeConfig changes a rate, a program or a service.
+// changeConfig changes a rate, a program or a service. It cannot during an
+// outage of the store, which only this goroutine ends.
 func (f *fleet) changeConfig() func() {
-	f.version = f.storedVersion()
+	head, err := (&config.Store{Table: f.services.Table}).Head(context.Background())
+	if err != nil {
+		return nil
+	}
+	f.version = head.Version
 	switch f.draw(3) {
 	case 0:
 		account := f.document.Accounts["other"]
