--- a/config/snapshot_test.go
+++ b/config/snapshot_test.go
@@ -110,3 +110,9 @@
 	h.Confirm(7)
 	assert.Equal(t, h.Age(15), time.Duration(5))
 }
+
+// Schedulers sweep the engines of every service that is listed here.
+func TestServiceIDsAreAllAndSorted(t *testing.T) {
+	s := NewSnapshot(1, "a", Document{Services: map[structs.ServiceID]Service{"b": {}, "a": {}, "c": {}}})
+	assert.DeepEqual(t, s.ServiceIDs(), []structs.ServiceID{"a", "b", "c"})
+}
--- a/scheduler/lapse_test.go
+++ b/scheduler/lapse_test.go
@@ -49,17 +49,23 @@
 	return n, leases
 }
 
+// startOrder makes the first call of the program in the background.
+func (n *node) startOrder() <-chan error {
+	answered := make(chan error, 1)
+	go func() {
+		_, err := n.do(background, order("north/p", 1, "/gravel"))
+		answered <- err
+	}()
+	return answered
+}
+
 // A call that arrives while a lease has ended waits for its renewal.
 func TestCallWaitsForARenewedLease(t *testing.T) {
 	virtualTime(t, func(t *testing.T) {
 		site := newSite()
 		n, leases := lapsingNode(t, site)
 		leases.lapsed.Store(true)
-		answered := make(chan error, 1)
-		go func() {
-			_, err := n.do(background, order("north/p", 1, "/gravel"))
-			answered <- err
-		}()
+		answered := n.startOrder()
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, site.targets["o"].requests(), 0)
 		leases.lapsed.Store(false)
@@ -77,11 +83,7 @@
 			site := newSite()
 			n, leases := lapsingNode(t, site)
 			leases.lapseAfterAppend.Store(true)
-			answered := make(chan error, 1)
-			go func() {
-				_, err := n.do(background, order("north/p", 1, "/gravel"))
-				answered <- err
-			}()
+			answered := n.startOrder()
 			time.Sleep(5 * time.Second)
 			assert.Equal(t, site.targets["o"].requests(), 0)
 			var parked int
@@ -128,11 +130,7 @@
 		n.create(t, "north/p")
 		gate := make(chan struct{})
 		site.targets["o"].gate = gate
-		answered := make(chan error, 1)
-		go func() {
-			_, err := n.do(background, order("north/p", 1, "/gravel"))
-			answered <- err
-		}()
+		answered := n.startOrder()
 		time.Sleep(time.Second)
 		assert.Equal(t, site.targets["o"].requests(), 1)
 		owner.epoch.Store(2)
