--- a/platform/platform.go
+++ b/backing/backing.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 import (
 	"context"
--- a/platform/httpplatform/client.go
+++ b/backing/httpbacking/client.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpbacking
 
 import (
 	"context"
@@ -12,9 +12,9 @@
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/internal/outbound"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
 )
 
 const maxAnswerBytes = 64 << 20
@@ -27,15 +27,15 @@
 	serviceWeights = "weights"
 )
 
-func init() { kernel.Register("platform.http", platform.Factory(New)) }
+func init() { kernel.Register("platform.http", backing.Factory(New)) }
 
 // New makes a client of the platform at the base URL.
-func New(base string, timeout time.Duration) (platform.Services, error) {
+func New(base string, timeout time.Duration) (backing.Services, error) {
 	if _, err := outbound.ParseBase(base); err != nil {
-		return platform.Services{}, err
+		return backing.Services{}, err
 	}
 	c := &client{base: base, timeout: timeout, http: outbound.NewClient(), maxAnswer: maxAnswerBytes}
-	return platform.Services{
+	return backing.Services{
 		Table:   &table{c},
 		Objects: &objects{c},
 		VMs:     &vms{c},
@@ -74,7 +74,7 @@
 	}
 	req, err := c.request(ctx, call)
 	if err != nil {
-		return answer{}, &platform.UnavailableError{Service: call.service, Cause: err}
+		return answer{}, &backing.UnavailableError{Service: call.service, Cause: err}
 	}
 	resp, err := c.http.Do(req, call.body)
 	if err != nil {
@@ -123,7 +123,7 @@
 func (call call) sendFailed(err error) error {
 	var failed *outbound.SendError
 	if errors.As(err, &failed) && !failed.Sent {
-		return &platform.UnavailableError{Service: call.service, Cause: err}
+		return &backing.UnavailableError{Service: call.service, Cause: err}
 	}
 	return call.lost(err)
 }
@@ -131,9 +131,9 @@
 // lost maps the failure of a request that was sent.
 func (call call) lost(err error) error {
 	if call.write {
-		return &platform.UnknownOutcomeError{Service: call.service, Cause: err}
+		return &backing.UnknownOutcomeError{Service: call.service, Cause: err}
 	}
-	return &platform.UnavailableError{Service: call.service, Cause: err}
+	return &backing.UnavailableError{Service: call.service, Cause: err}
 }
 
 func (call call) judge(resp *http.Response, body []byte) (answer, error) {
@@ -142,7 +142,7 @@
 	case status/100 == 2, status == http.StatusNotFound, status == http.StatusConflict:
 		return answer{status: status, body: body}, nil
 	case resp.Header.Get(HeaderNotApplied) == "true":
-		return answer{}, &platform.UnavailableError{Service: call.service, Cause: &StatusError{Status: status}}
+		return answer{}, &backing.UnavailableError{Service: call.service, Cause: &StatusError{Status: status}}
 	default:
 		return answer{}, call.lost(&StatusError{Status: status})
 	}
--- a/platform/httpplatform/client_test.go
+++ b/backing/httpbacking/client_test.go
@@ -1,4 +1,4 @@
-package httpplatform_test
+package httpbacking_test
 
 import (
 	"context"
@@ -10,24 +10,24 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
+	_ "github.com/endivecourse/endivecourse/backing/httpbacking"
 	standin "github.com/endivecourse/endivecourse/internal/standin/platform"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
-	_ "github.com/endivecourse/endivecourse/platform/httpplatform"
 )
 
-func dial(t *testing.T, url string, timeout time.Duration) platform.Services {
+func dial(t *testing.T, url string, timeout time.Duration) backing.Services {
 	t.Helper()
-	factory, err := kernel.Lookup[platform.Factory]("platform.http")
+	factory, err := kernel.Lookup[backing.Factory]("platform.http")
 	assert.NilError(t, err)
 	services, err := factory(url, timeout)
 	assert.NilError(t, err)
 	return services
 }
 
-func start(t *testing.T) (*standin.Server, *httptest.Server, platform.Services) {
+func start(t *testing.T) (*standin.Server, *httptest.Server, backing.Services) {
 	t.Helper()
-	server := standin.New(standin.Options{VMs: []platform.VM{{ID: "vm-1", State: platform.VMLive}}, WeightInterval: time.Hour})
+	server := standin.New(standin.Options{VMs: []backing.VM{{ID: "vm-1", State: backing.VMLive}}, WeightInterval: time.Hour})
 	web := httptest.NewServer(server.Handler())
 	t.Cleanup(web.Close)
 	return server, web, dial(t, web.URL, 10*time.Second)
@@ -45,15 +45,15 @@
 	ctx := t.Context()
 	row, err := s.Table.Get(ctx, "a/1&x")
 	assert.NilError(t, err)
-	assert.DeepEqual(t, row, platform.Row{Key: "a/1&x"})
-	create := platform.Txn{
-		Require: []platform.Condition{{Key: "a/1&x"}},
-		Writes:  []platform.Write{{Key: "a/1&x", Value: []byte{0, 255}}},
+	assert.DeepEqual(t, row, backing.Row{Key: "a/1&x"})
+	create := backing.Txn{
+		Require: []backing.Condition{{Key: "a/1&x"}},
+		Writes:  []backing.Write{{Key: "a/1&x", Value: []byte{0, 255}}},
 	}
 	written, err := s.Table.Commit(ctx, create)
 	assert.NilError(t, err)
 	_, err = s.Table.Commit(ctx, create)
-	conflict := assertAs[*platform.ConflictError](t, err)
+	conflict := assertAs[*backing.ConflictError](t, err)
 	assert.DeepEqual(t, conflict.Found, written)
 	rows, err := s.Table.List(ctx, "a/")
 	assert.NilError(t, err)
@@ -72,7 +72,7 @@
 	assert.DeepEqual(t, keys, []string{"o/1"})
 	assert.NilError(t, s.Objects.Delete(ctx, "o/1"))
 	_, err = s.Objects.Get(ctx, "o/1")
-	assertAs[*platform.NotFoundError](t, err)
+	assertAs[*backing.NotFoundError](t, err)
 	list, err := s.VMs.VMs(ctx)
 	assert.NilError(t, err)
 	assert.Equal(t, len(list), 1)
@@ -84,13 +84,13 @@
 	assert.Assert(t, wait > 0)
 }
 
-var putRow = platform.Txn{Writes: []platform.Write{{Key: "k", Value: []byte("v")}}}
+var putRow = backing.Txn{Writes: []backing.Write{{Key: "k", Value: []byte("v")}}}
 
 func TestOutageIsUnavailable(t *testing.T) {
 	server, _, s := start(t)
 	server.SetOutage(standin.Table, true)
 	_, err := s.Table.Commit(t.Context(), putRow)
-	assertAs[*platform.UnavailableError](t, err)
+	assertAs[*backing.UnavailableError](t, err)
 	server.SetOutage(standin.Table, false)
 	row, err := s.Table.Get(t.Context(), "k")
 	assert.NilError(t, err)
@@ -103,7 +103,7 @@
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
 	_, err = s.Table.Commit(t.Context(), putRow)
-	assertAs[*platform.UnknownOutcomeError](t, err)
+	assertAs[*backing.UnknownOutcomeError](t, err)
 	row, err := s.Table.Get(t.Context(), "k")
 	assert.NilError(t, err)
 	assert.Equal(t, string(row.Value), "v")
@@ -130,16 +130,16 @@
 		}()
 		return ctx
 	}
-	assertAs[*platform.UnknownOutcomeError](t, s.Objects.Put(until(), "k", nil))
+	assertAs[*backing.UnknownOutcomeError](t, s.Objects.Put(until(), "k", nil))
 	_, err := s.Objects.Get(until(), "k")
-	assertAs[*platform.UnavailableError](t, err)
+	assertAs[*backing.UnavailableError](t, err)
 }
 
 func TestTimeoutBoundsEachRequest(t *testing.T) {
 	server, web, _ := start(t)
 	server.SetHang(standin.VMs, true)
 	_, err := dial(t, web.URL, 10*time.Millisecond).VMs.VMs(t.Context())
-	assertAs[*platform.UnavailableError](t, err)
+	assertAs[*backing.UnavailableError](t, err)
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
@@ -147,7 +147,7 @@
 	_, web, s := start(t)
 	web.Close()
 	_, err := s.Table.Commit(t.Context(), putRow)
-	assertAs[*platform.UnavailableError](t, err)
+	assertAs[*backing.UnavailableError](t, err)
 }
 
 func TestStatusWithoutPromiseIsUnknown(t *testing.T) {
@@ -156,5 +156,5 @@
 	}))
 	defer web.Close()
 	_, err := dial(t, web.URL, 0).Table.Commit(t.Context(), putRow)
-	assertAs[*platform.UnknownOutcomeError](t, err)
+	assertAs[*backing.UnknownOutcomeError](t, err)
 }
--- a/platform/httpplatform/errors.go
+++ b/backing/httpbacking/errors.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpbacking
 
 import "fmt"
 
--- a/platform/httpplatform/limit_test.go
+++ b/backing/httpbacking/limit_test.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpbacking
 
 import (
 	"errors"
@@ -9,8 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/internal/outbound"
-	"github.com/endivecourse/endivecourse/platform"
 )
 
 func TestAnswerSizeIsBounded(t *testing.T) {
@@ -21,7 +21,7 @@
 	c := &client{base: web.URL, http: outbound.NewClient(), maxAnswer: 10}
 	_, err := (&objects{c}).Get(t.Context(), "k")
 	var tooLarge *TooLargeError
-	var unavailable *platform.UnavailableError
+	var unavailable *backing.UnavailableError
 	assert.Assert(t, errors.As(err, &tooLarge))
 	assert.Assert(t, errors.As(err, &unavailable))
 	c.maxAnswer = 11
--- a/platform/httpplatform/protocol.go
+++ b/backing/httpbacking/protocol.go
@@ -1,16 +1,16 @@
-package httpplatform
+package httpbacking
 
 import (
 	"time"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 )
 
 // Paths of the platform's HTTP interface.
 const (
 	PathRow     = "/table/row"     // GET ?key=
 	PathRows    = "/table/rows"    // GET ?prefix=
-	PathCommit  = "/table/commit"  // POST platform.Txn
+	PathCommit  = "/table/commit"  // POST backing.Txn
 	PathObject  = "/objects/item"  // PUT, GET, DELETE ?key=
 	PathObjects = "/objects/list"  // GET ?prefix=
 	PathVMs     = "/vms"           // GET
@@ -23,7 +23,7 @@
 
 // Conflict is the body of a 409 answer to a commit.
 type Conflict struct {
-	Found []platform.Row `json:"found"`
+	Found []backing.Row `json:"found"`
 }
 
 // FetchResult is the answer of the weight store.
--- a/platform/httpplatform/services.go
+++ b/backing/httpbacking/services.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpbacking
 
 import (
 	"context"
@@ -9,24 +9,24 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 )
 
 type table struct{ c *client }
 
 // Get returns one row.
-func (t *table) Get(ctx context.Context, key string) (row platform.Row, err error) {
+func (t *table) Get(ctx context.Context, key string) (row backing.Row, err error) {
 	get := call{service: serviceTable, method: http.MethodGet, path: PathRow, query: url.Values{"key": {key}}}
 	a, err := t.c.do(ctx, get)
 	if err != nil {
-		return platform.Row{}, err
+		return backing.Row{}, err
 	}
 	err = get.decode(a, &row)
 	return row, err
 }
 
 // List returns the rows under a prefix.
-func (t *table) List(ctx context.Context, prefix string) (rows []platform.Row, err error) {
+func (t *table) List(ctx context.Context, prefix string) (rows []backing.Row, err error) {
 	list := call{service: serviceTable, method: http.MethodGet, path: PathRows, query: url.Values{"prefix": {prefix}}}
 	a, err := t.c.do(ctx, list)
 	if err != nil {
@@ -37,7 +37,7 @@
 }
 
 // Commit applies a transaction.
-func (t *table) Commit(ctx context.Context, txn platform.Txn) (rows []platform.Row, err error) {
+func (t *table) Commit(ctx context.Context, txn backing.Txn) (rows []backing.Row, err error) {
 	body, err := json.Marshal(txn)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode transaction")
@@ -52,7 +52,7 @@
 		if err := json.Unmarshal(a.body, &conflict); err != nil {
 			return nil, commit.lost(errors.Wrap(err, "decode conflict"))
 		}
-		return nil, &platform.ConflictError{Found: conflict.Found}
+		return nil, &backing.ConflictError{Found: conflict.Found}
 	}
 	err = commit.decode(a, &rows)
 	return rows, err
@@ -94,7 +94,7 @@
 	}
 	switch {
 	case a.status == http.StatusNotFound:
-		return nil, &platform.NotFoundError{Key: key}
+		return nil, &backing.NotFoundError{Key: key}
 	case a.status/100 != 2:
 		return nil, get.lost(&StatusError{Status: a.status})
 	}
@@ -115,7 +115,7 @@
 type vms struct{ c *client }
 
 // VMs returns the list of VMs.
-func (v *vms) VMs(ctx context.Context) (list []platform.VM, err error) {
+func (v *vms) VMs(ctx context.Context) (list []backing.VM, err error) {
 	get := call{service: serviceVMs, method: http.MethodGet, path: PathVMs}
 	a, err := v.c.do(ctx, get)
 	if err != nil {
--- a/platform/meter/meter.go
+++ b/backing/meter/meter.go
@@ -11,7 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 )
 
 // Meter counts the requests of the services that it wraps.
@@ -24,7 +24,7 @@
 func (m *Meter) WriteMetrics(w io.Writer) { m.set.WritePrometheus(w) }
 
 // Wrap returns services that are counted.
-func (m *Meter) Wrap(s platform.Services) platform.Services {
+func (m *Meter) Wrap(s backing.Services) backing.Services {
 	if s.Table != nil {
 		s.Table = table{m, s.Table}
 	}
@@ -42,9 +42,9 @@
 
 // outcomeOf names the outcome of a request; the set of names is fixed.
 func outcomeOf(err error) string {
-	var conflict *platform.ConflictError
-	var missing *platform.NotFoundError
-	var unknown *platform.UnknownOutcomeError
+	var conflict *backing.ConflictError
+	var missing *backing.NotFoundError
+	var unknown *backing.UnknownOutcomeError
 	switch {
 	case err == nil:
 		return "ok"
@@ -67,7 +67,7 @@
 	m.set.GetOrCreateCounter(`endive_platform_bytes_total{direction="received"}`).Add(received)
 }
 
-func rowBytes(rows ...platform.Row) int {
+func rowBytes(rows ...backing.Row) int {
 	total := 0
 	for _, row := range rows {
 		total += len(row.Key) + len(row.Value)
@@ -75,7 +75,7 @@
 	return total
 }
 
-func txnBytes(txn platform.Txn) int {
+func txnBytes(txn backing.Txn) int {
 	total := 0
 	for _, c := range txn.Require {
 		total += len(c.Key)
@@ -88,24 +88,24 @@
 
 type table struct {
 	m    *Meter
-	next platform.Table
+	next backing.Table
 }
 
-func (t table) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t table) Get(ctx context.Context, key string) (backing.Row, error) {
 	began := time.Now()
 	row, err := t.next.Get(ctx, key)
 	t.m.done("table.get", began, err, len(key), rowBytes(row))
 	return row, err
 }
 
-func (t table) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (t table) List(ctx context.Context, prefix string) ([]backing.Row, error) {
 	began := time.Now()
 	rows, err := t.next.List(ctx, prefix)
 	t.m.done("table.list", began, err, len(prefix), rowBytes(rows...))
 	return rows, err
 }
 
-func (t table) Commit(ctx context.Context, txn platform.Txn) ([]platform.Row, error) {
+func (t table) Commit(ctx context.Context, txn backing.Txn) ([]backing.Row, error) {
 	began := time.Now()
 	rows, err := t.next.Commit(ctx, txn)
 	t.m.done("table.commit", began, err, txnBytes(txn), rowBytes(rows...))
@@ -114,7 +114,7 @@
 
 type objects struct {
 	m    *Meter
-	next platform.Objects
+	next backing.Objects
 }
 
 func (o objects) Put(ctx context.Context, key string, value []byte) error {
@@ -151,13 +151,13 @@
 
 type vms struct {
 	m    *Meter
-	next platform.VMList
+	next backing.VMList
 }
 
 // vmBytes estimates the encoded size of one VM.
 const vmBytes = 160
 
-func (v vms) VMs(ctx context.Context) ([]platform.VM, error) {
+func (v vms) VMs(ctx context.Context) ([]backing.VM, error) {
 	began := time.Now()
 	list, err := v.next.VMs(ctx)
 	v.m.done("vms.list", began, err, 0, vmBytes*len(list))
@@ -166,7 +166,7 @@
 
 type weights struct {
 	m    *Meter
-	next platform.Weights
+	next backing.Weights
 }
 
 func (s weights) Fetch(ctx context.Context, model, version string) (time.Duration, error) {
--- a/platform/meter/meter_test.go
+++ b/backing/meter/meter_test.go
@@ -6,17 +6,17 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/internal/tabletest"
-	"github.com/endivecourse/endivecourse/platform"
 )
 
 func TestCountsOutcomesAndBytes(t *testing.T) {
 	m := New()
 	fake := tabletest.New()
-	services := m.Wrap(platform.Services{Table: fake})
-	txn := platform.Txn{
-		Require: []platform.Condition{{Key: "key", Version: 0}},
-		Writes:  []platform.Write{{Key: "key", Value: []byte("value")}},
+	services := m.Wrap(backing.Services{Table: fake})
+	txn := backing.Txn{
+		Require: []backing.Condition{{Key: "key", Version: 0}},
+		Writes:  []backing.Write{{Key: "key", Value: []byte("value")}},
 	}
 	_, err := services.Table.Commit(t.Context(), txn)
 	assert.NilError(t, err)
--- a/cmd/endivectl/main.go
+++ b/cmd/endivectl/main.go
@@ -7,8 +7,8 @@
 	"os/signal"
 	"syscall"
 
+	_ "github.com/endivecourse/endivecourse/backing/httpbacking" // registers platform.http
 	"github.com/endivecourse/endivecourse/command"
-	_ "github.com/endivecourse/endivecourse/platform/httpplatform" // registers platform.http
 )
 
 func main() {
--- a/command/change.go
+++ b/command/change.go
@@ -11,9 +11,9 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/config/configwatch"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -122,7 +122,7 @@
 
 // awaitInForce reads the domains' reports until all have reached the version
 // or the time is over. A store that cannot be read leaves domains missing.
-func (a *app) awaitInForce(ctx context.Context, table platform.Table, wait time.Duration, doc config.Document, o *outcome) {
+func (a *app) awaitInForce(ctx context.Context, table backing.Table, wait time.Duration, doc config.Document, o *outcome) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	o.Domains = len(doc.Domains)
@@ -142,7 +142,7 @@
 	}
 }
 
-func missingDomains(ctx context.Context, table platform.Table, doc config.Document, version uint64) ([]structs.DomainID, error) {
+func missingDomains(ctx context.Context, table backing.Table, doc config.Document, version uint64) ([]structs.DomainID, error) {
 	rows, err := table.List(ctx, config.RowInForcePrefix)
 	if err != nil {
 		return nil, err
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -15,10 +15,10 @@
 	"github.com/spf13/cobra"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/internal/tabletest"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -28,34 +28,34 @@
 )
 
 // fakePlatform is what the driver "fake" gives; each test sets its own.
-var fakePlatform atomic.Pointer[platform.Services]
+var fakePlatform atomic.Pointer[backing.Services]
 
 func init() {
-	kernel.Register("platform.fake", platform.Factory(func(string, time.Duration) (platform.Services, error) {
+	kernel.Register("platform.fake", backing.Factory(func(string, time.Duration) (backing.Services, error) {
 		return *fakePlatform.Load(), nil
 	}))
 }
 
-type vmList []platform.VM
+type vmList []backing.VM
 
-func (l vmList) VMs(context.Context) ([]platform.VM, error) { return l, nil }
+func (l vmList) VMs(context.Context) ([]backing.VM, error) { return l, nil }
 
 // newPlatform sets a platform on which the given domains report each stored
 // version at once.
 func newPlatform(t *testing.T, vms vmList, domains ...string) *tabletest.Table {
 	table := tabletest.New()
-	table.OnCommit(func(txn platform.Txn) {
+	table.OnCommit(func(txn backing.Txn) {
 		for _, w := range txn.Writes {
 			if w.Key != config.RowCurrent {
 				continue
 			}
 			for _, domain := range domains {
-				_, err := table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: config.RowInForcePrefix + domain, Value: w.Value}}})
+				_, err := table.Commit(t.Context(), backing.Txn{Writes: []backing.Write{{Key: config.RowInForcePrefix + domain, Value: w.Value}}})
 				assert.Check(t, err)
 			}
 		}
 	})
-	fakePlatform.Store(&platform.Services{Table: table, VMs: vms})
+	fakePlatform.Store(&backing.Services{Table: table, VMs: vms})
 	return table
 }
 
@@ -220,7 +220,7 @@
 }
 
 func TestVMList(t *testing.T) {
-	newPlatform(t, vmList{{ID: "dundee-a-1", Domain: "dundee-a", State: platform.VMLive}})
+	newPlatform(t, vmList{{ID: "dundee-a-1", Domain: "dundee-a", State: backing.VMLive}})
 	assert.Assert(t, strings.Contains(mustRun(t, "vm", "list"), "dundee-a-1"))
 }
 
--- a/command/daemons_test.go
+++ b/command/daemons_test.go
@@ -12,8 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/endivecourse/endivecourse/admin"
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
 )
@@ -58,9 +58,9 @@
 		wire.Unary(s, structs.MethodEndProgram, refuse)
 	})
 	newPlatform(t, vmList{
-		{ID: "p", Domain: "perth-b", State: platform.VMLive, Scheduler: "127.0.0.1:1"},
-		{ID: "a", Domain: "dundee-a", State: platform.VMLeaving, Scheduler: "127.0.0.1:1"},
-		{ID: "b", Domain: "dundee-a", State: platform.VMLive, Scheduler: other},
+		{ID: "p", Domain: "perth-b", State: backing.VMLive, Scheduler: "127.0.0.1:1"},
+		{ID: "a", Domain: "dundee-a", State: backing.VMLeaving, Scheduler: "127.0.0.1:1"},
+		{ID: "b", Domain: "dundee-a", State: backing.VMLive, Scheduler: other},
 	})
 	assert.Assert(t, strings.Contains(mustRun(t, "program", "show", "dundee-a/1"), "running"))
 	assert.Assert(t, strings.Contains(mustRun(t, "program", "end", "dundee-a/1"), "ended: operator"))
--- a/command/inforce_test.go
+++ b/command/inforce_test.go
@@ -12,19 +12,19 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
+	"github.com/endivecourse/endivecourse/backing/httpbacking"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/config/configwatch"
 	standin "github.com/endivecourse/endivecourse/internal/standin/platform"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
-	"github.com/endivecourse/endivecourse/platform/httpplatform"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
 )
 
 // startDomain runs a scheduler's and a gateway's followers of one failure
 // domain and returns the gateway's holder.
-func startDomain(t *testing.T, domain structs.DomainID, table platform.Table) *config.Holder {
+func startDomain(t *testing.T, domain structs.DomainID, table backing.Table) *config.Holder {
 	client := wire.NewClient(wire.Options{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -60,7 +60,7 @@
 	stand := standin.New(standin.Options{})
 	server := httptest.NewServer(stand.Handler())
 	t.Cleanup(server.Close)
-	services, err := httpplatform.New(server.URL, time.Second)
+	services, err := httpbacking.New(server.URL, time.Second)
 	assert.NilError(t, err)
 	domain := func(name structs.DomainID) *config.Holder { return startDomain(t, name, services.Table) }
 	gateways := []*config.Holder{domain("dundee-a"), domain("perth-b")}
--- a/command/root.go
+++ b/command/root.go
@@ -13,9 +13,9 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/wire"
 )
 
@@ -167,13 +167,13 @@
 }
 
 // platform makes the services of the platform.
-func (a *app) platform() (platform.Services, error) {
+func (a *app) platform() (backing.Services, error) {
 	if a.platformURL == "" {
-		return platform.Services{}, usage("the platform is not given: use --platform or %s", EnvPlatform)
+		return backing.Services{}, usage("the platform is not given: use --platform or %s", EnvPlatform)
 	}
-	factory, err := kernel.Lookup[platform.Factory](kernel.ModuleID("platform." + a.driver))
+	factory, err := kernel.Lookup[backing.Factory](kernel.ModuleID("platform." + a.driver))
 	if err != nil {
-		return platform.Services{}, usage("--platform-driver: %v", err)
+		return backing.Services{}, usage("--platform-driver: %v", err)
 	}
 	return factory(a.platformURL, a.timeout)
 }
--- a/command/schedulers.go
+++ b/command/schedulers.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
 )
@@ -41,7 +41,7 @@
 	}
 	var addresses []string
 	for _, vm := range vms {
-		if vm.Scheduler != "" && vm.State == platform.VMLive && (domain == "" || vm.Domain == domain) {
+		if vm.Scheduler != "" && vm.State == backing.VMLive && (domain == "" || vm.Domain == domain) {
 			addresses = append(addresses, vm.Scheduler)
 		}
 	}
--- a/config/configwatch/scheduler.go
+++ b/config/configwatch/scheduler.go
@@ -10,9 +10,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
 )
@@ -30,7 +30,7 @@
 	VM     structs.VMID
 	Domain structs.DomainID
 	Holder *config.Holder
-	Table  platform.Table
+	Table  backing.Table
 	Wire   *wire.Client
 	// Peers returns the wire addresses of the live schedulers of the domain.
 	Peers func() []string
@@ -220,9 +220,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.opts.Table.Commit(ctx, platform.Txn{
-		Require: []platform.Condition{{Key: key, Version: row.Version}},
-		Writes:  []platform.Write{{Key: key, Value: value}},
+	_, err = s.opts.Table.Commit(ctx, backing.Txn{
+		Require: []backing.Condition{{Key: key, Version: row.Version}},
+		Writes:  []backing.Write{{Key: key, Value: value}},
 	})
 	return err
 }
--- a/config/configwatch/watch_test.go
+++ b/config/configwatch/watch_test.go
@@ -14,16 +14,16 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/internal/tabletest"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
 )
 
 // inForce reads the report of a domain.
-func inForce(t *testing.T, table platform.Table, domain string) uint64 {
+func inForce(t *testing.T, table backing.Table, domain string) uint64 {
 	row, err := table.Get(t.Context(), config.RowInForcePrefix+domain)
 	assert.NilError(t, err)
 	if row.Version == 0 {
@@ -82,7 +82,7 @@
 	}
 }
 
-func (f *fleet) scheduler(i int, table platform.Table) (*config.Holder, func()) {
+func (f *fleet) scheduler(i int, table backing.Table) (*config.Holder, func()) {
 	holder := &config.Holder{}
 	s := NewScheduler(SchedulerOptions{
 		Self: f.addresses[i], VM: structs.VMID(f.addresses[i]), Domain: "d", Holder: holder,
--- a/config/store.go
+++ b/config/store.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 )
 
 // Rows of the platform's table.
@@ -50,7 +50,7 @@
 // RowCurrent names the latest version; it and the version's own row are
 // written by one transaction that requires the row as it was read.
 type Store struct {
-	Table platform.Table
+	Table backing.Table
 	Now   func() time.Time // nil means time.Now
 }
 
@@ -90,7 +90,7 @@
 // effect at most once, however often it is sent.
 type publication struct {
 	info VersionInfo
-	txn  platform.Txn
+	txn  backing.Txn
 }
 
 // before returns the version that a publication replaces, or nil for the first
@@ -116,12 +116,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode document")
 	}
-	txn := platform.Txn{
-		Require: []platform.Condition{
+	txn := backing.Txn{
+		Require: []backing.Condition{
 			{Key: RowCurrent, Version: currentRow},
 			{Key: VersionRow(version), Version: 0},
 		},
-		Writes: []platform.Write{
+		Writes: []backing.Write{
 			{Key: RowCurrent, Value: head},
 			{Key: VersionRow(version), Value: whole},
 		},
@@ -131,12 +131,12 @@
 		if err != nil {
 			return nil, err
 		}
-		txn.Writes = append(txn.Writes, platform.Write{Key: PatchRow(version), Value: patch})
+		txn.Writes = append(txn.Writes, backing.Write{Key: PatchRow(version), Value: patch})
 	}
 	if version > keptVersions {
 		old := version - keptVersions
 		txn.Writes = append(txn.Writes,
-			platform.Write{Key: VersionRow(old), Delete: true}, platform.Write{Key: PatchRow(old), Delete: true})
+			backing.Write{Key: VersionRow(old), Delete: true}, backing.Write{Key: PatchRow(old), Delete: true})
 	}
 	return &publication{info: info, txn: txn}, nil
 }
@@ -160,7 +160,7 @@
 // commit sends the transaction until its outcome is known. After an unknown
 // outcome the same transaction is sent again: if the first has taken effect,
 // the second conflicts, and the version's row then tells whose it is.
-func (p *publication) commit(ctx context.Context, table platform.Table) (uint64, error) {
+func (p *publication) commit(ctx context.Context, table backing.Table) (uint64, error) {
 	sent := false
 	var cause error
 	for try := range publishTries {
@@ -168,8 +168,8 @@
 			break
 		}
 		_, err := table.Commit(ctx, p.txn)
-		var conflict *platform.ConflictError
-		var unavailable *platform.UnavailableError
+		var conflict *backing.ConflictError
+		var unavailable *backing.UnavailableError
 		switch {
 		case err == nil:
 			return p.info.Version, nil
@@ -190,7 +190,7 @@
 
 // winner reads which publication stored the version. Without an earlier send of
 // unknown outcome, a conflict alone shows that it was another one.
-func (p *publication) winner(ctx context.Context, table platform.Table, sent bool) (version uint64, err error, known bool) {
+func (p *publication) winner(ctx context.Context, table backing.Table, sent bool) (version uint64, err error, known bool) {
 	row, err := table.Get(ctx, VersionRow(p.info.Version))
 	if err != nil {
 		return 0, nil, false
--- a/config/store_patch_test.go
+++ b/config/store_patch_test.go
@@ -5,8 +5,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/internal/tabletest"
-	"github.com/endivecourse/endivecourse/platform"
 )
 
 // publishRates stores versions that differ in one account's rate.
@@ -23,9 +23,9 @@
 	}
 }
 
-func write(t *testing.T, table *tabletest.Table, w platform.Write) {
+func write(t *testing.T, table *tabletest.Table, w backing.Write) {
 	t.Helper()
-	_, err := table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{w}})
+	_, err := table.Commit(t.Context(), backing.Txn{Writes: []backing.Write{w}})
 	assert.NilError(t, err)
 }
 
@@ -38,7 +38,7 @@
 	last, err := store.Version(t.Context(), 4)
 	assert.NilError(t, err)
 	for version := range uint64(4) {
-		write(t, table, platform.Write{Key: VersionRow(version + 1), Delete: true})
+		write(t, table, backing.Write{Key: VersionRow(version + 1), Delete: true})
 	}
 	got, err := store.After(t.Context(), first, 4)
 	assert.NilError(t, err)
@@ -48,7 +48,7 @@
 
 // Whatever is wrong with a patch, the whole document is read.
 func TestAfterFallsBackToTheWhole(t *testing.T) {
-	for name, w := range map[string]platform.Write{
+	for name, w := range map[string]backing.Write{
 		"missing":   {Key: PatchRow(3), Delete: true},
 		"malformed": {Key: PatchRow(3), Value: []byte("{")},
 		"no ascent": {Key: PatchRow(3), Value: []byte(`{"from": 2, "to": 2}`)},
--- a/config/store_read.go
+++ b/config/store_read.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 )
 
 // Head returns what RowCurrent says of the latest version; Version is 0 when
@@ -14,7 +14,7 @@
 	return info, err
 }
 
-func (s *Store) currentRow(ctx context.Context) (VersionInfo, platform.Row, error) {
+func (s *Store) currentRow(ctx context.Context) (VersionInfo, backing.Row, error) {
 	row, err := s.Table.Get(ctx, RowCurrent)
 	if err != nil || row.Version == 0 {
 		return VersionInfo{}, row, err
--- a/daemon/common.go
+++ b/daemon/common.go
@@ -11,11 +11,11 @@
 	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/admin"
+	"github.com/endivecourse/endivecourse/backing"
+	"github.com/endivecourse/endivecourse/backing/meter"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/membership"
-	"github.com/endivecourse/endivecourse/platform"
-	"github.com/endivecourse/endivecourse/platform/meter"
 	"github.com/endivecourse/endivecourse/quota"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
@@ -32,7 +32,7 @@
 type base struct {
 	settings    settings.Daemon
 	incarnation structs.Incarnation
-	services    platform.Services
+	services    backing.Services
 	wireOptions wire.Options
 	client      *wire.Client
 	members     *membership.Watcher
@@ -41,7 +41,7 @@
 }
 
 func newBase(loaded settings.Daemon) (*base, error) {
-	factory, err := kernel.Lookup[platform.Factory](kernel.ModuleID("platform." + loaded.Platform.Driver))
+	factory, err := kernel.Lookup[backing.Factory](kernel.ModuleID("platform." + loaded.Platform.Driver))
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/gatewayd.go
+++ b/daemon/gatewayd.go
@@ -5,11 +5,11 @@
 	"slices"
 	"time"
 
+	_ "github.com/endivecourse/endivecourse/backing/httpbacking" // registers platform.http
 	"github.com/endivecourse/endivecourse/config/configwatch"
 	"github.com/endivecourse/endivecourse/gateway"
 	"github.com/endivecourse/endivecourse/gateway/forward"
 	"github.com/endivecourse/endivecourse/kernel"
-	_ "github.com/endivecourse/endivecourse/platform/httpplatform" // registers platform.http
 	"github.com/endivecourse/endivecourse/quota/borrower"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
--- a/daemon/keeper.go
+++ b/daemon/keeper.go
@@ -3,9 +3,9 @@
 import (
 	"log/slog"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/keeper"
 	"github.com/endivecourse/endivecourse/lease"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -36,7 +36,7 @@
 func (b *base) peers() []keeper.Peer {
 	var peers []keeper.Peer
 	for _, vm := range b.members.View().Peers(b.settings.Domain) {
-		peers = append(peers, keeper.Peer{VM: vm.ID, Addr: vm.Scheduler, Leaving: vm.State == platform.VMLeaving})
+		peers = append(peers, keeper.Peer{VM: vm.ID, Addr: vm.Scheduler, Leaving: vm.State == backing.VMLeaving})
 	}
 	return peers
 }
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -19,12 +19,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/caller"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/internal/site"
 	"github.com/endivecourse/endivecourse/internal/standin/engine"
 	"github.com/endivecourse/endivecourse/internal/standin/plain"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/program"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
@@ -101,12 +101,12 @@
 	if opts.cuttable {
 		f.putForwarders(platformAddr)
 	}
-	var vms []platform.VM
+	var vms []backing.VM
 	for i, scheduler := range f.schedulers {
 		f.write(scheduler, opts.change)
 		f.write(f.gateways[i], opts.change)
-		vms = append(vms, platform.VM{
-			ID: scheduler.settings.VM, Domain: scheduler.settings.Domain, State: platform.VMLive,
+		vms = append(vms, backing.VM{
+			ID: scheduler.settings.VM, Domain: scheduler.settings.Domain, State: backing.VMLive,
 			Scheduler: scheduler.settings.Listen.Reachable(), Gateway: f.gateways[i].settings.Listen.Callers,
 		})
 	}
--- a/integration/keys_test.go
+++ b/integration/keys_test.go
@@ -13,11 +13,11 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing/httpbacking"
 	"github.com/endivecourse/endivecourse/caller"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/internal/standin/engine"
 	standin "github.com/endivecourse/endivecourse/internal/standin/platform"
-	"github.com/endivecourse/endivecourse/platform/httpplatform"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -224,7 +224,7 @@
 		var all sync.WaitGroup
 		for i := range operators {
 			all.Go(func() {
-				services, err := httpplatform.New(site.url, time.Second)
+				services, err := httpbacking.New(site.url, time.Second)
 				if err == nil {
 					store := &config.Store{Table: services.Table}
 					_, err = store.Publish(t.Context(), uint64(round), operatorName(i), document)
@@ -233,7 +233,7 @@
 			})
 		}
 		all.Wait()
-		services, err := httpplatform.New(site.url, time.Second)
+		services, err := httpbacking.New(site.url, time.Second)
 		assert.NilError(t, err)
 		head, err := (&config.Store{Table: services.Table}).Head(t.Context())
 		assert.NilError(t, err)
--- a/integration/targets_test.go
+++ b/integration/targets_test.go
@@ -9,9 +9,9 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/caller"
 	"github.com/endivecourse/endivecourse/internal/standin/engine"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -81,7 +81,7 @@
 func TestLeavingTarget(t *testing.T) {
 	const leaving = structs.TargetID("rake-llm-1")
 	f := startFleet(t, fleetOptions{name: "accra", document: ample, engine: engine.Options{TokenTime: time.Millisecond}})
-	vm := platform.VM{ID: "engine-vm-1", Domain: "accra-central", State: platform.VMLive, Target: leaving}
+	vm := backing.VM{ID: "engine-vm-1", Domain: "accra-central", State: backing.VMLive, Target: leaving}
 	f.site.Platform.SetVM(vm)
 	var talks []*talk
 	for _, gateway := range f.gateways {
@@ -96,7 +96,7 @@
 	}
 	load(time.Now().Add(watchFor))
 	assert.Assert(t, f.completions(leaving) > 0)
-	f.site.Platform.SetVMState(vm.ID, platform.VMLeaving)
+	f.site.Platform.SetVMState(vm.ID, backing.VMLeaving)
 	load(time.Now().Add(leftAfter))
 	received := f.completions(leaving)
 	load(time.Now().Add(watchFor))
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -18,11 +18,11 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/daemon"
 	standin "github.com/endivecourse/endivecourse/internal/standin/platform"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -49,13 +49,13 @@
 	}))
 	f := &fleet{doc: document(b, s.accounts, s.targets, engine.URL), close: []func(){engine.Close}}
 	wires, admins := addresses(b, s.schedulers), addresses(b, s.schedulers+s.gateways)
-	var vms []platform.VM
+	var vms []backing.VM
 	for i, addr := range wires {
-		vms = append(vms, platform.VM{ID: structs.VMID(fmt.Sprint("vm-", i)), Domain: fleetDomain, State: platform.VMLive, Scheduler: addr})
+		vms = append(vms, backing.VM{ID: structs.VMID(fmt.Sprint("vm-", i)), Domain: fleetDomain, State: backing.VMLive, Scheduler: addr})
 	}
 	for i := len(vms); i < s.vms; i++ {
 		id := fmt.Sprint("runner-", i)
-		vms = append(vms, platform.VM{ID: structs.VMID(id), Domain: "domain-1", State: platform.VMLive, Target: structs.TargetID(id)})
+		vms = append(vms, backing.VM{ID: structs.VMID(id), Domain: "domain-1", State: backing.VMLive, Target: structs.TargetID(id)})
 	}
 	stand := standin.New(standin.Options{VMs: vms})
 	platformServer := httptest.NewServer(stand.Handler())
--- a/internal/capacity/keeper_test.go
+++ b/internal/capacity/keeper_test.go
@@ -11,24 +11,24 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/internal/tabletest"
 	"github.com/endivecourse/endivecourse/keeper"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/lease"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
 )
 
 // noObjects is an object store for idle keepers.
-type noObjects struct{ platform.Objects }
+type noObjects struct{ backing.Objects }
 
 func (noObjects) Put(context.Context, string, []byte) error      { return nil }
 func (noObjects) List(context.Context, string) ([]string, error) { return nil, nil }
 func (noObjects) Delete(context.Context, string) error           { return nil }
 func (noObjects) Get(_ context.Context, key string) ([]byte, error) {
-	return nil, &platform.NotFoundError{Key: key}
+	return nil, &backing.NotFoundError{Key: key}
 }
 
 // BenchmarkKeeper measures idle keepers of one failure domain: leases renewed
--- a/internal/capacity/report_test.go
+++ b/internal/capacity/report_test.go
@@ -11,8 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/membership"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/target"
 	"github.com/endivecourse/endivecourse/target/engine"
@@ -80,11 +80,11 @@
 func BenchmarkVMList(b *testing.B) {
 	for _, n := range []int{65, 650, 6510} {
 		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
-			var list []platform.VM
+			var list []backing.VM
 			for i := range n {
-				list = append(list, platform.VM{
+				list = append(list, backing.VM{
 					ID: structs.VMID(fmt.Sprint("vm-", i)), Domain: structs.DomainID(fmt.Sprint("domain-", i%9)),
-					State: platform.VMLive, Target: structs.TargetID(fmt.Sprint("target-", i)),
+					State: backing.VMLive, Target: structs.TargetID(fmt.Sprint("target-", i)),
 				})
 			}
 			data, err := json.Marshal(list)
@@ -93,7 +93,7 @@
 			var now structs.Instant
 			for b.Loop() {
 				now++
-				var decoded []platform.VM
+				var decoded []backing.VM
 				assert.NilError(b, json.Unmarshal(data, &decoded))
 				tracker.Apply(now, decoded)
 			}
--- a/internal/devsite/devsite.go
+++ b/internal/devsite/devsite.go
@@ -13,12 +13,12 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/daemon"
 	"github.com/endivecourse/endivecourse/internal/site"
 	"github.com/endivecourse/endivecourse/internal/standin/engine"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -70,8 +70,8 @@
 	standins, err := site.Start(ctx, site.Options{
 		Document:     document,
 		PlatformAddr: addrs[3],
-		VMs: []platform.VM{{
-			ID: vm, Domain: Domain, State: platform.VMLive,
+		VMs: []backing.VM{{
+			ID: vm, Domain: Domain, State: backing.VMLive,
 			Scheduler: schedulerd.Listen.Wire, Gateway: gatewayd.Listen.Callers,
 		}},
 		Engine: engine.Options{FirstTokenTime: 20 * time.Millisecond, TokenTime: 5 * time.Millisecond},
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -11,11 +11,11 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/internal/standin/engine"
 	"github.com/endivecourse/endivecourse/internal/standin/plain"
 	standin "github.com/endivecourse/endivecourse/internal/standin/platform"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -23,7 +23,7 @@
 type Options struct {
 	Document     config.Document // its targets' URLs are listened on
 	PlatformAddr string          // host:port
-	VMs          []platform.VM
+	VMs          []backing.VM
 	Engine       engine.Options
 	Plain        plain.Options
 }
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -1,11 +1,11 @@
-package platform
+package backing
 
 import (
 	"context"
 	"fmt"
 	"time"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 )
 
 // Service names one service of the platform for the control methods.
@@ -116,7 +116,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fault(service).outage {
-		return &platform.UnavailableError{Service: string(service), Cause: &OutageError{Service: service}}
+		return &backing.UnavailableError{Service: string(service), Cause: &OutageError{Service: service}}
 	}
 	return nil
 }
@@ -141,9 +141,9 @@
 
 func noAnswer(service Service, write bool, cause error) error {
 	if write {
-		return &platform.UnknownOutcomeError{Service: string(service), Cause: cause}
+		return &backing.UnknownOutcomeError{Service: string(service), Cause: cause}
 	}
-	return &platform.UnavailableError{Service: string(service), Cause: cause}
+	return &backing.UnavailableError{Service: string(service), Cause: cause}
 }
 
 // wrote counts a write and loses its answer when asked to; s.mu is held.
@@ -154,5 +154,5 @@
 		return nil
 	}
 	f.lose--
-	return &platform.UnknownOutcomeError{Service: string(service), Cause: &LostAnswerError{Service: service}}
+	return &backing.UnknownOutcomeError{Service: string(service), Cause: &LostAnswerError{Service: service}}
 }
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 import (
 	"encoding/json"
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/endivecourse/endivecourse/platform"
-	"github.com/endivecourse/endivecourse/platform/httpplatform"
+	"github.com/endivecourse/endivecourse/backing"
+	"github.com/endivecourse/endivecourse/backing/httpbacking"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -23,29 +23,29 @@
 	services := s.Services()
 	serveTable(mux, services.Table)
 	serveObjects(mux, services.Objects)
-	mux.HandleFunc("GET "+httpplatform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+httpbacking.PathVMs, func(w http.ResponseWriter, r *http.Request) {
 		list, err := services.VMs.VMs(r.Context())
 		reply(w, list, err)
 	})
-	mux.HandleFunc("POST "+httpplatform.PathWeights, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("POST "+httpbacking.PathWeights, func(w http.ResponseWriter, r *http.Request) {
 		wait, err := services.Weights.Fetch(r.Context(), r.FormValue("model"), r.FormValue("version"))
-		reply(w, httpplatform.FetchResult{RetryAfter: wait}, err)
+		reply(w, httpbacking.FetchResult{RetryAfter: wait}, err)
 	})
 	s.serveControl(mux)
 	return mux
 }
 
-func serveTable(mux *http.ServeMux, t platform.Table) {
-	mux.HandleFunc("GET "+httpplatform.PathRow, func(w http.ResponseWriter, r *http.Request) {
+func serveTable(mux *http.ServeMux, t backing.Table) {
+	mux.HandleFunc("GET "+httpbacking.PathRow, func(w http.ResponseWriter, r *http.Request) {
 		row, err := t.Get(r.Context(), r.FormValue("key"))
 		reply(w, row, err)
 	})
-	mux.HandleFunc("GET "+httpplatform.PathRows, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+httpbacking.PathRows, func(w http.ResponseWriter, r *http.Request) {
 		rows, err := t.List(r.Context(), r.FormValue("prefix"))
 		reply(w, rows, err)
 	})
-	mux.HandleFunc("POST "+httpplatform.PathCommit, func(w http.ResponseWriter, r *http.Request) {
-		var txn platform.Txn
+	mux.HandleFunc("POST "+httpbacking.PathCommit, func(w http.ResponseWriter, r *http.Request) {
+		var txn backing.Txn
 		if !readJSON(w, r, &txn) {
 			return
 		}
@@ -54,8 +54,8 @@
 	})
 }
 
-func serveObjects(mux *http.ServeMux, o platform.Objects) {
-	mux.HandleFunc("PUT "+httpplatform.PathObject, func(w http.ResponseWriter, r *http.Request) {
+func serveObjects(mux *http.ServeMux, o backing.Objects) {
+	mux.HandleFunc("PUT "+httpbacking.PathObject, func(w http.ResponseWriter, r *http.Request) {
 		value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 		if err != nil {
 			refuse(w, http.StatusBadRequest)
@@ -63,7 +63,7 @@
 		}
 		reply(w, struct{}{}, o.Put(r.Context(), r.URL.Query().Get("key"), value))
 	})
-	mux.HandleFunc("GET "+httpplatform.PathObject, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+httpbacking.PathObject, func(w http.ResponseWriter, r *http.Request) {
 		value, err := o.Get(r.Context(), r.FormValue("key"))
 		if err != nil {
 			reply(w, nil, err)
@@ -71,10 +71,10 @@
 		}
 		_, _ = w.Write(value)
 	})
-	mux.HandleFunc("DELETE "+httpplatform.PathObject, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("DELETE "+httpbacking.PathObject, func(w http.ResponseWriter, r *http.Request) {
 		reply(w, struct{}{}, o.Delete(r.Context(), r.FormValue("key")))
 	})
-	mux.HandleFunc("GET "+httpplatform.PathObjects, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+httpbacking.PathObjects, func(w http.ResponseWriter, r *http.Request) {
 		keys, err := o.List(r.Context(), r.FormValue("prefix"))
 		reply(w, keys, err)
 	})
@@ -99,10 +99,10 @@
 	control("vm/lag", func(r *http.Request) { s.SetVMLag(duration(r)) })
 	control("vm/remove", func(r *http.Request) { s.RemoveVM(structs.VMID(r.FormValue("id"))) })
 	control("vm/state", func(r *http.Request) {
-		s.SetVMState(structs.VMID(r.FormValue("id")), platform.VMState(r.FormValue("state")))
+		s.SetVMState(structs.VMID(r.FormValue("id")), backing.VMState(r.FormValue("state")))
 	})
 	mux.HandleFunc("POST /control/vm/set", func(w http.ResponseWriter, r *http.Request) {
-		var vm platform.VM
+		var vm backing.VM
 		if !readJSON(w, r, &vm) {
 			return
 		}
@@ -135,7 +135,7 @@
 }
 
 func refuse(w http.ResponseWriter, status int) {
-	w.Header().Set(httpplatform.HeaderNotApplied, "true")
+	w.Header().Set(httpbacking.HeaderNotApplied, "true")
 	w.WriteHeader(status)
 }
 
@@ -143,15 +143,15 @@
 // back. A lost answer cuts the connection.
 func reply(w http.ResponseWriter, value any, err error) {
 	var (
-		conflict *platform.ConflictError
-		missing  *platform.NotFoundError
-		unknown  *platform.UnknownOutcomeError
+		conflict *backing.ConflictError
+		missing  *backing.NotFoundError
+		unknown  *backing.UnknownOutcomeError
 	)
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, value)
 	case errors.As(err, &conflict):
-		writeJSON(w, http.StatusConflict, httpplatform.Conflict{Found: conflict.Found})
+		writeJSON(w, http.StatusConflict, httpbacking.Conflict{Found: conflict.Found})
 	case errors.As(err, &missing):
 		w.WriteHeader(http.StatusNotFound)
 	case errors.As(err, &unknown):
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -1,19 +1,19 @@
-// Package platform is an in-memory stand-in for the platform, in process and
+// Package backing is an in-memory stand-in for the platform, in process and
 // over HTTP, with faults that tests switch on.
-package platform
+package backing
 
 import (
 	"sort"
 	"sync"
 	"time"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
 // Options sets up a Server.
 type Options struct {
-	VMs []platform.VM
+	VMs []backing.VM
 	// VMLag is how far the VM list is behind.
 	VMLag time.Duration
 	// WeightInterval is the least time between two fetches; 0 has no limit.
@@ -25,10 +25,10 @@
 type Server struct {
 	mu          sync.Mutex
 	faults      map[Service]*faults
-	rows        map[string]platform.Row
+	rows        map[string]backing.Row
 	lastVersion uint64
 	objects     map[string][]byte
-	vms         map[structs.VMID]platform.VM
+	vms         map[structs.VMID]backing.VM
 	lists       []vmSnapshot
 	vmLag       time.Duration
 	weights     time.Duration
@@ -37,16 +37,16 @@
 
 type vmSnapshot struct {
 	at  time.Time
-	vms []platform.VM
+	vms []backing.VM
 }
 
 // New makes a Server.
 func New(opts Options) *Server {
 	s := &Server{
 		faults:  make(map[Service]*faults),
-		rows:    make(map[string]platform.Row),
+		rows:    make(map[string]backing.Row),
 		objects: make(map[string][]byte),
-		vms:     make(map[structs.VMID]platform.VM),
+		vms:     make(map[structs.VMID]backing.VM),
 		vmLag:   opts.VMLag,
 		weights: opts.WeightInterval,
 	}
@@ -58,7 +58,7 @@
 }
 
 // SetVM adds a VM to the list or replaces its entry.
-func (s *Server) SetVM(vm platform.VM) {
+func (s *Server) SetVM(vm backing.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vms[vm.ID] = vm
@@ -66,7 +66,7 @@
 }
 
 // SetVMState changes the state of a listed VM.
-func (s *Server) SetVMState(id structs.VMID, state platform.VMState) {
+func (s *Server) SetVMState(id structs.VMID, state backing.VMState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	vm, ok := s.vms[id]
@@ -93,8 +93,8 @@
 	s.vmLag = lag
 }
 
-func (s *Server) listVMs() []platform.VM {
-	list := make([]platform.VM, 0, len(s.vms))
+func (s *Server) listVMs() []backing.VM {
+	list := make([]backing.VM, 0, len(s.vms))
 	for _, vm := range s.vms {
 		list = append(list, vm)
 	}
@@ -112,7 +112,7 @@
 }
 
 // laggedVMs returns the list as it was vmLag ago; s.mu is held.
-func (s *Server) laggedVMs() []platform.VM {
+func (s *Server) laggedVMs() []backing.VM {
 	until := time.Now().Add(-s.vmLag)
 	shown := s.lists[0].vms
 	for _, list := range s.lists[1:] {
@@ -121,5 +121,5 @@
 		}
 		shown = list.vms
 	}
-	return append([]platform.VM(nil), shown...)
+	return append([]backing.VM(nil), shown...)
 }
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 )
 
 func TestVMListLags(t *testing.T) {
@@ -20,7 +20,7 @@
 			assert.NilError(t, err)
 			return len(vms)
 		}
-		s.SetVM(platform.VM{ID: "vm-1", State: platform.VMLive})
+		s.SetVM(backing.VM{ID: "vm-1", State: backing.VMLive})
 		time.Sleep(9 * time.Second)
 		assert.Equal(t, list(), 0)
 		time.Sleep(time.Second)
@@ -43,8 +43,8 @@
 		s.SetHang(Table, true)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		_, err = s.Services().Table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: "k"}}})
-		var unknown *platform.UnknownOutcomeError
+		_, err = s.Services().Table.Commit(ctx, backing.Txn{Writes: []backing.Write{{Key: "k"}}})
+		var unknown *backing.UnknownOutcomeError
 		assert.Assert(t, errors.As(err, &unknown))
 		assert.Equal(t, s.Counts(Table), Counts{Reads: 1})
 	})
@@ -53,10 +53,10 @@
 func TestVersionsGrowOverDeletes(t *testing.T) {
 	s := New(Options{})
 	table := s.Services().Table
-	put := platform.Txn{Writes: []platform.Write{{Key: "k", Value: []byte("v")}}}
+	put := backing.Txn{Writes: []backing.Write{{Key: "k", Value: []byte("v")}}}
 	first, err := table.Commit(t.Context(), put)
 	assert.NilError(t, err)
-	_, err = table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "k", Delete: true}}})
+	_, err = table.Commit(t.Context(), backing.Txn{Writes: []backing.Write{{Key: "k", Delete: true}}})
 	assert.NilError(t, err)
 	second, err := table.Commit(t.Context(), put)
 	assert.NilError(t, err)
--- a/internal/standin/platform/services.go
+++ b/internal/standin/platform/services.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 import (
 	"bytes"
@@ -7,13 +7,13 @@
 	"strings"
 	"time"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 )
 
 // Services returns the services in process, with the same state and faults as
 // over HTTP.
-func (s *Server) Services() platform.Services {
-	return platform.Services{
+func (s *Server) Services() backing.Services {
+	return backing.Services{
 		Table:   &table{s},
 		Objects: &objects{s},
 		VMs:     &vmList{s},
@@ -24,9 +24,9 @@
 type table struct{ s *Server }
 
 // Get returns one row.
-func (t *table) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *table) Get(ctx context.Context, key string) (backing.Row, error) {
 	if err := t.s.enter(ctx, Table, false); err != nil {
-		return platform.Row{}, err
+		return backing.Row{}, err
 	}
 	t.s.mu.Lock()
 	defer t.s.mu.Unlock()
@@ -35,14 +35,14 @@
 }
 
 // List returns the rows under a prefix.
-func (t *table) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (t *table) List(ctx context.Context, prefix string) ([]backing.Row, error) {
 	if err := t.s.enter(ctx, Table, false); err != nil {
 		return nil, err
 	}
 	t.s.mu.Lock()
 	defer t.s.mu.Unlock()
 	t.s.fault(Table).counts.Reads++
-	rows := []platform.Row{}
+	rows := []backing.Row{}
 	for key := range t.s.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, t.s.row(key))
@@ -53,7 +53,7 @@
 }
 
 // Commit applies a transaction.
-func (t *table) Commit(ctx context.Context, txn platform.Txn) ([]platform.Row, error) {
+func (t *table) Commit(ctx context.Context, txn backing.Txn) ([]backing.Row, error) {
 	if err := t.s.enter(ctx, Table, true); err != nil {
 		return nil, err
 	}
@@ -70,17 +70,17 @@
 }
 
 // row returns a copy of a row; s.mu is held.
-func (s *Server) row(key string) platform.Row {
+func (s *Server) row(key string) backing.Row {
 	row, ok := s.rows[key]
 	if !ok {
-		return platform.Row{Key: key}
+		return backing.Row{Key: key}
 	}
 	row.Value = bytes.Clone(row.Value)
 	return row
 }
 
-func (s *Server) check(conditions []platform.Condition) error {
-	var found []platform.Row
+func (s *Server) check(conditions []backing.Condition) error {
+	var found []backing.Row
 	failed := false
 	for _, condition := range conditions {
 		row := s.row(condition.Key)
@@ -89,26 +89,26 @@
 			continue
 		}
 		failed = true
-		found = append([]platform.Row{row}, found...)
+		found = append([]backing.Row{row}, found...)
 	}
 	if !failed {
 		return nil
 	}
-	return &platform.ConflictError{Found: found}
+	return &backing.ConflictError{Found: found}
 }
 
 // apply writes the rows. Versions are drawn from one counter, so a row that
 // was deleted and written again has a higher one.
-func (s *Server) apply(writes []platform.Write) []platform.Row {
-	written := make([]platform.Row, 0, len(writes))
+func (s *Server) apply(writes []backing.Write) []backing.Row {
+	written := make([]backing.Row, 0, len(writes))
 	for _, w := range writes {
 		if w.Delete {
 			delete(s.rows, w.Key)
-			written = append(written, platform.Row{Key: w.Key})
+			written = append(written, backing.Row{Key: w.Key})
 			continue
 		}
 		s.lastVersion++
-		s.rows[w.Key] = platform.Row{Key: w.Key, Value: bytes.Clone(w.Value), Version: s.lastVersion}
+		s.rows[w.Key] = backing.Row{Key: w.Key, Value: bytes.Clone(w.Value), Version: s.lastVersion}
 		written = append(written, s.row(w.Key))
 	}
 	return written
@@ -137,7 +137,7 @@
 	o.s.fault(Objects).counts.Reads++
 	value, ok := o.s.objects[key]
 	if !ok {
-		return nil, &platform.NotFoundError{Key: key}
+		return nil, &backing.NotFoundError{Key: key}
 	}
 	return bytes.Clone(value), nil
 }
@@ -174,7 +174,7 @@
 type vmList struct{ s *Server }
 
 // VMs returns the lagging list.
-func (v *vmList) VMs(ctx context.Context) ([]platform.VM, error) {
+func (v *vmList) VMs(ctx context.Context) ([]backing.VM, error) {
 	if err := v.s.enter(ctx, VMs, false); err != nil {
 		return nil, err
 	}
--- a/internal/tabletest/table.go
+++ b/internal/tabletest/table.go
@@ -1,4 +1,4 @@
-// Package tabletest gives tests an in-memory platform.Table whose commits can
+// Package tabletest gives tests an in-memory backing.Table whose commits can
 // be made to fail in each way that the platform's can.
 package tabletest
 
@@ -9,7 +9,7 @@
 	"strings"
 	"sync"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 )
 
 // Fault is what happens to one commit.
@@ -32,16 +32,16 @@
 // Table is the table. The zero value is not usable; see New.
 type Table struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]backing.Row
 	down     bool
 	faults   []Fault
 	reads    int
 	commits  int
-	onCommit func(platform.Txn)
+	onCommit func(backing.Txn)
 }
 
 // New makes an empty table.
-func New() *Table { return &Table{rows: make(map[string]platform.Row)} }
+func New() *Table { return &Table{rows: make(map[string]backing.Row)} }
 
 // SetDown makes every request fail as unavailable, or succeed again.
 func (t *Table) SetDown(down bool) {
@@ -59,7 +59,7 @@
 
 // OnCommit sets a function that is called after each commit that took effect.
 // It may use the table.
-func (t *Table) OnCommit(f func(platform.Txn)) {
+func (t *Table) OnCommit(f func(backing.Txn)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.onCommit = f
@@ -80,30 +80,30 @@
 }
 
 func unavailable(fault string) error {
-	return &platform.UnavailableError{Service: "table", Cause: &InjectedError{Fault: fault}}
+	return &backing.UnavailableError{Service: "table", Cause: &InjectedError{Fault: fault}}
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(_ context.Context, key string) (platform.Row, error) {
+// Get implements backing.Table.
+func (t *Table) Get(_ context.Context, key string) (backing.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
 	if t.down {
-		return platform.Row{}, unavailable("down")
+		return backing.Row{}, unavailable("down")
 	}
 	row := t.rows[key]
 	row.Key = key
 	return row, nil
 }
 
-// List implements platform.Table.
-func (t *Table) List(_ context.Context, prefix string) ([]platform.Row, error) {
+// List implements backing.Table.
+func (t *Table) List(_ context.Context, prefix string) ([]backing.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
 		return nil, unavailable("down")
 	}
-	var rows []platform.Row
+	var rows []backing.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
@@ -113,8 +113,8 @@
 	return rows, nil
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(_ context.Context, txn platform.Txn) ([]platform.Row, error) {
+// Commit implements backing.Table.
+func (t *Table) Commit(_ context.Context, txn backing.Txn) ([]backing.Row, error) {
 	written, hook, err := t.commit(txn)
 	if hook != nil {
 		hook(txn)
@@ -122,7 +122,7 @@
 	return written, err
 }
 
-func (t *Table) commit(txn platform.Txn) (written []platform.Row, hook func(platform.Txn), err error) {
+func (t *Table) commit(txn backing.Txn) (written []backing.Row, hook func(backing.Txn), err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.commits++
@@ -147,7 +147,7 @@
 }
 
 func lost(when string) error {
-	return &platform.UnknownOutcomeError{Service: "table", Cause: &InjectedError{Fault: "answer lost " + when + " the write"}}
+	return &backing.UnknownOutcomeError{Service: "table", Cause: &InjectedError{Fault: "answer lost " + when + " the write"}}
 }
 
 func (t *Table) nextFault() Fault {
@@ -159,8 +159,8 @@
 	return next
 }
 
-func (t *Table) apply(txn platform.Txn) ([]platform.Row, error) {
-	var found []platform.Row
+func (t *Table) apply(txn backing.Txn) ([]backing.Row, error) {
+	var found []backing.Row
 	for _, c := range txn.Require {
 		if row := t.rows[c.Key]; row.Version != c.Version {
 			row.Key = c.Key
@@ -168,15 +168,15 @@
 		}
 	}
 	if len(found) > 0 {
-		return nil, &platform.ConflictError{Found: found}
+		return nil, &backing.ConflictError{Found: found}
 	}
-	var written []platform.Row
+	var written []backing.Row
 	for _, w := range txn.Writes {
 		if w.Delete {
 			delete(t.rows, w.Key)
 			continue
 		}
-		row := platform.Row{Key: w.Key, Value: w.Value, Version: t.rows[w.Key].Version + 1}
+		row := backing.Row{Key: w.Key, Value: w.Value, Version: t.rows[w.Key].Version + 1}
 		t.rows[w.Key] = row
 		written = append(written, row)
 	}
--- a/keeper/drain.go
+++ b/keeper/drain.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/journal"
 	"github.com/endivecourse/endivecourse/journal/tail"
 	"github.com/endivecourse/endivecourse/lease"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -128,7 +128,7 @@
 }
 
 // keepIndexes keeps the indexes just written, or forgets them when rows is nil.
-func (k *Keeper) keepIndexes(parts []part, additions []addition, rows []platform.Row) {
+func (k *Keeper) keepIndexes(parts []part, additions []addition, rows []backing.Row) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for i, p := range parts {
--- a/keeper/fake_test.go
+++ b/keeper/fake_test.go
@@ -14,10 +14,10 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/journal"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/lease"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
@@ -31,7 +31,7 @@
 	slots   int
 	lease   settings.Lease
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]backing.Row
 	objects map[string][]byte
 	down    bool // table and objects
 	lose    int  // each so many commits lose their answer; 0 for none
@@ -62,7 +62,7 @@
 
 func newDomain(t *testing.T) *domain {
 	return &domain{
-		t: t, slots: testSlots, lease: settings.Default().Lease, rows: make(map[string]platform.Row), objects: make(map[string][]byte),
+		t: t, slots: testSlots, lease: settings.Default().Lease, rows: make(map[string]backing.Row), objects: make(map[string][]byte),
 		cut: make(map[string]bool), running: make(map[string]*running), gone: make(map[structs.VMID]bool),
 	}
 }
@@ -211,12 +211,12 @@
 	e.d.mu.Lock()
 	defer e.d.mu.Unlock()
 	if e.d.down || e.d.cut[e.vm] || e.d.storeCut == e.vm {
-		return &platform.UnavailableError{Service: service, Cause: io.ErrUnexpectedEOF}
+		return &backing.UnavailableError{Service: service, Cause: io.ErrUnexpectedEOF}
 	}
 	return nil
 }
 
-func (e *endpoint) get(key string) platform.Row {
+func (e *endpoint) get(key string) backing.Row {
 	row := e.d.rows[key]
 	row.Key = key
 	return row
@@ -226,22 +226,22 @@
 
 type objectsEnd struct{ *endpoint }
 
-func (e tableEnd) Get(_ context.Context, key string) (platform.Row, error) {
+func (e tableEnd) Get(_ context.Context, key string) (backing.Row, error) {
 	if err := e.reach("table"); err != nil {
-		return platform.Row{}, err
+		return backing.Row{}, err
 	}
 	e.d.mu.Lock()
 	defer e.d.mu.Unlock()
 	return e.get(key), nil
 }
 
-func (e tableEnd) List(_ context.Context, prefix string) ([]platform.Row, error) {
+func (e tableEnd) List(_ context.Context, prefix string) ([]backing.Row, error) {
 	if err := e.reach("table"); err != nil {
 		return nil, err
 	}
 	e.d.mu.Lock()
 	defer e.d.mu.Unlock()
-	var out []platform.Row
+	var out []backing.Row
 	e.d.reads++
 	for key, row := range e.d.rows {
 		if strings.HasPrefix(key, prefix) {
@@ -252,24 +252,24 @@
 	return out, nil
 }
 
-func (e tableEnd) Commit(_ context.Context, txn platform.Txn) ([]platform.Row, error) {
+func (e tableEnd) Commit(_ context.Context, txn backing.Txn) ([]backing.Row, error) {
 	if err := e.reach("table"); err != nil {
 		return nil, err
 	}
 	e.d.mu.Lock()
 	defer e.d.mu.Unlock()
-	var found []platform.Row
+	var found []backing.Row
 	conflict := false
 	for _, c := range txn.Require {
 		found = append(found, e.get(c.Key))
 		conflict = conflict || e.d.rows[c.Key].Version != c.Version
 	}
 	if conflict {
-		return nil, &platform.ConflictError{Found: found}
+		return nil, &backing.ConflictError{Found: found}
 	}
-	var out []platform.Row
+	var out []backing.Row
 	for _, w := range txn.Writes {
-		row := platform.Row{Key: w.Key, Value: w.Value, Version: e.d.rows[w.Key].Version + 1}
+		row := backing.Row{Key: w.Key, Value: w.Value, Version: e.d.rows[w.Key].Version + 1}
 		e.d.rows[w.Key] = row
 		out = append(out, row)
 	}
@@ -278,7 +278,7 @@
 		e.d.watch(e.vm, txn, out)
 	}
 	if e.d.lose > 0 && e.d.commits%e.d.lose == 0 {
-		return nil, &platform.UnknownOutcomeError{Service: "table", Cause: io.ErrUnexpectedEOF}
+		return nil, &backing.UnknownOutcomeError{Service: "table", Cause: io.ErrUnexpectedEOF}
 	}
 	return out, nil
 }
@@ -299,7 +299,7 @@
 	defer e.d.mu.Unlock()
 	value, ok := e.d.objects[key]
 	if !ok {
-		return nil, &platform.NotFoundError{Key: key}
+		return nil, &backing.NotFoundError{Key: key}
 	}
 	return value, nil
 }
--- a/keeper/options.go
+++ b/keeper/options.go
@@ -5,8 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/lease"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -38,8 +38,8 @@
 	// GoneGrace bounds how long a process may act after the VM list has
 	// dropped its VM; 0 takes 30 s.
 	GoneGrace time.Duration
-	Table     platform.Table
-	Objects   platform.Objects
+	Table     backing.Table
+	Objects   backing.Objects
 	Peers     func() []Peer
 	// SeenGone reports that a VM was in the VM list and is not any more.
 	SeenGone func(structs.VMID) bool
--- a/keeper/rows.go
+++ b/keeper/rows.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/lease"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -90,7 +90,7 @@
 	if err != nil {
 		return
 	}
-	found := make(map[lease.Group]platform.Row)
+	found := make(map[lease.Group]backing.Row)
 	for _, row := range rows {
 		if g, ok := k.groupOfKey(row.Key); ok {
 			found[g] = row
@@ -101,7 +101,7 @@
 	}
 }
 
-func (k *Keeper) tellRow(sent structs.Instant, g lease.Group, row platform.Row) {
+func (k *Keeper) tellRow(sent structs.Instant, g lease.Group, row backing.Row) {
 	var decoded lease.Row
 	if row.Version > 0 {
 		var err error
@@ -136,12 +136,12 @@
 	}
 	key := k.leaseKey(w.Group)
 	sent := structs.Now()
-	written, err := k.opts.Table.Commit(ctx, platform.Txn{
-		Require: []platform.Condition{{Key: key, Version: w.Version}},
-		Writes:  []platform.Write{{Key: key, Value: value}},
+	written, err := k.opts.Table.Commit(ctx, backing.Txn{
+		Require: []backing.Condition{{Key: key, Version: w.Version}},
+		Writes:  []backing.Write{{Key: key, Value: value}},
 	})
-	var conflict *platform.ConflictError
-	var unavailable *platform.UnavailableError
+	var conflict *backing.ConflictError
+	var unavailable *backing.UnavailableError
 	switch {
 	case err == nil && len(written) == 1:
 		k.step(lease.RowWritten{Sent: sent, Group: w.Group, Row: w.Row, Version: written[0].Version})
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -7,10 +7,10 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/journal"
 	"github.com/endivecourse/endivecourse/journal/tail"
 	"github.com/endivecourse/endivecourse/lease"
-	"github.com/endivecourse/endivecourse/platform"
 )
 
 // indexRow is the table row that lists what the object store holds of a group.
@@ -40,7 +40,7 @@
 	return fmt.Sprintf("journal/%s/%s/%08d", k.opts.Domain, k.opts.Self.Incarnation, k.objects)
 }
 
-func decodeIndex(row platform.Row) (*indexRow, error) {
+func decodeIndex(row backing.Row) (*indexRow, error) {
 	index := &indexRow{version: row.Version}
 	if row.Version == 0 {
 		return index, nil
@@ -90,7 +90,7 @@
 
 // storeSegments puts one object and lists it for all groups in one transaction.
 // It returns the new version of each index row.
-func (k *Keeper) storeSegments(ctx context.Context, key string, segments []segment, additions []addition) ([]platform.Row, error) {
+func (k *Keeper) storeSegments(ctx context.Context, key string, segments []segment, additions []addition) ([]backing.Row, error) {
 	if len(segments) > 0 {
 		data, err := msgpack.Marshal(segments)
 		if err != nil {
@@ -100,16 +100,16 @@
 			return nil, errors.Wrap(err, "write journal object")
 		}
 	}
-	var txn platform.Txn
+	var txn backing.Txn
 	for _, a := range additions {
 		value, err := msgpack.Marshal(&a.index)
 		if err != nil {
 			return nil, errors.Wrap(err, "encode journal index")
 		}
 		txn.Require = append(txn.Require,
-			platform.Condition{Key: k.leaseKey(a.group), Version: a.leaseVersion},
-			platform.Condition{Key: k.indexKey(a.group), Version: a.index.version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: k.indexKey(a.group), Value: value})
+			backing.Condition{Key: k.leaseKey(a.group), Version: a.leaseVersion},
+			backing.Condition{Key: k.indexKey(a.group), Version: a.index.version})
+		txn.Writes = append(txn.Writes, backing.Write{Key: k.indexKey(a.group), Value: value})
 	}
 	rows, err := k.opts.Table.Commit(ctx, txn)
 	return rows, errors.Wrap(err, "list journal object")
--- a/keeper/trace_test.go
+++ b/keeper/trace_test.go
@@ -9,8 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/lease"
-	"github.com/endivecourse/endivecourse/platform"
 )
 
 // span is when the groups of a killed owner passed one stage of succession.
@@ -48,7 +48,7 @@
 // watch sees what the VMs send and commit; the domain's lock is held.
 func (tr *trace) watch(vm string, in, out any) {
 	switch in := in.(type) {
-	case platform.Txn:
+	case backing.Txn:
 		for _, w := range in.Writes {
 			tr.row(vm, w.Value)
 		}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -10,28 +10,28 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/backing"
 	standin "github.com/endivecourse/endivecourse/internal/standin/platform"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
-func vm(id structs.VMID, state platform.VMState) platform.VM {
-	return platform.VM{ID: id, Domain: "a", State: state, Scheduler: "127.0.0.1:1"}
+func vm(id structs.VMID, state backing.VMState) backing.VM {
+	return backing.VM{ID: id, Domain: "a", State: state, Scheduler: "127.0.0.1:1"}
 }
 
 func TestSeenGoneNeedsALiveListing(t *testing.T) {
 	tracker := NewTracker()
 	assert.Assert(t, !tracker.View().Known())
 	assert.Assert(t, !tracker.View().SeenGone("live"))
-	tracker.Apply(1, []platform.VM{vm("live", platform.VMLive), vm("left", platform.VMLeaving)})
+	tracker.Apply(1, []backing.VM{vm("live", backing.VMLive), vm("left", backing.VMLeaving)})
 	assert.Assert(t, !tracker.View().SeenGone("live"))
 	tracker.Apply(2, nil)
 	view := tracker.View()
 	assert.Assert(t, view.SeenGone("live"))
 	assert.Assert(t, !view.SeenGone("left"))
 	assert.Assert(t, !view.SeenGone("never"))
-	assert.Assert(t, tracker.Apply(3, []platform.VM{vm("live", platform.VMLeaving)}))
+	assert.Assert(t, tracker.Apply(3, []backing.VM{vm("live", backing.VMLeaving)}))
 	assert.Assert(t, !tracker.View().SeenGone("live"))
 	assert.Assert(t, view.SeenGone("live"), "a view is immutable")
 	tracker.Apply(4, nil)
@@ -40,37 +40,37 @@
 
 func TestOlderListIsIgnored(t *testing.T) {
 	tracker := NewTracker()
-	tracker.Apply(5, []platform.VM{vm("v", platform.VMLive)})
+	tracker.Apply(5, []backing.VM{vm("v", backing.VMLive)})
 	assert.Assert(t, !tracker.Apply(4, nil))
 	assert.Assert(t, !tracker.View().SeenGone("v"))
 }
 
 func TestPeersAndLeaving(t *testing.T) {
 	tracker := NewTracker()
-	engine := platform.VM{ID: "e", Domain: "a", State: platform.VMLive, Target: "t"}
-	other := vm("x", platform.VMLive)
+	engine := backing.VM{ID: "e", Domain: "a", State: backing.VMLive, Target: "t"}
+	other := vm("x", backing.VMLive)
 	other.Domain = "b"
-	tracker.Apply(1, []platform.VM{other, vm("w", platform.VMLeaving), engine, vm("v", platform.VMLive)})
+	tracker.Apply(1, []backing.VM{other, vm("w", backing.VMLeaving), engine, vm("v", backing.VMLive)})
 	peers := tracker.View().Peers("a")
 	assert.Equal(t, len(peers), 2)
 	assert.Equal(t, peers[0].ID, structs.VMID("v"))
 	assert.Assert(t, tracker.View().Leaving("w"))
 	assert.Assert(t, !tracker.View().Leaving("v"))
 	assert.Assert(t, !tracker.View().TargetLeaving("t"))
-	engine.State = platform.VMLeaving
-	tracker.Apply(2, []platform.VM{engine})
+	engine.State = backing.VMLeaving
+	tracker.Apply(2, []backing.VM{engine})
 	assert.Assert(t, tracker.View().TargetLeaving("t"))
 	tracker.Apply(3, nil)
 	assert.Assert(t, tracker.View().TargetLeaving("t"))
-	engine.ID, engine.State = "e2", platform.VMLive
-	tracker.Apply(4, []platform.VM{engine})
+	engine.ID, engine.State = "e2", backing.VMLive
+	tracker.Apply(4, []backing.VM{engine})
 	assert.Assert(t, !tracker.View().TargetLeaving("t"))
 	assert.Assert(t, !tracker.View().TargetLeaving("unknown"))
 }
 
 func TestWatcherKeepsTheViewThroughAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		server := standin.New(standin.Options{VMs: []platform.VM{vm("v", platform.VMLive)}})
+		server := standin.New(standin.Options{VMs: []backing.VM{vm("v", backing.VMLive)}})
 		began := time.Now()
 		now := func() structs.Instant { return structs.Instant(time.Since(began)) }
 		w := New(Options{VMs: server.Services().VMs, Now: now})
--- a/membership/metrics.go
+++ b/membership/metrics.go
@@ -6,7 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 )
 
 // WriteMetrics writes how old the VM list is and how many VMs it has by state.
@@ -15,7 +15,7 @@
 	if view.Known() {
 		metrics.WriteGaugeFloat64(out, "endive_vm_list_age_seconds", w.Age().Seconds())
 	}
-	count := map[platform.VMState]uint64{platform.VMLive: 0, platform.VMLeaving: 0}
+	count := map[backing.VMState]uint64{backing.VMLive: 0, backing.VMLeaving: 0}
 	for _, vm := range view.VMs() {
 		if _, known := count[vm.State]; known {
 			count[vm.State]++
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -4,7 +4,7 @@
 	"slices"
 	"strings"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -35,13 +35,13 @@
 // Apply takes in a list that was asked for at the instant asked and reports
 // whether the view differs from the one before. A list that was asked for
 // before the latest one is ignored.
-func (t *Tracker) Apply(asked structs.Instant, list []platform.VM) (changed bool) {
+func (t *Tracker) Apply(asked structs.Instant, list []backing.VM) (changed bool) {
 	if t.view.known && asked.Before(t.view.read) {
 		return false
 	}
 	list = slices.Clone(list)
-	slices.SortFunc(list, func(a, b platform.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	next := &View{version: t.view.version, read: asked, known: true, vms: list, byID: make(map[structs.VMID]platform.VM)}
+	slices.SortFunc(list, func(a, b backing.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	next := &View{version: t.view.version, read: asked, known: true, vms: list, byID: make(map[structs.VMID]backing.VM)}
 	for _, vm := range list {
 		next.byID[vm.ID] = vm
 	}
@@ -57,9 +57,9 @@
 	return changed
 }
 
-func (t *Tracker) noteListed(list []platform.VM) {
+func (t *Tracker) noteListed(list []backing.VM) {
 	for _, vm := range list {
-		if vm.State == platform.VMLive {
+		if vm.State == backing.VMLive {
 			t.live[vm.ID] = true
 		}
 		if vm.Target != "" {
@@ -105,7 +105,7 @@
 		leaving[id] = true
 	}
 	for _, vm := range next.vms {
-		if vm.State == platform.VMLive {
+		if vm.State == backing.VMLive {
 			delete(leaving, vm.Target)
 		}
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -4,7 +4,7 @@
 import (
 	"time"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -13,8 +13,8 @@
 	version uint64
 	read    structs.Instant // when the list was asked for
 	known   bool
-	vms     []platform.VM
-	byID    map[structs.VMID]platform.VM
+	vms     []backing.VM
+	byID    map[structs.VMID]backing.VM
 	leaving map[structs.TargetID]bool
 	gone    map[structs.VMID]bool
 }
@@ -30,18 +30,18 @@
 func (v *View) Age(now structs.Instant) time.Duration { return now.Sub(v.read) }
 
 // VMs returns all listed VMs in the order of their IDs.
-func (v *View) VMs() []platform.VM { return append([]platform.VM(nil), v.vms...) }
+func (v *View) VMs() []backing.VM { return append([]backing.VM(nil), v.vms...) }
 
 // VM returns the entry of a listed VM.
-func (v *View) VM(id structs.VMID) (platform.VM, bool) {
+func (v *View) VM(id structs.VMID) (backing.VM, bool) {
 	vm, ok := v.byID[id]
 	return vm, ok
 }
 
 // Peers returns the VMs of a domain that run a scheduler, leaving ones
 // included.
-func (v *View) Peers(domain structs.DomainID) []platform.VM {
-	var peers []platform.VM
+func (v *View) Peers(domain structs.DomainID) []backing.VM {
+	var peers []backing.VM
 	for _, vm := range v.vms {
 		if vm.Domain == domain && vm.Scheduler != "" {
 			peers = append(peers, vm)
@@ -51,7 +51,7 @@
 }
 
 // Leaving reports whether a VM is listed as leaving.
-func (v *View) Leaving(id structs.VMID) bool { return v.byID[id].State == platform.VMLeaving }
+func (v *View) Leaving(id structs.VMID) bool { return v.byID[id].State == backing.VMLeaving }
 
 // TargetLeaving reports whether a target must get no new work: its VM is
 // leaving, or was listed and is gone. A target that was never listed is not
--- a/membership/watcher.go
+++ b/membership/watcher.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -17,7 +17,7 @@
 
 // Options sets up a Watcher.
 type Options struct {
-	VMs      platform.VMList
+	VMs      backing.VMList
 	Interval time.Duration // between polls; 0 is 1 s
 	Timeout  time.Duration // of one poll; 0 is 2 s
 	// Now reads the monotonic clock; nil is structs.Now.
@@ -122,12 +122,12 @@
 
 // State is the watcher's part of the state dump.
 type State struct {
-	Version  uint64        `json:"version"`
-	Known    bool          `json:"known"`
-	Age      string        `json:"age"`
-	Failing  bool          `json:"failing"`
-	Failures uint64        `json:"failures"`
-	VMs      []platform.VM `json:"vms"`
+	Version  uint64       `json:"version"`
+	Known    bool         `json:"known"`
+	Age      string       `json:"age"`
+	Failing  bool         `json:"failing"`
+	Failures uint64       `json:"failures"`
+	VMs      []backing.VM `json:"vms"`
 }
 
 // DumpState returns a State.
--- a/orders/orderer.go
+++ b/orders/orderer.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -28,8 +28,8 @@
 
 // Orderer takes the right to give orders. Table and Name are required.
 type Orderer struct {
-	Table   platform.Table
-	Weights platform.Weights
+	Table   backing.Table
+	Weights backing.Weights
 	Name    string        // of the operator, for others to see
 	Term    time.Duration // 0 means DefaultTerm
 }
@@ -91,9 +91,9 @@
 	if err != nil {
 		return errors.Wrap(err, "encode row of orders")
 	}
-	txn := platform.Txn{
-		Require: []platform.Condition{{Key: rowKey(r.target), Version: r.version}},
-		Writes:  []platform.Write{{Key: rowKey(r.target), Value: value}},
+	txn := backing.Txn{
+		Require: []backing.Condition{{Key: rowKey(r.target), Version: r.version}},
+		Writes:  []backing.Write{{Key: rowKey(r.target), Value: value}},
 	}
 	sent := structs.Now()
 	version, err := r.commit(ctx, txn, next.Attempt)
@@ -108,16 +108,16 @@
 	return nil
 }
 
-func (r *Right) commit(ctx context.Context, txn platform.Txn, attempt string) (version uint64, err error) {
+func (r *Right) commit(ctx context.Context, txn backing.Txn, attempt string) (version uint64, err error) {
 	uncertain := false
 	for try := range tries {
 		if try > 0 && !sleep(ctx, retryPause) {
 			break
 		}
-		var rows []platform.Row
+		var rows []backing.Row
 		rows, err = r.orderer.Table.Commit(ctx, txn)
-		var conflict *platform.ConflictError
-		var unavailable *platform.UnavailableError
+		var conflict *backing.ConflictError
+		var unavailable *backing.UnavailableError
 		switch {
 		case err == nil:
 			return rows[0].Version, nil
--- a/orders/row.go
+++ b/orders/row.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -24,7 +24,7 @@
 }
 
 // read decodes a row of the table; a missing one is free.
-func read(stored platform.Row) (row, error) {
+func read(stored backing.Row) (row, error) {
 	if stored.Version == 0 {
 		return row{Released: true}, nil
 	}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/journal"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/target"
@@ -51,7 +51,7 @@
 	Config func() Snapshot
 	// Table exchanges crash reports with the other schedulers; nil keeps them
 	// to this process.
-	Table platform.Table
+	Table backing.Table
 	// Wire and Peers, the wire addresses of all schedulers, tell the others of
 	// a crash at once; nil leaves it to the table.
 	Wire  Caller
--- a/scheduler/platform_test.go
+++ b/scheduler/platform_test.go
@@ -8,21 +8,21 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 )
 
 // fakePlatform is a table and an object store in memory.
 type fakePlatform struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]backing.Row
 	objects map[string][]byte
 }
 
 func newFakePlatform() *fakePlatform {
-	return &fakePlatform{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
+	return &fakePlatform{rows: make(map[string]backing.Row), objects: make(map[string][]byte)}
 }
 
-func (p fakeTable) Commit(_ context.Context, txn platform.Txn) ([]platform.Row, error) {
+func (p fakeTable) Commit(_ context.Context, txn backing.Txn) ([]backing.Row, error) {
 	if err := p.err(); err != nil {
 		return nil, err
 	}
@@ -30,12 +30,12 @@
 	defer p.mu.Unlock()
 	for _, c := range txn.Require {
 		if p.rows[c.Key].Version != c.Version {
-			return nil, &platform.ConflictError{Found: []platform.Row{p.rows[c.Key]}}
+			return nil, &backing.ConflictError{Found: []backing.Row{p.rows[c.Key]}}
 		}
 	}
-	var written []platform.Row
+	var written []backing.Row
 	for _, w := range txn.Writes {
-		row := platform.Row{Key: w.Key, Value: w.Value, Version: p.rows[w.Key].Version + 1}
+		row := backing.Row{Key: w.Key, Value: w.Value, Version: p.rows[w.Key].Version + 1}
 		p.rows[w.Key] = row
 		written = append(written, row)
 	}
@@ -51,36 +51,36 @@
 
 func (v view) answered() error {
 	if v.lost.Load() {
-		return &platform.UnknownOutcomeError{Service: "platform"}
+		return &backing.UnknownOutcomeError{Service: "platform"}
 	}
 	return nil
 }
 
 func (v view) err() error {
 	if v.cut.Load() {
-		return &platform.UnavailableError{Service: "platform"}
+		return &backing.UnavailableError{Service: "platform"}
 	}
 	return nil
 }
 
 type fakeTable struct{ view }
 
-func (t fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (t fakeTable) Get(_ context.Context, key string) (backing.Row, error) {
 	if err := t.err(); err != nil {
-		return platform.Row{}, err
+		return backing.Row{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.rows[key], nil
 }
 
-func (t fakeTable) List(_ context.Context, prefix string) ([]platform.Row, error) {
+func (t fakeTable) List(_ context.Context, prefix string) ([]backing.Row, error) {
 	if err := t.err(); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var rows []platform.Row
+	var rows []backing.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
@@ -109,7 +109,7 @@
 	defer o.mu.Unlock()
 	value, found := o.objects[key]
 	if !found {
-		return nil, &platform.NotFoundError{Key: key}
+		return nil, &backing.NotFoundError{Key: key}
 	}
 	return value, nil
 }
--- a/scheduler/share.go
+++ b/scheduler/share.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/quarantine"
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -30,7 +30,7 @@
 // platform's table.
 type sharer struct {
 	s       *Scheduler
-	table   platform.Table
+	table   backing.Table
 	read    map[string]uint64 // versions of the rows that were taken in
 	written uint64            // digest of what the own row holds
 }
@@ -62,7 +62,7 @@
 		return errors.Wrap(err, "read crash reports")
 	}
 	key := quarantinePrefix + string(h.s.opts.Settings.Domain)
-	own := platform.Row{Key: key}
+	own := backing.Row{Key: key}
 	for _, row := range rows {
 		if row.Key == key {
 			own = row
@@ -74,7 +74,7 @@
 	return h.write(ctx, own)
 }
 
-func (h *sharer) take(ctx context.Context, row platform.Row) error {
+func (h *sharer) take(ctx context.Context, row backing.Row) error {
 	if h.read[row.Key] == row.Version {
 		return nil
 	}
@@ -103,7 +103,7 @@
 	return kept
 }
 
-func (h *sharer) write(ctx context.Context, own platform.Row) error {
+func (h *sharer) write(ctx context.Context, own backing.Row) error {
 	var reports []quarantine.Report
 	if err := h.s.ask(ctx, func(l *loop) { reports = l.quarantine.Export(structs.Now()) }); err != nil {
 		return err
@@ -116,9 +116,9 @@
 	if err != nil {
 		return errors.Wrap(err, "encode crash reports")
 	}
-	rows, err := h.table.Commit(ctx, platform.Txn{
-		Require: []platform.Condition{{Key: own.Key, Version: own.Version}},
-		Writes:  []platform.Write{{Key: own.Key, Value: value}},
+	rows, err := h.table.Commit(ctx, backing.Txn{
+		Require: []backing.Condition{{Key: own.Key, Version: own.Version}},
+		Writes:  []backing.Write{{Key: own.Key, Value: value}},
 	})
 	if err != nil {
 		return errors.Wrap(err, "write crash reports") // read again in the next round
--- a/scheduler/storeonly/options.go
+++ b/scheduler/storeonly/options.go
@@ -4,7 +4,7 @@
 	"log/slog"
 	"time"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -16,8 +16,8 @@
 	// Addr is the wire address that other processes reach this one at; empty
 	// takes the listen address.
 	Addr    string
-	Table   platform.Table
-	Objects platform.Objects
+	Table   backing.Table
+	Objects backing.Objects
 	Log     *slog.Logger
 }
 
--- a/scheduler/storeonly/recover.go
+++ b/scheduler/storeonly/recover.go
@@ -9,8 +9,8 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/journal"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/program"
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -103,7 +103,7 @@
 		if s.epochOf(key, slot) >= epoch {
 			continue
 		}
-		var missing *platform.NotFoundError
+		var missing *backing.NotFoundError
 		if err := s.opts.Objects.Delete(ctx, key); err != nil && !errors.As(err, &missing) {
 			s.log.Warn("journal object not deleted", "key", key, "error", err)
 			return
--- a/scheduler/storeonly/store.go
+++ b/scheduler/storeonly/store.go
@@ -9,9 +9,9 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/journal"
 	"github.com/endivecourse/endivecourse/kernel"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -162,16 +162,16 @@
 		return false, errors.Wrap(err, "encode owners")
 	}
 	sent := structs.Now()
-	_, err = s.opts.Table.Commit(roundCtx, platform.Txn{
-		Require: []platform.Condition{{Key: key, Version: found.Version}},
-		Writes:  []platform.Write{{Key: key, Value: value}},
+	_, err = s.opts.Table.Commit(roundCtx, backing.Txn{
+		Require: []backing.Condition{{Key: key, Version: found.Version}},
+		Writes:  []backing.Write{{Key: key, Value: value}},
 	})
 	return s.committed(roundCtx, ctx, err, next, beat, sent)
 }
 
 // committed concludes a commit. One without an answer is read back.
 func (s *Store) committed(readCtx, ctx context.Context, err error, next ownersRow, beat uint64, sent structs.Instant) (bool, error) {
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	switch {
 	case err == nil:
 	case errors.As(err, &conflict):
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"time"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
 	standin "github.com/endivecourse/endivecourse/internal/standin/platform"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -93,7 +93,7 @@
 	if n == nil {
 		return nil
 	}
-	f.platform.SetVMState(n.vm, platform.VMLeaving)
+	f.platform.SetVMState(n.vm, backing.VMLeaving)
 	f.addVM(n)
 	stopped := make(chan struct{})
 	go func() {
@@ -257,11 +257,11 @@
 	ids := f.targetIDs()
 	e := f.targets[ids[f.draw(len(ids))]]
 	vm := structs.VMID("vm-" + e.id)
-	f.platform.SetVMState(vm, platform.VMLeaving)
+	f.platform.SetVMState(vm, backing.VMLeaving)
 	e.set(func() { e.leftAt = time.Now() })
 	return func() {
 		e.set(func() { e.leftAt = time.Time{} })
-		f.platform.SetVMState(vm, platform.VMLive)
+		f.platform.SetVMState(vm, backing.VMLive)
 	}
 }
 
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
 	standin "github.com/endivecourse/endivecourse/internal/standin/platform"
-	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -23,7 +23,7 @@
 type fleet struct {
 	net      *network
 	platform *standin.Server
-	services platform.Services
+	services backing.Services
 	domains  []structs.DomainID
 	targets  map[structs.TargetID]*engine
 	log      *slog.Logger
@@ -79,7 +79,7 @@
 }
 
 func (f *fleet) listVM(d structs.DomainID, vm string) {
-	f.platform.SetVM(platform.VM{ID: structs.VMID(vm), Domain: d, State: platform.VMLive, Scheduler: vm})
+	f.platform.SetVM(backing.VM{ID: structs.VMID(vm), Domain: d, State: backing.VMLive, Scheduler: vm})
 }
 
 func (f *fleet) firstDocument() config.Document {
@@ -104,7 +104,7 @@
 				id := structs.TargetID(fmt.Sprintf("%s-%s%d", d, kind, i))
 				targets[id] = config.Target{Domain: d, URL: fmt.Sprintf("http://127.0.0.1:%d", 1000+len(f.targets)), Protocol: protocols[kind]}
 				f.targets[id] = &engine{f: f, id: id, held: make(map[structs.ProgramID]bool)}
-				f.platform.SetVM(platform.VM{ID: structs.VMID("vm-" + id), Domain: d, State: platform.VMLive, Target: id})
+				f.platform.SetVM(backing.VM{ID: structs.VMID("vm-" + id), Domain: d, State: backing.VMLive, Target: id})
 			}
 		}
 	}
--- a/soak/network_test.go
+++ b/soak/network_test.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/backing"
 )
 
 // store is the name of the platform in cuts.
@@ -161,7 +161,7 @@
 // access is one process's way to the platform.
 type access struct {
 	n        *node
-	services platform.Services
+	services backing.Services
 }
 
 // enter waits while the process is paused. What goes on after a pause is as
@@ -169,7 +169,7 @@
 func (a access) enter(ctx context.Context, service string) error {
 	a.n.f.net.thaw(a.n.addr)
 	if a.n.dead.Load() || a.n.f.net.holds(a.n.addr, store) {
-		return &platform.UnavailableError{Service: service, Cause: io.ErrUnexpectedEOF}
+		return &backing.UnavailableError{Service: service, Cause: io.ErrUnexpectedEOF}
 	}
 	return ctx.Err()
 }
@@ -177,22 +177,22 @@
 // leave loses the answer on a link that is cut the other way.
 func (a access) leave(service string, err error) error {
 	if err == nil && (a.n.dead.Load() || a.n.f.net.holds(store, a.n.addr)) {
-		return &platform.UnknownOutcomeError{Service: service, Cause: io.ErrUnexpectedEOF}
+		return &backing.UnknownOutcomeError{Service: service, Cause: io.ErrUnexpectedEOF}
 	}
 	return err
 }
 
 type table struct{ access }
 
-func (t table) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t table) Get(ctx context.Context, key string) (backing.Row, error) {
 	if err := t.enter(ctx, "table"); err != nil {
-		return platform.Row{}, err
+		return backing.Row{}, err
 	}
 	row, err := t.services.Table.Get(ctx, key)
 	return row, t.leave("table", err)
 }
 
-func (t table) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (t table) List(ctx context.Context, prefix string) ([]backing.Row, error) {
 	if err := t.enter(ctx, "table"); err != nil {
 		return nil, err
 	}
@@ -200,7 +200,7 @@
 	return rows, t.leave("table", err)
 }
 
-func (t table) Commit(ctx context.Context, txn platform.Txn) ([]platform.Row, error) {
+func (t table) Commit(ctx context.Context, txn backing.Txn) ([]backing.Row, error) {
 	if err := t.enter(ctx, "table"); err != nil {
 		return nil, err
 	}
@@ -242,7 +242,7 @@
 
 type vmList struct{ access }
 
-func (v vmList) VMs(ctx context.Context) ([]platform.VM, error) {
+func (v vmList) VMs(ctx context.Context) ([]backing.VM, error) {
 	if err := v.enter(ctx, "vms"); err != nil {
 		return nil, err
 	}
--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/config/configwatch"
 	"github.com/endivecourse/endivecourse/gateway/forward"
@@ -15,7 +16,6 @@
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/lease"
 	"github.com/endivecourse/endivecourse/membership"
-	"github.com/endivecourse/endivecourse/platform"
 	_ "github.com/endivecourse/endivecourse/queue/fair" // registers queue.fair
 	"github.com/endivecourse/endivecourse/quota"
 	"github.com/endivecourse/endivecourse/quota/borrower"
@@ -145,7 +145,7 @@
 func (n *node) peers() []keeper.Peer {
 	var peers []keeper.Peer
 	for _, vm := range n.members.View().Peers(n.domain) {
-		peers = append(peers, keeper.Peer{VM: vm.ID, Addr: vm.Scheduler, Leaving: vm.State == platform.VMLeaving})
+		peers = append(peers, keeper.Peer{VM: vm.ID, Addr: vm.Scheduler, Leaving: vm.State == backing.VMLeaving})
 	}
 	return peers
 }
@@ -178,7 +178,7 @@
 	loaded := n.settings()
 	n.listener = f.net.listen(n.addr)
 	n.server = wire.NewServer(wire.Options{})
-	services := platform.Services{Table: table{access{n, f.services}}, Objects: objects{access{n, f.services}}}
+	services := backing.Services{Table: table{access{n, f.services}}, Objects: objects{access{n, f.services}}}
 	watch := configwatch.NewScheduler(configwatch.SchedulerOptions{
 		Self: n.addr, VM: n.vm, Domain: domain, Holder: n.config, Table: services.Table, Wire: n.client,
 		Peers: func() []string { return n.schedulers(domain) }, Others: n.others, Poll: loaded.Config.Poll.Std(),
