--- a/command/order.go
+++ b/command/order.go
@@ -9,11 +9,11 @@
 	"github.com/spf13/cobra"
 
 	"github.com/endivecourse/endivecourse/config"
+	"github.com/endivecourse/endivecourse/drivers/target"
+	_ "github.com/endivecourse/endivecourse/drivers/target/engine" // registers target.engine
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/orders"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
-	_ "github.com/endivecourse/endivecourse/target/engine" // registers target.engine
 )
 
 // orderTimeout bounds an order with its waits.
--- a/daemon/schedulerd.go
+++ b/daemon/schedulerd.go
@@ -6,6 +6,8 @@
 
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/config/configwatch"
+	_ "github.com/endivecourse/endivecourse/drivers/target/engine" // registers target.engine
+	_ "github.com/endivecourse/endivecourse/drivers/target/plain"  // registers target.plain
 	"github.com/endivecourse/endivecourse/kernel"
 	_ "github.com/endivecourse/endivecourse/queue/fair" // registers queue.fair
 	_ "github.com/endivecourse/endivecourse/queue/fifo" // registers queue.fifo
@@ -16,8 +18,6 @@
 	"github.com/endivecourse/endivecourse/scheduler"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
-	_ "github.com/endivecourse/endivecourse/target/engine" // registers target.engine
-	_ "github.com/endivecourse/endivecourse/target/plain"  // registers target.plain
 	"github.com/endivecourse/endivecourse/wire"
 )
 
--- a/target/engine/driver.go
+++ b/drivers/target/engine/driver.go
@@ -11,10 +11,10 @@
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/internal/outbound"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 // Headers of the engines' interface.
--- a/target/engine/driver_test.go
+++ b/drivers/target/engine/driver_test.go
@@ -13,11 +13,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
+	_ "github.com/endivecourse/endivecourse/drivers/target/engine"
 	standin "github.com/endivecourse/endivecourse/internal/standin/engine"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
-	_ "github.com/endivecourse/endivecourse/target/engine"
 )
 
 func dial(t *testing.T, url string) target.Driver {
--- a/target/engine/stream.go
+++ b/drivers/target/engine/stream.go
@@ -12,8 +12,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 const (
--- a/target/plain/driver.go
+++ b/drivers/target/plain/driver.go
@@ -8,10 +8,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/internal/outbound"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 const userAgent = "endivecourse"
--- a/target/plain/driver_test.go
+++ b/drivers/target/plain/driver_test.go
@@ -13,11 +13,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
+	_ "github.com/endivecourse/endivecourse/drivers/target/plain"
 	standin "github.com/endivecourse/endivecourse/internal/standin/plain"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
-	_ "github.com/endivecourse/endivecourse/target/plain"
 )
 
 func dial(t *testing.T, url string) target.Driver {
--- a/target/plain/stream.go
+++ b/drivers/target/plain/stream.go
@@ -7,8 +7,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 const readBytes = 32 << 10
--- /dev/null
+++ b/edge/dispatch.go
@@ -0,0 +1,250 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/admission"
+	"github.com/endivecourse/endivecourse/hop"
+	"github.com/endivecourse/endivecourse/placement"
+	"github.com/endivecourse/endivecourse/routing"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+const (
+	// maxConnects bounds the targets that are tried without a connection.
+	maxConnects = 6
+	// holdPart is the part of the time left that a request may wait for a
+	// slot; the rest is needed to run.
+	holdPart = 0.5
+	// fullRetry is when a full service may have room again.
+	fullRetry = 250 * time.Millisecond
+	// noTargetRetry is when a service without targets may have one again.
+	noTargetRetry = 700 * time.Millisecond
+	// defaultSends is used for routes that don't bound the sends.
+	defaultSends = 2
+)
+
+// verdict is what one attempt at a target came to.
+type verdict struct {
+	// done says that the caller has been answered.
+	done bool
+	// sent says that the target may have run the request.
+	sent  bool
+	cause error
+}
+
+// NotRunError says that a target refused a request without running it.
+type NotRunError struct {
+	Target structs.TargetID
+	Status int
+}
+
+// Error names the target.
+func (e *NotRunError) Error() string {
+	return "target " + string(e.Target) + " refused with status " + http.StatusText(e.Status)
+}
+
+// dispatch sends the request to targets until one has answered it or no further
+// try is allowed. It returns nil once the caller has been answered.
+func (x *exchange) dispatch(ctx context.Context, body []byte) *structs.Refusal {
+	var tried []structs.TargetID
+	var last error
+	connects := 0
+	for x.sends < x.maxSends() && connects < maxConnects {
+		query := placement.Query{Service: x.service.ID, Cached: x.cachedAt(), Exclude: tried}
+		target, err := x.slot(ctx, query)
+		if err != nil {
+			return x.noSlot(ctx, err, last)
+		}
+		sends := x.sends
+		v := x.attempt(ctx, target, body)
+		x.server.release(target)
+		if v.done {
+			if v.cause != nil {
+				x.out.Abort()
+			}
+			return nil
+		}
+		last = v.cause
+		tried = append(tried, target.ID)
+		if x.sends == sends {
+			connects++
+		}
+		if v.sent && !x.route.Repeatable() {
+			return x.failed(ctx, v.cause)
+		}
+		if ctx.Err() != nil {
+			return x.ended(v.sent, v.cause)
+		}
+		if v.sent && x.sends >= x.maxSends() {
+			return x.failed(ctx, v.cause)
+		}
+	}
+	return retryable(structs.RefusedQueueFull, fullRetry, "no target took the request: "+text(last))
+}
+
+func text(err error) string {
+	if err == nil {
+		return "none was tried"
+	}
+	return err.Error()
+}
+
+func (x *exchange) maxSends() int {
+	if x.route.MaxSends > 0 {
+		return x.route.MaxSends
+	}
+	return defaultSends
+}
+
+func (x *exchange) slot(ctx context.Context, query placement.Query) (placement.Target, error) {
+	ticket := admission.Ticket{Priority: x.priority(), Due: x.ProgramDue}
+	if ticket.Due == 0 {
+		ticket.Due = x.deadline
+	}
+	hold := time.Duration(float64(x.left()) * holdPart)
+	start := structs.Now()
+	target, err := x.server.acquire(ctx, query, ticket, hold)
+	x.waited += structs.Now().Sub(start)
+	return target, err
+}
+
+// noSlot refuses a request for which no target was found. last is why earlier
+// targets did not run it.
+func (x *exchange) noSlot(ctx context.Context, err, last error) *structs.Refusal {
+	var none *NoTargetError
+	var full *FullError
+	switch {
+	case errors.As(err, &none) && last != nil && x.sends > 0 && x.route.Repeatable():
+		return x.failed(ctx, last)
+	case errors.As(err, &none):
+		return retryable(structs.RefusedNoTarget, noTargetRetry, err.Error())
+	case errors.As(err, &full):
+		return retryable(structs.RefusedQueueFull, fullRetry, err.Error())
+	}
+	return x.ended(false, err)
+}
+
+// failed refuses a request that a target may have run.
+func (x *exchange) failed(ctx context.Context, cause error) *structs.Refusal {
+	if ctx.Err() != nil {
+		return x.ended(true, cause)
+	}
+	return structs.Refuse(structs.RefusedTargetFailed, structs.RunUnknown, "target %s: %s", x.target, text(cause))
+}
+
+// ended refuses a request whose time is over.
+func (x *exchange) ended(sent bool, cause error) *structs.Refusal {
+	run := structs.RunNo
+	if sent {
+		run = structs.RunUnknown
+	}
+	return structs.Refuse(structs.RefusedTimeout, run, "no answer in time: %s", text(cause))
+}
+
+// attempt sends the request to one target.
+func (x *exchange) attempt(ctx context.Context, target placement.Target, body []byte) verdict {
+	conn, err := x.server.pool.Get(ctx, target.Address)
+	if err != nil {
+		x.server.connectFailed(target, err)
+		return verdict{cause: err}
+	}
+	x.sends++
+	x.target = target.ID
+	start := structs.Now()
+	resp, stop, err := conn.RoundTrip(ctx, x.outgoing(target), body, string(x.ID), x.server.opts.Dialect.IDHeader())
+	if err != nil {
+		conn.Close()
+		x.server.answerBroke(ctx, x, target, err)
+		return verdict{sent: true, cause: err}
+	}
+	x.server.answered(target, structs.Now().Sub(start))
+	v := x.relay(ctx, target, conn, resp)
+	if !stop() || !v.done || v.cause != nil {
+		conn.Close()
+		return v
+	}
+	x.server.pool.Put(conn)
+	return v
+}
+
+func (x *exchange) outgoing(target placement.Target) *http.Request {
+	header := x.server.opts.Dialect.Header(x.Request, Sending{
+		Target:     target.ID,
+		Account:    x.accountID(),
+		LeftMillis: max(x.left().Milliseconds(), 1),
+	})
+	path, query, found := strings.Cut(x.URI, "?")
+	return &http.Request{
+		Method:     x.Method,
+		Host:       x.Host,
+		URL:        &url.URL{Opaque: path, RawQuery: query, ForceQuery: found && query == ""},
+		Header:     header,
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+	}
+}
+
+// connectFailed records that a target could not be connected to.
+func (s *Server) connectFailed(target placement.Target, err error) {
+	var dial *hop.DialError
+	if !errors.As(err, &dial) {
+		return // the request's own end
+	}
+	s.mu.Lock()
+	s.targets.Unreachable(structs.Now(), target.ID)
+	s.mu.Unlock()
+	s.log.Warn("target is unreachable", "target", string(target.ID), "address", target.Address, "cause", err.Error())
+}
+
+func (s *Server) answered(target placement.Target, latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets.Answered(structs.Now(), target.ID, latency)
+}
+
+// answerBroke records an answer that broke off and finds out whether the target
+// has crashed with it.
+func (s *Server) answerBroke(ctx context.Context, x *exchange, target placement.Target, err error) {
+	if ctx.Err() != nil {
+		return // broken off by this side
+	}
+	s.mu.Lock()
+	s.targets.Broken(target.ID)
+	s.mu.Unlock()
+	s.log.Warn("answer broke off", "request", string(x.ID), "target", string(target.ID), "cause", err.Error())
+	go s.checkCrash(x.fingerprint, x.ID, target)
+}
+
+// checkCrash connects to a target whose answer broke off. If that fails, the
+// request counts as one that may have crashed it.
+func (s *Server) checkCrash(fingerprint uint64, id structs.RequestID, target placement.Target) {
+	s.pool.Drop(target.Address)
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	conn, err := s.pool.Get(ctx, target.Address)
+	if err == nil {
+		conn.Close()
+		return
+	}
+	s.connectFailed(target, err)
+	s.mu.Lock()
+	quarantined := s.quarantine.Crashed(structs.Now(), fingerprint, target.ID)
+	s.mu.Unlock()
+	s.log.Warn("target crashed while it ran a request", "request", string(id), "target", string(target.ID), "quarantined", quarantined)
+}
+
+// crashCheckTimeout bounds the connection that tells a crash from a broken
+// answer.
+const crashCheckTimeout = 500 * time.Millisecond
+
+func isStream(x *exchange, resp *http.Response) bool {
+	return x.route.Kind == routing.Streaming && resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/edge/events.go
@@ -0,0 +1,32 @@
+package edge
+
+import "bytes"
+
+// eventEnd is the blank line that ends an event of a stream.
+var eventEnd = []byte("\n\n")
+
+// dataField begins a line of an event that carries data.
+var dataField = []byte("data:")
+
+// wholeEvents returns the length of the whole events at the start of a buffer.
+func wholeEvents(buffer []byte) int {
+	last := bytes.LastIndex(buffer, eventEnd)
+	if last < 0 {
+		return 0
+	}
+	return last + len(eventEnd)
+}
+
+// appendData appends the data of one event and a line feed.
+func appendData(output, event []byte) []byte {
+	for line := range bytes.Lines(event) {
+		data, found := bytes.CutPrefix(line, dataField)
+		if !found {
+			continue
+		}
+		data = bytes.TrimPrefix(data, []byte(" "))
+		output = append(output, bytes.TrimRight(data, "\r\n")...)
+		output = append(output, '\n')
+	}
+	return output
+}
--- /dev/null
+++ b/edge/observe.go
@@ -0,0 +1,143 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// stats are the server's metrics. Labels are kinds of outcome, never accounts,
+// programs, keys or requests.
+type stats struct {
+	set       *metrics.Set
+	requests  *metrics.Counter
+	firstByte *metrics.Histogram
+	total     *metrics.Histogram
+	waited    *metrics.Histogram
+}
+
+func newStats(s *Server) *stats {
+	set := metrics.NewSet()
+	set.NewGauge("endive_waiting_requests", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return float64(len(s.waiters))
+	})
+	set.NewGauge("endive_target_connections_idle", func() float64 {
+		idle, _ := s.pool.State()
+		return float64(idle)
+	})
+	set.NewGauge("endive_target_connections_opened", func() float64 {
+		_, dials := s.pool.State()
+		return float64(dials)
+	})
+	set.NewGauge("endive_store_away_seconds", func() float64 { return s.opts.Store.Away().Seconds() })
+	set.NewGauge("endive_config_version", func() float64 { return float64(s.opts.Config.Version()) })
+	return &stats{
+		set:       set,
+		requests:  set.NewCounter("endive_requests_total"),
+		firstByte: set.NewHistogram("endive_first_byte_seconds"),
+		total:     set.NewHistogram("endive_request_seconds"),
+		waited:    set.NewHistogram("endive_slot_wait_seconds"),
+	}
+}
+
+func (st *stats) started() { st.requests.Inc() }
+
+// WriteMetrics implements kernel.MetricWriter.
+func (s *Server) WriteMetrics(w io.Writer) { s.stats.set.WritePrometheus(w) }
+
+// DumpState implements kernel.Dumper.
+func (s *Server) DumpState() any {
+	records, bytes := s.opts.Turns.CacheState()
+	idle, dials := s.pool.State()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	targets := make(map[structs.TargetID]string)
+	for _, id := range s.targets.IDs() {
+		target, _ := s.targets.Get(id)
+		targets[id] = fmt.Sprintf("%s %s draining=%t", target.Service, target.Address, target.Draining)
+	}
+	return map[string]any{
+		"config_version": s.opts.Config.Version(),
+		"store_away":     s.opts.Store.Away().String(),
+		"targets":        targets,
+		"waiting":        len(s.waiters),
+		"turns_cached":   records,
+		"turn_bytes":     bytes,
+		"budgets":        s.opts.Ledger.Books(),
+		"quarantine":     s.quarantine.Len(),
+		"connections":    map[string]any{"idle": idle, "opened": dials},
+	}
+}
+
+// observe counts and logs a request's end. A nil refusal is an answer.
+func (s *Server) observe(x *exchange, refusal *structs.Refusal) {
+	outcome := "answered"
+	if refusal != nil {
+		outcome = string(refusal.Kind)
+	}
+	s.stats.set.GetOrCreateCounter(`endive_request_outcomes_total{outcome="` + outcome + `"}`).Inc()
+	took := structs.Now().Sub(x.Arrived)
+	s.stats.total.Update(took.Seconds())
+	s.stats.waited.Update(x.waited.Seconds())
+	if x.firstByte > 0 {
+		s.stats.firstByte.Update(x.firstByte.Seconds())
+	}
+	level := slog.LevelInfo
+	if refusal != nil {
+		level = slog.LevelWarn
+	}
+	if !s.log.Enabled(nil, level) { //nolint:staticcheck // no context carries log state here
+		return
+	}
+	s.log.LogAttrs(nil, level, "request", x.attributes(outcome, took, refusal)...) //nolint:staticcheck // as above
+}
+
+func (x *exchange) attributes(outcome string, took time.Duration, refusal *structs.Refusal) []slog.Attr {
+	attrs := make([]slog.Attr, 0, 18)
+	attrs = append(attrs,
+		slog.String("request", string(x.ID)),
+		slog.String("outcome", outcome),
+		slog.Int64("took_ms", took.Milliseconds()),
+	)
+	if x.table != nil {
+		attrs = append(attrs, slog.Uint64("config", x.table.Version))
+	}
+	if x.route != nil {
+		attrs = append(attrs, slog.String("route", x.route.Name), slog.Int64("left_ms", x.left().Milliseconds()))
+	}
+	if x.account != nil {
+		attrs = append(attrs, slog.String("account", string(x.account.ID)))
+	}
+	if x.Program != "" {
+		attrs = append(attrs, slog.String("program", string(x.Program)))
+	}
+	if x.Turn.Previous != "" {
+		attrs = append(attrs, slog.String("previous", string(x.Turn.Previous)))
+	}
+	if x.sends > 0 {
+		attrs = append(attrs,
+			slog.String("target", string(x.target)),
+			slog.Int("sends", x.sends),
+			slog.Int64("waited_ms", x.waited.Milliseconds()),
+			slog.Int64("first_byte_ms", x.firstByte.Milliseconds()),
+		)
+	}
+	if x.events > 0 {
+		attrs = append(attrs, slog.Int("events", x.events), slog.Int64("tokens", x.tokens))
+	}
+	if refusal != nil {
+		attrs = append(attrs,
+			slog.String("run", string(refusal.Run)),
+			slog.String("reason", refusal.Message),
+			slog.Int64("retry_after_ms", refusal.RetryAfter.Milliseconds()),
+		)
+	}
+	return attrs
+}
--- /dev/null
+++ b/edge/server.go
@@ -0,0 +1,183 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/endivecourse/endivecourse/admission"
+	"github.com/endivecourse/endivecourse/fleet"
+	"github.com/endivecourse/endivecourse/hop"
+	"github.com/endivecourse/endivecourse/kernel"
+	"github.com/endivecourse/endivecourse/ledger"
+	"github.com/endivecourse/endivecourse/placement"
+	"github.com/endivecourse/endivecourse/quarantine"
+	"github.com/endivecourse/endivecourse/routing"
+	"github.com/endivecourse/endivecourse/rowstore/storepath"
+	"github.com/endivecourse/endivecourse/share"
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/turnlog"
+)
+
+const (
+	// quarantineTargets is how many targets a request must have crashed.
+	quarantineTargets = 3
+	// suspectFor is how long a crash counts against a request.
+	suspectFor = time.Minute
+	// sweepPeriod is the time between two sweeps of what has expired.
+	sweepPeriod = time.Second
+	// wakePeriod is how often waiting requests are looked at though nothing
+	// ended here; peers' loads may have gone down.
+	wakePeriod = 50 * time.Millisecond
+)
+
+// Options configures a Server.
+type Options struct {
+	VM      structs.VMID
+	Domain  structs.DomainID
+	Region  string
+	Config  *routing.Holder
+	Dialect Dialect
+	Store   *storepath.Router
+	Turns   *turnlog.Log
+	Ledger  *ledger.Keeper
+	// QuotaSlack is the requests by which all VMs together may pass a limit.
+	QuotaSlack float64
+	Log        *slog.Logger
+}
+
+// Server is the component that serves requests.
+type Server struct {
+	opts  Options
+	log   *slog.Logger
+	pool  *hop.Pool
+	stats *stats
+
+	mu         sync.Mutex
+	targets    *placement.Set
+	listing    listing
+	lines      map[structs.ServiceID]*admission.Line
+	waiters    map[*admission.Ticket]*waiter
+	shares     *share.Shares
+	quarantine *quarantine.List
+	confirmed  structs.Instant // when the store or a peer last confirmed the configuration
+}
+
+// New makes the component.
+func New(opts Options) *Server {
+	s := &Server{
+		opts:       opts,
+		log:        opts.Log,
+		pool:       hop.NewPool(),
+		targets:    placement.New(opts.Domain, opts.Region),
+		lines:      make(map[structs.ServiceID]*admission.Line),
+		waiters:    make(map[*admission.Ticket]*waiter),
+		shares:     share.New(opts.QuotaSlack),
+		quarantine: quarantine.New(quarantine.Options{Targets: quarantineTargets, Suspect: suspectFor}),
+	}
+	s.listing.lapsed = make(map[structs.TargetID]structs.Instant)
+	s.stats = newStats(s)
+	return s
+}
+
+// Name returns "edge".
+func (s *Server) Name() string { return "edge" }
+
+// Start starts the server's duties.
+func (s *Server) Start(_ context.Context, k *kernel.Kernel) error {
+	k.Go("edge.sweep", s.sweep)
+	k.Go("edge.wake", s.wakePeriodically)
+	return nil
+}
+
+// Stop does nothing: requests end with their callers' connections.
+func (s *Server) Stop(context.Context) error { return nil }
+
+// Ready returns nil when requests can be served.
+func (s *Server) Ready() error {
+	if s.opts.Config.Current() == nil {
+		return &NoConfigError{}
+	}
+	return nil
+}
+
+// NoConfigError says that no configuration has arrived yet.
+type NoConfigError struct{}
+
+// Error says so.
+func (e *NoConfigError) Error() string { return "no configuration has arrived yet" }
+
+func (s *Server) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			s.pool.Sweep(now)
+			s.opts.Ledger.Sweep(now)
+			s.expireLapsed()
+		}
+	}
+}
+
+func (s *Server) wakePeriodically(ctx context.Context) error {
+	ticker := time.NewTicker(wakePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.mu.Lock()
+			if len(s.waiters) > 0 {
+				s.grantAll()
+			}
+			s.mu.Unlock()
+		}
+	}
+}
+
+// Digest fills what the peers need to know.
+func (s *Server) Digest() fleet.Digest {
+	now := structs.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fleet.Digest{
+		StoreWorks: s.opts.Store.DirectWorks(),
+		Demand:     s.shares.Demand(now),
+		Loads:      s.targets.Loads(),
+		Crashes:    s.quarantine.Export(now),
+	}
+}
+
+// Heard takes a peer's digest.
+func (s *Server) Heard(d fleet.Digest) {
+	now := structs.Now()
+	s.opts.Store.Report(d.From.VM, d.From.Region == s.opts.Region, d.StoreWorks)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shares.Report(now, d.From.VM, d.Demand)
+	s.targets.Report(now, d.From.VM, d.Loads)
+	s.quarantine.Import(now, d.Crashes)
+	if d.StoreWorks && d.Config == s.opts.Config.Version() {
+		s.confirmed = now
+	}
+}
+
+// Gone forgets a VM.
+func (s *Server) Gone(vm structs.VMID) {
+	s.opts.Store.Forget(vm)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shares.Forget(vm)
+}
+
+// ConfirmConfig records that the store has no newer configuration.
+func (s *Server) ConfirmConfig() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmed = structs.Now()
+}
--- /dev/null
+++ b/fleet/mesh.go
@@ -0,0 +1,414 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/endivecourse/endivecourse/kernel"
+	"github.com/endivecourse/endivecourse/routing"
+	"github.com/endivecourse/endivecourse/rowstore"
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/wire"
+)
+
+const (
+	// nearPeriod and farPeriod are the times between two digests to a VM of
+	// the own and of another region, where bytes are dear.
+	nearPeriod = 300 * time.Millisecond
+	farPeriod  = 600 * time.Millisecond
+	// callTimeout ends a digest whose reply is missing; the connection is
+	// then taken for silent and dropped.
+	callTimeout = 700 * time.Millisecond
+	// fanout bounds the digests of one round, whatever the number of VMs.
+	fanout = 12
+	// memberLife is when a VM that is not heard of is forgotten.
+	memberLife = 15 * time.Second
+	// joinPeriod is the time between reads of the member table until another
+	// VM is known, refreshPeriod afterwards.
+	joinPeriod    = 500 * time.Millisecond
+	refreshPeriod = 5 * time.Second
+	storeTimeout  = 2 * time.Second
+)
+
+const membersTable = "members"
+
+// Hooks connects the mesh to what it carries. They are called from several
+// goroutines.
+type Hooks struct {
+	// Digest fills this VM's next digest.
+	Digest func() Digest
+	// Heard takes a peer's digest.
+	Heard func(d Digest)
+	// Gone says that a VM was forgotten.
+	Gone func(vm structs.VMID)
+}
+
+// Options configures a Mesh.
+type Options struct {
+	Self     Member
+	Seeds    []string // addresses of peers to begin with; may be stale
+	Listener net.Listener
+	// Direct is the store without detours, which peers may call through
+	// this VM; Store is the store over any path.
+	Direct rowstore.Store
+	Store  func() rowstore.Store
+	Config *routing.Holder
+	Hooks  Hooks
+	Log    *slog.Logger
+}
+
+// Mesh is the component that keeps in touch with the other VMs.
+type Mesh struct {
+	opts   Options
+	server *wire.Server
+	client *wire.Client
+
+	mu      sync.Mutex
+	members map[structs.VMID]*known
+	turn    int // where the next round of digests begins
+}
+
+type known struct {
+	Member
+	heard time.Time // of or from the VM
+	sent  time.Time
+	busy  bool // a digest is under way
+}
+
+// New makes the component.
+func New(opts Options) *Mesh {
+	m := &Mesh{opts: opts, server: wire.NewServer(wire.Options{}), members: make(map[structs.VMID]*known)}
+	m.client = wire.NewClient(wire.Options{})
+	serveStore(m.server, opts.Direct)
+	wire.Unary(m.server, MethodDigest, m.answer)
+	wire.Unary(m.server, MethodConfig, func(context.Context, ConfigQuery) (routing.Document, error) {
+		return m.opts.Config.Document(), nil
+	})
+	return m
+}
+
+// Name returns "fleet".
+func (m *Mesh) Name() string { return "fleet" }
+
+// Start starts the mesh's duties.
+func (m *Mesh) Start(_ context.Context, k *kernel.Kernel) error {
+	k.Go("fleet.serve", func(ctx context.Context) error {
+		err := m.server.Serve(m.opts.Listener)
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	})
+	k.Go("fleet.digests", m.tellPeers)
+	k.Go("fleet.members", m.refreshMembers)
+	return nil
+}
+
+// Stop closes all connections.
+func (m *Mesh) Stop(context.Context) error {
+	m.client.Close()
+	return m.server.Close()
+}
+
+// Members returns the other VMs that are known.
+func (m *Mesh) Members() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	members := make([]Member, 0, len(m.members))
+	for _, k := range m.members {
+		members = append(members, k.Member)
+	}
+	return members
+}
+
+// DumpState lists the members.
+func (m *Mesh) DumpState() any { return m.Members() }
+
+func (m *Mesh) answer(_ context.Context, d Digest) (DigestReply, error) {
+	m.hear(d.From)
+	m.opts.Hooks.Heard(d)
+	if d.Config > m.opts.Config.Version() {
+		go m.fetchConfig(d.From.Address)
+	}
+	reply := DigestReply{Config: m.opts.Config.Version()}
+	if members := m.Members(); len(members) != d.Known {
+		reply.Members = append(members, m.opts.Self)
+	}
+	return reply, nil
+}
+
+// hear records that a VM lives. A new incarnation replaces the old one.
+func (m *Mesh) hear(from Member) {
+	if from.VM == m.opts.Self.VM || from.VM == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.members[from.VM]
+	if old == nil || old.Incarnation != from.Incarnation {
+		m.opts.Log.Info("peer joined", "vm", string(from.VM), "incarnation", string(from.Incarnation), "address", from.Address)
+		m.members[from.VM] = &known{Member: from, heard: time.Now()}
+		return
+	}
+	old.heard = time.Now()
+}
+
+// introduce adds VMs that another source knows; those known already stay as
+// they are.
+func (m *Mesh) introduce(members []Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, member := range members {
+		if member.VM == m.opts.Self.VM || member.VM == "" || m.members[member.VM] != nil {
+			continue
+		}
+		m.members[member.VM] = &known{Member: member, heard: time.Now()}
+	}
+}
+
+func (m *Mesh) tellPeers(ctx context.Context) error {
+	ticker := time.NewTicker(nearPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			m.forgetSilent(now)
+			peers := m.due(now)
+			if len(peers) == 0 {
+				continue
+			}
+			digest := m.digest()
+			for _, peer := range peers {
+				go m.tell(ctx, peer, digest)
+			}
+		}
+	}
+}
+
+func (m *Mesh) digest() Digest {
+	d := m.opts.Hooks.Digest()
+	d.From = m.opts.Self
+	d.Config = m.opts.Config.Version()
+	m.mu.Lock()
+	d.Known = len(m.members)
+	m.mu.Unlock()
+	return d
+}
+
+// due picks the peers of this round, at most fanout, in turn.
+func (m *Mesh) due(now time.Time) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ids := make([]structs.VMID, 0, len(m.members))
+	for id := range m.members {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	var peers []Member
+	for i := range ids {
+		peer := m.members[ids[(m.turn+i)%len(ids)]]
+		if peer.busy || now.Sub(peer.sent) < m.period(peer) {
+			continue
+		}
+		peer.sent, peer.busy = now, true
+		peers = append(peers, peer.Member)
+		if len(peers) == fanout {
+			m.turn += i + 1
+			break
+		}
+	}
+	return peers
+}
+
+func (m *Mesh) period(peer *known) time.Duration {
+	period := farPeriod
+	if peer.Region == m.opts.Self.Region {
+		period = nearPeriod
+	}
+	return period - nearPeriod/4 // the ticker's jitter must not skip a round
+}
+
+func (m *Mesh) tell(ctx context.Context, peer Member, digest Digest) {
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if k := m.members[peer.VM]; k != nil {
+			k.busy = false
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply DigestReply
+	if err := m.call(ctx, peer.Address, MethodDigest, digest, &reply); err != nil {
+		return // counted by silence: see forgetSilent
+	}
+	m.hear(peer)
+	m.introduce(reply.Members)
+	if reply.Config > m.opts.Config.Version() {
+		m.fetchConfig(peer.Address)
+	}
+}
+
+// call drops the connection when no reply comes, since an open connection may
+// be silent for good.
+func (m *Mesh) call(ctx context.Context, address, method string, in, out any) error {
+	err := m.client.Call(ctx, address, method, in, out)
+	if errors.Is(err, context.DeadlineExceeded) {
+		m.client.Drop(address)
+	}
+	return err
+}
+
+func (m *Mesh) callVM(ctx context.Context, vm structs.VMID, method string, in, out any) error {
+	m.mu.Lock()
+	peer := m.members[vm]
+	m.mu.Unlock()
+	if peer == nil {
+		return &wire.NotSentError{Addr: string(vm), Cause: &UnknownVMError{VM: vm}}
+	}
+	return m.call(ctx, peer.Address, method, in, out)
+}
+
+// UnknownVMError says that a VM is not a member.
+type UnknownVMError struct{ VM structs.VMID }
+
+// Error names the VM.
+func (e *UnknownVMError) Error() string { return "VM " + string(e.VM) + " is not a member" }
+
+func (m *Mesh) forgetSilent(now time.Time) {
+	m.mu.Lock()
+	var gone []Member
+	for id, k := range m.members {
+		if now.Sub(k.heard) > memberLife {
+			gone = append(gone, k.Member)
+			delete(m.members, id)
+		}
+	}
+	m.mu.Unlock()
+	for _, member := range gone {
+		m.opts.Log.Warn("peer forgotten after silence", "vm", string(member.VM), "silence_ms", memberLife.Milliseconds())
+		m.client.Drop(member.Address)
+		m.opts.Hooks.Gone(member.VM)
+	}
+}
+
+func (m *Mesh) fetchConfig(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var document routing.Document
+	if err := m.call(ctx, address, MethodConfig, ConfigQuery{}, &document); err != nil {
+		m.opts.Log.Warn("configuration not fetched from a peer", "peer", address, "cause", err.Error())
+		return
+	}
+	taken, err := m.opts.Config.Offer(document.Raw)
+	if err != nil {
+		m.opts.Log.Error("configuration of a peer can't be read", "peer", address, "version", document.Version, "cause", err.Error())
+		return
+	}
+	if taken {
+		m.opts.Log.Info("configuration in force", "version", document.Version, "source", address)
+	}
+}
+
+// refreshMembers writes this VM's own row and reads the others'. Until a peer is
+// known it also asks the seeds.
+func (m *Mesh) refreshMembers(ctx context.Context) error {
+	for ctx.Err() == nil {
+		m.askSeeds(ctx)
+		if err := m.readTable(ctx); err != nil {
+			m.opts.Log.Warn("member table not refreshed", "cause", err.Error())
+		}
+		period := refreshPeriod
+		if len(m.Members()) == 0 {
+			period = joinPeriod
+		}
+		select {
+		case <-time.After(period):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (m *Mesh) askSeeds(ctx context.Context) {
+	if len(m.Members()) > 0 {
+		return
+	}
+	for _, seed := range m.opts.Seeds {
+		if seed == m.opts.Self.Address {
+			continue
+		}
+		m.askSeed(ctx, seed)
+	}
+}
+
+func (m *Mesh) askSeed(ctx context.Context, seed string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply DigestReply
+	if err := m.call(ctx, seed, MethodDigest, m.digest(), &reply); err != nil {
+		m.opts.Log.Info("seed does not answer", "seed", seed, "cause", err.Error())
+		return
+	}
+	m.introduce(reply.Members)
+	if reply.Config > m.opts.Config.Version() {
+		m.fetchConfig(seed)
+	}
+}
+
+func (m *Mesh) readTable(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	store := m.opts.Store()
+	rows, _, err := rowstore.ScanAll(ctx, store, rowstore.Range{Table: membersTable})
+	if err != nil {
+		return err
+	}
+	var members []Member
+	own := rowstore.Row{Key: rowstore.Key{Table: membersTable, Key: string(m.opts.Self.VM)}}
+	for _, row := range rows {
+		var member Member
+		if err := msgpack.Unmarshal(row.Value, &member); err != nil {
+			m.opts.Log.Error("member row can't be read", "key", row.Key.Key, "cause", err.Error())
+			continue
+		}
+		if row.Key == own.Key {
+			own = row
+		}
+		members = append(members, member)
+	}
+	m.introduceNew(members)
+	return m.writeOwn(ctx, own)
+}
+
+// introduceNew adds listed VMs while this VM knows nobody. Later on VMs that
+// join make themselves known, and rows of VMs that are gone stay out.
+func (m *Mesh) introduceNew(members []Member) {
+	if len(m.Members()) == 0 {
+		m.introduce(members)
+	}
+}
+
+func (m *Mesh) writeOwn(ctx context.Context, own rowstore.Row) error {
+	value, err := msgpack.Marshal(m.opts.Self)
+	if err != nil {
+		return errors.Wrap(err, "encode member")
+	}
+	if string(value) == string(own.Value) {
+		return nil
+	}
+	_, err = m.opts.Store().Commit(ctx, rowstore.Tx{
+		Expect: []rowstore.Expectation{{Key: own.Key, Version: own.Version}},
+		Put:    []rowstore.Put{{Key: own.Key, Value: value}},
+	})
+	return err
+}
--- /dev/null
+++ b/fleet/message.go
@@ -0,0 +1,49 @@
+// Package fleet keeps the VMs of the system in touch: who they are, what each
+// knows that the others need, and calls that one makes for another. Nothing here
+// must last: it speeds things up and is lost freely.
+package fleet
+
+import (
+	"github.com/endivecourse/endivecourse/quarantine"
+	"github.com/endivecourse/endivecourse/share"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// Member is one VM's process.
+type Member struct {
+	VM          structs.VMID        `msgpack:"v"`
+	Incarnation structs.Incarnation `msgpack:"i"`
+	Address     string              `msgpack:"a"` // host:port of its peers' server
+	Domain      structs.DomainID    `msgpack:"d"`
+	Region      string              `msgpack:"r"`
+}
+
+// Digest is what one VM tells another at each round.
+type Digest struct {
+	From Member `msgpack:"f"`
+	// Config is the version in force at the sender.
+	Config uint64 `msgpack:"c"`
+	// StoreWorks says that the sender's own path to the store works.
+	StoreWorks bool                     `msgpack:"s"`
+	Demand     share.Demand             `msgpack:"q,omitempty"`
+	Loads      map[structs.TargetID]int `msgpack:"l,omitempty"`
+	Crashes    []quarantine.Report      `msgpack:"x,omitempty"`
+	// Known is how many members the sender knows.
+	Known int `msgpack:"k"`
+}
+
+// DigestReply answers a Digest.
+type DigestReply struct {
+	Config uint64 `msgpack:"c"`
+	// Members is sent when the two VMs know different numbers of members.
+	Members []Member `msgpack:"m,omitempty"`
+}
+
+// Methods of the peers' server.
+const (
+	MethodDigest = "fleet.digest"
+	MethodConfig = "fleet.config"
+)
+
+// ConfigQuery asks for the newest configuration.
+type ConfigQuery struct{}
--- /dev/null
+++ b/fleet/relay.go
@@ -0,0 +1,166 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/rowstore"
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/wire"
+)
+
+// Methods by which one VM calls the store for another.
+const (
+	MethodCommit = "fleet.store.commit"
+	MethodScan   = "fleet.store.scan"
+	MethodWatch  = "fleet.store.watch"
+)
+
+// WatchCall asks for the changes of a table.
+type WatchCall struct {
+	Table string        `msgpack:"t"`
+	After uint64        `msgpack:"a"`
+	Wait  time.Duration `msgpack:"w"`
+}
+
+// failure is the type of a relayed call's error.
+type failure uint8
+
+const (
+	failureNone failure = iota
+	failureConflict
+	failureUnavailable
+	failureUnknown
+	failureHistory
+	failureRejected
+)
+
+// StoreReply is the outcome of a relayed call.
+type StoreReply struct {
+	Version uint64         `msgpack:"n,omitempty"`
+	Page    rowstore.Page  `msgpack:"p"`
+	Failure failure        `msgpack:"f,omitempty"`
+	Status  int            `msgpack:"s,omitempty"`
+	Detail  string         `msgpack:"d,omitempty"`
+	Current []rowstore.Row `msgpack:"c,omitempty"`
+}
+
+// RelayedError is a failure that another VM reports.
+type RelayedError struct{ Detail string }
+
+// Error gives the other VM's words.
+func (e *RelayedError) Error() string { return "at the relaying VM: " + e.Detail }
+
+func replyOf(err error) StoreReply {
+	var (
+		conflict *rowstore.ConflictError
+		gone     *rowstore.HistoryGoneError
+		rejected *rowstore.RejectedError
+		away     *rowstore.UnavailableError
+	)
+	switch {
+	case err == nil:
+		return StoreReply{}
+	case errors.As(err, &conflict):
+		return StoreReply{Failure: failureConflict, Current: conflict.Current}
+	case errors.As(err, &gone):
+		return StoreReply{Failure: failureHistory, Version: gone.After}
+	case errors.As(err, &rejected):
+		return StoreReply{Failure: failureRejected, Status: rejected.Status, Detail: rejected.Detail}
+	case errors.As(err, &away):
+		return StoreReply{Failure: failureUnavailable, Detail: err.Error()}
+	}
+	return StoreReply{Failure: failureUnknown, Detail: err.Error()}
+}
+
+func (r *StoreReply) err() error {
+	switch r.Failure {
+	case failureNone:
+		return nil
+	case failureConflict:
+		return &rowstore.ConflictError{Current: r.Current}
+	case failureHistory:
+		return &rowstore.HistoryGoneError{After: r.Version}
+	case failureRejected:
+		return &rowstore.RejectedError{Status: r.Status, Detail: r.Detail}
+	case failureUnavailable:
+		return &rowstore.UnavailableError{Cause: &RelayedError{Detail: r.Detail}}
+	}
+	return &rowstore.OutcomeUnknownError{Cause: &RelayedError{Detail: r.Detail}}
+}
+
+// serveStore lets peers call the store over this VM's direct path. A relayed
+// call goes no further, which bounds the hops.
+func serveStore(server *wire.Server, direct rowstore.Store) {
+	wire.Unary(server, MethodCommit, func(ctx context.Context, tx rowstore.Tx) (StoreReply, error) {
+		version, err := direct.Commit(ctx, tx)
+		reply := replyOf(err)
+		if err == nil {
+			reply.Version = version
+		}
+		return reply, nil
+	})
+	wire.Unary(server, MethodScan, func(ctx context.Context, r rowstore.Range) (StoreReply, error) {
+		page, err := direct.Scan(ctx, r)
+		reply := replyOf(err)
+		reply.Page = page
+		return reply, nil
+	})
+	wire.Unary(server, MethodWatch, func(ctx context.Context, call WatchCall) (StoreReply, error) {
+		page, err := direct.Watch(ctx, call.Table, call.After, call.Wait)
+		reply := replyOf(err)
+		reply.Page = page
+		return reply, nil
+	})
+}
+
+// relayed is the store as another VM reaches it.
+type relayed struct {
+	mesh *Mesh
+	vm   structs.VMID
+}
+
+// Via implements storepath.Relay.
+func (m *Mesh) Via(vm structs.VMID) rowstore.Store { return &relayed{mesh: m, vm: vm} }
+
+func (s *relayed) call(ctx context.Context, method string, in any) (*StoreReply, error) {
+	var reply StoreReply
+	err := s.mesh.callVM(ctx, s.vm, method, in, &reply)
+	var unsent *wire.NotSentError
+	if errors.As(err, &unsent) {
+		return nil, &rowstore.UnavailableError{Cause: err}
+	}
+	if err != nil {
+		return nil, &rowstore.OutcomeUnknownError{Cause: err}
+	}
+	return &reply, reply.err()
+}
+
+// Commit implements rowstore.Store.
+func (s *relayed) Commit(ctx context.Context, tx rowstore.Tx) (uint64, error) {
+	reply, err := s.call(ctx, MethodCommit, tx)
+	if err != nil {
+		return 0, err
+	}
+	return reply.Version, nil
+}
+
+// Scan implements rowstore.Store.
+func (s *relayed) Scan(ctx context.Context, r rowstore.Range) (rowstore.Page, error) {
+	reply, err := s.call(ctx, MethodScan, r)
+	if err != nil {
+		return rowstore.Page{}, err
+	}
+	return reply.Page, nil
+}
+
+// Watch implements rowstore.Store.
+func (s *relayed) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Page, error) {
+	reply, err := s.call(ctx, MethodWatch, WatchCall{Table: table, After: after, Wait: wait})
+	if err != nil {
+		return rowstore.Page{}, err
+	}
+	return reply.Page, nil
+}
--- /dev/null
+++ b/hop/pool.go
@@ -0,0 +1,176 @@
+// Package hop sends requests to targets over pooled HTTP/1.1 connections. It
+// sends each request once, and matches answers to requests by their ID, since a
+// faulty target may send answers that belong to none.
+package hop
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout covers a round trip between regions ten times over.
+	dialTimeout = 350 * time.Millisecond
+	// userTimeout ends a connection whose bytes are not acknowledged, which
+	// is how a target without power shows itself.
+	userTimeout = 1500 * time.Millisecond
+	// Probes of a quiet connection; three unanswered ones end it.
+	probeIdle     = time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 3
+	// defaultIdle is how long a connection stays pooled when the target says
+	// nothing about it.
+	defaultIdle = 8 * time.Second
+	// idleMargin is kept from the idle timeout that a target states, so that
+	// no request crosses its close.
+	idleMargin = 700 * time.Millisecond
+	// maxPooled bounds the idle connections to one target.
+	maxPooled = 16
+)
+
+// DialError says that no connection was made: no byte of the request left.
+type DialError struct {
+	Address string
+	Cause   error
+}
+
+// Error names the target's address.
+func (e *DialError) Error() string { return "connect to target " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Cause }
+
+// Pool keeps idle connections by address.
+type Pool struct {
+	dialer *net.Dialer
+
+	mu    sync.Mutex
+	idle  map[string][]*Conn // the most recently used last
+	dials uint64
+}
+
+// NewPool makes an empty pool.
+func NewPool() *Pool {
+	return &Pool{
+		dialer: &net.Dialer{
+			Timeout: dialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+			},
+			Control: setUserTimeout,
+		},
+		idle: make(map[string][]*Conn),
+	}
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Get returns a pooled connection that is still open, or a new one. Its error
+// is *DialError or that of ctx.
+func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+	for {
+		c := p.take(address)
+		if c == nil {
+			break
+		}
+		if c.usable(time.Now()) {
+			return c, nil
+		}
+		c.Close()
+	}
+	nc, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		return nil, &DialError{Address: address, Cause: err}
+	}
+	p.mu.Lock()
+	p.dials++
+	p.mu.Unlock()
+	return newConn(nc, address), nil
+}
+
+func (p *Pool) take(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	c := idle[len(idle)-1]
+	p.idle[address] = idle[:len(idle)-1]
+	return c
+}
+
+// Put takes a connection back after a whole answer, or closes it when it can't
+// carry another request.
+func (p *Pool) Put(c *Conn) {
+	if !c.reusable() {
+		c.Close()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= maxPooled {
+		c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Sweep closes connections that have idled too long.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, idle := range p.idle {
+		kept := idle[:0]
+		for _, c := range idle {
+			if now.Before(c.expires) {
+				kept = append(kept, c)
+				continue
+			}
+			c.Close()
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+}
+
+// Drop closes the idle connections to an address.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	idle := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// State returns the number of idle connections and of all that were opened.
+func (p *Pool) State() (idle int, dials uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conns := range p.idle {
+		idle += len(conns)
+	}
+	return idle, p.dials
+}
--- a/internal/capacity/report_test.go
+++ b/internal/capacity/report_test.go
@@ -12,10 +12,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/endivecourse/endivecourse/backing"
+	"github.com/endivecourse/endivecourse/drivers/target"
+	"github.com/endivecourse/endivecourse/drivers/target/engine"
 	"github.com/endivecourse/endivecourse/membership"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
-	"github.com/endivecourse/endivecourse/target/engine"
 )
 
 // countingListener counts the bytes of all its connections.
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -9,8 +9,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 const maxBodyBytes = 64 << 20
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 const (
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 // Options sets up a Server.
--- /dev/null
+++ b/logline/writer.go
@@ -0,0 +1,95 @@
+// Package logline writes structured logs without ever holding up the code that
+// logs: lines wait in a bounded buffer and are dropped, counted, when it is full.
+package logline
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxPending bounds the lines that wait, in bytes; some 2,000 lines.
+	maxPending = 512 << 10
+	// flushPeriod is how long a line may wait to share a write with others.
+	flushPeriod = 100 * time.Millisecond
+)
+
+// Writer buffers lines for a slower writer.
+type Writer struct {
+	out     io.Writer
+	dropped atomic.Uint64
+	wake    chan struct{}
+
+	mu      sync.Mutex
+	pending []byte
+	spare   []byte
+}
+
+// NewWriter makes a writer; Run does the writing.
+func NewWriter(out io.Writer) *Writer { return &Writer{out: out, wake: make(chan struct{}, 1)} }
+
+// Write takes one line. It never fails and never waits.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	if len(w.pending)+len(line) > maxPending {
+		w.mu.Unlock()
+		w.dropped.Add(1)
+		return len(line), nil
+	}
+	w.pending = append(w.pending, line...)
+	w.mu.Unlock()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that found the buffer full.
+func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
+
+// Run writes lines until ctx ends, then writes what is left.
+func (w *Writer) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-w.wake:
+		case <-ctx.Done():
+			return w.Flush()
+		}
+		timer := time.NewTimer(flushPeriod)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// Flush writes all lines that wait.
+func (w *Writer) Flush() error {
+	w.mu.Lock()
+	lines := w.pending
+	w.pending, w.spare = w.spare[:0], nil
+	w.mu.Unlock()
+	if dropped := w.dropped.Swap(0); dropped > 0 {
+		lines = fmt.Appendf(lines, `{"level":"WARN","msg":"log lines dropped","count":%d}`+"\n", dropped)
+	}
+	_, err := w.out.Write(lines)
+	w.mu.Lock()
+	w.spare = lines[:0]
+	w.mu.Unlock()
+	return err
+}
+
+// New makes a logger of JSON lines over the writer.
+func New(w *Writer, level slog.Leveler) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}))
+}
--- a/orders/engine_test.go
+++ b/orders/engine_test.go
@@ -7,11 +7,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
+	driver "github.com/endivecourse/endivecourse/drivers/target/engine"
 	"github.com/endivecourse/endivecourse/internal/standin/engine"
 	"github.com/endivecourse/endivecourse/internal/tabletest"
 	"github.com/endivecourse/endivecourse/orders"
-	"github.com/endivecourse/endivecourse/target"
-	driver "github.com/endivecourse/endivecourse/target/engine"
 )
 
 // The stand-in engine that checks fencing numbers refuses an order of an
--- a/orders/order.go
+++ b/orders/order.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 // Order gives one order to the target through its driver. An order that needs
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -15,8 +15,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/internal/tabletest"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 // virtualTime runs a test in virtual time on one processor.
--- a/program/action.go
+++ b/program/action.go
@@ -1,10 +1,10 @@
 package program
 
 import (
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/journal"
 	"github.com/endivecourse/endivecourse/queue"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 // Action is something that the runtime has to do.
--- a/program/run.go
+++ b/program/run.go
@@ -3,10 +3,10 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/journal"
 	"github.com/endivecourse/endivecourse/queue"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 // proceed starts what the program can do next.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -221,3 +221,11 @@
 	}
 	return lower
 }
+
+// Answered clears the suspicion from a request that a target answered: it does
+// not crash the targets that run it. A quarantine stays.
+func (l *List) Answered(now structs.Instant, fingerprint uint64) {
+	if e := l.entries[fingerprint]; e != nil && !e.held(now) {
+		delete(l.entries, fingerprint)
+	}
+}
--- /dev/null
+++ b/rowstore/storepath/router.go
@@ -0,0 +1,245 @@
+package storepath
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/rowstore"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+const (
+	// attemptTimeout bounds one call over one path. A store slowed 60 times
+	// answers a transaction within 0.6 s.
+	attemptTimeout = 1500 * time.Millisecond
+	// hedgeDelay is when a second path is tried beside a silent one; ten
+	// times the usual answer from the far region.
+	hedgeDelay = 300 * time.Millisecond
+	// roundPause is the pause after all paths failed.
+	roundPause = 120 * time.Millisecond
+	// watchSlack is added to the wait of a Watch before it counts as silent.
+	watchSlack = 700 * time.Millisecond
+)
+
+// Relay performs calls on another VM, over that VM's direct path only.
+type Relay interface {
+	// Via returns the store as the VM reaches it.
+	Via(vm structs.VMID) rowstore.Store
+}
+
+// Router is a rowstore.Store that picks a path for each call and tries further
+// ones until the call's context ends.
+type Router struct {
+	direct rowstore.Store
+	relay  Relay
+	log    *slog.Logger
+
+	mu     sync.Mutex
+	health *Health
+}
+
+// NewRouter makes a router.
+func NewRouter(direct rowstore.Store, relay Relay, log *slog.Logger) *Router {
+	return &Router{direct: direct, relay: relay, log: log, health: NewHealth(structs.Now())}
+}
+
+// Report records a peer's word on its direct path.
+func (r *Router) Report(vm structs.VMID, near, works bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.health.Report(structs.Now(), vm, near, works)
+}
+
+// Forget drops a VM that has left.
+func (r *Router) Forget(vm structs.VMID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.health.Forget(vm)
+}
+
+// DirectWorks reports whether the last direct call was served.
+func (r *Router) DirectWorks() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.health.DirectWorks()
+}
+
+// Away returns for how long no path has worked, 0 while one does.
+func (r *Router) Away() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.health.Away(structs.Now())
+}
+
+// Commit implements rowstore.Store. A transaction that an unanswered attempt
+// has applied already counts as this call's success.
+func (r *Router) Commit(ctx context.Context, tx rowstore.Tx) (uint64, error) {
+	return run(ctx, r, func(ctx context.Context, s rowstore.Store) (uint64, error) {
+		version, err := s.Commit(ctx, tx)
+		var conflict *rowstore.ConflictError
+		if errors.As(err, &conflict) {
+			if applied, ok := appliedVersion(tx, conflict); ok {
+				return applied, nil
+			}
+		}
+		return version, err
+	})
+}
+
+// appliedVersion tells whether the rows are just what the transaction puts.
+func appliedVersion(tx rowstore.Tx, conflict *rowstore.ConflictError) (uint64, bool) {
+	var version uint64
+	for _, put := range tx.Put {
+		row := conflict.Find(put.Key)
+		if row.Version == 0 || !bytes.Equal(row.Value, put.Value) {
+			return 0, false
+		}
+		version = max(version, row.Version)
+	}
+	return version, len(tx.Put) > 0
+}
+
+// Scan implements rowstore.Store.
+func (r *Router) Scan(ctx context.Context, rng rowstore.Range) (rowstore.Page, error) {
+	return run(ctx, r, func(ctx context.Context, s rowstore.Store) (rowstore.Page, error) {
+		return s.Scan(ctx, rng)
+	})
+}
+
+// Watch implements rowstore.Store. It makes a single attempt and prefers the
+// direct path, and so probes it.
+func (r *Router) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	paths := r.paths(true)
+	page, err := r.watchOver(ctx, paths[0], table, after, wait)
+	if err == nil || answered(err) || len(paths) == 1 {
+		return page, err
+	}
+	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), attemptTimeout)
+	defer cancel()
+	return r.watchOver(ctx, paths[1], table, after, 0)
+}
+
+func (r *Router) watchOver(ctx context.Context, p Path, table string, after uint64, wait time.Duration) (rowstore.Page, error) {
+	page, err := r.store(p).Watch(ctx, table, after, wait)
+	r.note(p, err)
+	return page, err
+}
+
+func (r *Router) store(p Path) rowstore.Store {
+	if p.Direct() {
+		return r.direct
+	}
+	return r.relay.Via(p.VM)
+}
+
+func (r *Router) paths(probe bool) []Path {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.health.Paths(structs.Now(), probe)
+}
+
+// answered reports whether an error is the store's own answer to the call.
+func answered(err error) bool {
+	var (
+		conflict *rowstore.ConflictError
+		gone     *rowstore.HistoryGoneError
+		rejected *rowstore.RejectedError
+	)
+	return errors.As(err, &conflict) || errors.As(err, &gone) || errors.As(err, &rejected)
+}
+
+// note records how a path served a call, and logs lost and regained paths.
+func (r *Router) note(p Path, err error) {
+	if errors.Is(err, context.Canceled) {
+		return // the caller's wish, not the path's failure
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	worked := r.health.DirectWorks()
+	if err == nil || answered(err) {
+		r.health.Answered(structs.Now(), p)
+	} else {
+		r.health.Failed(structs.Now(), p)
+	}
+	switch works := r.health.DirectWorks(); {
+	case worked && !works:
+		r.log.Warn("lost the direct path to the store", "cause", err.Error())
+	case !worked && works:
+		r.log.Info("regained the direct path to the store")
+	}
+}
+
+type outcome[T any] struct {
+	value T
+	err   error
+}
+
+// run tries the paths in turn and, beside a silent one, the next, until one
+// serves the call, the store itself answers with an error, or ctx ends.
+func run[T any](ctx context.Context, r *Router, call func(context.Context, rowstore.Store) (T, error)) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var zero T
+	for {
+		result, done := round(ctx, r, call)
+		if done || ctx.Err() != nil {
+			return result.value, result.err
+		}
+		timer := time.NewTimer(roundPause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return zero, &rowstore.OutcomeUnknownError{Cause: result.err}
+		}
+	}
+}
+
+func round[T any](ctx context.Context, r *Router, call func(context.Context, rowstore.Store) (T, error)) (outcome[T], bool) {
+	paths := r.paths(false)
+	results := make(chan outcome[T], len(paths))
+	started, finished := 0, 0
+	start := func() {
+		p := paths[started]
+		started++
+		go func() {
+			attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+			defer cancel()
+			value, err := call(attempt, r.store(p))
+			r.note(p, err)
+			results <- outcome[T]{value, err}
+		}()
+	}
+	start()
+	hedge := time.NewTimer(hedgeDelay)
+	defer hedge.Stop()
+	last := outcome[T]{err: &rowstore.UnavailableError{Cause: context.DeadlineExceeded}}
+	for {
+		select {
+		case last = <-results:
+			finished++
+			if last.err == nil || answered(last.err) {
+				return last, true
+			}
+			if started < len(paths) {
+				start()
+			} else if finished == started {
+				return last, false
+			}
+		case <-hedge.C:
+			if started < len(paths) {
+				start()
+			}
+		case <-ctx.Done():
+			last.err = &rowstore.OutcomeUnknownError{Cause: ctx.Err()}
+			return last, true
+		}
+	}
+}
--- a/scheduler/dispatcher.go
+++ b/scheduler/dispatcher.go
@@ -5,9 +5,9 @@
 
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/dispatch"
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/program"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 const (
--- a/scheduler/fake_test.go
+++ b/scheduler/fake_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/endivecourse/endivecourse/config"
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/kernel"
 	_ "github.com/endivecourse/endivecourse/queue/fair"
 	_ "github.com/endivecourse/endivecourse/queue/fifo"
@@ -23,7 +24,6 @@
 	"github.com/endivecourse/endivecourse/scheduler/storeonly"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 // virtualTime runs a test with a clock that moves on when every goroutine
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -6,11 +6,11 @@
 
 	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/journal"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 // Snapshot is one version of the operators' document.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -10,10 +10,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/program"
 	"github.com/endivecourse/endivecourse/quarantine"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 var background = context.Background()
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -8,9 +8,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/program"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 // send dispatches a call on a goroutine of its own. A call of a slot whose
--- a/scheduler/soak_test.go
+++ b/scheduler/soak_test.go
@@ -11,8 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 // fleet is a domain whose schedulers are cut off, stopped and replaced while
--- a/scheduler/tell_test.go
+++ b/scheduler/tell_test.go
@@ -9,9 +9,9 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/program"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 // nodeCaller passes crash reports between the nodes of a test; one that is not
--- a/scheduler/wire_test.go
+++ b/scheduler/wire_test.go
@@ -11,10 +11,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/journal"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 	"github.com/endivecourse/endivecourse/wire"
 )
 
--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -11,6 +11,7 @@
 	"github.com/endivecourse/endivecourse/backing"
 	"github.com/endivecourse/endivecourse/config"
 	"github.com/endivecourse/endivecourse/config/configwatch"
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/gateway/forward"
 	"github.com/endivecourse/endivecourse/keeper"
 	"github.com/endivecourse/endivecourse/kernel"
@@ -24,7 +25,6 @@
 	"github.com/endivecourse/endivecourse/scheduler"
 	"github.com/endivecourse/endivecourse/settings"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 	"github.com/endivecourse/endivecourse/wire"
 )
 
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/endivecourse/endivecourse/drivers/target"
 	"github.com/endivecourse/endivecourse/structs"
-	"github.com/endivecourse/endivecourse/target"
 )
 
 // engine is a target in memory, shared by all schedulers.
--- /dev/null
+++ b/turnlog/log.go
@@ -0,0 +1,192 @@
+package turnlog
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivecourse/endivecourse/rowstore"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+const (
+	table = "turns"
+	// maxReads bounds the parallel reads of one chain.
+	maxReads = 8
+	// maxIDBytes bounds a turn's ID. Escaping makes it three times as long at most.
+	maxIDBytes = 60
+)
+
+// NotFoundError says that the store holds no such turn of the account.
+type NotFoundError struct{ Turn structs.RequestID }
+
+// Error names the turn.
+func (e *NotFoundError) Error() string { return fmt.Sprintf("turn %q does not exist", e.Turn) }
+
+// TooLargeError says that a turn's input and output don't fit a transaction.
+type TooLargeError struct{ Bytes, Max int }
+
+// Error gives both sizes.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("turn of %d bytes is over the limit of %d", e.Bytes, e.Max)
+}
+
+// BrokenRecordError says that a row of a turn can't be read.
+type BrokenRecordError struct {
+	Turn  structs.RequestID
+	Cause error
+}
+
+// Error names the turn.
+func (e *BrokenRecordError) Error() string {
+	return fmt.Sprintf("record of turn %q can't be read: %v", e.Turn, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *BrokenRecordError) Unwrap() error { return e.Cause }
+
+// Options configures a Log.
+type Options struct {
+	Store rowstore.Store
+	// Partition maps a turn to the store's partition of its rows.
+	Partition func(turn string) string
+	// CacheBytes bounds the records in memory.
+	CacheBytes int
+	// RowBytes is the most a row's value may hold.
+	RowBytes int
+}
+
+// MaxTurnBytes is the most input and output of one turn together: what fits a
+// transaction of 1 MB in base64 beside its keys.
+const MaxTurnBytes = 640 << 10
+
+// Log appends and reads turns.
+type Log struct {
+	opts  Options
+	cache *cache
+}
+
+// New makes a log.
+func New(opts Options) *Log { return &Log{opts: opts, cache: newCache(opts.CacheBytes)} }
+
+// Append stores a turn. It returns once the store has it.
+func (l *Log) Append(ctx context.Context, id structs.RequestID, r *Record) error {
+	if size := len(r.Input) + len(r.Output); size > MaxTurnBytes {
+		return &TooLargeError{Bytes: size, Max: MaxTurnBytes}
+	}
+	tx, err := l.transaction(id, r)
+	if err != nil {
+		return err
+	}
+	if _, err := l.opts.Store.Commit(ctx, tx); err != nil {
+		return err
+	}
+	l.cache.put(id, r)
+	return nil
+}
+
+// transaction splits a record that is longer than a row over several.
+func (l *Log) transaction(id structs.RequestID, r *Record) (rowstore.Tx, error) {
+	value, err := r.encode()
+	if err != nil {
+		return rowstore.Tx{}, errors.Wrap(err, "encode turn")
+	}
+	var tx rowstore.Tx
+	for part := 0; part == 0 || len(value) > 0; part++ {
+		piece := value[:min(len(value), l.pieceBytes())]
+		value = value[len(piece):]
+		key := l.key(id, part)
+		tx.Expect = append(tx.Expect, rowstore.Expectation{Key: key})
+		tx.Put = append(tx.Put, rowstore.Put{Key: key, Value: piece})
+	}
+	return tx, nil
+}
+
+// pieceBytes leaves room for base64.
+func (l *Log) pieceBytes() int { return l.opts.RowBytes / 4 * 3 }
+
+// key names a part of a turn. The slash sorts all parts after the ID.
+func (l *Log) key(id structs.RequestID, part int) rowstore.Key {
+	return rowstore.Key{Table: table, Partition: l.opts.Partition(string(id)), Key: fmt.Sprintf("%s/%03d", escape(id), part)}
+}
+
+// escape keeps slashes out of an ID, so that no ID is the beginning of another's
+// keys.
+func escape(id structs.RequestID) string { return url.PathEscape(string(id)) }
+
+// Chain returns a turn of the account with all that precede it. It returns
+// *NotFoundError only when the store says so.
+func (l *Log) Chain(ctx context.Context, account structs.AccountID, id structs.RequestID) (*Chain, error) {
+	if len(id) > maxIDBytes {
+		return nil, &NotFoundError{Turn: id}
+	}
+	last, err := l.record(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	if last.Account != account {
+		return nil, &NotFoundError{Turn: id}
+	}
+	chain := &Chain{
+		IDs:     append(append([]structs.RequestID(nil), last.Ancestors...), id),
+		Records: make([]*Record, len(last.Ancestors)+1),
+	}
+	chain.Records[len(last.Ancestors)] = last
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxReads)
+	for i, ancestor := range last.Ancestors {
+		if chain.Records[i] = l.cache.get(ancestor); chain.Records[i] != nil {
+			continue
+		}
+		group.Go(func() error {
+			record, err := l.record(ctx, ancestor)
+			chain.Records[i] = record
+			return err
+		})
+	}
+	return chain, group.Wait()
+}
+
+func (l *Log) record(ctx context.Context, id structs.RequestID) (*Record, error) {
+	if r := l.cache.get(id); r != nil {
+		return r, nil
+	}
+	first := l.key(id, 0)
+	rows, _, err := rowstore.ScanAll(ctx, l.opts.Store, rowstore.Range{
+		Table: table, Partition: first.Partition, From: escape(id) + "/", To: escape(id) + "0",
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(rows) == 0 {
+		return nil, &NotFoundError{Turn: id}
+	}
+	var value []byte
+	for _, row := range rows {
+		value = append(value, row.Value...)
+	}
+	r, err := decodeRecord(value)
+	if err != nil {
+		return nil, &BrokenRecordError{Turn: id, Cause: err}
+	}
+	l.cache.put(id, r)
+	return r, nil
+}
+
+// Next starts the record of a turn that continues the chain; chain is nil for a
+// first turn.
+func Next(account structs.AccountID, chain *Chain, input []byte) *Record {
+	r := &Record{Account: account, Input: input, At: time.Now().UnixMilli()}
+	if chain != nil {
+		r.Ancestors = chain.IDs
+		r.Previous = chain.IDs[len(chain.IDs)-1]
+	}
+	return r
+}
+
+// CacheState returns the number of records in memory and their bytes.
+func (l *Log) CacheState() (count, bytes int) { return l.cache.state() }
--- a/wire/client.go
+++ b/wire/client.go
@@ -154,3 +154,14 @@
 		peer.conn.group.Wait()
 	}
 }
+
+// Drop closes the connection to a peer, if there is one. Its open streams fail
+// with *BrokenError; the next request opens a new connection.
+func (c *Client) Drop(addr string) {
+	c.mu.Lock()
+	peer := c.conns[addr]
+	c.mu.Unlock()
+	if peer != nil {
+		peer.conn.close(&ClosedError{})
+	}
+}
