Quota: buckets lend tokens, starts of programs leave room

Refused programs in progress lost the work done. Ruled out: the limit itself; the sum of admitted requests was below it. Change: peers with tokens lend them, a request whose token is due within 250 ms waits for it, and first turns are refused before programs under way are.

--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -140,6 +140,7 @@
 		Hooks: fleet.Hooks{
 			Digest: func() fleet.Digest { return server.Digest() },
 			Heard:  func(d fleet.Digest) { server.Heard(d) },
+			Lend:   func(account structs.AccountID) int { return server.Lend(account) },
 			Gone:   func(vm structs.VMID) { server.Gone(vm) },
 		},
 	})
@@ -151,6 +152,7 @@
 		Store:      router,
 		Turns:      turnlog.New(turnlog.Options{Store: router, Partition: partitionOf, CacheBytes: int(loaded.MemoryBytes / cachePart), RowBytes: loaded.RowBytes}),
 		Ledger:     ledger.NewKeeper(ledger.Options{Store: router, Partition: partitionOf, Log: log}),
+		Borrow:     mesh.Borrow,
 		QuotaSlack: loaded.QuotaSlack,
 		Log:        log,
 	})
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -17,6 +17,9 @@
 	confirmLife = 3500 * time.Millisecond
 	// startRetry is when a VM without a configuration asks to be tried again.
 	startRetry = 500 * time.Millisecond
+	// borrowTimeout bounds a request for quota tokens; a round trip between
+	// regions takes 25 ms.
+	borrowTimeout = 100 * time.Millisecond
 	// defaultPatience bounds requests that state no deadline.
 	defaultPatience = 60 * time.Second
 )
@@ -145,26 +148,74 @@
 	return digest.Sum64()
 }
 
+// admit checks the quarantine and takes a quota token.
 func (x *exchange) admit() *structs.Refusal {
 	s := x.server
-	now := structs.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if left := s.quarantine.Left(now, x.fingerprint); left > 0 {
+	left := s.quarantine.Left(structs.Now(), x.fingerprint)
+	s.mu.Unlock()
+	if left > 0 {
 		return structs.Refuse(structs.RefusedQuarantined, structs.RunNo, "the request crashed the targets that ran it")
 	}
 	if x.account == nil {
 		return nil
 	}
-	limit := share.Limit{Rate: x.account.Rate, Burst: x.account.Burst}
-	ok, wait := s.shares.Admit(now, x.account.ID, limit)
-	if !ok {
-		return retryable(structs.RefusedOverRate, wait, "the account is over its rate")
+	s.mu.Lock()
+	s.shares.Arrived(structs.Now(), x.account.ID, limitOf(x.account))
+	s.mu.Unlock()
+	verdict := x.borrowToken()
+	if !verdict.Admitted && verdict.Wait <= share.MaxHold && verdict.Wait < x.left()/4 {
+		time.Sleep(verdict.Wait)
+		verdict = x.borrowToken()
+	}
+	if !verdict.Admitted {
+		return retryable(structs.RefusedOverRate, verdict.Wait, "the account is over its rate")
 	}
 	x.counted = true
 	return nil
 }
 
+// borrowToken takes a token of this VM or, if there is none, a peer's.
+func (x *exchange) borrowToken() share.Verdict {
+	verdict := x.takeToken()
+	for _, vm := range verdict.Lenders {
+		if verdict.Admitted || !x.server.borrow(vm, x.account) {
+			continue
+		}
+		verdict = x.takeToken()
+	}
+	return verdict
+}
+
+func (x *exchange) takeToken() share.Verdict {
+	s := x.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shares.Admit(structs.Now(), x.account.ID, limitOf(x.account), x.startsProgram())
+}
+
+func limitOf(account *routing.Account) share.Limit {
+	return share.Limit{Rate: account.Rate, Burst: account.Burst}
+}
+
+// startsProgram reports whether a refusal loses no work of the program's.
+func (x *exchange) startsProgram() bool { return x.route.KeepsTurns && x.Turn.Previous == "" }
+
+// borrow asks a peer for tokens and reports whether it gave any.
+func (s *Server) borrow(vm structs.VMID, account *routing.Account) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+	defer cancel()
+	tokens, err := s.opts.Borrow(ctx, vm, account.ID)
+	if err != nil {
+		s.log.Warn("no quota tokens borrowed", "account", string(account.ID), "from", string(vm), "cause", err.Error())
+		tokens = 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shares.Borrowed(structs.Now(), vm, account.ID, limitOf(account), tokens)
+	return tokens > 0
+}
+
 func (s *Server) returnToken(account structs.AccountID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/edge/server.go
+++ b/edge/server.go
@@ -42,6 +42,8 @@
 	Store   *storepath.Router
 	Turns   *turnlog.Log
 	Ledger  *ledger.Keeper
+	// Borrow asks a VM for quota tokens.
+	Borrow func(ctx context.Context, vm structs.VMID, account structs.AccountID) (int, error)
 	// QuotaSlack is the requests by which all VMs together may pass a limit.
 	QuotaSlack float64
 	Log        *slog.Logger
@@ -73,7 +75,7 @@
 		targets:    placement.New(opts.Domain, opts.Region),
 		lines:      make(map[structs.ServiceID]*admission.Line),
 		waiters:    make(map[*admission.Ticket]*waiter),
-		shares:     share.New(opts.QuotaSlack),
+		shares:     share.New(structs.Now(), opts.QuotaSlack),
 		quarantine: quarantine.New(quarantine.Options{Targets: quarantineTargets, Suspect: suspectFor}),
 	}
 	s.listing.lapsed = make(map[structs.TargetID]structs.Instant)
@@ -119,6 +121,9 @@
 			s.pool.Sweep(now)
 			s.opts.Ledger.Sweep(now)
 			s.expireLapsed()
+			s.mu.Lock()
+			s.shares.Sweep(structs.Now())
+			s.mu.Unlock()
 		}
 	}
 }
@@ -148,6 +153,7 @@
 	return fleet.Digest{
 		StoreWorks: s.opts.Store.DirectWorks(),
 		Demand:     s.shares.Demand(now),
+		Spare:      s.shares.Spare(now),
 		Loads:      s.targets.Loads(),
 		Crashes:    s.quarantine.Export(now),
 	}
@@ -159,7 +165,7 @@
 	s.opts.Store.Report(d.From.VM, d.From.Region == s.opts.Region, d.StoreWorks)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.shares.Report(now, d.From.VM, d.Demand)
+	s.shares.Report(now, d.From.VM, d.From.Region == s.opts.Region, d.Demand, d.Spare)
 	s.targets.Report(now, d.From.VM, d.Loads)
 	s.quarantine.Import(now, d.Crashes)
 	if d.StoreWorks && d.Config == s.opts.Config.Version() {
@@ -167,6 +173,17 @@
 	}
 }
 
+// Lend gives up quota tokens of an account for a peer.
+func (s *Server) Lend(account structs.AccountID) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	table := s.opts.Config.Current()
+	if table == nil || table.Accounts[account] == nil {
+		return 0
+	}
+	return s.shares.Lend(structs.Now(), account, limitOf(table.Accounts[account]))
+}
+
 // Gone forgets a VM.
 func (s *Server) Gone(vm structs.VMID) {
 	s.opts.Store.Forget(vm)
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -46,6 +46,8 @@
 	Digest func() Digest
 	// Heard takes a peer's digest.
 	Heard func(d Digest)
+	// Lend gives up quota tokens of an account.
+	Lend func(account structs.AccountID) int
 	// Gone says that a VM was forgotten.
 	Gone func(vm structs.VMID)
 }
@@ -91,9 +93,19 @@
 	wire.Unary(m.server, MethodConfig, func(context.Context, ConfigQuery) (routing.Document, error) {
 		return m.opts.Config.Document(), nil
 	})
+	wire.Unary(m.server, MethodLend, func(_ context.Context, r LoanRequest) (Loan, error) {
+		return Loan{Tokens: m.opts.Hooks.Lend(r.Account)}, nil
+	})
 	return m
 }
 
+// Borrow asks a VM for quota tokens of an account.
+func (m *Mesh) Borrow(ctx context.Context, vm structs.VMID, account structs.AccountID) (int, error) {
+	var loan Loan
+	err := m.callVM(ctx, vm, MethodLend, LoanRequest{Account: account}, &loan)
+	return loan.Tokens, err
+}
+
 // Name returns "fleet".
 func (m *Mesh) Name() string { return "fleet" }
 
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -26,6 +26,7 @@
 	// StoreWorks says that the sender's own path to the store works.
 	StoreWorks bool                     `msgpack:"s"`
 	Demand     share.Demand             `msgpack:"q,omitempty"`
+	Spare      share.Spare              `msgpack:"p,omitempty"`
 	Loads      map[structs.TargetID]int `msgpack:"l,omitempty"`
 	Crashes    []quarantine.Report      `msgpack:"x,omitempty"`
 	// Known is how many members the sender knows.
@@ -43,7 +44,18 @@
 const (
 	MethodDigest = "fleet.digest"
 	MethodConfig = "fleet.config"
+	MethodLend   = "fleet.lend"
 )
 
+// LoanRequest asks a VM for quota tokens of an account.
+type LoanRequest struct {
+	Account structs.AccountID `msgpack:"a"`
+}
+
+// Loan is the tokens that a VM gives up.
+type Loan struct {
+	Tokens int `msgpack:"n"`
+}
+
 // ConfigQuery asks for the newest configuration.
 type ConfigQuery struct{}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -127,6 +127,7 @@
 type Table struct {
 	Version  uint64
 	Services map[structs.ServiceID]*Service
+	Accounts map[structs.AccountID]*Account
 	Limits   Limits
 	routes   map[string][]*Route // by host, longest prefix first
 	keys     map[string]*Account
@@ -148,9 +149,13 @@
 		Version:  c.Version,
 		Limits:   c.Limits,
 		Services: make(map[structs.ServiceID]*Service, len(c.Services)),
+		Accounts: make(map[structs.AccountID]*Account, len(c.Accounts)),
 		routes:   make(map[string][]*Route),
 		keys:     c.Keys,
 	}
+	for _, account := range c.Accounts {
+		t.Accounts[account.ID] = account
+	}
 	for _, service := range c.Services {
 		t.Services[service.ID] = service
 	}
@@ -193,5 +198,5 @@
 	return t.keys[key]
 }
 
-// Accounts returns the number of keys, for dumps.
+// KeyCount returns the number of keys, for dumps.
 func (t *Table) KeyCount() int { return len(t.keys) }
--- a/share/share.go
+++ b/share/share.go
@@ -8,7 +8,9 @@
 package share
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/endivecourse/endivecourse/structs"
@@ -17,15 +19,37 @@
 const (
 	// evenPart of each rate is split evenly, so that a VM without recent
 	// demand can admit a newcomer at once.
-	evenPart = 0.2
+	evenPart = 0.15
+	// startPart is the part of a bucket that is kept for programs under way:
+	// a program is worth something only if all its requests are admitted.
+	startPart = 0.35
+	// loanPart is the part of its spare tokens that a VM lends at once.
+	loanPart = 0.5
+	// keptBack is what a VM with demand of its own does not lend, in tokens,
+	// and keepAbove that demand in requests per second.
+	keptBack  = 1.0
+	keepAbove = 0.5
+	// maxLenders bounds the VMs that one request asks for tokens.
+	maxLenders = 3
 	// demandSpan is the time constant of the measured demand.
-	demandSpan = 1.0 // s
+	demandSpan = 0.7 // s
 	// reportTTL is how long the last word of a silent VM counts. A VM that
 	// is cut off goes on with its share; cuts of 12 s are usual.
 	reportTTL = 20 * time.Second
+	// growSpan and shrinkSpan are the time constants, in seconds, with which a
+	// share follows demand. Growth takes as long as a round of reports, so
+	// that VMs whose demand begins at once don't all take the whole before
+	// they have heard of one another.
+	growSpan   = 0.3
+	shrinkSpan = 0.1
+	// surplusSpan is the time constant, in seconds, with which tokens above
+	// a bucket's capacity wane.
+	surplusSpan = 2.0
 	// forgetBelow is the demand, in requests per second, that is not worth a
 	// report.
 	forgetBelow = 0.05
+	// loanReportTTL is how old a peer's word on its spare tokens may be.
+	loanReportTTL = 2 * time.Second
 )
 
 // Limit is what an account may send over all VMs together.
@@ -37,40 +61,68 @@
 // Demand is the requests per second of each account at one VM.
 type Demand map[structs.AccountID]float64
 
+// Spare is the tokens that a VM could lend, by account.
+type Spare map[structs.AccountID]float64
+
+// MaxHold is how long a request that is not admitted may be held until its token
+// is there. Callers are served sooner so than by a refusal, which costs them
+// another try.
+const MaxHold = 250 * time.Millisecond
+
+// Verdict is what Admit decides.
+type Verdict struct {
+	Admitted bool
+	// Wait is when a token of this VM's own will be there.
+	Wait time.Duration
+	// Lenders are VMs to ask for tokens before the request is refused, best
+	// first.
+	Lenders []structs.VMID
+}
+
 // Shares is one VM's view.
+//
+// Invariant: tokens are moved between VMs, never copied, and all buckets start
+// with an even part of the burst, so that their sum stays near the whole.
 type Shares struct {
-	// spare is what this VM may admit beyond its share at once, its part of
-	// the slack that the quota allows.
+	started structs.Instant
+	// slack is the requests by which all VMs together may pass a limit.
 	slack    float64
 	accounts map[structs.AccountID]*account
 	peers    map[structs.VMID]*peer
 }
 
 type account struct {
+	limit   Limit
 	demand  float64
 	counted structs.Instant
+	part    float64 // this VM's share, 0 to 1
 	tokens  float64
 	filled  structs.Instant
 }
 
 type peer struct {
 	demand   Demand
+	spare    Spare
+	near     bool
 	reported structs.Instant
 }
 
 // New makes a view without peers. slack is the number of requests by which all
-// VMs together may pass a limit.
-func New(slack float64) *Shares {
+// VMs together may pass a limit. Buckets fill from now on: a predecessor of
+// this process may just have spent its burst.
+func New(now structs.Instant, slack float64) *Shares {
 	return &Shares{
+		started:  now,
 		slack:    slack,
 		accounts: make(map[structs.AccountID]*account),
 		peers:    make(map[structs.VMID]*peer),
 	}
 }
 
-// Report takes a peer's demand.
-func (s *Shares) Report(now structs.Instant, vm structs.VMID, demand Demand) {
-	s.peers[vm] = &peer{demand: demand, reported: now}
+// Report takes a peer's demand and what it could lend. near says that asking it
+// is quick.
+func (s *Shares) Report(now structs.Instant, vm structs.VMID, near bool, demand Demand, spare Spare) {
+	s.peers[vm] = &peer{demand: demand, spare: spare, near: near, reported: now}
 }
 
 // Forget drops a VM that has left for good.
@@ -88,23 +140,131 @@
 	return demand
 }
 
-// Admit takes one request of an account. When the share is spent it returns
-// how long the next token takes.
-func (s *Shares) Admit(now structs.Instant, id structs.AccountID, limit Limit) (bool, time.Duration) {
-	a := s.account(now, id)
+// Spare returns what this VM could lend, to be reported to the peers. An account
+// that is left out has its even part of the burst.
+func (s *Shares) Spare(now structs.Instant) Spare {
+	spare := make(Spare, len(s.accounts))
+	for id, a := range s.accounts {
+		if a.limit.Rate > 0 {
+			s.fill(now, id, a)
+			spare[id] = a.spare()
+		}
+	}
+	return spare
+}
+
+// Arrived counts a request towards the demand of its account.
+func (s *Shares) Arrived(now structs.Instant, id structs.AccountID, limit Limit) {
+	a := s.account(now, id, limit)
 	a.decay(now)
 	a.demand += 1 / demandSpan
+}
+
+// Admit takes the token of one request. A request that starts a program is
+// admitted only while all buckets together hold what programs under way may
+// need.
+func (s *Shares) Admit(now structs.Instant, id structs.AccountID, limit Limit, starts bool) Verdict {
 	if limit.Rate <= 0 {
-		return true, 0
+		return Verdict{Admitted: true}
+	}
+	a := s.account(now, id, limit)
+	s.fill(now, id, a)
+	if missing := startPart*limit.Burst - s.pooled(now, id, a); starts && missing > 0 {
+		return Verdict{Wait: seconds(missing / limit.Rate)}
 	}
-	part := s.part(now, id, a)
-	a.fill(now, part*limit.Rate, math.Max(part*limit.Burst, s.floor()))
 	if a.tokens >= 1 {
 		a.tokens--
-		return true, 0
+		return Verdict{Admitted: true}
+	}
+	return Verdict{Wait: seconds((1 - a.tokens) / (a.part * limit.Rate)), Lenders: s.lenders(now, id, a)}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// pooled estimates the tokens of all VMs together.
+func (s *Shares) pooled(now structs.Instant, id structs.AccountID, a *account) float64 {
+	tokens := a.tokens
+	for _, p := range s.peers {
+		tokens += s.spareOf(now, p, id, a)
+	}
+	return tokens
+}
+
+// spareOf returns what a peer can lend. A peer that does not know the account
+// has an even part of its burst.
+func (s *Shares) spareOf(now structs.Instant, p *peer, id structs.AccountID, a *account) float64 {
+	if now.Sub(p.reported) > loanReportTTL {
+		return 0
+	}
+	if spare, known := p.spare[id]; known {
+		return spare
+	}
+	return math.Floor(s.even() * a.limit.Burst)
+}
+
+func (a *account) spare() float64 {
+	spare := a.tokens
+	if a.demand > keepAbove {
+		spare -= keptBack
+	}
+	return math.Max(0, math.Floor(spare))
+}
+
+// lenders returns the peers that have tokens to spare, near ones first and the
+// richest among these.
+func (s *Shares) lenders(now structs.Instant, id structs.AccountID, a *account) []structs.VMID {
+	var vms []structs.VMID
+	for vm, p := range s.peers {
+		if s.spareOf(now, p, id, a) >= 1 {
+			vms = append(vms, vm)
+		}
+	}
+	slices.SortFunc(vms, func(x, y structs.VMID) int {
+		px, py := s.peers[x], s.peers[y]
+		if px.near != py.near {
+			if px.near {
+				return -1
+			}
+			return 1
+		}
+		richer := cmp.Compare(s.spareOf(now, py, id, a), s.spareOf(now, px, id, a))
+		if richer != 0 {
+			return richer
+		}
+		return cmp.Compare(x, y)
+	})
+	return vms[:min(len(vms), maxLenders)]
+}
+
+// Lend takes tokens out of this VM's bucket for a peer and returns how many.
+// Tokens that get lost on the way are lost; none is ever made.
+func (s *Shares) Lend(now structs.Instant, id structs.AccountID, limit Limit) int {
+	if limit.Rate <= 0 {
+		return 0
 	}
-	missing := (1 - a.tokens) / (part * limit.Rate)
-	return false, time.Duration(missing * float64(time.Second))
+	a := s.account(now, id, limit)
+	s.fill(now, id, a)
+	loan := math.Ceil(a.spare() * loanPart)
+	a.tokens -= loan
+	return int(loan)
+}
+
+// Borrowed adds tokens that a peer has lent; none means that it had none left.
+func (s *Shares) Borrowed(now structs.Instant, from structs.VMID, id structs.AccountID, limit Limit, tokens int) {
+	a := s.account(now, id, limit)
+	a.tokens += float64(tokens)
+	p := s.peers[from]
+	if p == nil {
+		return
+	}
+	left := 0.0
+	if tokens > 0 {
+		left = math.Max(0, s.spareOf(now, p, id, a)-float64(tokens))
+	}
+	if p.spare == nil {
+		p.spare = make(Spare)
+	}
+	p.spare[id] = left
 }
 
 // Return gives back a token whose request reached no target.
@@ -120,26 +280,38 @@
 	return math.Max(1, s.slack/float64(2*(len(s.peers)+1)))
 }
 
-func (s *Shares) account(now structs.Instant, id structs.AccountID) *account {
+// even is the part of a VM when all are alike.
+func (s *Shares) even() float64 { return 1 / float64(len(s.peers)+1) }
+
+func (s *Shares) account(now structs.Instant, id structs.AccountID, limit Limit) *account {
 	a := s.accounts[id]
 	if a == nil {
-		// A bucket starts nearly empty: the VM's predecessor may just have
-		// spent its burst.
-		a = &account{counted: now, filled: now, tokens: s.floor()}
+		even := s.even()
+		grown := even * limit.Rate * now.Sub(s.started).Seconds()
+		a = &account{
+			limit: limit, counted: now, filled: now, part: even,
+			tokens: math.Min(s.floor()+grown, math.Max(even*limit.Burst, s.floor())),
+		}
 		s.accounts[id] = a
 	}
+	if a.limit != limit {
+		a.limit = limit
+		a.tokens = math.Min(a.tokens, s.capacity(a))
+	}
 	return a
 }
 
-// part returns this VM's share of the account, 0 to 1.
-func (s *Shares) part(now structs.Instant, id structs.AccountID, a *account) float64 {
+func (s *Shares) capacity(a *account) float64 { return math.Max(a.part*a.limit.Burst, s.floor()) }
+
+// target returns the part of the account that this VM's demand speaks for.
+func (s *Shares) target(now structs.Instant, id structs.AccountID, a *account) float64 {
 	total := a.demand
 	for _, p := range s.peers {
 		if now.Sub(p.reported) < reportTTL {
 			total += p.demand[id]
 		}
 	}
-	even := 1 / float64(len(s.peers)+1)
+	even := s.even()
 	if total <= 0 {
 		return even
 	}
@@ -152,8 +324,35 @@
 	a.counted = now
 }
 
-func (a *account) fill(now structs.Instant, rate, capacity float64) {
-	a.tokens += rate * now.Sub(a.filled).Seconds()
-	a.tokens = math.Min(a.tokens, capacity)
+func approach(part, target, elapsed float64) float64 {
+	span := growSpan
+	if target < part {
+		span = shrinkSpan
+	}
+	return part + (target-part)*math.Min(1, elapsed/span)
+}
+
+// fill adds the tokens of the time that has passed. Tokens above the capacity
+// wane.
+func (s *Shares) fill(now structs.Instant, id structs.AccountID, a *account) {
+	elapsed := now.Sub(a.filled).Seconds()
 	a.filled = now
+	a.decay(now)
+	a.part = approach(a.part, s.target(now, id, a), elapsed)
+	capacity := s.capacity(a)
+	if a.tokens > capacity {
+		a.tokens -= (a.tokens - capacity) * math.Min(1, elapsed/surplusSpan)
+		return
+	}
+	a.tokens = math.Min(a.tokens+a.part*a.limit.Rate*elapsed, capacity)
+}
+
+// Sweep forgets accounts without demand whose buckets are full again.
+func (s *Shares) Sweep(now structs.Instant) {
+	for id, a := range s.accounts {
+		s.fill(now, id, a)
+		if a.demand < forgetBelow && a.tokens >= s.even()*a.limit.Burst {
+			delete(s.accounts, id)
+		}
+	}
 }
