--- a/edge/targets.go
+++ b/edge/targets.go
@@ -17,8 +17,6 @@
 	// lapsed are the targets that are no longer listed, with the instant at
 	// which they are dropped.
 	lapsed map[structs.TargetID]structs.Instant
-	// disturbed is when the store last failed or kept this VM waiting.
-	disturbed structs.Instant
 }
 
 // TargetChange is what the platform says of one target; a nil Target means that
@@ -28,13 +26,6 @@
 	Target *placement.Target
 }
 
-// StoreDisturbed records that the store could not be read.
-func (s *Server) StoreDisturbed() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.listing.disturbed = structs.Now()
-}
-
 // TargetsListed takes the whole list, or only what has changed of it.
 func (s *Server) TargetsListed(changes []TargetChange, full bool) {
 	now := structs.Now()
@@ -79,13 +70,14 @@
 	if !known {
 		return
 	}
-	calm := s.listing.disturbed == 0 || now.Sub(s.listing.disturbed) > lapseGrace
+	disturbed := s.opts.Store.LastFailure()
+	calm := disturbed == 0 || now.Sub(disturbed) > lapseGrace
 	if calm || target.Draining {
 		s.drop(target, "no longer listed")
 		return
 	}
 	if _, lapsed := s.listing.lapsed[id]; !lapsed {
-		s.listing.lapsed[id] = s.listing.disturbed.Add(lapseGrace)
+		s.listing.lapsed[id] = disturbed.Add(lapseGrace)
 		s.log.Info("target lapsed while the store was away, kept for now", "target", string(id))
 	}
 }
@@ -104,9 +96,10 @@
 	if s.opts.Store.Away() > 0 {
 		return
 	}
+	// The store may have failed again since.
+	calm := s.opts.Store.LastFailure().Add(lapseGrace)
 	for id, until := range s.listing.lapsed {
-		// The store may have failed again since.
-		until = max(until, s.listing.disturbed.Add(lapseGrace))
+		until = max(until, calm)
 		if now < until {
 			continue
 		}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -83,9 +83,9 @@
 	// A first turn begins a program; one that continues a turn may meet a
 	// spent budget unless this VM knows better.
 	first := x.Turn.Previous == ""
-	ample := x.server.opts.Ledger.IsAmple(x.turn.program, x.Turn.MostTokens, x.Turn.Budget)
+	outlook := x.server.opts.Ledger.Outlook(x.turn.program, x.Turn.MostTokens, x.Turn.Budget)
 	x.turn.reserved = x.server.opts.Ledger.Reserve(x.turn.program, reservation, x.Turn.Budget)
-	x.turn.decided = first || ample
+	x.turn.decided = outlook == ledger.Ample || first && outlook == ledger.Unknown
 }
 
 // awaitReservation waits for the reservation unless it can hardly fail; then
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -181,6 +181,7 @@
 		if member.VM == m.opts.Self.VM || member.VM == "" || m.members[member.VM] != nil {
 			continue
 		}
+		m.opts.Log.Info("peer introduced", "vm", string(member.VM), "incarnation", string(member.Incarnation), "address", member.Address)
 		m.members[member.VM] = &known{Member: member, heard: time.Now()}
 	}
 }
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -79,17 +79,32 @@
 
 func (p Program) key() string { return string(p.Account) + "/" + string(p.ID) }
 
-// IsAmple reports whether this process knows the book and it holds so much that
-// a reservation can hardly fail.
-func (k *Keeper) IsAmple(p Program, tokens, budget int64) bool {
+// Outlook is how likely a reservation is to be granted.
+type Outlook int
+
+// Outlooks.
+const (
+	// Unknown: this process does not know the book.
+	Unknown Outlook = iota
+	// Ample: the book holds so much that a reservation can hardly fail.
+	Ample
+	// Scarce: the reservation may well fail.
+	Scarce
+)
+
+// Outlook looks at the book as this process last saw it.
+func (k *Keeper) Outlook(p Program, tokens, budget int64) Outlook {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	e := k.books[p.key()]
 	if e == nil || !e.known {
-		return false
+		return Unknown
 	}
 	const turns = 4 // of this size must fit beside what is open
-	return e.book.Spent+e.book.Reserved()+turns*tokens <= budget
+	if e.book.Spent+e.book.Reserved()+turns*tokens <= budget {
+		return Ample
+	}
+	return Scarce
 }
 
 // Reserve starts a reservation. The channel gives nil once the store has it, or
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -18,9 +18,7 @@
 	Pause time.Duration
 	// Retry is the pause after a failed call.
 	Retry time.Duration
-	// Failed, if set, is told of each failed call.
-	Failed func(error)
-	Log    *slog.Logger
+	Log   *slog.Logger
 }
 
 // Snapshot is what Follow reports: either all rows, or the changed ones.
@@ -47,9 +45,6 @@
 			opts.Log.Info("store history is gone, reading the table again", "table", opts.Table, "after", after)
 			known = false
 		default:
-			if opts.Failed != nil {
-				opts.Failed(err)
-			}
 			sleep(ctx, opts.Retry)
 		}
 	}
--- /dev/null
+++ b/rowstore/follow_test.go
@@ -0,0 +1,78 @@
+package rowstore_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/internal/standin/rows"
+	"github.com/endivecourse/endivecourse/rowstore"
+)
+
+func follow(ctx context.Context, store rowstore.Store, seen map[string]string, full *int) {
+	opts := rowstore.FollowOptions{
+		Table: "t", Wait: time.Second, Pause: 50 * time.Millisecond, Retry: 100 * time.Millisecond,
+		Log: slog.New(slog.DiscardHandler),
+	}
+	go func() {
+		_ = rowstore.Follow(ctx, store, opts, func(s rowstore.Snapshot) {
+			if s.Full {
+				*full++
+				clear(seen)
+			}
+			for _, row := range s.Rows {
+				if row.Deleted {
+					delete(seen, row.Key.Key)
+					continue
+				}
+				seen[row.Key.Key] = string(row.Value)
+			}
+		})
+	}()
+}
+
+// A follower has each change within a second, through outages and lost history.
+func TestFollowKeepsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		for i := range 3 {
+			store.Put(rowstore.Key{Table: "t", Key: fmt.Sprint(i)}, []byte("0"))
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		seen, full := make(map[string]string), 0
+		follow(ctx, store, seen, &full)
+		time.Sleep(200 * time.Millisecond)
+		assert.DeepEqual(t, seen, map[string]string{"0": "0", "1": "0", "2": "0"})
+
+		store.Put(rowstore.Key{Table: "t", Key: "1"}, []byte("1"))
+		store.Delete(rowstore.Key{Table: "t", Key: "2"})
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, seen, map[string]string{"0": "0", "1": "1"})
+
+		store.SetFaults(rows.Faults{Down: true})
+		time.Sleep(2 * time.Second)
+		store.Put(rowstore.Key{Table: "t", Key: "3"}, []byte("3"))
+		store.Forget()
+		store.SetFaults(rows.Faults{})
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, seen, map[string]string{"0": "0", "1": "1", "3": "3"})
+		assert.Equal(t, full, 2)
+	})
+}
+
+func TestScanAllReadsAllPages(t *testing.T) {
+	store := rows.New()
+	for i := range 1201 {
+		store.Put(rowstore.Key{Table: "t", Key: fmt.Sprintf("%05d", i)}, nil)
+	}
+	all, version, err := rowstore.ScanAll(context.Background(), store, rowstore.Range{Table: "t"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(all), 1201)
+	assert.Equal(t, version, uint64(1201))
+}
--- a/rowstore/storepath/health.go
+++ b/rowstore/storepath/health.go
@@ -16,6 +16,7 @@
 	direct    record
 	peers     map[structs.VMID]*peerRecord
 	lastReach structs.Instant
+	lastFail  structs.Instant // of any path, 0 for never
 }
 
 type record struct {
@@ -62,6 +63,7 @@
 
 // Failed records a call over a path that the store did not serve.
 func (h *Health) Failed(now structs.Instant, p Path) {
+	h.lastFail = now
 	if r := h.record(p); r != nil {
 		r.failedAt = now
 		r.failures++
@@ -98,6 +100,9 @@
 // DirectWorks reports whether the last direct call was served.
 func (h *Health) DirectWorks() bool { return h.direct.failedAt == 0 }
 
+// LastFailure returns when a call last went unserved on any path, 0 for never.
+func (h *Health) LastFailure() structs.Instant { return h.lastFail }
+
 // Away returns for how long no path has worked, or 0 while one is expected to.
 func (h *Health) Away(now structs.Instant) time.Duration {
 	if h.DirectWorks() || len(h.usablePeers(now)) > 0 {
--- a/rowstore/storepath/router.go
+++ b/rowstore/storepath/router.go
@@ -69,6 +69,13 @@
 	return r.health.DirectWorks()
 }
 
+// LastFailure returns when a call last went unserved on any path, 0 for never.
+func (r *Router) LastFailure() structs.Instant {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.health.LastFailure()
+}
+
 // Away returns for how long no path has worked, 0 while one does.
 func (r *Router) Away() time.Duration {
 	r.mu.Lock()
--- /dev/null
+++ b/rowstore/storepath/storepath_test.go
@@ -0,0 +1,163 @@
+package storepath
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/internal/standin/rows"
+	"github.com/endivecourse/endivecourse/rowstore"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// peers reaches the same store by other ways.
+type peers map[structs.VMID]rowstore.Store
+
+func (p peers) Via(vm structs.VMID) rowstore.Store { return p[vm] }
+
+// refusing turns this VM away while the store behind it works.
+type refusing struct {
+	rowstore.Store
+	how func(ctx context.Context) error
+}
+
+func (s *refusing) Commit(ctx context.Context, tx rowstore.Tx) (uint64, error) {
+	if s.how != nil {
+		return 0, s.how(ctx)
+	}
+	return s.Store.Commit(ctx, tx)
+}
+
+func (s *refusing) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Page, error) {
+	if s.how != nil {
+		return rowstore.Page{}, s.how(ctx)
+	}
+	return s.Store.Watch(ctx, table, after, wait)
+}
+
+func busy(context.Context) error {
+	return &rowstore.UnavailableError{Cause: &rows.FaultError{Fault: "busy"}}
+}
+
+func silent(ctx context.Context) error {
+	<-ctx.Done()
+	return &rowstore.OutcomeUnknownError{Cause: ctx.Err()}
+}
+
+func put(value string, version uint64) rowstore.Tx {
+	key := rowstore.Key{Table: "t", Key: "k"}
+	return rowstore.Tx{
+		Expect: []rowstore.Expectation{{Key: key, Version: version}},
+		Put:    []rowstore.Put{{Key: key, Value: []byte(value)}},
+	}
+}
+
+func newRouter(direct rowstore.Store, relay Relay) *Router {
+	return NewRouter(direct, relay, slog.New(slog.DiscardHandler))
+}
+
+// A store that turns this VM away is reached through a peer, at once when it
+// says so and within the hedge delay when it is silent.
+func TestStoreIsReachedThroughPeer(t *testing.T) {
+	for name, how := range map[string]func(context.Context) error{"busy": busy, "silent": silent} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := rows.New()
+				r := newRouter(&refusing{Store: store, how: how}, peers{"peer": store})
+				r.Report("peer", true, true)
+				start := time.Now()
+				_, err := r.Commit(context.Background(), put("1", 0))
+				assert.NilError(t, err)
+				assert.Assert(t, time.Since(start) <= hedgeDelay)
+				time.Sleep(attemptTimeout)
+			})
+		})
+	}
+}
+
+// After a failure calls go to the peer first; the watch finds the direct path
+// again when it works.
+func TestDirectPathIsRegained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		direct := &refusing{Store: store, how: busy}
+		r := newRouter(direct, peers{"peer": store})
+		r.Report("peer", true, true)
+		_, err := r.Commit(context.Background(), put("1", 0))
+		assert.NilError(t, err)
+		assert.Assert(t, !r.DirectWorks())
+		assert.Equal(t, r.Away(), time.Duration(0))
+		direct.how = nil
+		_, err = r.Watch(context.Background(), "t", 0, time.Second)
+		assert.NilError(t, err)
+		assert.Assert(t, r.DirectWorks())
+	})
+}
+
+// With no path left the store counts as away until a call is answered.
+func TestAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		direct := &refusing{Store: store, how: busy}
+		r := newRouter(direct, peers{})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := r.Commit(ctx, put("1", 0))
+		assert.Assert(t, err != nil)
+		assert.Assert(t, r.Away() >= time.Second)
+		direct.how = nil
+		_, err = r.Watch(context.Background(), "t", 0, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, r.Away(), time.Duration(0))
+	})
+}
+
+// A transaction whose answer was lost is found done when it is tried again.
+func TestLostAnswerIsSuccess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		store.SetFaults(rows.Faults{LoseAnswers: 1})
+		r := newRouter(store, peers{})
+		go func() {
+			time.Sleep(attemptTimeout / 2)
+			store.SetFaults(rows.Faults{})
+		}()
+		version, err := r.Commit(context.Background(), put("1", 0))
+		assert.NilError(t, err)
+		assert.Equal(t, version, uint64(1))
+	})
+}
+
+// Another writer's row is a conflict, not this call's success.
+func TestOtherWritersRowIsConflict(t *testing.T) {
+	store := rows.New()
+	r := newRouter(store, peers{})
+	_, err := r.Commit(context.Background(), put("theirs", 0))
+	assert.NilError(t, err)
+	_, err = r.Commit(context.Background(), put("ours", 0))
+	var conflict *rowstore.ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.Equal(t, string(conflict.Find(rowstore.Key{Table: "t", Key: "k"}).Value), "theirs")
+}
+
+// Peers that don't reach the store are not asked; a peer that failed rests.
+func TestPathsPreferWorkingPeers(t *testing.T) {
+	h := NewHealth(1)
+	h.Report(1, "far", false, true)
+	h.Report(1, "near", true, true)
+	h.Report(1, "deaf", true, false)
+	assert.DeepEqual(t, h.Paths(1, false), []Path{{}, {"near"}, {"far"}})
+	h.Failed(1, Path{})
+	assert.DeepEqual(t, h.Paths(1, false), []Path{{"near"}, {"far"}, {}})
+	h.Failed(2, Path{"near"})
+	assert.DeepEqual(t, h.Paths(2, false), []Path{{"far"}, {}})
+	assert.DeepEqual(t, h.Paths(2, true), []Path{{}, {"far"}})
+	late := structs.Instant(2 * reportTTL)
+	assert.DeepEqual(t, h.Paths(late, false), []Path{{}})
+	assert.Assert(t, h.Away(late) > 0)
+}
--- /dev/null
+++ b/turnlog/turnlog_test.go
@@ -0,0 +1,102 @@
+package turnlog
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/internal/standin/rows"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+func newLog(store *rows.Store) *Log {
+	return New(Options{
+		Store:      store,
+		Partition:  func(turn string) string { return "p" + turn[:1] },
+		CacheBytes: 1 << 20,
+		RowBytes:   1 << 10,
+	})
+}
+
+// appendTurn stores a turn that continues another, as the edge does.
+func appendTurn(t *testing.T, l *Log, id, previous structs.RequestID, input, output string) {
+	t.Helper()
+	var chain *Chain
+	if previous != "" {
+		var err error
+		chain, err = l.Chain(context.Background(), "account", previous)
+		assert.NilError(t, err)
+	}
+	record := Next("account", chain, []byte(input))
+	record.Output = []byte(output)
+	assert.NilError(t, l.Append(context.Background(), id, record))
+}
+
+// A conversation is read whole by its last turn's ID after all memory was lost,
+// in the order of its turns; several turns may continue the same one.
+func TestChainIsFoundByItsIDAlone(t *testing.T) {
+	store := rows.New()
+	l := newLog(store)
+	appendTurn(t, l, "a", "", "in1 ", "out1\n")
+	appendTurn(t, l, "b", "a", "in2 ", "out2\n")
+	appendTurn(t, l, "c", "b", "in3 ", "out3\n")
+	appendTurn(t, l, "d", "a", "fork ", "out4\n")
+	chain, err := newLog(store).Chain(context.Background(), "account", "c")
+	assert.NilError(t, err)
+	assert.Equal(t, string(chain.Prompt([]byte("new"))), "in1 out1\nin2 out2\nin3 out3\nnew")
+	chain, err = newLog(store).Chain(context.Background(), "account", "d")
+	assert.NilError(t, err)
+	assert.Equal(t, string(chain.Prompt(nil)), "in1 out1\nfork out4\n")
+}
+
+// Another account's turn is as if it did not exist; an unreachable store is not.
+func TestNotFoundNeedsCertainty(t *testing.T) {
+	store := rows.New()
+	l := newLog(store)
+	appendTurn(t, l, "a", "", "in", "out\n")
+	var missing *NotFoundError
+	_, err := l.Chain(context.Background(), "other", "a")
+	assert.Assert(t, errors.As(err, &missing))
+	_, err = l.Chain(context.Background(), "account", "x")
+	assert.Assert(t, errors.As(err, &missing))
+	store.SetFaults(rows.Faults{Down: true})
+	_, err = newLog(store).Chain(context.Background(), "account", "a")
+	assert.Assert(t, err != nil && !errors.As(err, &missing), "%v", err)
+}
+
+// A turn longer than a row is split and joined again.
+func TestLongTurn(t *testing.T) {
+	store := rows.New()
+	input := bytes.Repeat([]byte("0123456789"), 700)
+	appendTurn(t, newLog(store), "long", "", string(input), "out\n")
+	chain, err := newLog(store).Chain(context.Background(), "account", "long")
+	assert.NilError(t, err)
+	assert.Equal(t, string(chain.Prompt(nil)), string(input)+"out\n")
+	err = newLog(store).Append(context.Background(), "huge", &Record{Input: make([]byte, MaxTurnBytes+1)})
+	var tooLarge *TooLargeError
+	assert.Assert(t, errors.As(err, &tooLarge))
+}
+
+// An ID that is the beginning of another's key does not read the other's rows.
+func TestIDsAreKeptApart(t *testing.T) {
+	store := rows.New()
+	l := newLog(store)
+	appendTurn(t, l, "a/000", "", "other", "\n")
+	_, err := newLog(store).Chain(context.Background(), "account", "a")
+	var missing *NotFoundError
+	assert.Assert(t, errors.As(err, &missing), "%v", err)
+}
+
+// The cache stays within its bytes.
+func TestCacheIsBounded(t *testing.T) {
+	l := newLog(rows.New())
+	for i := range 2000 {
+		appendTurn(t, l, structs.RequestID(fmt.Sprintf("t%d", i)), "", string(make([]byte, 900)), "\n")
+	}
+	count, size := l.CacheState()
+	assert.Assert(t, size <= 1<<20 && count > 500, "%d records, %d bytes", count, size)
+}
