All VMs become members of one another; shares follow what peers know

The three seeds, which start later, had found each other by the seeds and the six other VMs by the member table; neither group ever heard of the other. Ruled out first: growth of shares at a sudden surge, which was a lesser cause (the share test's surge passed its window by one request) and is mended too: a VM counts with no more of its own demand than its peers have been told. Change: members from table and seeds are taken in at every refresh, VMs compare a hash of what they know, rows of forgotten VMs are deleted.

--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -30,9 +31,10 @@
 	fanout = 12
 	// memberLife is when a VM that is not heard of is forgotten.
 	memberLife = 15 * time.Second
-	// joinPeriod is the time between reads of the member table until another
-	// VM is known, refreshPeriod afterwards.
+	// The member table is read every joinPeriod for the first joinRounds, in
+	// which the VMs of a deployment start, and every refreshPeriod afterwards.
 	joinPeriod    = 500 * time.Millisecond
+	joinRounds    = 8
 	refreshPeriod = 5 * time.Second
 	storeTimeout  = 2 * time.Second
 )
@@ -74,7 +76,10 @@
 
 	mu      sync.Mutex
 	members map[structs.VMID]*known
-	turn    int // where the next round of digests begins
+	// forgotten are the processes that fell silent; what others still know
+	// of them does not bring them back.
+	forgotten map[structs.Incarnation]bool
+	turn      int // where the next round of digests begins
 }
 
 type known struct {
@@ -86,7 +91,7 @@
 
 // New makes the component.
 func New(opts Options) *Mesh {
-	m := &Mesh{opts: opts, server: wire.NewServer(wire.Options{}), members: make(map[structs.VMID]*known)}
+	m := &Mesh{opts: opts, server: wire.NewServer(wire.Options{}), members: make(map[structs.VMID]*known), forgotten: make(map[structs.Incarnation]bool)}
 	m.client = wire.NewClient(wire.Options{})
 	serveStore(m.server, opts.Direct)
 	wire.Unary(m.server, MethodDigest, m.answer)
@@ -150,8 +155,8 @@
 		go m.fetchConfig(d.From.Address)
 	}
 	reply := DigestReply{Config: m.opts.Config.Version()}
-	if members := m.Members(); len(members) != d.Known {
-		reply.Members = append(members, m.opts.Self)
+	if m.known() != d.Known {
+		reply.Members = append(m.Members(), m.opts.Self)
 	}
 	return reply, nil
 }
@@ -163,9 +168,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delete(m.forgotten, from.Incarnation)
 	old := m.members[from.VM]
 	if old == nil || old.Incarnation != from.Incarnation {
-		m.opts.Log.Info("peer joined", "vm", string(from.VM), "incarnation", string(from.Incarnation), "address", from.Address)
+		m.opts.Log.Info("peer joined", "peer", string(from.VM), "incarnation", string(from.Incarnation), "address", from.Address)
 		m.members[from.VM] = &known{Member: from, heard: time.Now()}
 		return
 	}
@@ -178,10 +184,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, member := range members {
-		if member.VM == m.opts.Self.VM || member.VM == "" || m.members[member.VM] != nil {
+		if member.VM == m.opts.Self.VM || member.VM == "" || m.members[member.VM] != nil || m.forgotten[member.Incarnation] {
 			continue
 		}
-		m.opts.Log.Info("peer introduced", "vm", string(member.VM), "incarnation", string(member.Incarnation), "address", member.Address)
+		m.opts.Log.Info("peer introduced", "peer", string(member.VM), "incarnation", string(member.Incarnation), "address", member.Address)
 		m.members[member.VM] = &known{Member: member, heard: time.Now()}
 	}
 }
@@ -211,10 +217,25 @@
 	d := m.opts.Hooks.Digest()
 	d.From = m.opts.Self
 	d.Config = m.opts.Config.Version()
+	d.Known = m.known()
+	return d
+}
+
+// known is a hash of the members, this VM included.
+func (m *Mesh) known() uint64 {
 	m.mu.Lock()
-	d.Known = len(m.members)
+	ids := []structs.VMID{m.opts.Self.VM}
+	for id := range m.members {
+		ids = append(ids, id)
+	}
 	m.mu.Unlock()
-	return d
+	slices.Sort(ids)
+	digest := xxhash.New()
+	for _, id := range ids {
+		digest.WriteString(string(id))
+		digest.Write([]byte{0})
+	}
+	return digest.Sum64()
 }
 
 // due picks the peers of this round, at most fanout, in turn.
@@ -304,13 +325,37 @@
 		if now.Sub(k.heard) > memberLife {
 			gone = append(gone, k.Member)
 			delete(m.members, id)
+			m.forgotten[k.Incarnation] = true
 		}
 	}
 	m.mu.Unlock()
 	for _, member := range gone {
-		m.opts.Log.Warn("peer forgotten after silence", "vm", string(member.VM), "silence_ms", memberLife.Milliseconds())
+		m.opts.Log.Warn("peer forgotten after silence", "peer", string(member.VM), "silence_ms", memberLife.Milliseconds())
 		m.client.Drop(member.Address)
 		m.opts.Hooks.Gone(member.VM)
+		go m.deleteRow(member)
+	}
+}
+
+// deleteRow removes the row of a forgotten VM. One that lives writes it again.
+func (m *Mesh) deleteRow(member Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	key := rowstore.Key{Table: membersTable, Key: string(member.VM)}
+	row, err := rowstore.Get(ctx, m.opts.Store(), key)
+	if err != nil || row.Version == 0 {
+		return // another VM deletes it, or the next to forget it
+	}
+	var listed Member
+	if err := msgpack.Unmarshal(row.Value, &listed); err == nil && listed.Incarnation != member.Incarnation {
+		return // the VM is back
+	}
+	_, err = m.opts.Store().Commit(ctx, rowstore.Tx{
+		Expect: []rowstore.Expectation{{Key: key, Version: row.Version}},
+		Delete: []rowstore.Key{key},
+	})
+	if err != nil {
+		m.opts.Log.Info("row of a forgotten VM not deleted", "peer", string(member.VM), "cause", err.Error())
 	}
 }
 
@@ -332,16 +377,17 @@
 	}
 }
 
-// refreshMembers writes this VM's own row and reads the others'. Until a peer is
-// known it also asks the seeds.
+// refreshMembers writes this VM's own row and reads the others', and asks the
+// seeds that are not known yet. Groups of VMs that found each other by one way
+// meet by the other.
 func (m *Mesh) refreshMembers(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for round := 0; ctx.Err() == nil; round++ {
 		m.askSeeds(ctx)
 		if err := m.readTable(ctx); err != nil {
 			m.opts.Log.Warn("member table not refreshed", "cause", err.Error())
 		}
 		period := refreshPeriod
-		if len(m.Members()) == 0 {
+		if round < joinRounds {
 			period = joinPeriod
 		}
 		select {
@@ -353,14 +399,14 @@
 }
 
 func (m *Mesh) askSeeds(ctx context.Context) {
-	if len(m.Members()) > 0 {
-		return
+	known := map[string]bool{m.opts.Self.Address: true}
+	for _, member := range m.Members() {
+		known[member.Address] = true
 	}
 	for _, seed := range m.opts.Seeds {
-		if seed == m.opts.Self.Address {
-			continue
+		if !known[seed] {
+			m.askSeed(ctx, seed)
 		}
-		m.askSeed(ctx, seed)
 	}
 }
 
@@ -399,18 +445,10 @@
 		}
 		members = append(members, member)
 	}
-	m.introduceNew(members)
+	m.introduce(members)
 	return m.writeOwn(ctx, own)
 }
 
-// introduceNew adds listed VMs while this VM knows nobody. Later on VMs that
-// join make themselves known, and rows of VMs that are gone stay out.
-func (m *Mesh) introduceNew(members []Member) {
-	if len(m.Members()) == 0 {
-		m.introduce(members)
-	}
-}
-
 func (m *Mesh) writeOwn(ctx context.Context, own rowstore.Row) error {
 	value, err := msgpack.Marshal(m.opts.Self)
 	if err != nil {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -29,14 +29,14 @@
 	Spare      share.Spare              `msgpack:"p,omitempty"`
 	Loads      map[structs.TargetID]int `msgpack:"l,omitempty"`
 	Crashes    []quarantine.Report      `msgpack:"x,omitempty"`
-	// Known is how many members the sender knows.
-	Known int `msgpack:"k"`
+	// Known is a hash of the members that the sender knows, itself included.
+	Known uint64 `msgpack:"k"`
 }
 
 // DigestReply answers a Digest.
 type DigestReply struct {
 	Config uint64 `msgpack:"c"`
-	// Members is sent when the two VMs know different numbers of members.
+	// Members is sent when the two VMs know different members.
 	Members []Member `msgpack:"m,omitempty"`
 }
 
--- a/share/share.go
+++ b/share/share.go
@@ -19,7 +19,7 @@
 const (
 	// evenPart of each rate is split evenly, so that a VM without recent
 	// demand can admit a newcomer at once.
-	evenPart = 0.15
+	evenPart = 0.3
 	// startPart is the part of a bucket that is kept for programs under way:
 	// a program is worth something only if all its requests are admitted.
 	startPart = 0.35
@@ -42,6 +42,9 @@
 	// they have heard of one another.
 	growSpan   = 0.3
 	shrinkSpan = 0.1
+	// toldRounds is how many rounds of reports it takes until all peers have
+	// one; those of other regions get every other one.
+	toldRounds = 1
 	// surplusSpan is the time constant, in seconds, with which tokens above
 	// a bucket's capacity wane.
 	surplusSpan = 2.0
@@ -95,9 +98,12 @@
 	limit   Limit
 	demand  float64
 	counted structs.Instant
-	part    float64 // this VM's share, 0 to 1
-	tokens  float64
-	filled  structs.Instant
+	// told is the demand in the last reports, the newest first. Peers count
+	// with no more than these, and so does this VM.
+	told   [toldRounds]float64
+	part   float64 // this VM's share, 0 to 1
+	tokens float64
+	filled structs.Instant
 }
 
 type peer struct {
@@ -133,6 +139,8 @@
 	demand := make(Demand)
 	for id, a := range s.accounts {
 		a.decay(now)
+		copy(a.told[1:], a.told[:])
+		a.told[0] = a.demand
 		if a.demand >= forgetBelow {
 			demand[id] = a.demand
 		}
@@ -190,16 +198,43 @@
 	return tokens
 }
 
-// spareOf returns what a peer can lend. A peer that does not know the account
-// has an even part of its burst.
+// spareOf estimates what a peer can lend: its last word and what has come in
+// since. A peer that does not know the account has an even part of its burst.
 func (s *Shares) spareOf(now structs.Instant, p *peer, id structs.AccountID, a *account) float64 {
-	if now.Sub(p.reported) > loanReportTTL {
+	age := now.Sub(p.reported)
+	if age > loanReportTTL {
 		return 0
 	}
-	if spare, known := p.spare[id]; known {
-		return spare
+	spare, known := p.spare[id]
+	if !known {
+		return math.Floor(s.even() * a.limit.Burst)
 	}
-	return math.Floor(s.even() * a.limit.Burst)
+	part := evenPart * s.even()
+	if total := s.total(now, id, a); total > 0 {
+		part += (1 - evenPart) * p.demand[id] / total
+	}
+	return spare + part*a.limit.Rate*age.Seconds()
+}
+
+// total is the account's demand over all VMs, with no more of this VM's than
+// its peers know of.
+func (s *Shares) total(now structs.Instant, id structs.AccountID, a *account) float64 {
+	total := a.known()
+	for _, p := range s.peers {
+		if now.Sub(p.reported) < reportTTL {
+			total += p.demand[id]
+		}
+	}
+	return total
+}
+
+// known is the demand that all peers have been told.
+func (a *account) known() float64 {
+	known := a.demand
+	for _, told := range a.told {
+		known = math.Min(known, told)
+	}
+	return known
 }
 
 func (a *account) spare() float64 {
@@ -257,14 +292,15 @@
 	if p == nil {
 		return
 	}
-	left := 0.0
-	if tokens > 0 {
-		left = math.Max(0, s.spareOf(now, p, id, a)-float64(tokens))
-	}
 	if p.spare == nil {
 		p.spare = make(Spare)
 	}
-	p.spare[id] = left
+	if _, known := p.spare[id]; !known {
+		p.spare[id] = math.Floor(s.even() * limit.Burst)
+	}
+	// The word on the spare tokens is as old as the report, and may turn
+	// negative until the next one.
+	p.spare[id] -= math.Max(float64(tokens), 1)
 }
 
 // Return gives back a token whose request reached no target.
@@ -305,17 +341,11 @@
 
 // target returns the part of the account that this VM's demand speaks for.
 func (s *Shares) target(now structs.Instant, id structs.AccountID, a *account) float64 {
-	total := a.demand
-	for _, p := range s.peers {
-		if now.Sub(p.reported) < reportTTL {
-			total += p.demand[id]
-		}
-	}
-	even := s.even()
+	total, even := s.total(now, id, a), s.even()
 	if total <= 0 {
 		return even
 	}
-	return evenPart*even + (1-evenPart)*a.demand/total
+	return evenPart*even + (1-evenPart)*a.known()/total
 }
 
 func (a *account) decay(now structs.Instant) {
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -28,6 +28,7 @@
 	cut      map[structs.VMID]bool
 	admitted []structs.Instant
 	refused  int
+	rounds   int
 	held     []heldRequest
 }
 
@@ -47,17 +48,23 @@
 		f.vms = append(f.vms, vm)
 		f.shares[vm] = New(f.now, slack)
 	}
-	f.digests(Limit{})
+	f.digests()
+	f.digests()
 	return f
 }
 
 func (f *fleetSim) reaches(a, b structs.VMID) bool { return !f.cut[a] && !f.cut[b] }
 
-func (f *fleetSim) digests(limit Limit) {
-	for _, from := range f.vms {
-		for _, to := range f.vms {
-			if from != to && f.reaches(from, to) {
-				f.shares[to].Report(f.now, from, true, f.shares[from].Demand(f.now), f.shares[from].Spare(f.now))
+// digests plays a round of reports. Those between regions come every other
+// round; a third of the VMs is far from the others.
+func (f *fleetSim) digests() {
+	f.rounds++
+	for i, from := range f.vms {
+		demand, spare := f.shares[from].Demand(f.now), f.shares[from].Spare(f.now)
+		for j, to := range f.vms {
+			skipped := (i%3 == 0) != (j%3 == 0) && (f.rounds+i)%2 == 0
+			if from != to && f.reaches(from, to) && !skipped {
+				f.shares[to].Report(f.now, from, true, demand, spare)
 			}
 		}
 	}
@@ -109,7 +116,7 @@
 	for end := f.now.Add(d); f.now < end; f.now = f.now.Add(tick) {
 		if f.now.Sub(lastDigest) >= round {
 			lastDigest = f.now
-			f.digests(limit)
+			f.digests()
 		}
 		f.wake(limit)
 		for n := perSecond * tick.Seconds(); n > 0; n-- {
@@ -159,12 +166,24 @@
 			vm := f.anyVM(rng)()
 			f.shares[vm] = New(f.now, slack)
 		}
-		f.digests(limit)
+		f.digests()
 		f.play(rng, 6*time.Second, 4*limit.Rate, limit, f.anyVM(rng))
 		f.checkWindows(t, limit)
 	}
 }
 
+// An account that was calm turns hot at all VMs at one moment, with full buckets.
+func TestSuddenSurgeStaysWithinQuota(t *testing.T) {
+	for seed := range uint64(10) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		limit := Limit{Rate: 110, Burst: 110}
+		f := newFleetSim(9)
+		f.play(rng, 3*time.Second, limit.Rate/1.6/4, limit, f.anyVM(rng))
+		f.play(rng, 6*time.Second, 6*limit.Rate, limit, f.anyVM(rng))
+		f.checkWindows(t, limit)
+	}
+}
+
 // All VMs are killed at once in the middle of an account's surge.
 func TestQuotaHoldsWhenAllRestart(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
@@ -174,7 +193,7 @@
 	for _, vm := range f.vms {
 		f.shares[vm] = New(f.now, slack)
 	}
-	f.digests(limit)
+	f.digests()
 	f.play(rng, 5*time.Second, 4*limit.Rate, limit, f.anyVM(rng))
 	f.checkWindows(t, limit)
 }
