One transaction ends a turn and reserves the next

Each turn cost a reservation, a commit and often a settlement, and retries of refused calls added to the load. Change: a turn's row, its settlement and the reservation for the turn that continues it are one transaction in the program's partition; a turn of another program is looked for in all partitions.

--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -147,10 +147,13 @@
 	router = storepath.NewRouter(direct, mesh, log)
 	server = edge.New(edge.Options{
 		VM: loaded.VM, Domain: loaded.Domain, Region: loaded.Region,
-		Config:     config,
-		Dialect:    platform.Dialect{},
-		Store:      router,
-		Turns:      turnlog.New(turnlog.Options{Store: router, Partition: partitionOf, CacheBytes: int(loaded.MemoryBytes / cachePart), RowBytes: loaded.RowBytes}),
+		Config:  config,
+		Dialect: platform.Dialect{},
+		Store:   router,
+		Turns: turnlog.New(turnlog.Options{
+			Store: router, Partition: partitionOf, Partitions: partitionNames(),
+			CacheBytes: int(loaded.MemoryBytes / cachePart), RowBytes: loaded.RowBytes,
+		}),
 		Ledger:     ledger.NewKeeper(ledger.Options{Store: router, Partition: partitionOf, Log: log}),
 		Borrow:     mesh.Borrow,
 		QuotaSlack: loaded.QuotaSlack,
@@ -166,5 +169,15 @@
 
 // partitionOf maps a key to one of the store's partitions.
 func partitionOf(key string) string {
-	return fmt.Sprintf("p%02d", xxhash.Sum64String(key)%partitions)
+	return partitionName(xxhash.Sum64String(key) % partitions)
+}
+
+func partitionName(n uint64) string { return fmt.Sprintf("p%02d", n) }
+
+func partitionNames() []string {
+	names := make([]string, partitions)
+	for n := range names {
+		names[n] = partitionName(uint64(n))
+	}
+	return names
 }
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -27,8 +27,8 @@
 	record   *turnlog.Record
 	program  ledger.Program
 	reserved <-chan error // nil without a budget
-	verdict  error        // of the reservation, once known
-	decided  bool
+	decided  bool         // the run need not wait for the reservation
+	finished bool         // the turn was settled as it was stored
 }
 
 // runTurn reads what the turn continues, reserves its tokens and runs it.
@@ -61,7 +61,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, chainTimeout)
 	defer cancel()
-	chain, err := x.server.opts.Turns.Chain(ctx, x.accountID(), x.Turn.Previous)
+	chain, err := x.server.opts.Turns.Chain(ctx, x.accountID(), x.turn.program.Key(), x.Turn.Previous)
 	var missing *turnlog.NotFoundError
 	switch {
 	case errors.As(err, &missing):
@@ -75,19 +75,22 @@
 
 // reserve starts the reservation of the turn's tokens.
 func (x *exchange) reserve() {
-	if x.Turn.Budget <= 0 || x.Program == "" {
+	if !x.hasBudget() {
 		x.turn.decided = true
 		return
 	}
-	reservation := ledger.Reservation{Turn: x.ID, Tokens: x.Turn.MostTokens, At: time.Now().UnixMilli()}
 	// A first turn begins a program; one that continues a turn may meet a
 	// spent budget unless this VM knows better.
 	first := x.Turn.Previous == ""
 	outlook := x.server.opts.Ledger.Outlook(x.turn.program, x.Turn.MostTokens, x.Turn.Budget)
-	x.turn.reserved = x.server.opts.Ledger.Reserve(x.turn.program, reservation, x.Turn.Budget)
+	x.turn.reserved = x.server.opts.Ledger.Reserve(x.turn.program, x.tokensReserved(), x.Turn.Budget, x.Turn.Previous)
 	x.turn.decided = outlook == ledger.Ample || first && outlook == ledger.Unknown
 }
 
+func (x *exchange) tokensReserved() ledger.Reservation {
+	return ledger.Reservation{Turn: x.ID, Tokens: x.Turn.MostTokens, At: time.Now().UnixMilli()}
+}
+
 // awaitReservation waits for the reservation unless it can hardly fail; then
 // only the answer waits for it.
 func (x *exchange) awaitReservation(ctx context.Context) *structs.Refusal {
@@ -115,23 +118,23 @@
 		return nil
 	}
 	select {
-	case t.verdict = <-t.reserved:
+	case err := <-t.reserved:
 		t.reserved = nil
-		if t.verdict != nil {
-			return t.verdict
-		}
-		return nil
+		return err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
-// settle replaces the reservation by the tokens that the caller got.
+// hasBudget reports whether the turn's tokens are counted.
+func (x *exchange) hasBudget() bool { return x.Turn.Budget > 0 && x.Program != "" }
+
+// settle replaces the reservation by the tokens that the caller got, unless that
+// was done as the turn was stored.
 func (x *exchange) settle() {
-	if x.Turn.Budget <= 0 || x.Program == "" {
-		return
+	if x.hasBudget() && !x.turn.finished {
+		x.server.opts.Ledger.Settle(x.turn.program, x.ID, x.tokens)
 	}
-	x.server.opts.Ledger.Settle(x.turn.program, x.ID, x.tokens)
 }
 
 // commit stores the turn. Only then may the answer end.
@@ -140,7 +143,25 @@
 		return nil
 	}
 	x.turn.record.Target = x.target
-	return x.server.opts.Turns.Append(ctx, x.ID, x.turn.record)
+	turns, program := x.server.opts.Turns, x.turn.program.Key()
+	if !x.hasBudget() {
+		return turns.Append(ctx, program, x.ID, x.turn.record)
+	}
+	rows, err := turns.Rows(program, x.ID, x.turn.record)
+	if err != nil {
+		return err
+	}
+	x.turn.finished = true
+	done := x.server.opts.Ledger.Finish(x.turn.program, x.tokensReserved(), x.Turn.Budget, x.tokens, rows)
+	select {
+	case err = <-done:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err == nil {
+		turns.Stored(x.ID, x.turn.record)
+	}
+	return err
 }
 
 // cachedAt returns the target that ran the turn before.
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -61,6 +61,9 @@
 // Reserve opens a reservation, or returns *SpentError or *BusyError. The last
 // turn may pass the budget by less than its own tokens.
 func (b *Book) Reserve(r Reservation, budget int64) error {
+	if b.holds(r.Turn) {
+		return nil // an attempt without an answer was applied
+	}
 	b.expire(r.At)
 	if b.Spent >= budget {
 		return &SpentError{Spent: b.Spent, Budget: budget}
@@ -72,6 +75,29 @@
 	return nil
 }
 
+// Extend opens a reservation for a turn that is yet to come, and reports whether
+// it did. Beside it the budget must have room for a turn at another VM, which
+// can't use this one.
+func (b *Book) Extend(r Reservation, budget int64) bool {
+	if b.holds(r.Turn) {
+		return true
+	}
+	if b.Spent+b.Reserved()+2*r.Tokens > budget {
+		return false
+	}
+	b.Open = append(b.Open, r)
+	return true
+}
+
+func (b *Book) holds(turn structs.RequestID) bool {
+	for _, r := range b.Open {
+		if r.Turn == turn {
+			return true
+		}
+	}
+	return false
+}
+
 // Settle replaces a turn's reservation by the tokens that its caller got.
 func (b *Book) Settle(turn structs.RequestID, tokens int64) {
 	for i, r := range b.Open {
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"sync"
@@ -25,6 +26,13 @@
 	reserveTimeout = 3 * time.Second
 	// bookLife is how long an unused book is kept in memory.
 	bookLife = 30 * time.Second
+	// voucherLife is how long tokens stay reserved for a turn to come. Pauses
+	// between turns are mostly below a second.
+	voucherLife = 3 * time.Second
+	// maxRows and maxBytes bound the rows of turns in one transaction, which
+	// takes 100 entries and 1 MB in base64.
+	maxRows  = 40
+	maxBytes = 640 << 10
 	// maxRounds bounds the transactions that other VMs may outrun.
 	maxRounds = 8
 )
@@ -56,14 +64,26 @@
 	busy    bool
 	timer   *time.Timer
 	used    time.Time
+	// vouchers are the reservations for the turns to come, by the turn that
+	// they continue. A voucher is used by this process only.
+	vouchers map[structs.RequestID]Reservation
+	// names maps turns that use a voucher to its name in the book.
+	names map[structs.RequestID]structs.RequestID
 }
 
-// change is a reservation, or a settlement when done is nil.
+// change is one change of a book.
 type change struct {
+	// reserve is the reservation to open or, with settles, to end.
 	reserve Reservation
 	budget  int64
-	settled int64
-	done    chan error
+	settles bool
+	tokens  int64 // that the caller got
+	// rows are written in the same transaction.
+	rows rowstore.Tx
+	// voucher, if it has a name, is opened for the turn to come.
+	voucher Reservation
+	granted bool
+	done    chan error // nil when nobody waits
 }
 
 // NewKeeper makes a keeper without books.
@@ -77,7 +97,8 @@
 	ID      structs.ProgramID
 }
 
-func (p Program) key() string { return string(p.Account) + "/" + string(p.ID) }
+// Key names the program among those of all accounts.
+func (p Program) Key() string { return string(p.Account) + "/" + string(p.ID) }
 
 // Outlook is how likely a reservation is to be granted.
 type Outlook int
@@ -96,7 +117,7 @@
 func (k *Keeper) Outlook(p Program, tokens, budget int64) Outlook {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	e := k.books[p.key()]
+	e := k.books[p.Key()]
 	if e == nil || !e.known {
 		return Unknown
 	}
@@ -107,28 +128,67 @@
 	return Scarce
 }
 
-// Reserve starts a reservation. The channel gives nil once the store has it, or
-// *SpentError, *BusyError or an error of the store.
-func (k *Keeper) Reserve(p Program, r Reservation, budget int64) <-chan error {
+// Reserve starts a reservation for a turn that continues another, if previous is
+// not empty. The channel gives nil once the store has it, or *SpentError,
+// *BusyError or an error of the store.
+func (k *Keeper) Reserve(p Program, r Reservation, budget int64, previous structs.RequestID) <-chan error {
 	done := make(chan error, 1)
+	if k.useVoucher(p, r, previous) {
+		done <- nil
+		return done
+	}
 	k.add(p, &change{reserve: r, budget: budget, done: done}, true)
 	return done
 }
 
+// useVoucher takes the reservation that was made as the previous turn ended.
+func (k *Keeper) useVoucher(p Program, r Reservation, previous structs.RequestID) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	e := k.books[p.Key()]
+	if e == nil {
+		return false
+	}
+	voucher, granted := e.vouchers[previous]
+	if !granted || voucher.Tokens < r.Tokens {
+		return false
+	}
+	delete(e.vouchers, previous)
+	e.names[r.Turn] = voucher.Turn
+	return true
+}
+
 // Settle ends a turn's reservation with the tokens that its caller got.
 func (k *Keeper) Settle(p Program, turn structs.RequestID, tokens int64) {
-	k.add(p, &change{reserve: Reservation{Turn: turn}, settled: tokens}, false)
+	k.add(p, &change{reserve: Reservation{Turn: turn}, settles: true, tokens: tokens}, false)
+}
+
+// Finish stores the rows of a turn that has ended whole, settles it and, if the
+// budget has room, reserves as many tokens for the turn that continues it, all
+// in one transaction. The channel gives nil once the store has it.
+func (k *Keeper) Finish(p Program, r Reservation, budget, tokens int64, rows rowstore.Tx) <-chan error {
+	done := make(chan error, 1)
+	voucher := Reservation{Turn: "after/" + r.Turn, Tokens: r.Tokens, At: time.Now().UnixMilli()}
+	k.add(p, &change{reserve: r, budget: budget, settles: true, tokens: tokens, rows: rows, voucher: voucher, done: done}, true)
+	return done
 }
 
 func (k *Keeper) add(p Program, c *change, urgent bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	e := k.books[p.key()]
+	e := k.books[p.Key()]
 	if e == nil {
-		e = &entry{key: rowstore.Key{Table: table, Partition: k.opts.Partition(p.key()), Key: p.key()}}
-		k.books[p.key()] = e
+		e = &entry{
+			key:      rowstore.Key{Table: table, Partition: k.opts.Partition(p.Key()), Key: p.Key()},
+			vouchers: make(map[structs.RequestID]Reservation),
+			names:    make(map[structs.RequestID]structs.RequestID),
+		}
+		k.books[p.Key()] = e
 	}
 	e.used = time.Now()
+	if name, renamed := e.names[c.reserve.Turn]; c.settles && renamed {
+		c.reserve.Turn = name
+	}
 	e.waiting = append(e.waiting, c)
 	if e.busy {
 		return
@@ -160,19 +220,35 @@
 
 func (k *Keeper) write(e *entry) {
 	for {
-		k.mu.Lock()
-		changes := e.waiting
-		e.waiting = nil
+		changes := k.take(e)
 		if len(changes) == 0 {
-			e.busy = false
-			k.mu.Unlock()
 			return
 		}
-		k.mu.Unlock()
 		k.apply(e, changes)
 	}
 }
 
+// take returns the changes of the next transaction.
+func (k *Keeper) take(e *entry) []*change {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	rows, size, count := 0, 0, 0
+	for _, c := range e.waiting {
+		rows += len(c.rows.Put)
+		for _, put := range c.rows.Put {
+			size += len(put.Value)
+		}
+		if count > 0 && (rows > maxRows || size > maxBytes) {
+			break
+		}
+		count++
+	}
+	changes := e.waiting[:count]
+	e.waiting = e.waiting[count:]
+	e.busy = count > 0
+	return changes
+}
+
 // apply makes the changes in one transaction, again after each conflict.
 func (k *Keeper) apply(e *entry, changes []*change) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeoutOf(changes))
@@ -181,12 +257,12 @@
 		book := e.book.Clone()
 		results, changed := perform(&book, changes)
 		if !changed && e.known {
-			deliver(changes, results)
+			k.deliver(e, changes, results)
 			return
 		}
-		err := k.commit(ctx, e, book)
+		err := k.commit(ctx, e, book, changes)
 		if err == nil {
-			deliver(changes, results)
+			k.deliver(e, changes, results)
 			return
 		}
 		var conflict *rowstore.ConflictError
@@ -198,10 +274,26 @@
 			k.fail(e, changes, err)
 			return
 		}
+		if isApplied(changes, conflict) {
+			k.deliver(e, changes, results)
+			return
+		}
 	}
 	k.fail(e, changes, &ContendedError{Program: e.key.Key})
 }
 
+// isApplied reports whether an attempt without an answer was applied: the rows
+// of a turn are written by its own transaction only.
+func isApplied(changes []*change, conflict *rowstore.ConflictError) bool {
+	for _, c := range changes {
+		for _, put := range c.rows.Put {
+			row := conflict.Find(put.Key)
+			return row.Version != 0 && bytes.Equal(row.Value, put.Value)
+		}
+	}
+	return false
+}
+
 // ContendedError says that other VMs changed a book in each round.
 type ContendedError struct{ Program string }
 
@@ -212,7 +304,7 @@
 
 func timeoutOf(changes []*change) time.Duration {
 	for _, c := range changes {
-		if c.done != nil {
+		if c.done != nil && !c.settles {
 			return reserveTimeout
 		}
 	}
@@ -223,13 +315,15 @@
 func perform(book *Book, changes []*change) (results []error, changed bool) {
 	results = make([]error, len(changes))
 	for _, c := range changes {
-		if c.done == nil {
-			book.Settle(c.reserve.Turn, c.settled)
-			changed = true
+		if !c.settles {
+			continue
 		}
+		book.Settle(c.reserve.Turn, c.tokens)
+		changed = true
+		c.granted = c.voucher.Turn != "" && book.Extend(c.voucher, c.budget)
 	}
 	for i, c := range changes {
-		if c.done != nil {
+		if !c.settles {
 			results[i] = book.Reserve(c.reserve, c.budget)
 			changed = changed || results[i] == nil
 		}
@@ -237,15 +331,20 @@
 	return results, changed
 }
 
-func (k *Keeper) commit(ctx context.Context, e *entry, book Book) error {
+func (k *Keeper) commit(ctx context.Context, e *entry, book Book, changes []*change) error {
 	value, err := book.encode()
 	if err != nil {
 		return errors.Wrap(err, "encode budget")
 	}
-	version, err := k.opts.Store.Commit(ctx, rowstore.Tx{
+	tx := rowstore.Tx{
 		Expect: []rowstore.Expectation{{Key: e.key, Version: e.version}},
 		Put:    []rowstore.Put{{Key: e.key, Value: value}},
-	})
+	}
+	for _, c := range changes {
+		tx.Expect = append(tx.Expect, c.rows.Expect...)
+		tx.Put = append(tx.Put, c.rows.Put...)
+	}
+	version, err := k.opts.Store.Commit(ctx, tx)
 	if err != nil {
 		return err
 	}
@@ -284,11 +383,21 @@
 			continue
 		}
 		k.opts.Log.Warn("settlement given up, the turn counts at its most", "program", e.key.Key,
-			"turn", string(c.reserve.Turn), "tokens", c.settled, "cause", err.Error())
+			"turn", string(c.reserve.Turn), "tokens", c.tokens, "cause", err.Error())
 	}
 }
 
-func deliver(changes []*change, results []error) {
+func (k *Keeper) deliver(e *entry, changes []*change, results []error) {
+	k.mu.Lock()
+	for _, c := range changes {
+		if c.granted {
+			e.vouchers[turnOf(c.voucher)] = c.voucher
+		}
+		if c.settles {
+			k.forgetName(e, c.reserve.Turn)
+		}
+	}
+	k.mu.Unlock()
 	for i, c := range changes {
 		if c.done != nil {
 			c.done <- results[i]
@@ -296,11 +405,37 @@
 	}
 }
 
+// turnOf returns the turn that a voucher's turn continues.
+func turnOf(voucher Reservation) structs.RequestID { return voucher.Turn[len("after/"):] }
+
+func (k *Keeper) forgetName(e *entry, name structs.RequestID) {
+	for turn, used := range e.names {
+		if used == name {
+			delete(e.names, turn)
+		}
+	}
+}
+
+// releaseVouchers settles the vouchers that no turn has used for a while.
+func (k *Keeper) releaseVouchers(e *entry, now time.Time) {
+	for turn, voucher := range e.vouchers {
+		if now.UnixMilli()-voucher.At < voucherLife.Milliseconds() {
+			continue
+		}
+		delete(e.vouchers, turn)
+		e.waiting = append(e.waiting, &change{reserve: voucher, settles: true})
+		if !e.busy {
+			k.start(e)
+		}
+	}
+}
+
 // Sweep forgets books that were not used for a while.
 func (k *Keeper) Sweep(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for key, e := range k.books {
+		k.releaseVouchers(e, now)
 		if !e.busy && len(e.waiting) == 0 && now.Sub(e.used) > bookLife {
 			delete(k.books, key)
 		}
--- a/turnlog/log.go
+++ b/turnlog/log.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,8 +53,10 @@
 // Options configures a Log.
 type Options struct {
 	Store rowstore.Store
-	// Partition maps a turn to the store's partition of its rows.
-	Partition func(turn string) string
+	// Partition maps a program's name to the store's partition of the rows
+	// of its turns; Partitions are all of them.
+	Partition  func(program string) string
+	Partitions []string
 	// CacheBytes bounds the records in memory.
 	CacheBytes int
 	// RowBytes is the most a row's value may hold.
@@ -73,24 +76,33 @@
 // New makes a log.
 func New(opts Options) *Log { return &Log{opts: opts, cache: newCache(opts.CacheBytes)} }
 
-// Append stores a turn. It returns once the store has it.
-func (l *Log) Append(ctx context.Context, id structs.RequestID, r *Record) error {
-	if size := len(r.Input) + len(r.Output); size > MaxTurnBytes {
-		return &TooLargeError{Bytes: size, Max: MaxTurnBytes}
-	}
-	tx, err := l.transaction(id, r)
+// Append stores a turn of a program. It returns once the store has it.
+func (l *Log) Append(ctx context.Context, program string, id structs.RequestID, r *Record) error {
+	tx, err := l.Rows(program, id, r)
 	if err != nil {
 		return err
 	}
 	if _, err := l.opts.Store.Commit(ctx, tx); err != nil {
 		return err
 	}
-	l.cache.put(id, r)
+	l.Stored(id, r)
 	return nil
 }
 
+// Rows returns the transaction that stores a turn of a program, for callers that
+// add to it.
+func (l *Log) Rows(program string, id structs.RequestID, r *Record) (rowstore.Tx, error) {
+	if size := len(r.Input) + len(r.Output); size > MaxTurnBytes {
+		return rowstore.Tx{}, &TooLargeError{Bytes: size, Max: MaxTurnBytes}
+	}
+	return l.transaction(l.opts.Partition(program), id, r)
+}
+
+// Stored keeps a turn that the store has in memory.
+func (l *Log) Stored(id structs.RequestID, r *Record) { l.cache.put(id, r) }
+
 // transaction splits a record that is longer than a row over several.
-func (l *Log) transaction(id structs.RequestID, r *Record) (rowstore.Tx, error) {
+func (l *Log) transaction(partition string, id structs.RequestID, r *Record) (rowstore.Tx, error) {
 	value, err := r.encode()
 	if err != nil {
 		return rowstore.Tx{}, errors.Wrap(err, "encode turn")
@@ -99,7 +111,7 @@
 	for part := 0; part == 0 || len(value) > 0; part++ {
 		piece := value[:min(len(value), l.pieceBytes())]
 		value = value[len(piece):]
-		key := l.key(id, part)
+		key := keyOf(partition, id, part)
 		tx.Expect = append(tx.Expect, rowstore.Expectation{Key: key})
 		tx.Put = append(tx.Put, rowstore.Put{Key: key, Value: piece})
 	}
@@ -109,22 +121,23 @@
 // pieceBytes leaves room for base64.
 func (l *Log) pieceBytes() int { return l.opts.RowBytes / 4 * 3 }
 
-// key names a part of a turn. The slash sorts all parts after the ID.
-func (l *Log) key(id structs.RequestID, part int) rowstore.Key {
-	return rowstore.Key{Table: table, Partition: l.opts.Partition(string(id)), Key: fmt.Sprintf("%s/%03d", escape(id), part)}
+// keyOf names a part of a turn. The slash sorts all parts after the ID.
+func keyOf(partition string, id structs.RequestID, part int) rowstore.Key {
+	return rowstore.Key{Table: table, Partition: partition, Key: fmt.Sprintf("%s/%03d", escape(id), part)}
 }
 
 // escape keeps slashes out of an ID, so that no ID is the beginning of another's
 // keys.
 func escape(id structs.RequestID) string { return url.PathEscape(string(id)) }
 
-// Chain returns a turn of the account with all that precede it. It returns
-// *NotFoundError only when the store says so.
-func (l *Log) Chain(ctx context.Context, account structs.AccountID, id structs.RequestID) (*Chain, error) {
+// Chain returns a turn of the account with all that precede it. It looks first
+// where turns of the given program are kept. It returns *NotFoundError only when
+// the store says so.
+func (l *Log) Chain(ctx context.Context, account structs.AccountID, program string, id structs.RequestID) (*Chain, error) {
 	if len(id) > maxIDBytes {
 		return nil, &NotFoundError{Turn: id}
 	}
-	last, err := l.record(ctx, id)
+	last, home, err := l.find(ctx, l.opts.Partition(program), id)
 	if err != nil {
 		return nil, err
 	}
@@ -143,7 +156,7 @@
 			continue
 		}
 		group.Go(func() error {
-			record, err := l.record(ctx, ancestor)
+			record, _, err := l.find(ctx, home, ancestor)
 			chain.Records[i] = record
 			return err
 		})
@@ -151,20 +164,51 @@
 	return chain, group.Wait()
 }
 
-func (l *Log) record(ctx context.Context, id structs.RequestID) (*Record, error) {
+// find reads a turn from the partition where it is expected, else from any. It
+// also returns the partition that has it.
+func (l *Log) find(ctx context.Context, expected string, id structs.RequestID) (*Record, string, error) {
 	if r := l.cache.get(id); r != nil {
-		return r, nil
+		return r, expected, nil
+	}
+	r, err := l.read(ctx, expected, id)
+	if r != nil || err != nil {
+		return r, expected, err
+	}
+	var mu sync.Mutex
+	home := ""
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxReads)
+	for _, partition := range l.opts.Partitions {
+		if partition == expected {
+			continue
+		}
+		group.Go(func() error {
+			found, err := l.read(ctx, partition, id)
+			if found != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				r, home = found, partition
+			}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, "", err
 	}
-	first := l.key(id, 0)
+	if r == nil {
+		return nil, "", &NotFoundError{Turn: id}
+	}
+	return r, home, nil
+}
+
+// read returns a turn of a partition, nil when it is not there.
+func (l *Log) read(ctx context.Context, partition string, id structs.RequestID) (*Record, error) {
 	rows, _, err := rowstore.ScanAll(ctx, l.opts.Store, rowstore.Range{
-		Table: table, Partition: first.Partition, From: escape(id) + "/", To: escape(id) + "0",
+		Table: table, Partition: partition, From: escape(id) + "/", To: escape(id) + "0",
 	})
-	if err != nil {
+	if err != nil || len(rows) == 0 {
 		return nil, err
 	}
-	if len(rows) == 0 {
-		return nil, &NotFoundError{Turn: id}
-	}
 	var value []byte
 	for _, row := range rows {
 		value = append(value, row.Value...)
--- a/turnlog/turnlog_test.go
+++ b/turnlog/turnlog_test.go
@@ -16,7 +16,8 @@
 func newLog(store *rows.Store) *Log {
 	return New(Options{
 		Store:      store,
-		Partition:  func(turn string) string { return "p" + turn[:1] },
+		Partition:  func(program string) string { return "p" + program },
+		Partitions: []string{"p1", "p2", "p3"},
 		CacheBytes: 1 << 20,
 		RowBytes:   1 << 10,
 	})
@@ -28,12 +29,12 @@
 	var chain *Chain
 	if previous != "" {
 		var err error
-		chain, err = l.Chain(context.Background(), "account", previous)
+		chain, err = l.Chain(context.Background(), "account", "1", previous)
 		assert.NilError(t, err)
 	}
 	record := Next("account", chain, []byte(input))
 	record.Output = []byte(output)
-	assert.NilError(t, l.Append(context.Background(), id, record))
+	assert.NilError(t, l.Append(context.Background(), "1", id, record))
 }
 
 // A conversation is read whole by its last turn's ID after all memory was lost,
@@ -45,10 +46,10 @@
 	appendTurn(t, l, "b", "a", "in2 ", "out2\n")
 	appendTurn(t, l, "c", "b", "in3 ", "out3\n")
 	appendTurn(t, l, "d", "a", "fork ", "out4\n")
-	chain, err := newLog(store).Chain(context.Background(), "account", "c")
+	chain, err := newLog(store).Chain(context.Background(), "account", "1", "c")
 	assert.NilError(t, err)
 	assert.Equal(t, string(chain.Prompt([]byte("new"))), "in1 out1\nin2 out2\nin3 out3\nnew")
-	chain, err = newLog(store).Chain(context.Background(), "account", "d")
+	chain, err = newLog(store).Chain(context.Background(), "account", "1", "d")
 	assert.NilError(t, err)
 	assert.Equal(t, string(chain.Prompt(nil)), "in1 out1\nfork out4\n")
 }
@@ -59,12 +60,12 @@
 	l := newLog(store)
 	appendTurn(t, l, "a", "", "in", "out\n")
 	var missing *NotFoundError
-	_, err := l.Chain(context.Background(), "other", "a")
+	_, err := l.Chain(context.Background(), "other", "1", "a")
 	assert.Assert(t, errors.As(err, &missing))
-	_, err = l.Chain(context.Background(), "account", "x")
+	_, err = l.Chain(context.Background(), "account", "1", "x")
 	assert.Assert(t, errors.As(err, &missing))
 	store.SetFaults(rows.Faults{Down: true})
-	_, err = newLog(store).Chain(context.Background(), "account", "a")
+	_, err = newLog(store).Chain(context.Background(), "account", "1", "a")
 	assert.Assert(t, err != nil && !errors.As(err, &missing), "%v", err)
 }
 
@@ -73,10 +74,10 @@
 	store := rows.New()
 	input := bytes.Repeat([]byte("0123456789"), 700)
 	appendTurn(t, newLog(store), "long", "", string(input), "out\n")
-	chain, err := newLog(store).Chain(context.Background(), "account", "long")
+	chain, err := newLog(store).Chain(context.Background(), "account", "1", "long")
 	assert.NilError(t, err)
 	assert.Equal(t, string(chain.Prompt(nil)), string(input)+"out\n")
-	err = newLog(store).Append(context.Background(), "huge", &Record{Input: make([]byte, MaxTurnBytes+1)})
+	err = newLog(store).Append(context.Background(), "1", "huge", &Record{Input: make([]byte, MaxTurnBytes+1)})
 	var tooLarge *TooLargeError
 	assert.Assert(t, errors.As(err, &tooLarge))
 }
@@ -86,7 +87,7 @@
 	store := rows.New()
 	l := newLog(store)
 	appendTurn(t, l, "a/000", "", "other", "\n")
-	_, err := newLog(store).Chain(context.Background(), "account", "a")
+	_, err := newLog(store).Chain(context.Background(), "account", "1", "a")
 	var missing *NotFoundError
 	assert.Assert(t, errors.As(err, &missing), "%v", err)
 }
@@ -100,3 +101,14 @@
 	count, size := l.CacheState()
 	assert.Assert(t, size <= 1<<20 && count > 500, "%d records, %d bytes", count, size)
 }
+
+// Another program finds the turns of one that was kept elsewhere.
+func TestTurnOfAnotherProgramIsFound(t *testing.T) {
+	store := rows.New()
+	l := newLog(store)
+	appendTurn(t, l, "a", "", "in1 ", "out1\n")
+	appendTurn(t, l, "b", "a", "in2 ", "out2\n")
+	chain, err := newLog(store).Chain(context.Background(), "account", "3", "b")
+	assert.NilError(t, err)
+	assert.Equal(t, string(chain.Prompt(nil)), "in1 out1\nin2 out2\n")
+}
