Busy answers of the store slow callers down

Change: 429 has a type of its own, is not hedged, backs off with jitter, and counts as being turned away only after four in a row.

--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -162,7 +163,10 @@
 	followers := &platform.Followers{Store: router, Config: config, Edge: server, Regions: loaded.Regions, Log: log}
 	front := &platform.Front{Settings: loaded, Path: path, Edge: server, Config: config, Followers: followers, Log: log}
 	k := kernel.New(log, mesh, server, front)
-	front.Metrics = k.WriteMetrics
+	front.Metrics = func(w io.Writer) {
+		k.WriteMetrics(w)
+		direct.WriteMetrics(w)
+	}
 	front.Dump = http.HandlerFunc(k.ServeDump)
 	return &endived{kernel: k, self: self}, nil
 }
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -35,6 +35,7 @@
 	failureUnknown
 	failureHistory
 	failureRejected
+	failureBusy
 )
 
 // StoreReply is the outcome of a relayed call.
@@ -59,6 +60,7 @@
 		gone     *rowstore.HistoryGoneError
 		rejected *rowstore.RejectedError
 		away     *rowstore.UnavailableError
+		busy     *rowstore.BusyError
 	)
 	switch {
 	case err == nil:
@@ -69,6 +71,8 @@
 		return StoreReply{Failure: failureHistory, Version: gone.After}
 	case errors.As(err, &rejected):
 		return StoreReply{Failure: failureRejected, Status: rejected.Status, Detail: rejected.Detail}
+	case errors.As(err, &busy):
+		return StoreReply{Failure: failureBusy, Detail: err.Error()}
 	case errors.As(err, &away):
 		return StoreReply{Failure: failureUnavailable, Detail: err.Error()}
 	}
@@ -85,6 +89,8 @@
 		return &rowstore.HistoryGoneError{After: r.Version}
 	case failureRejected:
 		return &rowstore.RejectedError{Status: r.Status, Detail: r.Detail}
+	case failureBusy:
+		return &rowstore.BusyError{Cause: &RelayedError{Detail: r.Detail}}
 	case failureUnavailable:
 		return &rowstore.UnavailableError{Cause: &RelayedError{Detail: r.Detail}}
 	}
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,6 +36,9 @@
 	maxBytes = 640 << 10
 	// maxRounds bounds the transactions that other VMs may outrun.
 	maxRounds = 8
+	// contendedPause is the longest pause after the second round that another
+	// VM has won; it grows with each. A round takes 10 to 40 ms.
+	contendedPause = 20 * time.Millisecond
 )
 
 // Options configures a Keeper.
@@ -253,7 +257,7 @@
 func (k *Keeper) apply(e *entry, changes []*change) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeoutOf(changes))
 	defer cancel()
-	for range maxRounds {
+	for round := range maxRounds {
 		book := e.book.Clone()
 		results, changed := perform(&book, changes)
 		if !changed && e.known {
@@ -278,6 +282,9 @@
 			k.deliver(e, changes, results)
 			return
 		}
+		if round > 0 {
+			time.Sleep(rand.N(contendedPause * time.Duration(round)))
+		}
 	}
 	k.fail(e, changes, &ContendedError{Program: e.key.Key})
 }
--- a/rowstore/errors.go
+++ b/rowstore/errors.go
@@ -35,6 +35,15 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
+// BusyError says that the store did nothing since it takes no more calls now.
+type BusyError struct{ Cause error }
+
+// Error gives the cause.
+func (e *BusyError) Error() string { return fmt.Sprintf("store takes no more calls now: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *BusyError) Unwrap() error { return e.Cause }
+
 // OutcomeUnknownError says that no answer arrived: the call may have been
 // performed, or may be later.
 type OutcomeUnknownError struct{ Cause error }
--- a/rowstore/rowstore.go
+++ b/rowstore/rowstore.go
@@ -70,8 +70,8 @@
 }
 
 // Store is the platform's row store or a path to it. Its methods return
-// *ConflictError, *UnavailableError, *OutcomeUnknownError, *HistoryGoneError,
-// *RejectedError or the error of ctx.
+// *ConflictError, *UnavailableError, *BusyError, *OutcomeUnknownError,
+// *HistoryGoneError, *RejectedError or the error of ctx.
 type Store interface {
 	// Commit applies a transaction and returns its version.
 	Commit(ctx context.Context, tx Tx) (uint64, error)
--- a/rowstore/storepath/health.go
+++ b/rowstore/storepath/health.go
@@ -23,6 +23,7 @@
 	lastOK   structs.Instant
 	failedAt structs.Instant // 0 while the last call worked
 	failures int
+	busy     int // answers in a row that the store takes no more calls
 }
 
 type peerRecord struct {
@@ -43,6 +44,9 @@
 	reportTTL = 1500 * time.Millisecond
 	// peerRest is how long a peer that failed a relayed call is passed over.
 	peerRest = time.Second
+	// busyLimit is how many busy answers in a row count as a failure. The
+	// store's own limit lets some calls pass in between.
+	busyLimit = 4
 	// maxPeerPaths bounds the peers one call may go through, so that an
 	// outage does not multiply calls.
 	maxPeerPaths = 2
@@ -80,6 +84,20 @@
 	return nil
 }
 
+// Busy records that the store takes no more calls over a path. Once may be the
+// store's own limit, where another path would only add calls; again and again
+// means that it turns this VM away.
+func (h *Health) Busy(now structs.Instant, p Path) {
+	r := h.record(p)
+	if r == nil {
+		return
+	}
+	r.busy++
+	if r.busy >= busyLimit {
+		h.Failed(now, p)
+	}
+}
+
 // Report records a peer's word on its own direct path.
 func (h *Health) Report(now structs.Instant, vm structs.VMID, near, works bool) {
 	peer := h.peers[vm]
--- a/rowstore/storepath/router.go
+++ b/rowstore/storepath/router.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,8 +21,10 @@
 	// hedgeDelay is when a second path is tried beside a silent one; ten
 	// times the usual answer from the far region.
 	hedgeDelay = 300 * time.Millisecond
-	// roundPause is the pause after all paths failed.
-	roundPause = 120 * time.Millisecond
+	// roundPause is the first pause after all paths failed, maxPause the
+	// longest; each is twice the one before, and varied by half.
+	roundPause = 60 * time.Millisecond
+	maxPause   = 500 * time.Millisecond
 	// watchSlack is added to the wait of a Watch before it counts as silent.
 	watchSlack = 700 * time.Millisecond
 )
@@ -162,6 +165,11 @@
 	return errors.As(err, &conflict) || errors.As(err, &gone) || errors.As(err, &rejected)
 }
 
+func isBusy(err error) bool {
+	var busy *rowstore.BusyError
+	return errors.As(err, &busy)
+}
+
 // note records how a path served a call, and logs lost and regained paths.
 func (r *Router) note(p Path, err error) {
 	if errors.Is(err, context.Canceled) {
@@ -170,9 +178,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	worked := r.health.DirectWorks()
-	if err == nil || answered(err) {
+	switch {
+	case err == nil || answered(err):
 		r.health.Answered(structs.Now(), p)
-	} else {
+	case isBusy(err):
+		r.health.Busy(structs.Now(), p)
+	default:
 		r.health.Failed(structs.Now(), p)
 	}
 	switch works := r.health.DirectWorks(); {
@@ -194,12 +205,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var zero T
-	for {
+	for pause := roundPause; ; pause = min(2*pause, maxPause) {
 		result, done := round(ctx, r, call)
 		if done || ctx.Err() != nil {
 			return result.value, result.err
 		}
-		timer := time.NewTimer(roundPause)
+		timer := time.NewTimer(pause/2 + rand.N(pause))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -235,7 +246,7 @@
 			if last.err == nil || answered(last.err) {
 				return last, true
 			}
-			if started < len(paths) {
+			if started < len(paths) && !isBusy(last.err) {
 				start()
 			} else if finished == started {
 				return last, false
--- a/rowstore/storepath/storepath_test.go
+++ b/rowstore/storepath/storepath_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -161,3 +163,50 @@
 	assert.DeepEqual(t, h.Paths(late, false), []Path{{}})
 	assert.Assert(t, h.Away(late) > 0)
 }
+
+// limited is a store at its rate: it takes one of three calls.
+type limited struct {
+	rowstore.Store
+	calls atomic.Int64
+}
+
+func (s *limited) Commit(ctx context.Context, tx rowstore.Tx) (uint64, error) {
+	if s.calls.Add(1)%3 != 0 {
+		return 0, &rowstore.BusyError{Cause: &rows.FaultError{Fault: "over its rate"}}
+	}
+	return s.Store.Commit(ctx, tx)
+}
+
+// A store at its rate gets no further calls through peers, and calls come back
+// ever more slowly: a surge must not multiply itself.
+func TestBusyStoreIsNotPressed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &limited{Store: rows.New()}
+		r := newRouter(store, peers{"peer": store})
+		r.Report("peer", true, true)
+		for i := range 30 {
+			_, err := r.Commit(context.Background(), put(fmt.Sprint(i), uint64(i)))
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, store.calls.Load(), int64(90))
+		assert.Assert(t, r.DirectWorks())
+	})
+}
+
+// A store that tells this VM again and again that it is busy turns it away.
+func TestBusyForGoodIsAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		direct := &refusing{Store: store, how: func(context.Context) error {
+			return &rowstore.BusyError{Cause: &rows.FaultError{Fault: "many"}}
+		}}
+		r := newRouter(direct, peers{"peer": store})
+		r.Report("peer", true, true)
+		start := time.Now()
+		_, err := r.Commit(context.Background(), put("1", 0))
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(start) < time.Second)
+		assert.Assert(t, !r.DirectWorks())
+		time.Sleep(attemptTimeout)
+	})
+}
