Turns under way wait for the store's return; silence counts after 0.8 s

Change: a path without an answer for 0.8 s counts as failed, a failed path is probed with short watches, turns of programs under way wait 0.9 s before they are refused, and a turn is not stored after its caller's deadline (the test of the end of a turn failed once in four runs beside load: the ledger went on trying for 20 s, so the turn appeared though its caller had seen no end).

--- a/conversation/local.go
+++ b/conversation/local.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	if err := wait(ctx, l.Ledger.Finish(e.Program, e.Reserved, e.Budget, e.Tokens, rows)); err != nil {
+	if err := wait(ctx, l.Ledger.Finish(ctx, e.Program, e.Reserved, e.Budget, e.Tokens, rows)); err != nil {
 		return err
 	}
 	l.Turns.Stored(id, e.Record)
--- a/daemon/endived_test.go
+++ b/daemon/endived_test.go
@@ -47,6 +47,12 @@
 	return found
 }
 
+// tail returns the last lines.
+func (b *logBuffer) tail(count int) string {
+	lines := b.lines("")
+	return strings.Join(lines[max(0, len(lines)-count):], "\n")
+}
+
 // bed is a site with running daemons in this process.
 type bed struct {
 	t      *testing.T
@@ -109,7 +115,7 @@
 	b.t.Helper()
 	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
-			b.t.Fatalf("%s: not within 10 s", what)
+			b.t.Fatalf("%s: not within 10 s\n%s", what, b.logs.tail(40))
 		}
 	}
 }
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -18,6 +18,12 @@
 	awayRetry = 1300 * time.Millisecond
 	// busyRetry is when a program's other turns may have been settled.
 	busyRetry = 400 * time.Millisecond
+	// awayHold is how long a turn of a program under way waits for the store
+	// to return. Callers leave a silent stream after 2 s.
+	awayHold = 900 * time.Millisecond
+	awayPoll = 20 * time.Millisecond
+	// reservationWait is how long other turns wait for theirs.
+	reservationWait = 1300 * time.Millisecond
 	// firstTurnWait is how long a first turn waits for its reservation: as
 	// long as a VM takes that knows the program.
 	firstTurnWait = 4 * time.Millisecond
@@ -36,8 +42,8 @@
 
 // runTurn reads what the turn continues, reserves its tokens and runs it.
 func (x *exchange) runTurn(ctx context.Context) *structs.Refusal {
-	if away := x.server.opts.Store.Away(); away > 0 {
-		return retryable(structs.RefusedNotReady, awayRetry, "the store has been out of reach for "+away.Round(time.Millisecond).String())
+	if refusal := x.awaitStore(ctx); refusal != nil {
+		return refusal
 	}
 	x.turn = &turn{program: ledger.Program{Account: x.accountID(), ID: x.Program}}
 	x.reserve(ctx)
@@ -56,6 +62,23 @@
 	return x.dispatch(ctx, body)
 }
 
+// awaitStore refuses the turn while the store is away from all VMs. Turns of
+// programs under way wait for its return for a moment, since they are served
+// sooner so than by another try; new programs are refused at once.
+func (x *exchange) awaitStore(ctx context.Context) *structs.Refusal {
+	deadline := x.Arrived.Add(awayHold)
+	for {
+		away := x.server.opts.Store.Away()
+		if away == 0 {
+			return nil
+		}
+		if x.Turn.Previous == "" || structs.Now() >= deadline || ctx.Err() != nil {
+			return retryable(structs.RefusedNotReady, awayRetry, "the store has been out of reach for "+away.Round(time.Millisecond).String())
+		}
+		time.Sleep(awayPoll)
+	}
+}
+
 func (x *exchange) readChain(ctx context.Context) *structs.Refusal {
 	if x.Turn.Previous == "" {
 		return nil
@@ -95,17 +118,17 @@
 // fail, since it mostly begins the program: its run begins soon, and only the
 // answer waits.
 func (x *exchange) awaitReservation(ctx context.Context) *structs.Refusal {
-	bounded := ctx
+	patience := reservationWait
 	if x.Turn.Previous == "" {
-		var cancel context.CancelFunc
-		bounded, cancel = context.WithTimeout(ctx, firstTurnWait)
-		defer cancel()
+		patience = firstTurnWait
 	}
+	bounded, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
 	err := x.reservation(bounded)
 	var spent *ledger.SpentError
 	var busy *ledger.BusyError
 	switch {
-	case err == nil || bounded.Err() != nil && ctx.Err() == nil:
+	case err == nil || x.Turn.Previous == "" && errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil:
 		return nil
 	case errors.As(err, &spent):
 		return structs.Refuse(structs.RefusedOverBudget, structs.RunNo, "%s", spent.Error())
@@ -152,9 +175,10 @@
 	}
 	if x.hasBudget() {
 		ending.Budget = x.Turn.Budget
-		x.turn.finished = true
 	}
-	return x.server.opts.Programs.Finish(ctx, ending)
+	err := x.server.opts.Programs.Finish(ctx, ending)
+	x.turn.finished = err == nil
+	return err
 }
 
 // cachedAt returns the target that ran the turn before.
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -88,6 +88,11 @@
 	voucher Reservation
 	granted bool
 	done    chan error // nil when nobody waits
+	// until is when the change is of no more use; zero for settlements, which
+	// are tried for settleTimeout.
+	until time.Time
+	// started is when a settlement was asked for.
+	started time.Time
 }
 
 // NewKeeper makes a keeper without books.
@@ -113,7 +118,7 @@
 		done <- nil
 		return done
 	}
-	k.add(p, &change{reserve: r, budget: budget, done: done}, true)
+	k.add(p, &change{reserve: r, budget: budget, done: done, until: time.Now().Add(reserveTimeout)}, true)
 	return done
 }
 
@@ -136,16 +141,21 @@
 
 // Settle ends a turn's reservation with the tokens that its caller got.
 func (k *Keeper) Settle(p Program, turn structs.RequestID, tokens int64) {
-	k.add(p, &change{reserve: Reservation{Turn: turn}, settles: true, tokens: tokens}, false)
+	k.add(p, &change{reserve: Reservation{Turn: turn}, settles: true, tokens: tokens, started: time.Now()}, false)
 }
 
 // Finish stores the rows of a turn that has ended whole, settles it and, if the
 // budget has room, reserves as many tokens for the turn that continues it, all
-// in one transaction. The channel gives nil once the store has it.
-func (k *Keeper) Finish(p Program, r Reservation, budget, tokens int64, rows rowstore.Tx) <-chan error {
+// in one transaction. It is given up at the deadline of ctx: a turn whose caller
+// saw no end must not appear later. The channel gives nil once the store has it.
+func (k *Keeper) Finish(ctx context.Context, p Program, r Reservation, budget, tokens int64, rows rowstore.Tx) <-chan error {
 	done := make(chan error, 1)
+	until, bounded := ctx.Deadline()
+	if !bounded {
+		until = time.Now().Add(settleTimeout)
+	}
 	voucher := Reservation{Turn: "after/" + r.Turn, Tokens: r.Tokens, At: time.Now().UnixMilli()}
-	k.add(p, &change{reserve: r, budget: budget, settles: true, tokens: tokens, rows: rows, voucher: voucher, done: done}, true)
+	k.add(p, &change{reserve: r, budget: budget, settles: true, tokens: tokens, rows: rows, voucher: voucher, done: done, until: until}, true)
 	return done
 }
 
@@ -227,7 +237,7 @@
 
 // apply makes the changes in one transaction, again after each conflict.
 func (k *Keeper) apply(e *entry, changes []*change) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeoutOf(changes))
+	ctx, cancel := context.WithDeadline(context.Background(), deadlineOf(changes))
 	defer cancel()
 	for round := range maxRounds {
 		book := e.book.Clone()
@@ -281,13 +291,15 @@
 	return "budget of program " + e.Program + " was changed by other VMs in every round"
 }
 
-func timeoutOf(changes []*change) time.Duration {
+// deadlineOf is the earliest end of the changes that share a transaction.
+func deadlineOf(changes []*change) time.Time {
+	deadline := time.Now().Add(settleTimeout)
 	for _, c := range changes {
-		if c.done != nil && !c.settles {
-			return reserveTimeout
+		if !c.until.IsZero() && c.until.Before(deadline) {
+			deadline = c.until
 		}
 	}
-	return settleTimeout
+	return deadline
 }
 
 // perform applies settlements first: they make room.
@@ -361,11 +373,23 @@
 			c.done <- err
 			continue
 		}
+		if deadlineOf(changes).Before(c.started.Add(settleTimeout)) {
+			k.retry(e, c)
+			continue
+		}
 		k.opts.Log.Warn("settlement given up, the turn counts at its most", "program", e.key.Key,
 			"turn", string(c.reserve.Turn), "tokens", c.tokens, "cause", err.Error())
 	}
 }
 
+// retry puts a settlement back that shared a transaction with a change of an
+// earlier end.
+func (k *Keeper) retry(e *entry, c *change) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	e.waiting = append(e.waiting, c)
+}
+
 func (k *Keeper) deliver(e *entry, changes []*change, results []error) {
 	k.mu.Lock()
 	for _, c := range changes {
@@ -402,7 +426,7 @@
 			continue
 		}
 		delete(e.vouchers, turn)
-		e.waiting = append(e.waiting, &change{reserve: voucher, settles: true})
+		e.waiting = append(e.waiting, &change{reserve: voucher, settles: true, started: now})
 		if !e.busy {
 			k.start(e)
 		}
--- a/rowstore/storepath/router.go
+++ b/rowstore/storepath/router.go
@@ -21,6 +21,12 @@
 	// hedgeDelay is when a second path is tried beside a silent one; ten
 	// times the usual answer from the far region.
 	hedgeDelay = 300 * time.Millisecond
+	// silenceLimit is when a path without an answer counts as failed, while
+	// its call goes on. A store slowed 60 times takes 0.55 s.
+	silenceLimit = 800 * time.Millisecond
+	// probeTimeout bounds a watch over a path that has failed, so that its
+	// return is noticed soon.
+	probeTimeout = 600 * time.Millisecond
 	// roundPause is the first pause after all paths failed, maxPause the
 	// longest; each is twice the one before, and varied by half.
 	roundPause = 60 * time.Millisecond
@@ -124,16 +130,20 @@
 // Watch implements rowstore.Store. It makes a single attempt and prefers the
 // direct path, and so probes it.
 func (r *Router) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
 	paths := r.paths(true)
-	page, err := r.watchOver(ctx, paths[0], table, after, wait)
+	timeout := wait + watchSlack
+	if !r.DirectWorks() {
+		wait, timeout = 0, probeTimeout
+	}
+	probe, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	page, err := r.watchOver(probe, paths[0], table, after, wait)
 	if err == nil || answered(err) || len(paths) == 1 {
 		return page, err
 	}
-	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), attemptTimeout)
+	detour, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	return r.watchOver(ctx, paths[1], table, after, 0)
+	return r.watchOver(detour, paths[1], table, after, 0)
 }
 
 func (r *Router) watchOver(ctx context.Context, p Path, table string, after uint64, wait time.Duration) (rowstore.Page, error) {
@@ -194,6 +204,12 @@
 	}
 }
 
+// SilentError says that a path has not answered yet.
+type SilentError struct{ For time.Duration }
+
+// Error gives the time waited.
+func (e *SilentError) Error() string { return "no answer for " + e.For.String() }
+
 type outcome[T any] struct {
 	value T
 	err   error
@@ -230,7 +246,9 @@
 		go func() {
 			attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 			defer cancel()
+			silence := time.AfterFunc(silenceLimit, func() { r.note(p, &SilentError{For: silenceLimit}) })
 			value, err := call(attempt, r.store(p))
+			silence.Stop()
 			r.note(p, err)
 			results <- outcome[T]{value, err}
 		}()
