--- a/daemon/endived_test.go
+++ b/daemon/endived_test.go
@@ -365,6 +365,24 @@
 	assert.DeepEqual(t, statuses, []int{200, 200, 402})
 }
 
+// A program that was stopped comes back with a first turn after all VMs were
+// lost, and does not run.
+func TestStoppedProgramComesBack(t *testing.T) {
+	b := newBed(t)
+	vm := b.site.AddVM("near-a")
+	b.vms = []*platformtest.VM{vm}
+	stop := b.start(vm)
+	engine := b.target("engine-1", "engine", "near-a")
+	header := map[string]string{platformtest.HeaderProgram: "p", platformtest.HeaderBudget: "30", platformtest.HeaderUsage: "100,30"}
+	turn := call{path: "/chat/1", body: "x", header: header}
+	assert.Equal(t, b.do(turn).status, 200)
+	assert.Equal(t, b.do(turn).status, 402)
+	stop()
+	b.start(vm)
+	b.until("402", func() bool { return b.do(turn).status == 402 })
+	assert.Equal(t, len(engine.Runs()), 1)
+}
+
 // What may not be repeated runs once: a lost answer is not sent to another
 // target, a refusal that says that nothing ran is.
 func TestUnsafeRequestRunsOnce(t *testing.T) {
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -132,9 +132,7 @@
 		whole := wholeEvents(pending)
 		if whole > 0 {
 			if !begun {
-				if failed := x.begin(ctx, resp); failed != nil {
-					return verdict{sent: true, cause: failed}
-				}
+				x.begin(resp)
 				begun = true
 			}
 			if failed := x.pass(pending[:whole]); failed != nil {
@@ -151,14 +149,9 @@
 	}
 }
 
-// begin starts the answer once the turn's tokens are reserved.
-func (x *exchange) begin(ctx context.Context, resp *http.Response) error {
-	if err := x.reservation(ctx); err != nil {
-		return err
-	}
+func (x *exchange) begin(resp *http.Response) {
 	x.firstByte = structs.Now().Sub(x.Arrived)
 	x.out.Begin(resp.StatusCode, x.server.opts.Dialect.AnswerHeader(resp.Header))
-	return nil
 }
 
 func (x *exchange) pass(events []byte) error {
@@ -185,9 +178,7 @@
 		return x.broken(ctx, target, errors.Wrap(err, "read stream"))
 	}
 	if !begun {
-		if failed := x.begin(ctx, resp); failed != nil {
-			return verdict{sent: true, cause: failed}
-		}
+		x.begin(resp)
 	}
 	x.finishCrashCheck()
 	if err := x.commit(ctx); err != nil {
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -22,11 +22,9 @@
 	// to return. Callers leave a silent stream after 2 s.
 	awayHold = 900 * time.Millisecond
 	awayPoll = 20 * time.Millisecond
-	// reservationWait is how long other turns wait for theirs.
+	// reservationWait is how long a turn waits for its reservation. A store
+	// slowed 60 times takes 0.55 s, and as much again after a conflict.
 	reservationWait = 1300 * time.Millisecond
-	// firstTurnWait is how long a first turn waits for its reservation: as
-	// long as a VM takes that knows the program.
-	firstTurnWait = 4 * time.Millisecond
 	// chainTimeout bounds the read of a conversation.
 	chainTimeout = 2 * time.Second
 )
@@ -36,7 +34,7 @@
 	chain    *turnlog.Chain // nil for a first turn
 	record   *turnlog.Record
 	program  ledger.Program
-	reserved <-chan error // nil without a budget or once it is known
+	reserved <-chan error // nil without a budget
 	finished bool         // the turn was settled as it was stored
 }
 
@@ -114,21 +112,16 @@
 	return ledger.Reservation{Turn: x.ID, Tokens: x.Turn.MostTokens, At: time.Now().UnixMilli()}
 }
 
-// awaitReservation waits for the reservation. That of a first turn can hardly
-// fail, since it mostly begins the program: its run begins soon, and only the
-// answer waits.
+// awaitReservation waits for the reservation. A first turn waits too: a program
+// that was stopped may come back with one, and must not run.
 func (x *exchange) awaitReservation(ctx context.Context) *structs.Refusal {
-	patience := reservationWait
-	if x.Turn.Previous == "" {
-		patience = firstTurnWait
-	}
-	bounded, cancel := context.WithTimeout(ctx, patience)
+	bounded, cancel := context.WithTimeout(ctx, reservationWait)
 	defer cancel()
 	err := x.reservation(bounded)
 	var spent *ledger.SpentError
 	var busy *ledger.BusyError
 	switch {
-	case err == nil || x.Turn.Previous == "" && errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil:
+	case err == nil:
 		return nil
 	case errors.As(err, &spent):
 		return structs.Refuse(structs.RefusedOverBudget, structs.RunNo, "%s", spent.Error())
@@ -146,7 +139,6 @@
 	}
 	select {
 	case err := <-t.reserved:
-		t.reserved = nil
 		return err
 	case <-ctx.Done():
 		return ctx.Err()
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -25,8 +25,9 @@
 	settleTimeout = 20 * time.Second
 	// reserveTimeout bounds a reservation's transaction.
 	reserveTimeout = 3 * time.Second
-	// bookLife is how long an unused book is kept in memory.
-	bookLife = 30 * time.Second
+	// bookLife is how long an unused book is kept in memory: as long as the
+	// users' programs may come back.
+	bookLife = 60 * time.Second
 	// voucherLife is how long tokens stay reserved for a turn to come. Pauses
 	// between turns are mostly below a second.
 	voucherLife = 3 * time.Second
