--- a/rowstore/storepath/health.go
+++ b/rowstore/storepath/health.go
@@ -44,9 +44,12 @@
 	reportTTL = 1500 * time.Millisecond
 	// peerRest is how long a peer that failed a relayed call is passed over.
 	peerRest = time.Second
+	// failureLimit is how many failures in a row mean that the direct path is
+	// lost.
+	failureLimit = 2
 	// busyLimit is how many busy answers in a row count as a failure. The
 	// store's own limit lets some calls pass in between.
-	busyLimit = 4
+	busyLimit = 3
 	// maxPeerPaths bounds the peers one call may go through, so that an
 	// outage does not multiply calls.
 	maxPeerPaths = 2
@@ -94,6 +97,7 @@
 	}
 	r.busy++
 	if r.busy >= busyLimit {
+		r.failures = failureLimit
 		h.Failed(now, p)
 	}
 }
@@ -115,8 +119,9 @@
 // Forget drops a VM that has left.
 func (h *Health) Forget(vm structs.VMID) { delete(h.peers, vm) }
 
-// DirectWorks reports whether the last direct call was served.
-func (h *Health) DirectWorks() bool { return h.direct.failedAt == 0 }
+// DirectWorks reports whether direct calls are served. A single failure may be
+// that of one partition of the store.
+func (h *Health) DirectWorks() bool { return h.direct.failures < failureLimit }
 
 // LastFailure returns when a call last went unserved on any path, 0 for never.
 func (h *Health) LastFailure() structs.Instant { return h.lastFail }
--- a/rowstore/storepath/router.go
+++ b/rowstore/storepath/router.go
@@ -71,7 +71,7 @@
 	r.health.Forget(vm)
 }
 
-// DirectWorks reports whether the last direct call was served.
+// DirectWorks reports whether direct calls are served.
 func (r *Router) DirectWorks() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
