Fault soak of the real processes

Runs endived as processes on loopback, harms them by signals, proxies in front of targets, ways to the store and the store itself, and checks what callers and targets see: at most once, refusals that promise not run, whole answers, history, budgets, keys.

--- /dev/null
+++ b/soak/processes/fleet_test.go
@@ -0,0 +1,216 @@
+// Package processes runs the real endived as separate processes on loopback and
+// harms them from outside, while it checks what callers and targets see.
+package processes
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/internal/standin/rows"
+	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/platform/platformtest"
+)
+
+// build makes the program once for all seeds.
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "endived")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "endived")
+	out, err := exec.Command("go", "build", "-o", path, "github.com/endivecourse/endivecourse/cmd/endived").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build endived: %w: %s", err, out)
+	}
+	return path, nil
+})
+
+// process is one VM with the process that runs there.
+type process struct {
+	vm  *platformtest.VM
+	log string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+}
+
+// fleet is a site with its processes and targets.
+type fleet struct {
+	t       *testing.T
+	site    *platformtest.Site
+	vms     []*process
+	targets []*platformtest.Target
+	proxies []*platformtest.Proxy
+}
+
+var domains = []string{"near-a", "near-b", "far-a", "near-a"}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, site: platformtest.NewSite(t)}
+	f.site.PutConfig(platformtest.BasicConfig())
+	for i := range 5 {
+		f.addTarget(fmt.Sprintf("engine-%d", i), "engine", domains[i%len(domains)])
+		f.addTarget(fmt.Sprintf("app-%d", i), "app", domains[i%len(domains)])
+	}
+	for _, domain := range domains {
+		f.vms = append(f.vms, &process{vm: f.site.AddVM(domain)})
+	}
+	for i, p := range f.vms {
+		p.log = filepath.Join(t.TempDir(), fmt.Sprintf("vm-%d.log", i+1))
+		f.start(p)
+		t.Cleanup(func() { f.kill(p) })
+	}
+	for _, p := range f.vms {
+		f.waitReady(p)
+	}
+	return f
+}
+
+func (f *fleet) addTarget(id, service, domain string) {
+	target := platformtest.NewTarget(id, service, service == "engine")
+	target.Set(platformtest.Behaviour{Events: 3, Work: 15 * time.Millisecond})
+	proxy, err := platformtest.NewProxy(target.Address())
+	assert.NilError(f.t, err)
+	target.Behind(proxy)
+	f.t.Cleanup(func() {
+		proxy.Close()
+		target.Close()
+	})
+	f.targets, f.proxies = append(f.targets, target), append(f.proxies, proxy)
+	f.site.List(target, domain)
+}
+
+func (f *fleet) start(p *process) {
+	path, err := build()
+	assert.NilError(f.t, err)
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(f.t, err)
+	defer log.Close()
+	cmd := exec.Command(path, "run")
+	cmd.Env = []string{platform.SettingsVariable + "=" + p.vm.Settings}
+	cmd.Stdout, cmd.Stderr = log, log
+	assert.NilError(f.t, cmd.Start())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = cmd
+}
+
+// end signals the process and waits until it is gone.
+func (p *process) end(s syscall.Signal) {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.cmd = nil
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Signal(s)
+	_ = cmd.Wait() // the signal is its exit status
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+func (f *fleet) kill(p *process) { p.end(syscall.SIGKILL) }
+
+func (f *fleet) waitReady(p *process) {
+	f.t.Helper()
+	client := &http.Client{Timeout: time.Second}
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		resp, err := client.Get("http://" + p.vm.Readiness + "/readyz")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	log, _ := os.ReadFile(p.log)
+	f.t.Fatalf("%s not ready within 15 s:\n%s", p.vm.Name, log)
+}
+
+// faults are the kinds of harm; each returns once it is over.
+var faults = map[string]func(f *fleet, rng *rand.Rand){
+	"kill": func(f *fleet, rng *rand.Rand) {
+		p := f.vms[rng.IntN(len(f.vms))]
+		f.kill(p)
+		time.Sleep(span(rng, 0, 800))
+		f.start(p)
+	},
+	"kill all": func(f *fleet, rng *rand.Rand) {
+		for _, p := range f.vms {
+			f.kill(p)
+		}
+		time.Sleep(span(rng, 0, 500))
+		for _, p := range f.vms {
+			f.start(p)
+		}
+	},
+	"pause": func(f *fleet, rng *rand.Rand) {
+		p := f.vms[rng.IntN(len(f.vms))]
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(span(rng, 200, 2500))
+		p.signal(syscall.SIGCONT)
+	},
+	"stop": func(f *fleet, rng *rand.Rand) {
+		p := f.vms[rng.IntN(len(f.vms))]
+		p.end(syscall.SIGTERM)
+		f.start(p)
+	},
+	"hangup": func(f *fleet, rng *rand.Rand) { f.vms[rng.IntN(len(f.vms))].signal(syscall.SIGHUP) },
+	"store turns a VM away": func(f *fleet, rng *rand.Rand) {
+		gate := f.vms[rng.IntN(len(f.vms))].vm.Gate
+		gate.Set(platformtest.GateMode(1 + rng.IntN(4)))
+		time.Sleep(span(rng, 300, 3000))
+		gate.Set(platformtest.GateOpen)
+	},
+	"store away": func(f *fleet, rng *rand.Rand) {
+		f.site.Store.SetFaults(rows.Faults{Down: rng.IntN(2) == 0, Delay: span(rng, 0, 400)})
+		time.Sleep(span(rng, 300, 2500))
+		f.site.Store.SetFaults(rows.Faults{})
+	},
+	"answers of the store lost": func(f *fleet, rng *rand.Rand) {
+		f.site.Store.SetFaults(rows.Faults{LoseAnswers: 2 + rng.IntN(4), LateBy: span(rng, 0, 1500)})
+		time.Sleep(span(rng, 300, 2500))
+		f.site.Store.SetFaults(rows.Faults{})
+	},
+	"history gone": func(f *fleet, _ *rand.Rand) { f.site.Store.Forget() },
+	"configuration": func(f *fleet, _ *rand.Rand) {
+		f.site.PutConfig(platformtest.BasicConfig())
+	},
+	"target's connections": func(f *fleet, rng *rand.Rand) {
+		proxy := f.proxies[rng.IntN(len(f.proxies))]
+		proxy.Set(platformtest.ProxyMode(1 + rng.IntN(4)))
+		time.Sleep(span(rng, 200, 2500))
+		proxy.Set(platformtest.ProxyOpen)
+	},
+	"target's answers": func(f *fleet, rng *rand.Rand) {
+		target := f.targets[rng.IntN(len(f.targets))]
+		target.Set([]platformtest.Behaviour{
+			{Events: 3, ResetAfter: 2}, {Events: 3, CutShort: true}, {Reset: true, Events: 3}, {Extra: true, Events: 3}, {Full: true}, {Events: 3, Work: 300 * time.Millisecond},
+		}[rng.IntN(6)])
+		time.Sleep(span(rng, 200, 2000))
+		target.Set(platformtest.Behaviour{Events: 3, Work: 15 * time.Millisecond})
+	},
+}
+
+// span draws a duration in milliseconds.
+func span(rng *rand.Rand, from, to int) time.Duration {
+	return time.Duration(from+rng.IntN(to-from+1)) * time.Millisecond
+}
