Gates hold back calls to partitions of the store that refuse them

Change: one call at a time finds out whether a partition is back, with pauses of 0.1 to 1.6 s, and a refusal by a path that serves others takes no detour.

--- a/rowstore/storepath/health.go
+++ b/rowstore/storepath/health.go
@@ -47,6 +47,8 @@
 	// failureLimit is how many failures in a row mean that the direct path is
 	// lost.
 	failureLimit = 2
+	// servedSpan is how long a served call speaks for the direct path.
+	servedSpan = 400 * time.Millisecond
 	// busyLimit is how many busy answers in a row count as a failure. The
 	// store's own limit lets some calls pass in between.
 	busyLimit = 3
@@ -102,6 +104,12 @@
 	}
 }
 
+// ServesOthers reports whether the direct path has just served a call, so that
+// the refusal of another one is not the path's.
+func (h *Health) ServesOthers(now structs.Instant) bool {
+	return h.direct.lastOK != 0 && now.Sub(h.direct.lastOK) < servedSpan
+}
+
 // Report records a peer's word on its own direct path.
 func (h *Health) Report(now structs.Instant, vm structs.VMID, near, works bool) {
 	peer := h.peers[vm]
--- a/rowstore/storepath/router.go
+++ b/rowstore/storepath/router.go
@@ -50,11 +50,12 @@
 
 	mu     sync.Mutex
 	health *Health
+	gates  *Gates
 }
 
 // NewRouter makes a router.
 func NewRouter(direct rowstore.Store, relay Relay, log *slog.Logger) *Router {
-	return &Router{direct: direct, relay: relay, log: log, health: NewHealth(structs.Now())}
+	return &Router{direct: direct, relay: relay, log: log, health: NewHealth(structs.Now()), gates: NewGates()}
 }
 
 // Report records a peer's word on its direct path.
@@ -95,7 +96,7 @@
 // Commit implements rowstore.Store. A transaction that an unanswered attempt
 // has applied already counts as this call's success.
 func (r *Router) Commit(ctx context.Context, tx rowstore.Tx) (uint64, error) {
-	return run(ctx, r, func(ctx context.Context, s rowstore.Store) (uint64, error) {
+	return run(ctx, r, partitionOf(tx), func(ctx context.Context, s rowstore.Store) (uint64, error) {
 		version, err := s.Commit(ctx, tx)
 		var conflict *rowstore.ConflictError
 		if errors.As(err, &conflict) {
@@ -107,6 +108,13 @@
 	})
 }
 
+func partitionOf(tx rowstore.Tx) string {
+	if len(tx.Expect) == 0 {
+		return ""
+	}
+	return tx.Expect[0].Partition
+}
+
 // appliedVersion tells whether the rows are just what the transaction puts.
 func appliedVersion(tx rowstore.Tx, conflict *rowstore.ConflictError) (uint64, bool) {
 	var version uint64
@@ -122,7 +130,7 @@
 
 // Scan implements rowstore.Store.
 func (r *Router) Scan(ctx context.Context, rng rowstore.Range) (rowstore.Page, error) {
-	return run(ctx, r, func(ctx context.Context, s rowstore.Store) (rowstore.Page, error) {
+	return run(ctx, r, rng.Partition, func(ctx context.Context, s rowstore.Store) (rowstore.Page, error) {
 		return s.Scan(ctx, rng)
 	})
 }
@@ -217,12 +225,16 @@
 
 // run tries the paths in turn and, beside a silent one, the next, until one
 // serves the call, the store itself answers with an error, or ctx ends.
-func run[T any](ctx context.Context, r *Router, call func(context.Context, rowstore.Store) (T, error)) (T, error) {
+func run[T any](ctx context.Context, r *Router, partition string, call func(context.Context, rowstore.Store) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var zero T
 	for pause := roundPause; ; pause = min(2*pause, maxPause) {
+		if err := r.pass(ctx, partition); err != nil {
+			return zero, err
+		}
 		result, done := round(ctx, r, call)
+		r.noteGate(partition, result.err)
 		if done || ctx.Err() != nil {
 			return result.value, result.err
 		}
@@ -236,6 +248,50 @@
 	}
 }
 
+// pass waits until the partition's gate lets the call go.
+func (r *Router) pass(ctx context.Context, partition string) error {
+	for {
+		r.mu.Lock()
+		wait := r.gates.Wait(structs.Now(), partition)
+		r.mu.Unlock()
+		if wait == 0 {
+			return nil
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return &rowstore.UnavailableError{Cause: ctx.Err()}
+		}
+	}
+}
+
+func (r *Router) noteGate(partition string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var refused *rowstore.UnavailableError
+	switch {
+	case err == nil || answered(err):
+		r.gates.Served(partition)
+	case isBusy(err) || errors.As(err, &refused):
+		r.gates.Refused(structs.Now(), partition)
+	}
+}
+
+// mayDetour reports whether a call that failed so may be tried over another
+// path. A busy store must not get more calls, and one that serves others by the
+// same path has refused this one for itself.
+func (r *Router) mayDetour(err error) bool {
+	if isBusy(err) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var refused *rowstore.UnavailableError
+	return !errors.As(err, &refused) || !r.health.ServesOthers(structs.Now())
+}
+
 func round[T any](ctx context.Context, r *Router, call func(context.Context, rowstore.Store) (T, error)) (outcome[T], bool) {
 	paths := r.paths(false)
 	results := make(chan outcome[T], len(paths))
@@ -264,7 +320,7 @@
 			if last.err == nil || answered(last.err) {
 				return last, true
 			}
-			if started < len(paths) && !isBusy(last.err) {
+			if started < len(paths) && r.mayDetour(last.err) {
 				start()
 			} else if finished == started {
 				return last, false
--- a/rowstore/storepath/storepath_test.go
+++ b/rowstore/storepath/storepath_test.go
@@ -217,3 +217,45 @@
 		time.Sleep(attemptTimeout)
 	})
 }
+
+// halfDown refuses the calls to one partition.
+type halfDown struct {
+	rowstore.Store
+	refused atomic.Int64
+}
+
+func (s *halfDown) Commit(ctx context.Context, tx rowstore.Tx) (uint64, error) {
+	if tx.Expect[0].Partition == "down" {
+		s.refused.Add(1)
+		return 0, &rowstore.UnavailableError{Cause: &rows.FaultError{Fault: "partition away"}}
+	}
+	return s.Store.Commit(ctx, tx)
+}
+
+// Many calls to a partition that is away cost few calls of the store, and none
+// of the others wait for them.
+func TestPartitionThatIsAwayCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &halfDown{Store: rows.New()}
+		r := newRouter(store, peers{"peer": store})
+		r.Report("peer", true, true)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		in := func(partition string, n int) rowstore.Tx {
+			key := rowstore.Key{Table: "t", Partition: partition, Key: fmt.Sprint(n)}
+			return rowstore.Tx{Expect: []rowstore.Expectation{{Key: key}}, Put: []rowstore.Put{{Key: key}}}
+		}
+		for n := range 100 {
+			go func() { _, _ = r.Commit(ctx, in("down", n)) }()
+		}
+		for n := range 400 {
+			start := time.Now()
+			_, err := r.Commit(ctx, in("up", n))
+			assert.NilError(t, err)
+			assert.Assert(t, time.Since(start) < 10*time.Millisecond)
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, store.refused.Load() < 250, "%d calls", store.refused.Load())
+	})
+}
