In large fleets one VM a region holds an account's quota

Change: with 16 VMs or more the account's bucket of a region is at the VM of the highest hash, which the others ask (1 ms); a VM that has just started takes the fleet for twelve VMs at least.

--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -147,6 +147,7 @@
 			Digest: func() fleet.Digest { return server.Digest() },
 			Heard:  func(d fleet.Digest) { server.Heard(d) },
 			Lend:   func(account structs.AccountID) int { return server.Lend(account) },
+			Admit:  func(question fleet.Admission) fleet.Verdict { return server.AdmitForPeer(question) },
 			Gone:   func(vm structs.VMID) { server.Gone(vm) },
 		},
 	})
@@ -163,7 +164,8 @@
 		Store:      router,
 		Programs:   conversation.NewKeeper(local, mesh, log),
 		Local:      local,
-		Borrow:     mesh.Borrow,
+		Peers:      mesh,
+		Regions:    regionCount(loaded),
 		QuotaSlack: loaded.QuotaSlack,
 		Log:        log,
 	})
@@ -178,6 +180,14 @@
 	return &endived{kernel: k, self: self}, nil
 }
 
+func regionCount(loaded platform.Settings) int {
+	regions := make(map[string]bool)
+	for _, region := range loaded.Regions {
+		regions[region] = true
+	}
+	return max(len(regions), 1)
+}
+
 // partitionOf maps a key to one of the store's partitions.
 func partitionOf(key string) string {
 	return partitionName(xxhash.Sum64String(key) % partitions)
--- /dev/null
+++ b/edge/quota.go
@@ -0,0 +1,111 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/endivecourse/endivecourse/fleet"
+	"github.com/endivecourse/endivecourse/routing"
+	"github.com/endivecourse/endivecourse/share"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+const (
+	// smallFleet is the most VMs that each hold a bucket of every account.
+	// With more, an account's buckets are held by one VM of each region.
+	smallFleet = 16
+	// holderTimeout bounds the question to an account's holder; a round trip
+	// within a region takes 1 ms.
+	holderTimeout = 150 * time.Millisecond
+	// maxHolders bounds the VMs that are asked, each after the one before did
+	// not answer; holderWait is when to come back if none did.
+	maxHolders = 2
+	holderWait = 300 * time.Millisecond
+)
+
+// Peers is what the edge asks of the other VMs.
+type Peers interface {
+	// Count is the number of other VMs that are known.
+	Count() int
+	// Holder returns the VM of this region that holds something of that name.
+	Holder(name string) (vm structs.VMID, self bool)
+	// Borrow asks a VM for quota tokens.
+	Borrow(ctx context.Context, vm structs.VMID, account structs.AccountID) (int, error)
+	// Admit asks an account's holder to admit a request.
+	Admit(ctx context.Context, vm structs.VMID, question fleet.Admission) (fleet.Verdict, error)
+}
+
+// admitAccount takes a quota token, from this VM's bucket or the holder's. again
+// says that the request has been counted before.
+func (s *Server) admitAccount(account *routing.Account, starts, again bool) share.Verdict {
+	if account.Rate <= 0 {
+		return share.Verdict{Admitted: true}
+	}
+	if s.opts.Peers.Count() < smallFleet {
+		return s.admitHere(account, starts, again, 0)
+	}
+	for range maxHolders {
+		vm, self := s.opts.Peers.Holder("account/" + string(account.ID))
+		if self {
+			return s.admitHere(account, starts, again, s.opts.Regions)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), holderTimeout)
+		verdict, err := s.opts.Peers.Admit(ctx, vm, fleet.Admission{Account: account.ID, Starts: starts, Again: again})
+		cancel()
+		if err == nil {
+			return share.Verdict{Admitted: verdict.Admitted, Wait: verdict.Wait}
+		}
+		s.log.Warn("account's holder does not answer", "account", string(account.ID), "holder", string(vm), "cause", err.Error())
+	}
+	return share.Verdict{Wait: holderWait}
+}
+
+// AdmitForPeer answers a VM of this region for which this one is the holder.
+func (s *Server) AdmitForPeer(question fleet.Admission) fleet.Verdict {
+	table := s.opts.Config.Current()
+	if table == nil || table.Accounts[question.Account] == nil {
+		// The asking VM has a newer configuration; its account is new.
+		return fleet.Verdict{Admitted: true}
+	}
+	verdict := s.admitHere(table.Accounts[question.Account], question.Starts, question.Again, s.opts.Regions)
+	return fleet.Verdict{Admitted: verdict.Admitted, Wait: verdict.Wait}
+}
+
+// admitHere takes a token of this VM or, if there is none, one of a peer's.
+func (s *Server) admitHere(account *routing.Account, starts, again bool, holders int) share.Verdict {
+	s.mu.Lock()
+	s.shares.SetHolders(holders)
+	if !again {
+		s.shares.Arrived(structs.Now(), account.ID, limitOf(account))
+	}
+	s.mu.Unlock()
+	verdict := s.takeToken(account, starts)
+	for _, vm := range verdict.Lenders {
+		if verdict.Admitted || !s.borrow(vm, account) {
+			continue
+		}
+		verdict = s.takeToken(account, starts)
+	}
+	return verdict
+}
+
+func (s *Server) takeToken(account *routing.Account, starts bool) share.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shares.Admit(structs.Now(), account.ID, limitOf(account), starts)
+}
+
+// borrow asks a peer for tokens and reports whether it gave any.
+func (s *Server) borrow(vm structs.VMID, account *routing.Account) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+	defer cancel()
+	tokens, err := s.opts.Peers.Borrow(ctx, vm, account.ID)
+	if err != nil {
+		s.log.Warn("no quota tokens borrowed", "account", string(account.ID), "from", string(vm), "cause", err.Error())
+		tokens = 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shares.Borrowed(structs.Now(), vm, account.ID, limitOf(account), tokens)
+	return tokens > 0
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -160,13 +160,10 @@
 	if x.account == nil {
 		return nil
 	}
-	s.mu.Lock()
-	s.shares.Arrived(structs.Now(), x.account.ID, limitOf(x.account))
-	s.mu.Unlock()
-	verdict := x.borrowToken()
+	verdict := s.admitAccount(x.account, x.startsProgram(), false)
 	if !verdict.Admitted && verdict.Wait <= share.MaxHold && verdict.Wait < x.left()/4 {
 		time.Sleep(verdict.Wait)
-		verdict = x.borrowToken()
+		verdict = s.admitAccount(x.account, x.startsProgram(), true)
 	}
 	if !verdict.Admitted {
 		return retryable(structs.RefusedOverRate, verdict.Wait, "the account is over its rate")
@@ -175,25 +172,6 @@
 	return nil
 }
 
-// borrowToken takes a token of this VM or, if there is none, a peer's.
-func (x *exchange) borrowToken() share.Verdict {
-	verdict := x.takeToken()
-	for _, vm := range verdict.Lenders {
-		if verdict.Admitted || !x.server.borrow(vm, x.account) {
-			continue
-		}
-		verdict = x.takeToken()
-	}
-	return verdict
-}
-
-func (x *exchange) takeToken() share.Verdict {
-	s := x.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.shares.Admit(structs.Now(), x.account.ID, limitOf(x.account), x.startsProgram())
-}
-
 func limitOf(account *routing.Account) share.Limit {
 	return share.Limit{Rate: account.Rate, Burst: account.Burst}
 }
@@ -201,21 +179,6 @@
 // startsProgram reports whether a refusal loses no work of the program's.
 func (x *exchange) startsProgram() bool { return x.route.KeepsTurns && x.Turn.Previous == "" }
 
-// borrow asks a peer for tokens and reports whether it gave any.
-func (s *Server) borrow(vm structs.VMID, account *routing.Account) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
-	defer cancel()
-	tokens, err := s.opts.Borrow(ctx, vm, account.ID)
-	if err != nil {
-		s.log.Warn("no quota tokens borrowed", "account", string(account.ID), "from", string(vm), "cause", err.Error())
-		tokens = 0
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.shares.Borrowed(structs.Now(), vm, account.ID, limitOf(account), tokens)
-	return tokens > 0
-}
-
 func (s *Server) returnToken(account structs.AccountID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/edge/server.go
+++ b/edge/server.go
@@ -42,8 +42,9 @@
 	// Programs keeps turns and budgets; Local is this VM's part of that.
 	Programs *conversation.Keeper
 	Local    *conversation.Local
-	// Borrow asks a VM for quota tokens.
-	Borrow func(ctx context.Context, vm structs.VMID, account structs.AccountID) (int, error)
+	Peers    Peers
+	// Regions is the number of regions of the deployment.
+	Regions int
 	// QuotaSlack is the requests by which all VMs together may pass a limit.
 	QuotaSlack float64
 	Log        *slog.Logger
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -40,6 +40,25 @@
 	return best, best == m.opts.Self.VM
 }
 
+// Holder returns the VM that holds something which needs no store: of all VMs of
+// this region that are known, heard of or not, the one of the highest hash. So
+// VMs that have just started name the same holder.
+func (m *Mesh) Holder(name string) (structs.VMID, bool) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	best, bestHash := m.opts.Self.VM, rendezvous(m.opts.Self.VM, name)
+	for id, peer := range m.members {
+		if peer.Region != m.opts.Self.Region || now.Sub(peer.failed) < homeRest {
+			continue
+		}
+		if hash := rendezvous(id, name); hash > bestHash {
+			best, bestHash = id, hash
+		}
+	}
+	return best, best == m.opts.Self.VM
+}
+
 func (k *known) mayBeHome(now time.Time, region string) bool {
 	return k.storeWorks && k.Region == region && now.Sub(k.heard) < homeHeard && now.Sub(k.failed) > homeRest
 }
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -50,6 +50,8 @@
 	Heard func(d Digest)
 	// Lend gives up quota tokens of an account.
 	Lend func(account structs.AccountID) int
+	// Admit decides on a request of an account that this VM holds.
+	Admit func(question Admission) Verdict
 	// Gone says that a VM was forgotten.
 	Gone func(vm structs.VMID)
 }
@@ -109,6 +111,9 @@
 	wire.Unary(m.server, MethodLend, func(_ context.Context, r LoanRequest) (Loan, error) {
 		return Loan{Tokens: m.opts.Hooks.Lend(r.Account)}, nil
 	})
+	wire.Unary(m.server, MethodAdmit, func(_ context.Context, question Admission) (Verdict, error) {
+		return m.opts.Hooks.Admit(question), nil
+	})
 	if opts.Serve != nil {
 		opts.Serve(m.server)
 	}
@@ -122,6 +127,20 @@
 	return loan.Tokens, err
 }
 
+// Admit asks an account's holder to admit a request.
+func (m *Mesh) Admit(ctx context.Context, vm structs.VMID, question Admission) (Verdict, error) {
+	var verdict Verdict
+	err := m.CallHome(ctx, vm, MethodAdmit, question, &verdict)
+	return verdict, err
+}
+
+// Count is the number of other VMs that are known.
+func (m *Mesh) Count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.members)
+}
+
 // Name returns "fleet".
 func (m *Mesh) Name() string { return "fleet" }
 
--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -108,8 +108,9 @@
 				defer n.mu.Unlock()
 				n.heard[d.From.VM]++
 			},
-			Lend: func(structs.AccountID) int { return 7 },
-			Gone: func(structs.VMID) {},
+			Lend:  func(structs.AccountID) int { return 7 },
+			Admit: func(Admission) Verdict { return Verdict{} },
+			Gone:  func(structs.VMID) {},
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -4,6 +4,8 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/endivecourse/endivecourse/quarantine"
 	"github.com/endivecourse/endivecourse/share"
 	"github.com/endivecourse/endivecourse/structs"
@@ -45,6 +47,7 @@
 	MethodDigest = "fleet.digest"
 	MethodConfig = "fleet.config"
 	MethodLend   = "fleet.lend"
+	MethodAdmit  = "fleet.admit"
 )
 
 // LoanRequest asks a VM for quota tokens of an account.
@@ -57,5 +60,18 @@
 	Tokens int `msgpack:"n"`
 }
 
+// Admission asks an account's holder to admit a request.
+type Admission struct {
+	Account structs.AccountID `msgpack:"a"`
+	Starts  bool              `msgpack:"s,omitempty"` // the request begins a program
+	Again   bool              `msgpack:"g,omitempty"` // it was asked for before
+}
+
+// Verdict answers an Admission.
+type Verdict struct {
+	Admitted bool          `msgpack:"a"`
+	Wait     time.Duration `msgpack:"w,omitempty"` // until a token is there
+}
+
 // ConfigQuery asks for the newest configuration.
 type ConfigQuery struct{}
--- a/share/share.go
+++ b/share/share.go
@@ -42,6 +42,10 @@
 	// they have heard of one another.
 	growSpan   = 0.3
 	shrinkSpan = 0.1
+	// settleSpan is how long after its start a VM takes the fleet for startVMs
+	// at least; members are known within a second.
+	settleSpan = 2 * time.Second
+	startVMs   = 12
 	// toldRounds is how many rounds of reports it takes until all peers have
 	// one; those of other regions get every other one.
 	toldRounds = 1
@@ -92,6 +96,12 @@
 	slack    float64
 	accounts map[structs.AccountID]*account
 	peers    map[structs.VMID]*peer
+	// settling is true while the process has just started and may not know all
+	// its peers.
+	settling bool
+	// holders is the number of VMs that hold each account's buckets, 0 while
+	// all VMs do.
+	holders int
 }
 
 type account struct {
@@ -119,12 +129,17 @@
 func New(now structs.Instant, slack float64) *Shares {
 	return &Shares{
 		started:  now,
+		settling: true,
 		slack:    slack,
 		accounts: make(map[structs.AccountID]*account),
 		peers:    make(map[structs.VMID]*peer),
 	}
 }
 
+// SetHolders says that only so many VMs hold the buckets of each account, or all
+// VMs for 0. With many VMs a bucket of each would hold less than one token.
+func (s *Shares) SetHolders(holders int) { s.holders = holders }
+
 // Report takes a peer's demand and what it could lend. near says that asking it
 // is quick.
 func (s *Shares) Report(now structs.Instant, vm structs.VMID, near bool, demand Demand, spare Spare) {
@@ -206,6 +221,9 @@
 		return 0
 	}
 	spare, known := p.spare[id]
+	if !known && s.holders > 0 {
+		return 0 // not a holder
+	}
 	if !known {
 		return math.Floor(s.even() * a.limit.Burst)
 	}
@@ -313,17 +331,30 @@
 // floor is the least size of a bucket. All floors together stay within the
 // slack; a bucket below one token would never admit.
 func (s *Shares) floor() float64 {
-	return math.Max(1, s.slack/float64(2*(len(s.peers)+1)))
+	return math.Max(1, s.slack*s.even()/2)
 }
 
 // even is the part of a VM when all are alike.
-func (s *Shares) even() float64 { return 1 / float64(len(s.peers)+1) }
+func (s *Shares) even() float64 {
+	if s.holders > 0 {
+		return 1 / float64(s.holders)
+	}
+	vms := len(s.peers) + 1
+	if s.settling {
+		vms = max(vms, startVMs)
+	}
+	return 1 / float64(vms)
+}
 
 func (s *Shares) account(now structs.Instant, id structs.AccountID, limit Limit) *account {
+	s.settling = s.settling && now.Sub(s.started) < settleSpan
 	a := s.accounts[id]
 	if a == nil {
 		even := s.even()
 		grown := even * limit.Rate * now.Sub(s.started).Seconds()
+		if s.holders > 0 {
+			grown = 0 // another VM may just have held this bucket
+		}
 		a = &account{
 			limit: limit, counted: now, filled: now, part: even,
 			tokens: math.Min(s.floor()+grown, math.Max(even*limit.Burst, s.floor())),
@@ -342,7 +373,7 @@
 // target returns the part of the account that this VM's demand speaks for.
 func (s *Shares) target(now structs.Instant, id structs.AccountID, a *account) float64 {
 	total, even := s.total(now, id, a), s.even()
-	if total <= 0 {
+	if total <= 0 || s.settling {
 		return even
 	}
 	return evenPart*even + (1-evenPart)*a.known()/total
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -204,6 +204,7 @@
 	rng := rand.New(rand.NewPCG(2, 1))
 	limit := Limit{Rate: 12, Burst: 12}
 	f := newFleetSim(9)
+	f.now = f.now.Add(2 * settleSpan) // the VMs have run for a while
 	favourite := f.vms[0]
 	pick := func() structs.VMID {
 		if rng.IntN(20) == 0 {
@@ -265,3 +266,27 @@
 	}
 	assert.Assert(t, admitted <= 2, "%d admitted", admitted)
 }
+
+// Of 91 VMs two hold an account's buckets: a small account that is hot stays
+// within its quota, and at its usual rate it is hardly ever refused, though each
+// VM's part of its burst would be below one token.
+func TestFewHoldersOfManyVMs(t *testing.T) {
+	for name, load := range map[string]float64{"usual": 1 / 1.6, "hot": 5} {
+		t.Run(name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(4, 1))
+			limit := Limit{Rate: 14, Burst: 14}
+			f := newFleetSim(91)
+			for _, s := range f.shares {
+				s.SetHolders(2)
+			}
+			holders := f.vms[:2]
+			pick := func() structs.VMID { return holders[rng.IntN(2)] }
+			f.play(rng, 30*time.Second, limit.Rate*load, limit, pick)
+			f.checkWindows(t, limit)
+			if name == "usual" {
+				total := len(f.admitted) + f.refused
+				assert.Assert(t, f.refused*50 <= total, "%d of %d refused", f.refused, total)
+			}
+		})
+	}
+}
