--- a/edge/observe.go
+++ b/edge/observe.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -93,10 +94,10 @@
 	if refusal != nil {
 		level = slog.LevelWarn
 	}
-	if !s.log.Enabled(nil, level) { //nolint:staticcheck // no context carries log state here
+	if !s.log.Enabled(context.Background(), level) {
 		return
 	}
-	s.log.LogAttrs(nil, level, "request", x.attributes(outcome, took, refusal)...) //nolint:staticcheck // as above
+	s.log.LogAttrs(context.Background(), level, "request", x.attributes(outcome, took, refusal)...)
 }
 
 func (x *exchange) attributes(outcome string, took time.Duration, refusal *structs.Refusal) []slog.Attr {
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"bytes"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -76,26 +75,6 @@
 	names map[structs.RequestID]structs.RequestID
 }
 
-// change is one change of a book.
-type change struct {
-	// reserve is the reservation to open or, with settles, to end.
-	reserve Reservation
-	budget  int64
-	settles bool
-	tokens  int64 // that the caller got
-	// rows are written in the same transaction.
-	rows rowstore.Tx
-	// voucher, if it has a name, is opened for the turn to come.
-	voucher Reservation
-	granted bool
-	done    chan error // nil when nobody waits
-	// until is when the change is of no more use; zero for settlements, which
-	// are tried for settleTimeout.
-	until time.Time
-	// started is when a settlement was asked for.
-	started time.Time
-}
-
 // NewKeeper makes a keeper without books.
 func NewKeeper(opts Options) *Keeper {
 	return &Keeper{opts: opts, books: make(map[string]*entry)}
@@ -272,18 +251,6 @@
 	k.fail(e, changes, &ContendedError{Program: e.key.Key})
 }
 
-// isApplied reports whether an attempt without an answer was applied: the rows
-// of a turn are written by its own transaction only.
-func isApplied(changes []*change, conflict *rowstore.ConflictError) bool {
-	for _, c := range changes {
-		for _, put := range c.rows.Put {
-			row := conflict.Find(put.Key)
-			return row.Version != 0 && bytes.Equal(row.Value, put.Value)
-		}
-	}
-	return false
-}
-
 // ContendedError says that other VMs changed a book in each round.
 type ContendedError struct{ Program string }
 
@@ -292,37 +259,6 @@
 	return "budget of program " + e.Program + " was changed by other VMs in every round"
 }
 
-// deadlineOf is the earliest end of the changes that share a transaction.
-func deadlineOf(changes []*change) time.Time {
-	deadline := time.Now().Add(settleTimeout)
-	for _, c := range changes {
-		if !c.until.IsZero() && c.until.Before(deadline) {
-			deadline = c.until
-		}
-	}
-	return deadline
-}
-
-// perform applies settlements first: they make room.
-func perform(book *Book, changes []*change) (results []error, changed bool) {
-	results = make([]error, len(changes))
-	for _, c := range changes {
-		if !c.settles {
-			continue
-		}
-		book.Settle(c.reserve.Turn, c.tokens)
-		changed = true
-		c.granted = c.voucher.Turn != "" && book.Extend(c.voucher, c.budget)
-	}
-	for i, c := range changes {
-		if !c.settles {
-			results[i] = book.Reserve(c.reserve, c.budget)
-			changed = changed || results[i] == nil
-		}
-	}
-	return results, changed
-}
-
 func (k *Keeper) commit(ctx context.Context, e *entry, book Book, changes []*change) error {
 	value, err := book.encode()
 	if err != nil {
@@ -409,9 +345,6 @@
 	}
 }
 
-// turnOf returns the turn that a voucher's turn continues.
-func turnOf(voucher Reservation) structs.RequestID { return voucher.Turn[len("after/"):] }
-
 func (k *Keeper) forgetName(e *entry, name structs.RequestID) {
 	for turn, used := range e.names {
 		if used == name {
