--- a/daemon/endived_test.go
+++ b/daemon/endived_test.go
@@ -268,6 +268,8 @@
 	vms := []*platformtest.VM{b.site.AddVM("near-a"), b.site.AddVM("far-a")}
 	b.vms = vms
 	stops := []func(){b.start(vms[0]), b.start(vms[1])}
+	b.waitReady(vms[0])
+	b.waitReady(vms[1])
 	engine := b.target("engine-1", "engine", "near-a")
 	first := b.turn(vms[0], "", "first ")
 	assert.Equal(t, first.status, 200, first.body)
@@ -389,6 +391,7 @@
 	vm := b.site.AddVM("near-a")
 	b.vms = []*platformtest.VM{vm}
 	stop := b.start(vm)
+	b.waitReady(vm)
 	engine := b.target("engine-1", "engine", "near-a")
 	header := map[string]string{platformtest.HeaderProgram: "p", platformtest.HeaderBudget: "30", platformtest.HeaderUsage: "100,30"}
 	turn := call{path: "/chat/1", body: "x", header: header}
--- a/rowstore/follow_test.go
+++ b/rowstore/follow_test.go
@@ -48,11 +48,13 @@
 		seen, full := make(map[string]string), 0
 		follow(ctx, store, seen, &full)
 		time.Sleep(200 * time.Millisecond)
+		synctest.Wait()
 		assert.DeepEqual(t, seen, map[string]string{"0": "0", "1": "0", "2": "0"})
 
 		store.Put(rowstore.Key{Table: "t", Key: "1"}, []byte("1"))
 		store.Delete(rowstore.Key{Table: "t", Key: "2"})
 		time.Sleep(time.Second)
+		synctest.Wait()
 		assert.DeepEqual(t, seen, map[string]string{"0": "0", "1": "1"})
 
 		store.SetFaults(rows.Faults{Down: true})
@@ -61,6 +63,7 @@
 		store.Forget()
 		store.SetFaults(rows.Faults{})
 		time.Sleep(time.Second)
+		synctest.Wait()
 		assert.DeepEqual(t, seen, map[string]string{"0": "0", "1": "1", "3": "3"})
 		assert.Equal(t, full, 2)
 	})
