One copy of the socket's user timeout; unused methods go

Reading the diff as a newcomer: the dialers of targets and of the store set the option each for itself; two methods had no caller. No behaviour changes.

--- a/hop/conn.go
+++ b/hop/conn.go
@@ -38,7 +38,6 @@
 	net     net.Conn
 	address string
 	reader  *bufio.Reader
-	used    bool      // an earlier request was answered
 	expires time.Time // when the pooled connection is given up
 	close   bool      // the target closes after this answer
 	stray   bool      // bytes that belong to no request were seen
@@ -52,9 +51,6 @@
 // Close closes the connection, which makes the target drop its request.
 func (c *Conn) Close() { c.net.Close() }
 
-// Reused reports whether the connection carried a request before.
-func (c *Conn) Reused() bool { return c.used }
-
 // usable reports whether an idle connection can still be written to: it is
 // neither closed nor holds bytes that nobody asked for.
 func (c *Conn) usable(now time.Time) bool {
@@ -158,7 +154,6 @@
 }
 
 func (c *Conn) noteEnd(resp *http.Response) {
-	c.used = true
 	c.close = c.close || resp.Close
 	c.expires = time.Now().Add(idleTime(resp.Header))
 }
--- a/hop/pool.go
+++ b/hop/pool.go
@@ -7,10 +7,9 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/endivecourse/endivecourse/internal/sockopt"
 )
 
 const (
@@ -62,23 +61,12 @@
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 			},
-			Control: setUserTimeout,
+			Control: sockopt.UserTimeout(userTimeout),
 		},
 		idle: make(map[string][]*Conn),
 	}
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
-
 // Get returns a pooled connection that is still open, or a new one. Its error
 // is *DialError or that of ctx.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -197,6 +197,3 @@
 	}
 	return t.keys[key]
 }
-
-// KeyCount returns the number of keys, for dumps.
-func (t *Table) KeyCount() int { return len(t.keys) }
