A refusal after a lost answer no longer claims that nothing ran

Cause (last reading of the code): a safe request whose first send lost its answer and whose second was turned away, or found no target, was refused with 503 as not run. Ruled out: requests that may not be repeated and streams, which end at their first such send. Change: the exchange remembers that a send may have run, and every refusal after it is 502, or 504 with the outcome unknown. The wait for a reservation moves into its one caller. Before: status 503 after one run in TestRefusalAfterLostAnswerIsTrue; after: 502.

--- a/daemon/endived_targets_test.go
+++ b/daemon/endived_targets_test.go
@@ -47,6 +47,30 @@
 	assert.Assert(t, len(one.Runs()) > 0 && len(two.Runs()) > 0)
 }
 
+// A refusal does not claim that a request has not run when the first of its
+// sends lost the answer and the second was turned away or found no target.
+func TestRefusalAfterLostAnswerIsTrue(t *testing.T) {
+	for name, second := range map[string]platformtest.Behaviour{
+		"second turned away":  {Full: true},
+		"second lost as well": {Reset: true},
+	} {
+		b := newBed(t, "near-a")
+		one := b.target("app-1", "app", "near-a")
+		two := b.target("app-2", "app", "near-a")
+		one.Set(platformtest.Behaviour{Reset: true})
+		two.Set(second)
+		for range 6 {
+			before := len(one.Runs()) + len(two.Runs())
+			got := b.do(call{method: http.MethodGet, path: "/read/1"})
+			ran := len(one.Runs()) + len(two.Runs()) - before
+			assert.Assert(t, ran == 0 || got.status == 502, "%s: status %d after %d runs", name, got.status, ran)
+		}
+	}
+	b := newBed(t, "near-a")
+	b.target("app-1", "app", "near-a").Set(platformtest.Behaviour{Reset: true})
+	assert.Equal(t, b.do(call{method: http.MethodGet, path: "/read/1"}).status, 502)
+}
+
 // Streams that break off, within an event or between two, never look complete.
 func TestCutStreamNeverLooksWhole(t *testing.T) {
 	b := newBed(t, "near-a")
--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -73,20 +73,18 @@
 		}
 		last = v.cause
 		tried = append(tried, target.ID)
+		x.mayHaveRun = x.mayHaveRun || v.sent
 		if x.sends == sends {
 			connects++
 		}
-		if v.sent && !x.route.Repeatable() {
-			return x.failed(ctx, v.cause)
-		}
 		if ctx.Err() != nil {
-			return x.ended(v.sent, v.cause)
+			return x.ended(v.cause)
 		}
-		if v.sent && x.sends >= x.maxSends() {
-			return x.failed(ctx, v.cause)
+		if v.sent && !x.route.Repeatable() {
+			return x.failed(v.cause)
 		}
 	}
-	return retryable(structs.RefusedQueueFull, fullRetry, "no target took the request: "+text(last))
+	return x.unserved(structs.RefusedQueueFull, fullRetry, "no target took the request: "+text(last))
 }
 
 func text(err error) string {
@@ -115,34 +113,44 @@
 	return target, err
 }
 
-// noSlot refuses a request for which no target was found. last is why earlier
-// targets did not run it.
+// noSlot refuses a request for which no target was found. last is what the
+// targets that were tried came to.
 func (x *exchange) noSlot(ctx context.Context, err, last error) *structs.Refusal {
 	var none *NoTargetError
 	var full *FullError
+	reason := err.Error()
+	if last != nil {
+		reason += " after " + last.Error()
+	}
 	switch {
-	case errors.As(err, &none) && last != nil && x.sends > 0 && x.route.Repeatable():
-		return x.failed(ctx, last)
+	case ctx.Err() != nil:
+		return x.ended(err)
 	case errors.As(err, &none):
-		return retryable(structs.RefusedNoTarget, noTargetRetry, err.Error())
+		return x.unserved(structs.RefusedNoTarget, noTargetRetry, reason)
 	case errors.As(err, &full):
-		return retryable(structs.RefusedQueueFull, fullRetry, err.Error())
+		return x.unserved(structs.RefusedQueueFull, fullRetry, reason)
 	}
-	return x.ended(false, err)
+	return x.ended(err)
 }
 
-// failed refuses a request that a target may have run.
-func (x *exchange) failed(ctx context.Context, cause error) *structs.Refusal {
-	if ctx.Err() != nil {
-		return x.ended(true, cause)
+// unserved refuses a request that no target answered. It may be tried again
+// unless an earlier send may have run it.
+func (x *exchange) unserved(kind structs.RefusalKind, after time.Duration, reason string) *structs.Refusal {
+	if x.mayHaveRun {
+		return structs.Refuse(structs.RefusedTargetFailed, structs.RunUnknown, "%s", reason)
 	}
+	return retryable(kind, after, reason)
+}
+
+// failed refuses a request that a target may have run.
+func (x *exchange) failed(cause error) *structs.Refusal {
 	return structs.Refuse(structs.RefusedTargetFailed, structs.RunUnknown, "target %s: %s", x.target, text(cause))
 }
 
 // ended refuses a request whose time is over.
-func (x *exchange) ended(sent bool, cause error) *structs.Refusal {
+func (x *exchange) ended(cause error) *structs.Refusal {
 	run := structs.RunNo
-	if sent {
+	if x.mayHaveRun {
 		run = structs.RunUnknown
 	}
 	return structs.Refuse(structs.RefusedTimeout, run, "no answer in time: %s", text(cause))
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -192,7 +192,12 @@
 // broken ends a stream that has begun and can't be completed.
 func (x *exchange) broken(ctx context.Context, target placement.Target, cause error) verdict {
 	x.server.answerBroke(ctx, x, target, cause)
-	x.server.observe(x, x.failed(ctx, cause))
+	x.mayHaveRun = true
+	refusal := x.failed(cause)
+	if ctx.Err() != nil {
+		refusal = x.ended(cause)
+	}
+	x.server.observe(x, refusal)
 	return verdict{done: true, cause: &AbortedError{Cause: cause}}
 }
 
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -121,9 +121,23 @@
 // awaitReservation waits for the reservation. A first turn waits too: a program
 // that was stopped may come back with one, and must not run.
 func (x *exchange) awaitReservation(ctx context.Context) *structs.Refusal {
-	bounded, cancel := context.WithTimeout(ctx, reservationWait)
-	defer cancel()
-	err := x.reservation(bounded)
+	if x.turn.reserved == nil {
+		return nil
+	}
+	timer := time.NewTimer(reservationWait)
+	defer timer.Stop()
+	var err error
+	select {
+	case err = <-x.turn.reserved:
+	case <-timer.C:
+		err = context.DeadlineExceeded
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	return refusalOfReservation(err)
+}
+
+func refusalOfReservation(err error) *structs.Refusal {
 	var spent *ledger.SpentError
 	var busy *ledger.BusyError
 	switch {
@@ -137,20 +151,6 @@
 	return retryable(structs.RefusedNotReady, awayRetry, "tokens not reserved: "+err.Error())
 }
 
-// reservation returns the outcome of the reservation.
-func (x *exchange) reservation(ctx context.Context) error {
-	t := x.turn
-	if t == nil || t.reserved == nil {
-		return nil
-	}
-	select {
-	case err := <-t.reserved:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // hasBudget reports whether the turn's tokens are counted.
 func (x *exchange) hasBudget() bool { return x.Turn.Budget > 0 && x.Program != "" }
 
