--- a/conversation/errors.go
+++ b/conversation/errors.go
@@ -1,6 +1,9 @@
 package conversation
 
 import (
+	"context"
+	"time"
+
 	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/ledger"
@@ -17,6 +20,7 @@
 	reasonBusy
 	reasonNotFound
 	reasonTooLarge
+	reasonSlow
 	reasonOther
 )
 
@@ -35,7 +39,18 @@
 // Error gives the home's words.
 func (e *HomeError) Error() string { return "at the program's home: " + e.Detail }
 
+// SlowStoreError says that a home lives but its transaction has not ended yet.
+type SlowStoreError struct{ Waited time.Duration }
+
+// Error gives the time waited.
+func (e *SlowStoreError) Error() string {
+	return "the store has not answered the program's home for " + e.Waited.String()
+}
+
 func replyOf(err error) Reply {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return Reply{Reason: reasonSlow}
+	}
 	var (
 		spent    *ledger.SpentError
 		busy     *ledger.BusyError
@@ -69,17 +84,11 @@
 		return &turnlog.NotFoundError{Turn: r.Turn}
 	case reasonTooLarge:
 		return &turnlog.TooLargeError{Bytes: int(r.Numbers[0]), Max: int(r.Numbers[1])}
+	case reasonSlow:
+		return &SlowStoreError{Waited: homePatience}
 	}
 	return &HomeError{Detail: r.Detail}
 }
 
-// decisive reports whether another VM would say the same.
-func decisive(err error) bool {
-	var (
-		spent    *ledger.SpentError
-		busy     *ledger.BusyError
-		missing  *turnlog.NotFoundError
-		tooLarge *turnlog.TooLargeError
-	)
-	return err == nil || errors.As(err, &spent) || errors.As(err, &busy) || errors.As(err, &missing) || errors.As(err, &tooLarge)
-}
+// isDecisive reports whether another VM would say the same.
+func (r *Reply) isDecisive() bool { return r.Reason != reasonOther }
--- a/conversation/keeper.go
+++ b/conversation/keeper.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/endivecourse/endivecourse/ledger"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/turnlog"
@@ -20,8 +22,12 @@
 )
 
 const (
-	// homeTimeout is when a home that is silent is passed over. Its own
-	// transaction takes 40 ms, and 600 ms with a store that is 60 times slower.
+	// homePatience is how long a home waits for the store before it answers
+	// that it does. Its transaction takes 40 ms, and 600 ms with a store that
+	// is 60 times slower.
+	homePatience = 700 * time.Millisecond
+	// homeTimeout is when a home that is silent is passed over. It leaves
+	// 200 ms beside homePatience, seven round trips between regions.
 	homeTimeout = 900 * time.Millisecond
 	// settleTimeout bounds a settlement, for which nobody waits.
 	settleTimeout = 2 * time.Second
@@ -29,8 +35,8 @@
 
 // Peers finds and calls homes.
 type Peers interface {
-	// Home returns the VM that keeps a program; self says that it is this one.
-	Home(program string) (vm structs.VMID, self bool)
+	// Home returns the VM that keeps a partition; self says that it is this one.
+	Home(partition string) (vm structs.VMID, self bool)
 	// CallHome calls a VM; a failure makes it no home for a while.
 	CallHome(ctx context.Context, vm structs.VMID, method string, in, out any) error
 }
@@ -50,9 +56,13 @@
 // Serve lets peers use this VM as a home.
 func Serve(server *wire.Server, local *Local) {
 	wire.Unary(server, MethodReserve, func(ctx context.Context, s Start) (Reply, error) {
+		ctx, cancel := context.WithTimeout(ctx, homePatience)
+		defer cancel()
 		return replyOf(local.Reserve(ctx, s)), nil
 	})
 	wire.Unary(server, MethodFinish, func(ctx context.Context, e Ending) (Reply, error) {
+		ctx, cancel := context.WithTimeout(ctx, homePatience)
+		defer cancel()
 		return replyOf(local.Finish(ctx, e)), nil
 	})
 	wire.Unary(server, MethodSettle, func(_ context.Context, s Settlement) (Reply, error) {
@@ -60,6 +70,8 @@
 		return Reply{}, nil
 	})
 	wire.Unary(server, MethodFind, func(ctx context.Context, q Lookup) (Reply, error) {
+		ctx, cancel := context.WithTimeout(ctx, homePatience)
+		defer cancel()
 		records, err := local.Find(ctx, q)
 		reply := replyOf(err)
 		reply.Records = records
@@ -69,7 +81,7 @@
 
 // atHome calls the program's home. done is false when this VM has to act itself.
 func (k *Keeper) atHome(ctx context.Context, p ledger.Program, method string, in any, reply *Reply) (done bool, err error) {
-	vm, self := k.peers.Home(p.Key())
+	vm, self := k.peers.Home(k.local.Partition(p.Key()))
 	if self {
 		return false, nil
 	}
@@ -82,8 +94,7 @@
 		k.log.Warn("program's home does not answer", "program", p.Key(), "home", string(vm), "call", method, "cause", err.Error())
 		return false, nil
 	}
-	err = reply.err()
-	return decisive(err), err
+	return reply.isDecisive(), reply.err()
 }
 
 // Reserve reserves a turn's tokens, at the home or here.
@@ -94,10 +105,15 @@
 	return k.local.Reserve(ctx, s)
 }
 
-// Finish stores a turn and settles it. A home that did not answer may have done
-// so already; the rows of the turn show it.
+// Finish stores a turn and settles it. It asks again while the home waits for the
+// store. A home that did not answer may have stored the turn already; its rows
+// show it.
 func (k *Keeper) Finish(ctx context.Context, e Ending) error {
+	var slow *SlowStoreError
 	done, err := k.atHome(ctx, e.Program, MethodFinish, e, &Reply{})
+	for done && errors.As(err, &slow) && ctx.Err() == nil {
+		done, err = k.atHome(ctx, e.Program, MethodFinish, e, &Reply{})
+	}
 	if !done {
 		return k.local.Finish(ctx, e)
 	}
--- a/conversation/local.go
+++ b/conversation/local.go
@@ -1,7 +1,8 @@
 // Package conversation keeps the turns and the token budget of each program. All
-// VMs of a region send a program's changes to one VM, its home, where they share
-// transactions and memory. The home is a matter of cost only: the store's
-// versions keep changes apart, so any VM may act when the home does not answer.
+// VMs of a region send the changes of programs in one partition of the store to
+// one VM, their home, where they share transactions and memory. The home is a
+// matter of cost only: the store's versions keep changes apart, so any VM may act
+// when the home does not answer.
 package conversation
 
 import (
@@ -47,11 +48,13 @@
 type Local struct {
 	Ledger *ledger.Keeper
 	Turns  *turnlog.Log
+	// Partition maps a program to the store's partition of its rows.
+	Partition func(program string) string
 }
 
 // Reserve reserves a turn's tokens.
 func (l *Local) Reserve(ctx context.Context, s Start) error {
-	return wait(ctx, l.Ledger.Reserve(s.Program, s.Reserved, s.Budget, s.Previous))
+	return wait(ctx, l.Ledger.Reserve(ctx, s.Program, s.Reserved, s.Budget, s.Previous))
 }
 
 func wait(ctx context.Context, done <-chan error) error {
--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -137,7 +137,7 @@
 	direct := platform.NewStore(loaded.StoreAddress)
 	var server *edge.Server
 	var router *storepath.Router
-	local := &conversation.Local{}
+	local := &conversation.Local{Partition: partitionOf}
 	mesh := fleet.New(fleet.Options{
 		Self: self, Seeds: loaded.Seeds, Listener: peers, Direct: direct, Config: config, Log: log,
 		Store:      func() rowstore.Store { return router },
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -17,23 +17,23 @@
 	homeRest = 2 * time.Second
 )
 
-// Home returns the VM that keeps a program: of the VMs of this region that were
+// Home returns the VM that keeps a partition of programs: of the VMs of this region that were
 // heard of and reach the store, the one of the highest hash. VMs with different
 // views may name different homes, which costs conflicts at the store and no more.
-func (m *Mesh) Home(program string) (structs.VMID, bool) {
+func (m *Mesh) Home(partition string) (structs.VMID, bool) {
 	now := time.Now()
 	selfWorks := m.opts.StoreWorks()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	best, bestHash := m.opts.Self.VM, uint64(0)
 	if selfWorks {
-		bestHash = rendezvous(best, program)
+		bestHash = rendezvous(best, partition)
 	}
 	for id, peer := range m.members {
 		if !peer.mayBeHome(now, m.opts.Self.Region) {
 			continue
 		}
-		if hash := rendezvous(id, program); hash > bestHash {
+		if hash := rendezvous(id, partition); hash > bestHash {
 			best, bestHash = id, hash
 		}
 	}
@@ -63,11 +63,11 @@
 	return k.storeWorks && k.Region == region && now.Sub(k.heard) < homeHeard && now.Sub(k.failed) > homeRest
 }
 
-func rendezvous(vm structs.VMID, program string) uint64 {
+func rendezvous(vm structs.VMID, name string) uint64 {
 	digest := xxhash.New()
 	digest.WriteString(string(vm))
 	digest.Write([]byte{0})
-	digest.WriteString(program)
+	digest.WriteString(name)
 	return digest.Sum64()
 }
 
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"bytes"
 	"time"
 
 	"github.com/endivecourse/endivecourse/rowstore"
@@ -41,6 +40,11 @@
 	voucher Reservation
 	granted bool
 	done    chan error // nil when nobody waits
+	sent    bool       // a transaction has carried it
+	// hold is until when a reservation may wait for settlements; busy is what
+	// it waits for.
+	hold time.Time
+	busy error
 	// until is when the change is of no more use; zero for settlements, which
 	// are tried for settleTimeout.
 	until time.Time
@@ -48,24 +52,22 @@
 	started time.Time
 }
 
-// isApplied reports whether an attempt without an answer was applied: the rows
-// of a turn are written by its own transaction only.
-func isApplied(changes []*change, conflict *rowstore.ConflictError) bool {
-	for _, c := range changes {
-		for _, put := range c.rows.Put {
-			row := conflict.Find(put.Key)
-			return row.Version != 0 && bytes.Equal(row.Value, put.Value)
-		}
+// finish tells who waits for the change, if any.
+func (c *change) finish(err error) {
+	if c.done != nil {
+		c.done <- err
 	}
-	return false
 }
 
 // deadlineOf is the earliest end of the changes that share a transaction.
-func deadlineOf(changes []*change) time.Time {
-	deadline := time.Now().Add(settleTimeout)
-	for _, c := range changes {
-		if !c.until.IsZero() && c.until.Before(deadline) {
-			deadline = c.until
+// Settlements alone are tried anew after a while, with those that came meanwhile.
+func deadlineOf(batch []*work) time.Time {
+	deadline := time.Now().Add(reserveTimeout)
+	for _, w := range batch {
+		for _, c := range w.changes {
+			if !c.until.IsZero() && c.until.Before(deadline) {
+				deadline = c.until
+			}
 		}
 	}
 	return deadline
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/endivecourse/endivecourse/rowstore"
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -24,21 +21,15 @@
 	settleTimeout = 20 * time.Second
 	// reserveTimeout bounds a reservation's transaction.
 	reserveTimeout = 3 * time.Second
+	// busyHold is how long a reservation waits for the turns in progress that
+	// may use up the budget; most turns end sooner.
+	busyHold = 500 * time.Millisecond
 	// bookLife is how long an unused book is kept in memory: as long as the
 	// users' programs may come back.
 	bookLife = 60 * time.Second
 	// voucherLife is how long tokens stay reserved for a turn to come. Pauses
 	// between turns are mostly below a second.
 	voucherLife = 3 * time.Second
-	// maxRows and maxBytes bound the rows of turns in one transaction, which
-	// takes 100 entries and 1 MB in base64.
-	maxRows  = 40
-	maxBytes = 640 << 10
-	// maxRounds bounds the transactions that other VMs may outrun.
-	maxRounds = 8
-	// contendedPause is the longest pause after the second round that another
-	// VM has won; it grows with each. A round takes 10 to 40 ms.
-	contendedPause = 20 * time.Millisecond
 )
 
 // Options configures a Keeper.
@@ -49,13 +40,14 @@
 	Log       *slog.Logger
 }
 
-// Keeper reserves and settles tokens. Changes of one program that come together
-// share a transaction.
+// Keeper reserves and settles tokens. Changes of programs of one partition that
+// come together share a transaction.
 type Keeper struct {
 	opts Options
 
-	mu    sync.Mutex
-	books map[string]*entry
+	mu     sync.Mutex
+	books  map[string]*entry
+	groups map[string]*group // by partition
 }
 
 // entry is one program's book as last read or written.
@@ -64,8 +56,12 @@
 	book    Book
 	version uint64
 	known   bool // the row was read or written by this process
+	// waiting are the changes of the next transaction; parked are reservations
+	// that wait for a settlement to make room.
 	waiting []*change
-	busy    bool
+	parked  []*change
+	queued  bool // in its group's queue
+	writing bool // in a transaction
 	timer   *time.Timer
 	used    time.Time
 	// vouchers are the reservations for the turns to come, by the turn that
@@ -77,7 +73,7 @@
 
 // NewKeeper makes a keeper without books.
 func NewKeeper(opts Options) *Keeper {
-	return &Keeper{opts: opts, books: make(map[string]*entry)}
+	return &Keeper{opts: opts, books: make(map[string]*entry), groups: make(map[string]*group)}
 }
 
 // Program names a program of a client account.
@@ -90,15 +86,20 @@
 func (p Program) Key() string { return string(p.Account) + "/" + string(p.ID) }
 
 // Reserve starts a reservation for a turn that continues another, if previous is
-// not empty. The channel gives nil once the store has it, or *SpentError,
-// *BusyError or an error of the store.
-func (k *Keeper) Reserve(p Program, r Reservation, budget int64, previous structs.RequestID) <-chan error {
+// not empty. It is given up at the deadline of ctx. The channel gives nil once
+// the store has it, or *SpentError, *BusyError or an error of the store.
+func (k *Keeper) Reserve(ctx context.Context, p Program, r Reservation, budget int64, previous structs.RequestID) <-chan error {
 	done := make(chan error, 1)
 	if k.useVoucher(p, r, previous) {
 		done <- nil
 		return done
 	}
-	k.add(p, &change{reserve: r, budget: budget, done: done, until: time.Now().Add(reserveTimeout)}, true)
+	now := time.Now()
+	c := &change{reserve: r, budget: budget, done: done, until: now.Add(reserveTimeout), hold: now.Add(busyHold)}
+	if deadline, bounded := ctx.Deadline(); bounded && deadline.Before(c.until) {
+		c.until = deadline
+	}
+	k.add(p, c, true)
 	return done
 }
 
@@ -142,207 +143,86 @@
 func (k *Keeper) add(p Program, c *change, urgent bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	e := k.books[p.Key()]
-	if e == nil {
-		e = &entry{
-			key:      rowstore.Key{Table: table, Partition: k.opts.Partition(p.Key()), Key: p.Key()},
-			vouchers: make(map[structs.RequestID]Reservation),
-			names:    make(map[structs.RequestID]structs.RequestID),
-		}
-		k.books[p.Key()] = e
-	}
+	e := k.entry(p.Key())
 	e.used = time.Now()
 	if name, renamed := e.names[c.reserve.Turn]; c.settles && renamed {
 		c.reserve.Turn = name
 	}
-	e.waiting = append(e.waiting, c)
-	if e.busy {
+	if c.settles && e.withdraw(c.reserve.Turn) {
 		return
 	}
+	e.waiting = append(e.waiting, c)
+	if c.settles {
+		urgent = e.unpark() || urgent
+	}
 	if urgent {
-		k.start(e)
+		k.enqueue(e)
 		return
 	}
 	if e.timer == nil {
 		e.timer = time.AfterFunc(settleDelay, func() {
 			k.mu.Lock()
 			defer k.mu.Unlock()
-			if !e.busy && len(e.waiting) > 0 {
-				k.start(e)
-			}
+			k.enqueue(e)
 		})
 	}
 }
 
-// start writes what waits. The caller holds the lock.
-func (k *Keeper) start(e *entry) {
-	e.busy = true
-	if e.timer != nil {
-		e.timer.Stop()
-		e.timer = nil
-	}
-	go k.write(e)
-}
-
-func (k *Keeper) write(e *entry) {
-	for {
-		changes := k.take(e)
-		if len(changes) == 0 {
-			return
-		}
-		k.apply(e, changes)
-	}
-}
-
-// take returns the changes of the next transaction.
-func (k *Keeper) take(e *entry) []*change {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	rows, size, count := 0, 0, 0
-	for _, c := range e.waiting {
-		rows += len(c.rows.Put)
-		for _, put := range c.rows.Put {
-			size += len(put.Value)
-		}
-		if count > 0 && (rows > maxRows || size > maxBytes) {
-			break
+func (k *Keeper) entry(key string) *entry {
+	e := k.books[key]
+	if e == nil {
+		e = &entry{
+			key:      rowstore.Key{Table: table, Partition: k.opts.Partition(key), Key: key},
+			vouchers: make(map[structs.RequestID]Reservation),
+			names:    make(map[structs.RequestID]structs.RequestID),
 		}
-		count++
+		k.books[key] = e
 	}
-	changes := e.waiting[:count]
-	e.waiting = e.waiting[count:]
-	e.busy = count > 0
-	return changes
+	return e
 }
 
-// apply makes the changes in one transaction, again after each conflict.
-func (k *Keeper) apply(e *entry, changes []*change) {
-	ctx, cancel := context.WithDeadline(context.Background(), deadlineOf(changes))
-	defer cancel()
-	for round := range maxRounds {
-		book := e.book.Clone()
-		results, changed := perform(&book, changes)
-		if !changed && e.known {
-			k.deliver(e, changes, results)
-			return
-		}
-		err := k.commit(ctx, e, book, changes)
-		if err == nil {
-			k.deliver(e, changes, results)
-			return
-		}
-		var conflict *rowstore.ConflictError
-		if !errors.As(err, &conflict) {
-			k.fail(e, changes, err)
-			return
-		}
-		if err := k.reload(e, conflict); err != nil {
-			k.fail(e, changes, err)
-			return
+// withdraw drops a reservation that the store has not got, and reports whether
+// there was one. Its turn has ended.
+func (e *entry) withdraw(turn structs.RequestID) bool {
+	for i, c := range e.waiting {
+		if !c.settles && !c.sent && c.reserve.Turn == turn {
+			e.waiting = append(e.waiting[:i:i], e.waiting[i+1:]...)
+			c.finish(&WithdrawnError{Turn: turn})
+			return true
 		}
-		if isApplied(changes, conflict) {
-			k.deliver(e, changes, results)
-			return
-		}
-		if round > 0 {
-			time.Sleep(rand.N(contendedPause * time.Duration(round)))
-		}
-	}
-	k.fail(e, changes, &ContendedError{Program: e.key.Key})
-}
-
-// ContendedError says that other VMs changed a book in each round.
-type ContendedError struct{ Program string }
-
-// Error names the program.
-func (e *ContendedError) Error() string {
-	return "budget of program " + e.Program + " was changed by other VMs in every round"
-}
-
-func (k *Keeper) commit(ctx context.Context, e *entry, book Book, changes []*change) error {
-	value, err := book.encode()
-	if err != nil {
-		return errors.Wrap(err, "encode budget")
-	}
-	tx := rowstore.Tx{
-		Expect: []rowstore.Expectation{{Key: e.key, Version: e.version}},
-		Put:    []rowstore.Put{{Key: e.key, Value: value}},
 	}
-	for _, c := range changes {
-		tx.Expect = append(tx.Expect, c.rows.Expect...)
-		tx.Put = append(tx.Put, c.rows.Put...)
-	}
-	version, err := k.opts.Store.Commit(ctx, tx)
-	if err != nil {
-		return err
-	}
-	k.remember(e, book, version)
-	return nil
-}
-
-func (k *Keeper) reload(e *entry, conflict *rowstore.ConflictError) error {
-	row := conflict.Find(e.key)
-	var book Book
-	if row.Version != 0 {
-		var err error
-		if book, err = decodeBook(row.Value); err != nil {
-			return errors.Wrap(err, "decode budget")
+	for i, c := range e.parked {
+		if c.reserve.Turn == turn {
+			e.parked = append(e.parked[:i:i], e.parked[i+1:]...)
+			c.finish(&WithdrawnError{Turn: turn})
+			return true
 		}
 	}
-	k.remember(e, book, row.Version)
-	return nil
+	return false
 }
 
-func (k *Keeper) remember(e *entry, book Book, version uint64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	e.book, e.version, e.known = book, version, true
-}
-
-// fail gives up the changes. Whether the store took them is unknown, so the
-// book is read again before it is used.
-func (k *Keeper) fail(e *entry, changes []*change, err error) {
-	k.mu.Lock()
-	e.known = false
-	k.mu.Unlock()
-	for _, c := range changes {
-		if c.done != nil {
-			c.done <- err
-			continue
-		}
-		if deadlineOf(changes).Before(c.started.Add(settleTimeout)) {
-			k.retry(e, c)
-			continue
-		}
-		k.opts.Log.Warn("settlement given up, the turn counts at its most", "program", e.key.Key,
-			"turn", string(c.reserve.Turn), "tokens", c.tokens, "cause", err.Error())
-	}
-}
+// WithdrawnError says that a turn ended before its tokens were reserved.
+type WithdrawnError struct{ Turn structs.RequestID }
 
-// retry puts a settlement back that shared a transaction with a change of an
-// earlier end.
-func (k *Keeper) retry(e *entry, c *change) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	e.waiting = append(e.waiting, c)
+// Error names the turn.
+func (e *WithdrawnError) Error() string {
+	return "turn " + string(e.Turn) + " ended before its tokens were reserved"
 }
 
-func (k *Keeper) deliver(e *entry, changes []*change, results []error) {
-	k.mu.Lock()
-	for _, c := range changes {
-		if c.granted {
-			e.vouchers[turnOf(c.voucher)] = c.voucher
-		}
-		if c.settles {
-			k.forgetName(e, c.reserve.Turn)
-		}
-	}
-	k.mu.Unlock()
-	for i, c := range changes {
-		if c.done != nil {
-			c.done <- results[i]
+// park holds a reservation back until a settlement makes room or its hold ends.
+func (k *Keeper) park(e *entry, c *change) {
+	e.parked = append(e.parked, c)
+	time.AfterFunc(time.Until(c.hold), func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		for i, parked := range e.parked {
+			if parked == c {
+				e.parked = append(e.parked[:i:i], e.parked[i+1:]...)
+				c.finish(c.busy)
+				return
+			}
 		}
-	}
+	})
 }
 
 func (k *Keeper) forgetName(e *entry, name structs.RequestID) {
@@ -353,17 +233,25 @@
 	}
 }
 
-// releaseVouchers settles the vouchers that no turn has used for a while.
-func (k *Keeper) releaseVouchers(e *entry, now time.Time) {
+// unpark lets the parked reservations try again, and reports whether there were
+// any.
+func (e *entry) unpark() bool {
+	parked := len(e.parked) > 0
+	e.waiting = append(e.waiting, e.parked...)
+	e.parked = nil
+	return parked
+}
+
+// releaseVouchers settles the vouchers that no turn has used for some time.
+func (k *Keeper) releaseVouchers(e *entry, now time.Time, unused time.Duration) {
 	for turn, voucher := range e.vouchers {
-		if now.UnixMilli()-voucher.At < voucherLife.Milliseconds() {
+		if now.UnixMilli()-voucher.At < unused.Milliseconds() {
 			continue
 		}
 		delete(e.vouchers, turn)
 		e.waiting = append(e.waiting, &change{reserve: voucher, settles: true, started: now})
-		if !e.busy {
-			k.start(e)
-		}
+		e.unpark()
+		k.enqueue(e)
 	}
 }
 
@@ -372,13 +260,17 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for key, e := range k.books {
-		k.releaseVouchers(e, now)
-		if !e.busy && len(e.waiting) == 0 && now.Sub(e.used) > bookLife {
+		k.releaseVouchers(e, now, voucherLife)
+		if e.isIdle() && now.Sub(e.used) > bookLife {
 			delete(k.books, key)
 		}
 	}
 }
 
+func (e *entry) isIdle() bool {
+	return !e.writing && len(e.waiting) == 0 && len(e.parked) == 0
+}
+
 // Books returns the number of books in memory.
 func (k *Keeper) Books() int {
 	k.mu.Lock()
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -47,7 +48,7 @@
 					keepers[vm] = newKeeper(store)
 				}
 				id := fmt.Sprint(turn)
-				if err := <-keepers[vm].Reserve(program, reservation(id, most), budget, ""); err != nil {
+				if err := <-keepers[vm].Reserve(t.Context(), program, reservation(id, most), budget, ""); err != nil {
 					time.Sleep(50 * time.Millisecond)
 					continue
 				}
@@ -70,10 +71,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
 		first := newKeeper(store)
-		assert.NilError(t, <-first.Reserve(program, reservation("1", 100), 100, ""))
+		assert.NilError(t, <-first.Reserve(t.Context(), program, reservation("1", 100), 100, ""))
 		first.Settle(program, "1", 100)
 		time.Sleep(time.Second)
-		err := <-newKeeper(store).Reserve(program, reservation("2", 100), 100, "")
+		err := <-newKeeper(store).Reserve(t.Context(), program, reservation("2", 100), 100, "")
 		var spent *SpentError
 		assert.Assert(t, errors.As(err, &spent), "%v", err)
 	})
@@ -84,12 +85,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
 		keeper := newKeeper(store)
-		assert.NilError(t, <-keeper.Reserve(program, reservation("1", 100), 100, ""))
-		err := <-keeper.Reserve(program, reservation("2", 100), 100, "")
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, reservation("1", 100), 100, ""))
+		err := <-keeper.Reserve(t.Context(), program, reservation("2", 100), 100, "")
 		var busy *BusyError
 		assert.Assert(t, errors.As(err, &busy), "%v", err)
 		keeper.Settle(program, "1", 10)
-		assert.NilError(t, <-keeper.Reserve(program, reservation("3", 100), 100, ""))
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, reservation("3", 100), 100, ""))
 	})
 }
 
@@ -100,10 +101,10 @@
 		store := rows.New()
 		keeper := newKeeper(store)
 		store.SetFaults(rows.Faults{LoseAnswers: 1})
-		err := <-keeper.Reserve(program, reservation("1", 100), 100, "")
+		err := <-keeper.Reserve(t.Context(), program, reservation("1", 100), 100, "")
 		assert.Assert(t, err != nil, "the answer was lost")
 		store.SetFaults(rows.Faults{})
-		err = <-keeper.Reserve(program, reservation("2", 100), 100, "")
+		err = <-keeper.Reserve(t.Context(), program, reservation("2", 100), 100, "")
 		var busy *BusyError
 		assert.Assert(t, errors.As(err, &busy), "the first reservation stands: %v", err)
 	})
@@ -114,11 +115,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
 		keeper := newKeeper(store)
-		assert.NilError(t, <-keeper.Reserve(program, reservation("1", 100), 150, ""))
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, reservation("1", 100), 150, ""))
 		keeper.Settle(program, "1", 40)
 		time.Sleep(time.Second)
 		other := newKeeper(store)
-		assert.NilError(t, <-other.Reserve(program, reservation("2", 100), 150, ""))
+		assert.NilError(t, <-other.Reserve(t.Context(), program, reservation("2", 100), 150, ""))
 		assert.Equal(t, other.books[program.Key()].book.Spent, int64(40))
 	})
 }
@@ -130,17 +131,17 @@
 		store := rows.New()
 		keeper := newKeeper(store)
 		const most, budget = 100, 1000
-		assert.NilError(t, <-keeper.Reserve(program, reservation("1", most), budget, ""))
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, reservation("1", most), budget, ""))
 		for turn := 1; turn <= 5; turn++ {
 			id := fmt.Sprint(turn)
 			assert.NilError(t, <-keeper.Finish(t.Context(), program, reservation(id, most), budget, 30, rowOf(id)))
 			before := store.Calls()
 			next := reservation(fmt.Sprint(turn+1), most)
-			assert.NilError(t, <-keeper.Reserve(program, next, budget, structs.RequestID(id)))
+			assert.NilError(t, <-keeper.Reserve(t.Context(), program, next, budget, structs.RequestID(id)))
 			assert.Equal(t, store.Calls(), before)
 		}
 		other := newKeeper(store)
-		assert.NilError(t, <-other.Reserve(program, reservation("other", most), budget, ""))
+		assert.NilError(t, <-other.Reserve(t.Context(), program, reservation("other", most), budget, ""))
 		book := other.books[program.Key()].book
 		assert.Equal(t, book.Spent, int64(150))
 		assert.Equal(t, len(book.Open), 2)
@@ -165,10 +166,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
 		keeper := newKeeper(store)
-		assert.NilError(t, <-keeper.Reserve(program, reservation("1", 100), 150, ""))
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, reservation("1", 100), 150, ""))
 		assert.NilError(t, <-keeper.Finish(t.Context(), program, reservation("1", 100), 150, 60, rowOf("1")))
 		assert.Equal(t, len(keeper.books[program.Key()].book.Open), 0)
-		assert.NilError(t, <-keeper.Reserve(program, reservation("2", 100), 320, "1"))
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, reservation("2", 100), 320, "1"))
 		assert.NilError(t, <-keeper.Finish(t.Context(), program, reservation("2", 100), 320, 60, rowOf("2")))
 		assert.Equal(t, len(keeper.books[program.Key()].book.Open), 1)
 		time.Sleep(voucherLife)
@@ -185,20 +186,130 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
 		keeper := newKeeper(store)
-		assert.NilError(t, <-keeper.Reserve(program, reservation("1", 100), 1000, ""))
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, reservation("1", 100), 1000, ""))
 		finish := &change{
 			reserve: reservation("1", 100), budget: 1000, settles: true, tokens: 60, rows: rowOf("1"),
 			done: make(chan error, 1),
 		}
 		e := keeper.books[program.Key()]
-		book := e.book.Clone()
-		_, _ = perform(&book, []*change{finish})
+		batch := []*work{{entry: e, changes: []*change{finish}}}
 		version := e.version
-		assert.NilError(t, keeper.commit(t.Context(), e, book, []*change{finish}))
-		assert.NilError(t, <-newKeeper(store).Reserve(program, reservation("2", 100), 1000, ""))
+		_, err := keeper.commit(t.Context(), keeper.plan(batch))
+		assert.NilError(t, err)
+		assert.NilError(t, <-newKeeper(store).Reserve(t.Context(), program, reservation("2", 100), 1000, ""))
 		e.version = version // as if no answer had come
-		keeper.apply(e, []*change{finish})
+		keeper.apply(batch)
 		assert.NilError(t, <-finish.done)
 		assert.Equal(t, e.book.Spent, int64(60))
 	})
 }
+
+func programNamed(n int) Program {
+	return Program{Account: "account", ID: structs.ProgramID(fmt.Sprint("program-", n))}
+}
+
+// Programs that come while the store is slow share transactions: a store at its
+// rate gets fewer calls, not more.
+func TestProgramsShareTransactions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		store.SetFaults(rows.Faults{Delay: 100 * time.Millisecond})
+		keeper := newKeeper(store)
+		const programs = 200
+		var reserved []<-chan error
+		for n := range programs {
+			reserved = append(reserved, keeper.Reserve(t.Context(), programNamed(n), reservation("1", 100), 1000, ""))
+			time.Sleep(time.Millisecond)
+		}
+		for _, done := range reserved {
+			assert.NilError(t, <-done)
+		}
+		var finished []<-chan error
+		for n := range programs {
+			rows := rowOf(fmt.Sprint("turn-", n))
+			finished = append(finished, keeper.Finish(t.Context(), programNamed(n), reservation("1", 100), 1000, 50, rows))
+		}
+		for _, done := range finished {
+			assert.NilError(t, <-done)
+		}
+		assert.Assert(t, store.Calls() <= 2*programs/10, "%d calls for %d programs", store.Calls(), programs)
+		synctest.Wait()
+		for n := range programs {
+			assert.Equal(t, keeper.books[programNamed(n).Key()].book.Spent, int64(50))
+		}
+	})
+}
+
+// A program that another VM changes holds up none that shares its transactions,
+// and a change whose time is over ends alone.
+func TestSharedTransactionKeepsProgramsApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		store.SetFaults(rows.Faults{Delay: 50 * time.Millisecond})
+		keeper, other := newKeeper(store), newKeeper(store)
+		assert.NilError(t, <-other.Reserve(t.Context(), programNamed(0), reservation("0", 100), 100, ""))
+		ctx, cancel := context.WithTimeout(t.Context(), 120*time.Millisecond)
+		defer cancel()
+		var reserved []<-chan error
+		for n := range 20 {
+			bound := t.Context()
+			if n == 1 {
+				bound = ctx
+			}
+			reserved = append(reserved, keeper.Reserve(bound, programNamed(n), reservation("1", 100), 1000, ""))
+		}
+		for n, done := range reserved {
+			if err := <-done; n != 1 {
+				assert.NilError(t, err, "program %d", n)
+			}
+		}
+		assert.Equal(t, len(keeper.books[programNamed(0).Key()].book.Open), 2)
+	})
+}
+
+// A reservation that the open ones leave no room for waits for a moment, since
+// most of them end with fewer tokens. Unused vouchers yield to it at once.
+func TestReservationWaitsForSettlements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := newKeeper(rows.New())
+		const most, budget = 100, 200
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, reservation("1", most), budget, ""))
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, reservation("2", most), budget, ""))
+		third := keeper.Reserve(t.Context(), program, reservation("3", most), budget, "")
+		time.Sleep(busyHold / 2)
+		keeper.Settle(program, "1", 30)
+		assert.NilError(t, <-third)
+
+		keeper = newKeeper(rows.New())
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, reservation("1", most), 2*budget, ""))
+		assert.NilError(t, <-keeper.Finish(t.Context(), program, reservation("1", most), 2*budget, most, rowOf("1")))
+		assert.Equal(t, len(keeper.books[program.Key()].vouchers), 1)
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, reservation("2", most), 2*budget, "other"))
+		start := time.Now()
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, reservation("3", most), 2*budget, "other"))
+		assert.Assert(t, time.Since(start) < busyHold/2)
+	})
+}
+
+// A turn that ends before its tokens are reserved leaves no reservation behind,
+// and costs no call if none was sent for it.
+func TestEndedTurnReservesNothing(t *testing.T) {
+	for _, waited := range []time.Duration{0, 30 * time.Millisecond, 150 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			store := rows.New()
+			keeper := newKeeper(store)
+			assert.NilError(t, <-keeper.Reserve(t.Context(), program, reservation("1", 100), 1000, ""))
+			store.SetFaults(rows.Faults{Delay: 100 * time.Millisecond})
+			first := keeper.Reserve(t.Context(), program, reservation("2", 100), 1000, "")
+			time.Sleep(waited)
+			second := keeper.Reserve(t.Context(), program, reservation("3", 100), 1000, "")
+			keeper.Settle(program, "2", 0)
+			keeper.Settle(program, "3", 0)
+			<-first
+			<-second
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+			assert.Equal(t, len(keeper.books[program.Key()].book.Open), 1)
+		})
+	}
+}
--- a/rowstore/storepath/health.go
+++ b/rowstore/storepath/health.go
@@ -24,6 +24,8 @@
 	failedAt structs.Instant // 0 while the last call worked
 	failures int
 	busy     int // answers in a row that the store takes no more calls
+	// busySince is when the first of these came.
+	busySince structs.Instant
 }
 
 type peerRecord struct {
@@ -49,9 +51,11 @@
 	failureLimit = 2
 	// servedSpan is how long a served call speaks for the direct path.
 	servedSpan = 400 * time.Millisecond
-	// busyLimit is how many busy answers in a row count as a failure. The
-	// store's own limit lets some calls pass in between.
+	// busyLimit and busySpan are how many busy answers in a row, and for how
+	// long none but these, count as a failure. A store at its limit lets some
+	// calls pass in between.
 	busyLimit = 3
+	busySpan  = 150 * time.Millisecond
 	// maxPeerPaths bounds the peers one call may go through, so that an
 	// outage does not multiply calls.
 	maxPeerPaths = 2
@@ -97,8 +101,11 @@
 	if r == nil {
 		return
 	}
+	if r.busy == 0 {
+		r.busySince = now
+	}
 	r.busy++
-	if r.busy >= busyLimit {
+	if r.busy >= busyLimit && now.Sub(r.busySince) >= busySpan {
 		r.failures = failureLimit
 		h.Failed(now, p)
 	}
