Turns run while they are reserved, if their program's home expects room

Change: a home answers a reservation as soon as the book as it knows it has room, and the target runs the turn meanwhile; the caller still gets nothing before the reservation is stored. A home that was started within the last minute, other than with the whole deployment, takes no program for new; after a failed call to the store turns wait for two seconds. Tried first: only first turns, by the programs seen at the VM itself; first turns of sub-agents, more than those of programs, still waited.

--- a/conversation/errors.go
+++ b/conversation/errors.go
@@ -21,6 +21,7 @@
 	reasonNotFound
 	reasonTooLarge
 	reasonSlow
+	reasonPending
 	reasonOther
 )
 
@@ -39,6 +40,13 @@
 // Error gives the home's words.
 func (e *HomeError) Error() string { return "at the program's home: " + e.Detail }
 
+// PendingError says that a reservation is likely to be granted but not stored
+// yet. Asking again without Early waits for its outcome.
+type PendingError struct{}
+
+// Error says so.
+func (e *PendingError) Error() string { return "the reservation is not stored yet" }
+
 // SlowStoreError says that a home lives but its transaction has not ended yet.
 type SlowStoreError struct{ Waited time.Duration }
 
@@ -56,10 +64,13 @@
 		busy     *ledger.BusyError
 		missing  *turnlog.NotFoundError
 		tooLarge *turnlog.TooLargeError
+		pending  *PendingError
 	)
 	switch {
 	case err == nil:
 		return Reply{}
+	case errors.As(err, &pending):
+		return Reply{Reason: reasonPending}
 	case errors.As(err, &spent):
 		return Reply{Reason: reasonSpent, Numbers: [3]int64{spent.Spent, spent.Budget}}
 	case errors.As(err, &busy):
@@ -84,6 +95,8 @@
 		return &turnlog.NotFoundError{Turn: r.Turn}
 	case reasonTooLarge:
 		return &turnlog.TooLargeError{Bytes: int(r.Numbers[0]), Max: int(r.Numbers[1])}
+	case reasonPending:
+		return &PendingError{}
 	case reasonSlow:
 		return &SlowStoreError{Waited: homePatience}
 	}
--- a/conversation/keeper.go
+++ b/conversation/keeper.go
@@ -97,7 +97,8 @@
 	return reply.isDecisive(), reply.err()
 }
 
-// Reserve reserves a turn's tokens, at the home or here.
+// Reserve reserves a turn's tokens, at the home or here. With Early it may return
+// *PendingError.
 func (k *Keeper) Reserve(ctx context.Context, s Start) error {
 	if done, err := k.atHome(ctx, s.Program, MethodReserve, s, &Reply{}); done {
 		return err
--- a/conversation/local.go
+++ b/conversation/local.go
@@ -29,6 +29,8 @@
 	Reserved ledger.Reservation `msgpack:"r"`
 	Budget   int64              `msgpack:"b"`
 	Previous structs.RequestID  `msgpack:"v"`
+	// Early asks for word as soon as the reservation is likely to be granted.
+	Early bool `msgpack:"e,omitempty"`
 }
 
 // Settlement is a turn that ended without being stored.
@@ -52,9 +54,20 @@
 	Partition func(program string) string
 }
 
-// Reserve reserves a turn's tokens.
+// Reserve reserves a turn's tokens. With Early it returns *PendingError while
+// the reservation, which is likely to be granted, goes on.
 func (l *Local) Reserve(ctx context.Context, s Start) error {
-	return wait(ctx, l.Ledger.Reserve(ctx, s.Program, s.Reserved, s.Budget, s.Previous))
+	likely := s.Early && l.Ledger.Outlook(s.Program, s.Reserved, s.Budget)
+	done := l.Ledger.Reserve(ctx, s.Program, s.Reserved, s.Budget, s.Previous)
+	if !likely {
+		return wait(ctx, done)
+	}
+	select {
+	case err := <-done:
+		return err
+	default:
+		return &PendingError{}
+	}
 }
 
 func wait(ctx context.Context, done <-chan error) error {
--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -152,7 +152,9 @@
 		},
 	})
 	router = storepath.NewRouter(direct, mesh, log)
-	local.Ledger = ledger.NewKeeper(ledger.Options{Store: router, Partition: partitionOf, Log: log})
+	local.Ledger = ledger.NewKeeper(ledger.Options{
+		Store: router, Partition: partitionOf, FirstStart: loaded.FirstStart, Log: log,
+	})
 	local.Turns = turnlog.New(turnlog.Options{
 		Store: router, Partition: partitionOf, Partitions: partitionNames(),
 		CacheBytes: int(loaded.MemoryBytes / cachePart), RowBytes: loaded.RowBytes,
--- a/daemon/endived_test.go
+++ b/daemon/endived_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/internal/standin/rows"
 	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/platform/platformtest"
 )
@@ -384,6 +385,38 @@
 	assert.Assert(t, served >= 3 && served <= 5, "%d turns of 10 tokens on a budget of 40", served)
 }
 
+// A turn runs while its tokens are being reserved if the budget has room for it,
+// but not the first turn of a program at a VM that has just come back.
+func TestTurnRunsWhileItIsReserved(t *testing.T) {
+	const storeTime = 250 * time.Millisecond
+	b := newBed(t)
+	vm := b.site.AddVM("near-a")
+	b.vms = []*platformtest.VM{vm}
+	stop := b.start(vm)
+	b.waitReady(vm)
+	engine := b.target("engine-1", "engine", "near-a")
+	startsAfter := func(program string) time.Duration {
+		header := map[string]string{platformtest.HeaderProgram: program, platformtest.HeaderBudget: "300", platformtest.HeaderUsage: "100,30"}
+		start := time.Now()
+		assert.Equal(t, b.do(call{path: "/chat/1", body: "x", header: header}).status, 200)
+		runs := engine.Runs()
+		return runs[len(runs)-1].At.Sub(start)
+	}
+	startsAfter("warm-up")
+	b.site.Store.SetFaults(rows.Faults{Delay: storeTime})
+	assert.Assert(t, startsAfter("new") < storeTime/2)
+	assert.Assert(t, startsAfter("new") < storeTime/2)
+	stop()
+	b.site.Store.SetFaults(rows.Faults{})
+	b.site.EndFirstStart()
+	b.start(vm)
+	b.until("ready again", func() bool { return b.do(call{path: "/open/1", method: http.MethodGet}).status != 0 })
+	b.until("listed again", func() bool { return len(b.logs.lines(`"target listed"`, `"engine-1"`)) >= 2 })
+	b.site.Store.SetFaults(rows.Faults{Delay: storeTime})
+	assert.Assert(t, startsAfter("other") >= storeTime)
+	assert.Assert(t, startsAfter("other") < storeTime/2)
+}
+
 // A program that was stopped comes back with a first turn after all VMs were
 // lost, and does not run.
 func TestStoppedProgramComesBack(t *testing.T) {
@@ -398,6 +431,7 @@
 	assert.Equal(t, b.do(turn).status, 200)
 	assert.Equal(t, b.do(turn).status, 402)
 	stop()
+	b.site.EndFirstStart()
 	b.start(vm)
 	b.until("402", func() bool { return b.do(turn).status == 402 })
 	assert.Equal(t, len(engine.Runs()), 1)
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -132,6 +132,9 @@
 		whole := wholeEvents(pending)
 		if whole > 0 {
 			if !begun {
+				if refusal := x.awaitReservation(ctx, nil); refusal != nil {
+					return verdict{sent: true, cause: refusal}
+				}
 				x.begin(resp)
 				begun = true
 			}
@@ -178,6 +181,9 @@
 		return x.broken(ctx, target, errors.Wrap(err, "read stream"))
 	}
 	if !begun {
+		if refusal := x.awaitReservation(ctx, nil); refusal != nil {
+			return verdict{sent: true, cause: refusal}
+		}
 		x.begin(resp)
 	}
 	x.finishCrashCheck()
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -25,6 +25,9 @@
 	// reservationWait is how long a turn waits for its reservation. A store
 	// slowed 60 times takes 0.55 s, and as much again after a conflict.
 	reservationWait = 1300 * time.Millisecond
+	// calmSpan is how long the store has to have answered every call for turns
+	// to run before they are reserved.
+	calmSpan = 2 * time.Second
 	// chainTimeout bounds the read of a conversation.
 	chainTimeout = 2 * time.Second
 )
@@ -35,7 +38,9 @@
 	record   *turnlog.Record
 	program  ledger.Program
 	reserved <-chan error // nil without a budget
-	finished bool         // the turn was settled as it was stored
+	// pending is closed once the reservation is likely to be granted.
+	pending  <-chan struct{}
+	finished bool // the turn was settled as it was stored
 }
 
 // runTurn reads what the turn continues, reserves its tokens and runs it.
@@ -49,7 +54,7 @@
 	if refusal := x.readChain(ctx); refusal != nil {
 		return refusal
 	}
-	if refusal := x.awaitReservation(ctx); refusal != nil {
+	if refusal := x.awaitReservation(ctx, x.turn.pending); refusal != nil {
 		return refusal
 	}
 	x.turn.record = turnlog.Next(x.accountID(), x.turn.chain, x.Body)
@@ -100,12 +105,29 @@
 	if !x.hasBudget() {
 		return
 	}
-	done := make(chan error, 1)
-	x.turn.reserved = done
+	done, likely := make(chan error, 1), make(chan struct{})
+	x.turn.reserved, x.turn.pending = done, likely
 	start := conversation.Start{
 		Program: x.turn.program, Reserved: x.tokensReserved(), Budget: x.Turn.Budget, Previous: x.Turn.Previous,
-	}
-	go func() { done <- x.server.opts.Programs.Reserve(ctx, start) }()
+		Early: x.server.isStoreCalm(),
+	}
+	go func() {
+		err := x.server.opts.Programs.Reserve(ctx, start)
+		var pending *conversation.PendingError
+		if errors.As(err, &pending) {
+			close(likely)
+			start.Early = false
+			err = x.server.opts.Programs.Reserve(ctx, start)
+		}
+		done <- err
+	}()
+}
+
+// isStoreCalm reports whether nothing suggests that a reservation takes long, so
+// that turns may run while they are reserved.
+func (s *Server) isStoreCalm() bool {
+	failed := s.opts.Store.LastFailure()
+	return failed == 0 || structs.Now().Sub(failed) > calmSpan
 }
 
 // tokensReserved is the most that the turn can cost: tokens are counted by whole
@@ -118,10 +140,11 @@
 	return ledger.Reservation{Turn: x.ID, Tokens: tokens, At: time.Now().UnixMilli()}
 }
 
-// awaitReservation waits for the reservation. A first turn waits too: a program
-// that was stopped may come back with one, and must not run.
-func (x *exchange) awaitReservation(ctx context.Context) *structs.Refusal {
-	if x.turn.reserved == nil {
+// awaitReservation waits for the reservation of the turn's tokens or, with early,
+// until it is likely: then the target may run the turn, but its caller gets
+// nothing before awaitReservation has returned without it.
+func (x *exchange) awaitReservation(ctx context.Context, early <-chan struct{}) *structs.Refusal {
+	if x.turn == nil || x.turn.reserved == nil {
 		return nil
 	}
 	timer := time.NewTimer(reservationWait)
@@ -129,6 +152,8 @@
 	var err error
 	select {
 	case err = <-x.turn.reserved:
+		x.turn.reserved = nil
+	case <-early:
 	case <-timer.C:
 		err = context.DeadlineExceeded
 	case <-ctx.Done():
--- a/ledger/group.go
+++ b/ledger/group.go
@@ -93,7 +93,7 @@
 			break
 		}
 		g.queue = g.queue[1:]
-		e.queued, e.writing = false, true
+		e.queued, e.writing, e.pending = false, true, changes
 		e.waiting = e.waiting[len(changes):]
 		batch = append(batch, &work{entry: e, changes: changes})
 	}
@@ -349,7 +349,7 @@
 
 // leave ends an entry's transaction. The caller holds the lock.
 func (k *Keeper) leave(e *entry) {
-	e.writing = false
+	e.writing, e.pending = false, nil
 	k.enqueue(e)
 }
 
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -37,13 +37,17 @@
 	Store rowstore.Store
 	// Partition maps a program to the store's partition of its row.
 	Partition func(program string) string
-	Log       *slog.Logger
+	// FirstStart says that the whole deployment starts for the first time, so
+	// that programs without a book are new.
+	FirstStart bool
+	Log        *slog.Logger
 }
 
 // Keeper reserves and settles tokens. Changes of programs of one partition that
 // come together share a transaction.
 type Keeper struct {
-	opts Options
+	opts    Options
+	started time.Time
 
 	mu     sync.Mutex
 	books  map[string]*entry
@@ -60,8 +64,9 @@
 	// that wait for a settlement to make room.
 	waiting []*change
 	parked  []*change
-	queued  bool // in its group's queue
-	writing bool // in a transaction
+	queued  bool      // in its group's queue
+	writing bool      // in a transaction
+	pending []*change // of that transaction
 	timer   *time.Timer
 	used    time.Time
 	// vouchers are the reservations for the turns to come, by the turn that
@@ -73,7 +78,7 @@
 
 // NewKeeper makes a keeper without books.
 func NewKeeper(opts Options) *Keeper {
-	return &Keeper{opts: opts, books: make(map[string]*entry), groups: make(map[string]*group)}
+	return &Keeper{opts: opts, started: time.Now(), books: make(map[string]*entry), groups: make(map[string]*group)}
 }
 
 // Program names a program of a client account.
@@ -103,6 +108,28 @@
 	return done
 }
 
+// Outlook reports whether a reservation will be granted, as far as this VM knows.
+// It answers the load of short programs far from the store, whose turns may run
+// while they are reserved. Programs that were stopped may come back to a VM that
+// was started since; there, a program without a book is not taken for new.
+func (k *Keeper) Outlook(p Program, r Reservation, budget int64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	e := k.books[p.Key()]
+	if e == nil || !e.known {
+		if !k.opts.FirstStart && time.Since(k.started) < bookLife {
+			return false
+		}
+	}
+	var book Book
+	if e != nil {
+		book = e.book.Clone()
+		perform(&book, e.pending)
+		perform(&book, e.waiting)
+	}
+	return book.Reserve(r, budget) == nil
+}
+
 // useVoucher takes the reservation that was made as the previous turn ended.
 func (k *Keeper) useVoucher(p Program, r Reservation, previous structs.RequestID) bool {
 	k.mu.Lock()
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -291,6 +291,31 @@
 	})
 }
 
+// A reservation counts as likely when the book as known here has room for it,
+// changes on their way included. A VM that has just come back knows no program.
+func TestOutlook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		first := NewKeeper(Options{Store: store, Partition: func(string) string { return "p" }, FirstStart: true, Log: slog.New(slog.DiscardHandler)})
+		const most, budget = 100, 200
+		assert.Assert(t, first.Outlook(program, reservation("1", most), budget))
+		store.SetFaults(rows.Faults{Delay: 50 * time.Millisecond})
+		one := first.Reserve(t.Context(), program, reservation("1", most), budget, "")
+		assert.Assert(t, first.Outlook(program, reservation("2", most), budget))
+		two := first.Reserve(t.Context(), program, reservation("2", most), budget, "")
+		assert.Assert(t, !first.Outlook(program, reservation("3", most), budget))
+		assert.NilError(t, <-one)
+		assert.NilError(t, <-two)
+		first.Settle(program, "1", 20)
+		assert.Assert(t, first.Outlook(program, reservation("3", most), budget))
+
+		back := newKeeper(store)
+		assert.Assert(t, !back.Outlook(program, reservation("4", most), budget))
+		time.Sleep(bookLife)
+		assert.Assert(t, back.Outlook(program, reservation("4", most), budget))
+	})
+}
+
 // A turn that ends before its tokens are reserved leaves no reservation behind,
 // and costs no call if none was sent for it.
 func TestEndedTurnReservesNothing(t *testing.T) {
--- a/soak/processes/fleet_test.go
+++ b/soak/processes/fleet_test.go
@@ -73,6 +73,7 @@
 	for _, p := range f.vms {
 		f.waitReady(p)
 	}
+	f.site.EndFirstStart()
 	return f
 }
 
