Targets that fail requests are found by the answers at all VMs

A VM sees too few answers of each target to tell: its own average moved by a seventh an answer and faded with each good one. Ruled out: crashes (each target accepted connections). Change: VMs count answers and failures of each target over 3 s, tell one another those that failed, and take a target out of use above a fifth and back in below 0.08; at most half of a service. A call that can't be repeated loses its program with a failure, so failing parts are dear in placement.

--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -165,14 +165,14 @@
 	}
 	x.sends++
 	x.target = target.ID
-	start := structs.Now()
+	x.sentAt = structs.Now()
 	resp, stop, err := conn.RoundTrip(ctx, x.outgoing(target), body, string(x.ID), x.server.opts.Dialect.IDHeader())
 	if err != nil {
 		conn.Close()
 		x.server.answerBroke(ctx, x, target, err)
 		return verdict{sent: true, cause: err}
 	}
-	x.server.answered(target, structs.Now().Sub(start))
+	x.server.answered(target, structs.Now().Sub(x.sentAt))
 	v := x.relay(ctx, target, conn, resp)
 	if !stop() || !v.done || v.cause != nil {
 		conn.Close()
@@ -221,16 +221,24 @@
 // answerBroke records an answer that broke off and finds out whether the target
 // has crashed with it.
 func (s *Server) answerBroke(ctx context.Context, x *exchange, target placement.Target, err error) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && x.left() <= 0 && structs.Now().Sub(x.sentAt) > muteSpan {
+		s.failed(target)
+	}
 	if ctx.Err() != nil {
 		return // broken off by this side
 	}
-	s.mu.Lock()
-	s.targets.Broken(target.ID)
-	s.mu.Unlock()
+	s.failed(target)
 	s.log.Warn("answer broke off", "request", string(x.ID), "target", string(target.ID), "cause", err.Error())
 	go s.checkCrash(x.fingerprint, x.ID, target)
 }
 
+// failed records that a target failed a request.
+func (s *Server) failed(target placement.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets.Failed(structs.Now(), target.ID)
+}
+
 // checkCrash connects to a target whose answer broke off. If that fails, the
 // request counts as one that may have crashed it.
 func (s *Server) checkCrash(fingerprint uint64, id structs.RequestID, target placement.Target) {
@@ -249,6 +257,10 @@
 	s.log.Warn("target crashed while it ran a request", "request", string(id), "target", string(target.ID), "quarantined", quarantined)
 }
 
+// muteSpan is how long a target must have had a request for its silence at the
+// deadline to count against it; all calls of the users end sooner.
+const muteSpan = 800 * time.Millisecond
+
 // crashCheckTimeout bounds the connection that tells a crash from a broken
 // answer.
 const crashCheckTimeout = 500 * time.Millisecond
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -94,6 +94,9 @@
 	if promisesNotRun(resp.StatusCode) {
 		return verdict{sent: true, cause: &UnnamedStatusError{Status: resp.StatusCode}}
 	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		x.server.failed(target)
+	}
 	x.finishCrashCheck()
 	x.firstByte = structs.Now().Sub(x.Arrived)
 	x.server.observe(x, nil)
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -39,6 +39,7 @@
 	turn        *turn // nil for other requests
 	sends       int
 	target      structs.TargetID // of the last send
+	sentAt      structs.Instant  // of the last send
 	mayHaveRun  bool             // a send ended without a word on whether it ran
 	waited      time.Duration    // in line
 	firstByte   time.Duration    // from arrival to the answer's first byte
--- a/edge/server.go
+++ b/edge/server.go
@@ -156,6 +156,7 @@
 		Demand:     s.shares.Demand(now),
 		Spare:      s.shares.Spare(now),
 		Loads:      s.targets.Loads(),
+		Failing:    s.targets.Failing(now),
 		Crashes:    s.quarantine.Export(now),
 	}
 }
@@ -168,6 +169,7 @@
 	defer s.mu.Unlock()
 	s.shares.Report(now, d.From.VM, d.From.Region == s.opts.Region, d.Demand, d.Spare)
 	s.targets.Report(now, d.From.VM, d.Loads)
+	s.targets.ReportFailing(now, d.From.VM, d.Failing)
 	s.quarantine.Import(now, d.Crashes)
 	if d.StoreWorks && d.Config == s.opts.Config.Version() {
 		s.confirmed = now
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/endivecourse/endivecourse/placement"
 	"github.com/endivecourse/endivecourse/quarantine"
 	"github.com/endivecourse/endivecourse/share"
 	"github.com/endivecourse/endivecourse/structs"
@@ -30,7 +31,9 @@
 	Demand     share.Demand             `msgpack:"q,omitempty"`
 	Spare      share.Spare              `msgpack:"p,omitempty"`
 	Loads      map[structs.TargetID]int `msgpack:"l,omitempty"`
-	Crashes    []quarantine.Report      `msgpack:"x,omitempty"`
+	// Failing are the targets that failed the sender's requests lately.
+	Failing map[structs.TargetID]placement.Outcomes `msgpack:"o,omitempty"`
+	Crashes []quarantine.Report                     `msgpack:"x,omitempty"`
 	// Known is a hash of the members that the sender knows, itself included.
 	Known uint64 `msgpack:"k"`
 }
--- /dev/null
+++ b/placement/outcomes.go
@@ -0,0 +1,131 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+const (
+	// outcomeSpan is the time constant of the counts of answers: long enough
+	// for some answers of each target, short enough that a target which has
+	// recovered is asked again within seconds.
+	outcomeSpan = 3 * time.Second
+	// outcomePrior is the number of good answers that are taken for granted,
+	// so that a single failure means little.
+	outcomePrior = 8.0
+	// shunAbove and unshunBelow are the failing parts at which a target is
+	// taken out of use and back in.
+	shunAbove   = 0.2
+	unshunBelow = 0.08
+	// failCost scales the square of a target's failing part. A failed call
+	// that can't be repeated loses its whole program.
+	failCost = 1500.0
+	// tellAbove is the count of failures that is worth a report.
+	tellAbove = 0.1
+)
+
+// Outcomes counts a target's recent answers at one VM.
+type Outcomes struct {
+	Good float32 `msgpack:"g"`
+	Bad  float32 `msgpack:"b"`
+}
+
+// outcomes is what is known of a target's answers.
+type outcomes struct {
+	good, bad float64
+	counted   structs.Instant
+	remote    map[structs.VMID]remoteOutcomes
+	shunned   bool
+}
+
+type remoteOutcomes struct {
+	Outcomes
+	reported structs.Instant
+}
+
+func (o *outcomes) decay(now structs.Instant) {
+	if o.counted != 0 {
+		keep := math.Exp(-now.Sub(o.counted).Seconds() / outcomeSpan.Seconds())
+		o.good *= keep
+		o.bad *= keep
+	}
+	o.counted = now
+}
+
+// failing estimates the part of requests that the target fails, from the answers
+// at all VMs. VMs report only the targets that failed them.
+func (o *outcomes) failing(now structs.Instant) float64 {
+	o.decay(now)
+	good, bad := o.good, o.bad
+	for vm, r := range o.remote {
+		age := now.Sub(r.reported)
+		if age > 2*outcomeSpan {
+			delete(o.remote, vm)
+			continue
+		}
+		keep := math.Exp(-age.Seconds() / outcomeSpan.Seconds())
+		good += keep * float64(r.Good)
+		bad += keep * float64(r.Bad)
+	}
+	return bad / (good + bad + outcomePrior)
+}
+
+// check updates and reports whether the target is taken out of use. The two
+// bounds keep it from switching at every answer.
+func (o *outcomes) check(now structs.Instant) bool {
+	failing := o.failing(now)
+	switch {
+	case failing >= shunAbove:
+		o.shunned = true
+	case failing <= unshunBelow:
+		o.shunned = false
+	}
+	return o.shunned
+}
+
+// Failing returns the targets that failed requests of this VM lately, to be
+// reported to the peers.
+func (s *Set) Failing(now structs.Instant) map[structs.TargetID]Outcomes {
+	failing := make(map[structs.TargetID]Outcomes)
+	for id, st := range s.targets {
+		st.outcomes.decay(now)
+		if st.outcomes.bad >= tellAbove {
+			failing[id] = Outcomes{Good: float32(st.outcomes.good), Bad: float32(st.outcomes.bad)}
+		}
+	}
+	return failing
+}
+
+// ReportFailing takes a peer's word on the targets that failed it.
+func (s *Set) ReportFailing(now structs.Instant, vm structs.VMID, failing map[structs.TargetID]Outcomes) {
+	for id, counts := range failing {
+		st := s.targets[id]
+		if st == nil {
+			continue
+		}
+		if st.outcomes.remote == nil {
+			st.outcomes.remote = make(map[structs.VMID]remoteOutcomes)
+		}
+		st.outcomes.remote[vm] = remoteOutcomes{Outcomes: counts, reported: now}
+	}
+}
+
+// shunned returns the targets of a group that are out of use for failing
+// requests: at most half of them, since one that fails some is better than none.
+func shunned(now structs.Instant, group map[structs.TargetID]*state) map[structs.TargetID]bool {
+	var out map[structs.TargetID]bool
+	for id, st := range group {
+		if st.outcomes.check(now) {
+			if out == nil {
+				out = make(map[structs.TargetID]bool)
+			}
+			out[id] = true
+		}
+	}
+	if 2*len(out) > len(group) {
+		return nil
+	}
+	return out
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -68,7 +68,7 @@
 	fullTill structs.Instant
 	latency  float64 // ms, weighted average; 0 while unknown
 	measured structs.Instant
-	broken   float64 // weighted share of requests whose answer broke off
+	outcomes outcomes
 }
 
 type remoteLoad struct {
@@ -160,11 +160,12 @@
 func (s *Set) Choose(now structs.Instant, q Query) (Choice, bool) {
 	group := s.services[q.Service]
 	typical := typicalLatency(now, group)
+	avoid := shunned(now, group)
 	var best, resting *state
 	bestCost, soonest := math.Inf(1), structs.Instant(math.MaxInt64)
 	bestFree := false
 	for _, st := range group {
-		if st.Draining || contains(q.Exclude, st.ID) {
+		if st.Draining || avoid[st.ID] || contains(q.Exclude, st.ID) {
 			continue
 		}
 		if now < st.restTill {
@@ -215,7 +216,8 @@
 	if latency := st.currentLatency(now); latency > 1.5*typical && typical > 0 {
 		cost += slowCost * (latency/typical - 1)
 	}
-	return cost + 150*st.broken*st.broken
+	failing := st.outcomes.failing(now)
+	return cost + failCost*failing*failing
 }
 
 // typicalLatency is the least latency of a service's targets.
@@ -271,7 +273,8 @@
 	}
 	st.failures = 0
 	st.restTill = 0
-	st.broken *= 1 - latencySpan
+	st.outcomes.decay(now)
+	st.outcomes.good++
 	ms := float64(latency) / float64(time.Millisecond)
 	if st.currentLatency(now) == 0 {
 		st.latency = ms
@@ -293,10 +296,12 @@
 	st.restTill = now.Add(min(rest, maxRest))
 }
 
-// Broken records that a target's answer broke off.
-func (s *Set) Broken(id structs.TargetID) {
+// Failed records that a target failed a request: its answer broke off, never
+// came, or was an error.
+func (s *Set) Failed(now structs.Instant, id structs.TargetID) {
 	if st := s.targets[id]; st != nil {
-		st.broken += latencySpan * (1 - st.broken)
+		st.outcomes.decay(now)
+		st.outcomes.bad++
 	}
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -123,3 +124,75 @@
 		s.Choose(0, Query{Service: service})
 	}
 }
+
+// Targets that fail a part of their requests, while they answer health checks,
+// are found by the answers at all VMs: ten VMs of which each sends little.
+func TestFailingTargetsAreFoundTogether(t *testing.T) {
+	lost := map[bool]int{}
+	for _, shared := range []bool{false, true} {
+		rng := rand.New(rand.NewPCG(1, 2))
+		var sets []*Set
+		for range 10 {
+			s := New("d1", "r1")
+			for n := range 20 {
+				s.Put(target(fmt.Sprint("t", n), "d1", "r1"))
+			}
+			sets = append(sets, s)
+		}
+		grey := func(id structs.TargetID) bool { return id == "t0" || id == "t1" || id == "t2" }
+		for tick := range 2000 { // of 5 ms
+			now := time.Duration(tick) * 5 * time.Millisecond
+			set := sets[tick%len(sets)]
+			id := choose(t, set, now, Query{Exclude: someBut(rng, 4)})
+			if grey(id) && rng.IntN(2) == 0 {
+				set.Failed(at(now), id)
+				lost[shared]++
+			} else {
+				set.Answered(at(now), id, 20*time.Millisecond)
+			}
+			if shared && tick%60 == 0 {
+				tellAll(sets, at(now))
+			}
+		}
+	}
+	t.Logf("lost %d with reports, %d without", lost[true], lost[false])
+	assert.Assert(t, lost[true] <= 40, "%d of 2,000 requests lost, %d without reports", lost[true], lost[false])
+	assert.Assert(t, lost[true] <= lost[false]/2, "%d of 2,000 requests lost, %d without reports", lost[true], lost[false])
+}
+
+// someBut returns all of 20 targets but a few, which stand for those with room.
+func someBut(rng *rand.Rand, few int) []structs.TargetID {
+	var ids []structs.TargetID
+	for _, n := range rng.Perm(20)[few:] {
+		ids = append(ids, structs.TargetID(fmt.Sprint("t", n)))
+	}
+	return ids
+}
+
+func tellAll(sets []*Set, now structs.Instant) {
+	for i, from := range sets {
+		for j, to := range sets {
+			if i != j {
+				to.ReportFailing(now, structs.VMID(fmt.Sprint(i)), from.Failing(now))
+			}
+		}
+	}
+}
+
+// A target that fails everything comes back into use some seconds after it has
+// recovered, and a service whose targets all fail is never given up.
+func TestFailingTargetsComeBack(t *testing.T) {
+	s := newSet()
+	for range 5 {
+		s.Failed(at(0), "a")
+	}
+	assert.Equal(t, choose(t, s, time.Second, Query{Cached: "a"}), structs.TargetID("b"))
+	assert.Equal(t, choose(t, s, 8*time.Second, Query{Cached: "a"}), structs.TargetID("a"))
+	for range 5 {
+		s.Failed(at(8*time.Second), "a")
+		s.Failed(at(8*time.Second), "b")
+		s.Failed(at(8*time.Second), "far")
+	}
+	_, ok := s.Choose(at(8*time.Second), Query{Service: service})
+	assert.Assert(t, ok)
+}
