A reservation withdrawn while it queues no longer blocks its partition

A turn that ended before its reservation was sent took its change out of the book but left the book in the partition's queue; each writer stopped at the empty head, until the same program came again. Ruled out: the store (no busy answers then), the hold of 0.5 s for other turns. Change: books without changes are passed over. Test fails before (never reserved).

--- a/ledger/group.go
+++ b/ledger/group.go
@@ -88,6 +88,10 @@
 	room := room{entries: maxEntries, bytes: maxBytes}
 	for len(g.queue) > 0 {
 		e := g.queue[0]
+		if len(e.waiting) == 0 { // withdrawn meanwhile
+			g.queue, e.queued = g.queue[1:], false
+			continue
+		}
 		changes := room.fit(e.waiting, len(batch) == 0)
 		if len(changes) == 0 {
 			break
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -291,6 +291,27 @@
 	})
 }
 
+// A reservation that is withdrawn while it queues holds up no other program of its
+// partition.
+func TestWithdrawnReservationBlocksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		store.SetFaults(rows.Faults{Delay: 50 * time.Millisecond})
+		keeper := newKeeper(store)
+		for n := range maxWriters { // each with a transaction in progress
+			keeper.Reserve(t.Context(), programNamed(n), reservation("1", 100), 1000, "")
+			time.Sleep(time.Millisecond)
+		}
+		ended := keeper.Reserve(t.Context(), programNamed(100), reservation("1", 100), 1000, "")
+		keeper.Settle(programNamed(100), "1", 0)
+		var withdrawn *WithdrawnError
+		assert.Assert(t, errors.As(<-ended, &withdrawn))
+		start := time.Now()
+		assert.NilError(t, <-keeper.Reserve(t.Context(), programNamed(101), reservation("1", 100), 1000, ""))
+		assert.Assert(t, time.Since(start) <= 100*time.Millisecond, "%s", time.Since(start))
+	})
+}
+
 // A reservation counts as likely when the book as known here has room for it,
 // changes on their way included. A VM that has just come back knows no program.
 func TestOutlook(t *testing.T) {
