One VM of each region places a service's requests in large fleets

Ruled out: too few slots (890 turns a second of 0.18 s need 160 of 270). Change: above 16 VMs the placer of a service and region picks the targets and keeps the line, by what it knows of every request there; it is told what the target did. A placer that does not answer within 0.2 s is passed over for 2 s, and each VM acts by its own view then.

Configurations are fetched from peers one at a time, after a while and from the own region first.

--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -148,7 +148,11 @@
 			Heard:  func(d fleet.Digest) { server.Heard(d) },
 			Lend:   func(account structs.AccountID) int { return server.Lend(account) },
 			Admit:  func(question fleet.Admission) fleet.Verdict { return server.AdmitForPeer(question) },
-			Gone:   func(vm structs.VMID) { server.Gone(vm) },
+			Place: func(ctx context.Context, p fleet.Placement) fleet.Placed {
+				return server.PlaceForPeer(ctx, p)
+			},
+			Release: func(r fleet.Release) { server.ReleaseForPeer(r) },
+			Gone:    func(vm structs.VMID) { server.Gone(vm) },
 		},
 	})
 	router = storepath.NewRouter(direct, mesh, log)
--- a/edge/acquire.go
+++ b/edge/acquire.go
@@ -35,7 +35,7 @@
 	return "no slot of service " + string(e.Service) + " became free within " + e.Waited.Round(time.Millisecond).String()
 }
 
-// acquire returns a target whose load has been raised by one; release ends
+// acquire returns a target whose load has been raised by one; finish ends
 // that. It waits in line for at most hold while all targets are full.
 func (s *Server) acquire(ctx context.Context, query placement.Query, ticket admission.Ticket, hold time.Duration) (placement.Target, error) {
 	now := structs.Now()
@@ -86,14 +86,6 @@
 	return placement.Target{}, err
 }
 
-// release ends what acquire began.
-func (s *Server) release(target placement.Target) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.targets.End(target.ID)
-	s.grant(target.Service)
-}
-
 func (s *Server) line(service structs.ServiceID) *admission.Line {
 	line := s.lines[service]
 	if line == nil {
--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -58,13 +58,13 @@
 	connects := 0
 	for x.sends < x.maxSends() && connects < maxConnects {
 		query := placement.Query{Service: x.service.ID, Cached: x.cachedAt(), Exclude: tried}
-		target, err := x.slot(ctx, query)
+		g, err := x.slot(ctx, query)
 		if err != nil {
 			return x.noSlot(ctx, err, last)
 		}
 		sends := x.sends
-		v := x.attempt(ctx, target, body)
-		x.server.release(target)
+		v := x.attempt(ctx, g, body)
+		x.server.release(g)
 		if v.done {
 			if v.cause != nil {
 				x.out.Abort()
@@ -72,7 +72,7 @@
 			return nil
 		}
 		last = v.cause
-		tried = append(tried, target.ID)
+		tried = append(tried, g.target.ID)
 		x.mayHaveRun = x.mayHaveRun || v.sent
 		if x.sends == sends {
 			connects++
@@ -101,16 +101,16 @@
 	return defaultSends
 }
 
-func (x *exchange) slot(ctx context.Context, query placement.Query) (placement.Target, error) {
+func (x *exchange) slot(ctx context.Context, query placement.Query) (*grant, error) {
 	ticket := admission.Ticket{Priority: x.priority(), Due: x.ProgramDue}
 	if ticket.Due == 0 {
 		ticket.Due = x.deadline
 	}
 	hold := time.Duration(float64(x.left()) * holdPart)
 	start := structs.Now()
-	target, err := x.server.acquire(ctx, query, ticket, hold)
+	g, err := x.server.place(ctx, query, ticket, hold, x.left())
 	x.waited += structs.Now().Sub(start)
-	return target, err
+	return g, err
 }
 
 // noSlot refuses a request for which no target was found. last is what the
@@ -157,10 +157,14 @@
 }
 
 // attempt sends the request to one target.
-func (x *exchange) attempt(ctx context.Context, target placement.Target, body []byte) verdict {
+func (x *exchange) attempt(ctx context.Context, g *grant, body []byte) verdict {
+	x.grant = g
+	target := g.target
 	conn, err := x.server.pool.Get(ctx, target.Address)
 	if err != nil {
-		x.server.connectFailed(target, err)
+		if x.server.isUnreachable(target, err) {
+			g.result = placement.ResultUnreachable
+		}
 		return verdict{cause: err}
 	}
 	x.sends++
@@ -169,10 +173,10 @@
 	resp, stop, err := conn.RoundTrip(ctx, x.outgoing(target), body, string(x.ID), x.server.opts.Dialect.IDHeader())
 	if err != nil {
 		conn.Close()
-		x.server.answerBroke(ctx, x, target, err)
+		x.answerBroke(ctx, target, err)
 		return verdict{sent: true, cause: err}
 	}
-	x.server.answered(target, structs.Now().Sub(x.sentAt))
+	g.result, g.latency = placement.ResultAnswered, structs.Now().Sub(x.sentAt)
 	v := x.relay(ctx, target, conn, resp)
 	if !stop() || !v.done || v.cause != nil {
 		conn.Close()
@@ -200,43 +204,29 @@
 	}
 }
 
-// connectFailed records that a target could not be connected to.
-func (s *Server) connectFailed(target placement.Target, err error) {
+// isUnreachable reports whether an error is that of a target that could not be
+// connected to, and logs it.
+func (s *Server) isUnreachable(target placement.Target, err error) bool {
 	var dial *hop.DialError
 	if !errors.As(err, &dial) {
-		return // the request's own end
+		return false // the request's own end
 	}
-	s.mu.Lock()
-	s.targets.Unreachable(structs.Now(), target.ID)
-	s.mu.Unlock()
 	s.log.Warn("target is unreachable", "target", string(target.ID), "address", target.Address, "cause", err.Error())
-}
-
-func (s *Server) answered(target placement.Target, latency time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.targets.Answered(structs.Now(), target.ID, latency)
+	return true
 }
 
 // answerBroke records an answer that broke off and finds out whether the target
 // has crashed with it.
-func (s *Server) answerBroke(ctx context.Context, x *exchange, target placement.Target, err error) {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) && x.left() <= 0 && structs.Now().Sub(x.sentAt) > muteSpan {
-		s.failed(target)
-	}
-	if ctx.Err() != nil {
-		return // broken off by this side
+func (x *exchange) answerBroke(ctx context.Context, target placement.Target, err error) {
+	if ctx.Err() != nil { // broken off by this side
+		if x.left() <= 0 && structs.Now().Sub(x.sentAt) > muteSpan {
+			x.grant.result = placement.ResultFailed
+		}
+		return
 	}
-	s.failed(target)
-	s.log.Warn("answer broke off", "request", string(x.ID), "target", string(target.ID), "cause", err.Error())
-	go s.checkCrash(x.fingerprint, x.ID, target)
-}
-
-// failed records that a target failed a request.
-func (s *Server) failed(target placement.Target) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.targets.Failed(structs.Now(), target.ID)
+	x.grant.result = placement.ResultFailed
+	x.server.log.Warn("answer broke off", "request", string(x.ID), "target", string(target.ID), "cause", err.Error())
+	go x.server.checkCrash(x.fingerprint, x.ID, target)
 }
 
 // checkCrash connects to a target whose answer broke off. If that fails, the
@@ -250,8 +240,9 @@
 		conn.Close()
 		return
 	}
-	s.connectFailed(target, err)
+	s.isUnreachable(target, err)
 	s.mu.Lock()
+	s.targets.Unreachable(structs.Now(), target.ID)
 	quarantined := s.quarantine.Crashed(structs.Now(), fingerprint, target.ID)
 	s.mu.Unlock()
 	s.log.Warn("target crashed while it ran a request", "request", string(id), "target", string(target.ID), "quarantined", quarantined)
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// smallFleet is the most VMs that each hold a bucket of every account.
-	// With more, an account's buckets are held by one VM of each region.
+	// smallFleet is the most VMs that each hold a bucket of every account and
+	// place their own requests. With more, one VM of each region does so for
+	// an account or a service.
 	smallFleet = 16
 	// holderTimeout bounds the question to an account's holder; a round trip
 	// within a region takes 1 ms.
@@ -33,6 +34,11 @@
 	Borrow(ctx context.Context, vm structs.VMID, account structs.AccountID) (int, error)
 	// Admit asks an account's holder to admit a request.
 	Admit(ctx context.Context, vm structs.VMID, question fleet.Admission) (fleet.Verdict, error)
+	// Placer returns the VM of this region that places a service's requests.
+	Placer(service structs.ServiceID) (vm structs.VMID, self bool)
+	// Place asks a service's placer for a target, Release gives it back.
+	Place(ctx context.Context, vm structs.VMID, p fleet.Placement) (fleet.Placed, error)
+	Release(ctx context.Context, vm structs.VMID, r fleet.Release) error
 }
 
 // admitAccount takes a quota token, from this VM's bucket or the holder's. again
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -68,9 +68,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if head.WrongTarget {
+		x.grant.result = placement.ResultUnreachable
 		s.drop(target, "another target answers at its address")
 	} else {
-		s.targets.Full(structs.Now(), target.ID)
+		x.grant.result = placement.ResultFull
 	}
 	return verdict{cause: &NotRunError{Target: target.ID, Status: resp.StatusCode}}
 }
@@ -88,14 +89,14 @@
 func (x *exchange) relayWhole(ctx context.Context, target placement.Target, resp *http.Response) verdict {
 	body, err := readWhole(resp.Body)
 	if err != nil {
-		x.server.answerBroke(ctx, x, target, err)
+		x.answerBroke(ctx, target, err)
 		return verdict{sent: true, cause: errors.Wrap(err, "read answer")}
 	}
 	if promisesNotRun(resp.StatusCode) {
 		return verdict{sent: true, cause: &UnnamedStatusError{Status: resp.StatusCode}}
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
-		x.server.failed(target)
+		x.grant.result = placement.ResultFailed
 	}
 	x.finishCrashCheck()
 	x.firstByte = structs.Now().Sub(x.Arrived)
@@ -178,7 +179,7 @@
 func (x *exchange) endStream(ctx context.Context, target placement.Target, resp *http.Response, begun bool, err error) verdict {
 	if err != io.EOF {
 		if !begun {
-			x.server.answerBroke(ctx, x, target, err)
+			x.answerBroke(ctx, target, err)
 			return verdict{sent: true, cause: errors.Wrap(err, "read stream")}
 		}
 		return x.broken(ctx, target, errors.Wrap(err, "read stream"))
@@ -200,7 +201,7 @@
 
 // broken ends a stream that has begun and can't be completed.
 func (x *exchange) broken(ctx context.Context, target placement.Target, cause error) verdict {
-	x.server.answerBroke(ctx, x, target, cause)
+	x.answerBroke(ctx, target, cause)
 	x.mayHaveRun = true
 	refusal := x.failed(cause)
 	if ctx.Err() != nil {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -40,6 +40,7 @@
 	sends       int
 	target      structs.TargetID // of the last send
 	sentAt      structs.Instant  // of the last send
+	grant       *grant           // of the last attempt
 	mayHaveRun  bool             // a send ended without a word on whether it ran
 	waited      time.Duration    // in line
 	firstByte   time.Duration    // from arrival to the answer's first byte
--- a/edge/server.go
+++ b/edge/server.go
@@ -64,6 +64,8 @@
 	waiters    map[*admission.Ticket]*waiter
 	shares     *share.Shares
 	quarantine *quarantine.List
+	lent       map[uint64]lentGrant
+	lastGrant  uint64
 	confirmed  structs.Instant // when the store or a peer last confirmed the configuration
 }
 
@@ -75,6 +77,7 @@
 		pool:       hop.NewPool(),
 		targets:    placement.New(opts.Domain, opts.Region),
 		lines:      make(map[structs.ServiceID]*admission.Line),
+		lent:       make(map[uint64]lentGrant),
 		waiters:    make(map[*admission.Ticket]*waiter),
 		shares:     share.New(structs.Now(), opts.QuotaSlack),
 		quarantine: quarantine.New(quarantine.Options{Targets: quarantineTargets, Suspect: suspectFor}),
@@ -124,6 +127,7 @@
 			s.expireLapsed()
 			s.mu.Lock()
 			s.shares.Sweep(structs.Now())
+			s.expireGrants(structs.Now())
 			s.mu.Unlock()
 		}
 	}
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -17,27 +17,22 @@
 	homeRest = 2 * time.Second
 )
 
-// Home returns the VM that keeps a partition of programs: of the VMs of this region that were
-// heard of and reach the store, the one of the highest hash. VMs with different
-// views may name different homes, which costs conflicts at the store and no more.
+// Home returns the VM that keeps a partition of programs: of the VMs of this
+// region that were heard of and reach the store, the one of the highest hash. VMs
+// with different views may name different homes, which costs conflicts at the
+// store and no more.
 func (m *Mesh) Home(partition string) (structs.VMID, bool) {
 	now := time.Now()
-	selfWorks := m.opts.StoreWorks()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	best, bestHash := m.opts.Self.VM, uint64(0)
-	if selfWorks {
-		bestHash = rendezvous(best, partition)
-	}
-	for id, peer := range m.members {
-		if !peer.mayBeHome(now, m.opts.Self.Region) {
-			continue
-		}
-		if hash := rendezvous(id, partition); hash > bestHash {
-			best, bestHash = id, hash
-		}
-	}
-	return best, best == m.opts.Self.VM
+	return m.pick(partition, m.opts.StoreWorks(), func(peer *known) bool {
+		return peer.storeWorks && peer.isHeard(now)
+	})
+}
+
+// Placer returns the VM that places a service's requests: of the VMs of this
+// region that were heard of, the one of the highest hash.
+func (m *Mesh) Placer(service structs.ServiceID) (structs.VMID, bool) {
+	now := time.Now()
+	return m.pick("service/"+string(service), true, func(peer *known) bool { return peer.isHeard(now) })
 }
 
 // Holder returns the VM that holds something which needs no store: of all VMs of
@@ -45,11 +40,20 @@
 // VMs that have just started name the same holder.
 func (m *Mesh) Holder(name string) (structs.VMID, bool) {
 	now := time.Now()
+	return m.pick(name, true, func(peer *known) bool { return now.Sub(peer.failed) >= homeRest })
+}
+
+// pick returns the VM of the highest hash of this region's eligible peers and
+// this VM, which has the lowest if it is not eligible itself.
+func (m *Mesh) pick(name string, self bool, eligible func(peer *known) bool) (structs.VMID, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	best, bestHash := m.opts.Self.VM, rendezvous(m.opts.Self.VM, name)
+	best, bestHash := m.opts.Self.VM, uint64(0)
+	if self {
+		bestHash = rendezvous(best, name)
+	}
 	for id, peer := range m.members {
-		if peer.Region != m.opts.Self.Region || now.Sub(peer.failed) < homeRest {
+		if peer.Region != m.opts.Self.Region || !eligible(peer) {
 			continue
 		}
 		if hash := rendezvous(id, name); hash > bestHash {
@@ -59,8 +63,9 @@
 	return best, best == m.opts.Self.VM
 }
 
-func (k *known) mayBeHome(now time.Time, region string) bool {
-	return k.storeWorks && k.Region == region && now.Sub(k.heard) < homeHeard && now.Sub(k.failed) > homeRest
+// isHeard reports whether a VM was heard of lately and has not just failed a call.
+func (k *known) isHeard(now time.Time) bool {
+	return now.Sub(k.heard) < homeHeard && now.Sub(k.failed) > homeRest
 }
 
 func rendezvous(vm structs.VMID, name string) uint64 {
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -52,9 +52,7 @@
 		return
 	}
 	m.introduce(reply.Members)
-	if reply.Config > m.opts.Config.Version() {
-		m.fetchConfig(seed)
-	}
+	m.learnConfig(reply.Config, Member{Address: seed})
 }
 
 func (m *Mesh) readTable(ctx context.Context) error {
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,6 +52,9 @@
 	Lend func(account structs.AccountID) int
 	// Admit decides on a request of an account that this VM holds.
 	Admit func(question Admission) Verdict
+	// Place picks a target for a peer's request, Release ends its grant.
+	Place   func(ctx context.Context, p Placement) Placed
+	Release func(r Release)
 	// Gone says that a VM was forgotten.
 	Gone func(vm structs.VMID)
 }
@@ -84,7 +88,10 @@
 	// forgotten are the processes that fell silent; what others still know
 	// of them does not bring them back.
 	forgotten map[structs.Incarnation]bool
-	turn      int // where the next round of digests begins
+	wanted    *wantedConfig // nil unless a peer has a newer configuration
+	turn      int           // where the next round of digests begins
+
+	configsSent atomic.Uint64 // configurations given to peers
 }
 
 type known struct {
@@ -105,6 +112,7 @@
 	serveStore(m.server, opts.Direct)
 	wire.Unary(m.server, MethodDigest, m.answer)
 	wire.Unary(m.server, MethodConfig, func(context.Context, ConfigQuery) (routing.Document, error) {
+		m.configsSent.Add(1)
 		return m.opts.Config.Document(), nil
 	})
 	wire.Unary(m.server, MethodLend, func(_ context.Context, r LoanRequest) (Loan, error) {
@@ -113,6 +121,13 @@
 	wire.Unary(m.server, MethodAdmit, func(_ context.Context, question Admission) (Verdict, error) {
 		return m.opts.Hooks.Admit(question), nil
 	})
+	wire.Unary(m.server, MethodPlace, func(ctx context.Context, p Placement) (Placed, error) {
+		return m.opts.Hooks.Place(ctx, p), nil
+	})
+	wire.Unary(m.server, MethodEnd, func(_ context.Context, r Release) (struct{}, error) {
+		m.opts.Hooks.Release(r)
+		return struct{}{}, nil
+	})
 	if opts.Serve != nil {
 		opts.Serve(m.server)
 	}
@@ -133,6 +148,18 @@
 	return verdict, err
 }
 
+// Place asks a service's placer for a target.
+func (m *Mesh) Place(ctx context.Context, vm structs.VMID, p Placement) (Placed, error) {
+	var placed Placed
+	err := m.CallHome(ctx, vm, MethodPlace, p, &placed)
+	return placed, err
+}
+
+// Release ends a grant of a placer.
+func (m *Mesh) Release(ctx context.Context, vm structs.VMID, r Release) error {
+	return m.callVM(ctx, vm, MethodEnd, r, &struct{}{})
+}
+
 // Count is the number of other VMs that are known.
 func (m *Mesh) Count() int {
 	m.mu.Lock()
@@ -181,9 +208,7 @@
 	m.hear(d.From)
 	m.noteStore(d.From.VM, d.StoreWorks)
 	m.opts.Hooks.Heard(d)
-	if d.Config > m.opts.Config.Version() {
-		go m.fetchConfig(d.From.Address)
-	}
+	m.learnConfig(d.Config, d.From)
 	reply := DigestReply{Config: m.opts.Config.Version()}
 	if m.known() != d.Known {
 		reply.Members = append(m.Members(), m.opts.Self)
@@ -317,9 +342,7 @@
 	}
 	m.hear(peer)
 	m.introduce(reply.Members)
-	if reply.Config > m.opts.Config.Version() {
-		m.fetchConfig(peer.Address)
-	}
+	m.learnConfig(reply.Config, peer)
 }
 
 // call drops the connection when no reply comes, since an open connection may
@@ -366,21 +389,3 @@
 		go m.deleteRow(member)
 	}
 }
-
-func (m *Mesh) fetchConfig(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	var document routing.Document
-	if err := m.call(ctx, address, MethodConfig, ConfigQuery{}, &document); err != nil {
-		m.opts.Log.Warn("configuration not fetched from a peer", "peer", address, "cause", err.Error())
-		return
-	}
-	taken, err := m.opts.Config.Offer(document.Raw)
-	if err != nil {
-		m.opts.Log.Error("configuration of a peer can't be read", "peer", address, "version", document.Version, "cause", err.Error())
-		return
-	}
-	if taken {
-		m.opts.Log.Info("configuration in force", "version", document.Version, "source", address)
-	}
-}
--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -207,3 +207,24 @@
 	assert.NilError(t, err)
 	assert.Equal(t, tokens, 7)
 }
+
+// A VM that hears of a newer configuration from many peers at once asks one of
+// them, and none if the store tells it meanwhile.
+func TestConfigIsFetchedOnce(t *testing.T) {
+	nodes := startNodes(t, rows.New(), 8)
+	until(t, "all hear of all", func() bool { return allHeard(nodes, 7) })
+	for _, n := range nodes {
+		_, err := n.mesh.opts.Config.Offer([]byte("1"))
+		assert.NilError(t, err)
+	}
+	for _, n := range nodes[1:] {
+		_, err := n.mesh.opts.Config.Offer([]byte("7"))
+		assert.NilError(t, err)
+	}
+	until(t, "the last VM has it", func() bool { return nodes[0].mesh.opts.Config.Version() == 7 })
+	sum := uint64(0)
+	for _, n := range nodes {
+		sum += n.mesh.configsSent.Load()
+	}
+	assert.Equal(t, sum, uint64(1))
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -51,6 +51,8 @@
 	MethodConfig = "fleet.config"
 	MethodLend   = "fleet.lend"
 	MethodAdmit  = "fleet.admit"
+	MethodPlace  = "fleet.place"
+	MethodEnd    = "fleet.release"
 )
 
 // LoanRequest asks a VM for quota tokens of an account.
@@ -76,5 +78,31 @@
 	Wait     time.Duration `msgpack:"w,omitempty"` // until a token is there
 }
 
+// Placement asks a service's placer for a target.
+type Placement struct {
+	Service  structs.ServiceID  `msgpack:"s"`
+	Cached   structs.TargetID   `msgpack:"c,omitempty"`
+	Exclude  []structs.TargetID `msgpack:"x,omitempty"`
+	Domain   structs.DomainID   `msgpack:"d"` // of the asking VM
+	Priority int                `msgpack:"p,omitempty"`
+	DueIn    time.Duration      `msgpack:"u"` // until the program should have ended
+	Wait     time.Duration      `msgpack:"w"` // in line, at most
+	Left     time.Duration      `msgpack:"l"` // until the request ends by itself
+}
+
+// Placed answers a Placement. Without a target and NoTarget, all are full.
+type Placed struct {
+	Target   structs.TargetID `msgpack:"t,omitempty"`
+	Grant    uint64           `msgpack:"g,omitempty"` // to be released
+	NoTarget bool             `msgpack:"n,omitempty"`
+}
+
+// Release ends a grant.
+type Release struct {
+	Grant   uint64           `msgpack:"g"`
+	Result  placement.Result `msgpack:"r,omitempty"`
+	Latency time.Duration    `msgpack:"l,omitempty"` // until the answer began
+}
+
 // ConfigQuery asks for the newest configuration.
 type ConfigQuery struct{}
--- a/placement/outcomes.go
+++ b/placement/outcomes.go
@@ -85,6 +85,35 @@
 	return o.shunned
 }
 
+// Result is what a target did with a request.
+type Result uint8
+
+// Results. ResultNone says nothing about the target.
+const (
+	ResultNone Result = iota
+	ResultAnswered
+	ResultFailed      // the answer broke off, never came, or was an error
+	ResultUnreachable // no connection could be made
+	ResultFull        // refused for lack of room
+)
+
+// Ended uncounts a request that Choose and Begin sent to a target. latency is the
+// time until its answer began, 0 if it did not.
+func (s *Set) Ended(now structs.Instant, id structs.TargetID, result Result, latency time.Duration) {
+	s.End(id)
+	if latency > 0 {
+		s.Answered(now, id, latency)
+	}
+	switch result {
+	case ResultFailed:
+		s.Failed(now, id)
+	case ResultUnreachable:
+		s.Unreachable(now, id)
+	case ResultFull:
+		s.Full(now, id)
+	}
+}
+
 // Failing returns the targets that failed requests of this VM lately, to be
 // reported to the peers.
 func (s *Set) Failing(now structs.Instant) map[structs.TargetID]Outcomes {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -147,6 +147,8 @@
 	Cached structs.TargetID
 	// Exclude lists targets that the request was sent to already.
 	Exclude []structs.TargetID
+	// Domain is where the request is, if not in the set's own domain.
+	Domain structs.DomainID
 }
 
 // Choice is a target and whether it has a free slot.
@@ -199,7 +201,7 @@
 	switch {
 	case st.Region != s.region:
 		cost += regionCost
-	case st.Domain != s.domain:
+	case st.Domain != domainOf(q.Domain, s.domain):
 		cost += domainCost
 	}
 	if q.Cached != "" && q.Cached != st.ID {
@@ -220,6 +222,13 @@
 	return cost + failCost*failing*failing
 }
 
+func domainOf(asked, own structs.DomainID) structs.DomainID {
+	if asked != "" {
+		return asked
+	}
+	return own
+}
+
 // typicalLatency is the least latency of a service's targets.
 func typicalLatency(now structs.Instant, group map[structs.TargetID]*state) float64 {
 	low := math.Inf(1)
