--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -175,7 +175,10 @@
 		QuotaSlack: loaded.QuotaSlack,
 		Log:        log,
 	})
-	followers := &platform.Followers{Store: router, Config: config, Edge: server, Regions: loaded.Regions, Log: log}
+	followers := &platform.Followers{
+		Store: router, Config: config, Edge: server, Regions: loaded.Regions, Log: log,
+		VMs: func() int { return mesh.Count() + 1 },
+	}
 	front := &platform.Front{Settings: loaded, Path: path, Edge: server, Config: config, Followers: followers, Log: log}
 	k := kernel.New(log, mesh, server, front)
 	front.Metrics = func(w io.Writer) {
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -13,9 +13,9 @@
 	Table string
 	// Wait is how long one Watch waits for a change.
 	Wait time.Duration
-	// Pause is the least time between two calls, which bounds the calls a busy
-	// table costs.
-	Pause time.Duration
+	// Pause returns the least time between two calls, which bounds the calls a
+	// busy table costs.
+	Pause func() time.Duration
 	// Retry is the pause after a failed call.
 	Retry time.Duration
 	Log   *slog.Logger
@@ -40,7 +40,7 @@
 		case err == nil:
 			known, after = true, snapshot.Version
 			report(snapshot)
-			sleep(ctx, opts.Pause)
+			sleep(ctx, opts.Pause())
 		case isHistoryGone(err):
 			opts.Log.Info("store history is gone, reading the table again", "table", opts.Table, "after", after)
 			known = false
--- a/rowstore/follow_test.go
+++ b/rowstore/follow_test.go
@@ -16,7 +16,7 @@
 
 func follow(ctx context.Context, store rowstore.Store, seen map[string]string, full *int) {
 	opts := rowstore.FollowOptions{
-		Table: "t", Wait: time.Second, Pause: 50 * time.Millisecond, Retry: 100 * time.Millisecond,
+		Table: "t", Wait: time.Second, Pause: func() time.Duration { return 50 * time.Millisecond }, Retry: 100 * time.Millisecond,
 		Log: slog.New(slog.DiscardHandler),
 	}
 	go func() {
