--- a/edge/server.go
+++ b/edge/server.go
@@ -128,7 +128,19 @@
 			s.mu.Lock()
 			s.shares.Sweep(structs.Now())
 			s.expireGrants(structs.Now())
+			switches := s.targets.Switches(structs.Now())
 			s.mu.Unlock()
+			s.logSwitches(switches)
+		}
+	}
+}
+
+func (s *Server) logSwitches(switches []placement.Switch) {
+	for _, sw := range switches {
+		if sw.Out {
+			s.log.Warn("target out of use for failed requests", "target", string(sw.Target), "failing", sw.Failing)
+		} else {
+			s.log.Info("target back in use", "target", string(sw.Target), "failing", sw.Failing)
 		}
 	}
 }
--- a/placement/outcomes.go
+++ b/placement/outcomes.go
@@ -38,6 +38,7 @@
 	counted   structs.Instant
 	remote    map[structs.VMID]remoteOutcomes
 	shunned   bool
+	told      bool // the last word of Switches
 }
 
 type remoteOutcomes struct {
@@ -141,6 +142,27 @@
 	}
 }
 
+// Switch is a target that was taken out of use or back in.
+type Switch struct {
+	Target  structs.TargetID
+	Out     bool
+	Failing float64 // estimated part of requests
+}
+
+// Switches returns the targets that were taken out of use or back in since the
+// last call.
+func (s *Set) Switches(now structs.Instant) []Switch {
+	var switches []Switch
+	for id, st := range s.targets {
+		out := st.outcomes.check(now)
+		if out != st.outcomes.told {
+			st.outcomes.told = out
+			switches = append(switches, Switch{Target: id, Out: out, Failing: st.outcomes.failing(now)})
+		}
+	}
+	return switches
+}
+
 // shunned returns the targets of a group that are out of use for failing
 // requests: at most half of them, since one that fails some is better than none.
 func shunned(now structs.Instant, group map[structs.TargetID]*state) map[structs.TargetID]bool {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -187,6 +187,11 @@
 		s.Failed(at(0), "a")
 	}
 	assert.Equal(t, choose(t, s, time.Second, Query{Cached: "a"}), structs.TargetID("b"))
+	switches := s.Switches(at(time.Second))
+	assert.Equal(t, len(switches), 1)
+	assert.Assert(t, switches[0].Out && switches[0].Target == "a")
+	assert.Equal(t, len(s.Switches(at(2*time.Second))), 0)
+	assert.Equal(t, len(s.Switches(at(8*time.Second))), 1)
 	assert.Equal(t, choose(t, s, 8*time.Second, Query{Cached: "a"}), structs.TargetID("a"))
 	for range 5 {
 		s.Failed(at(8*time.Second), "a")
