Quota waits until a VM that has started knows its fleet

Ruled out: hand-over of holders in calm (no call to one failed). Change: a VM counts quota only once it has read the member table, or 2 s after its start; until then requests are asked to come back after 0.1 s, within the hold. Tests: both states, in fleet and edge.

--- a/edge/place_test.go
+++ b/edge/place_test.go
@@ -15,6 +15,7 @@
 	"github.com/endivecourse/endivecourse/admission"
 	"github.com/endivecourse/endivecourse/fleet"
 	"github.com/endivecourse/endivecourse/placement"
+	"github.com/endivecourse/endivecourse/routing"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -22,10 +23,13 @@
 type peers struct {
 	self    int
 	servers []*Server
+	alone   bool // the fleet is not known yet
 	placer  *int // index of the placer, -1 for none
 	silent  *bool
 }
 
+func (p *peers) KnowsFleet() bool { return !p.alone }
+
 func (p *peers) Count() int { return len(p.servers) - 1 }
 
 func (p *peers) Holder(string) (structs.VMID, bool) { return "", true }
@@ -187,3 +191,15 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// A VM that has just started does not count quota by itself before it knows the
+// fleet: many such VMs would each admit some requests of an account.
+func TestQuotaWaitsForTheFleet(t *testing.T) {
+	p := &peers{alone: true}
+	s := New(Options{VM: "1", Domain: "d", Region: "r", Peers: p, QuotaSlack: 20, Regions: 2, Log: slog.New(slog.DiscardHandler)})
+	account := &routing.Account{ID: "account", Rate: 10, Burst: 20}
+	verdict := s.admitAccount(account, false, false)
+	assert.Assert(t, !verdict.Admitted && verdict.Wait == learnWait)
+	p.alone = false
+	assert.Assert(t, s.admitAccount(account, false, true).Admitted)
+}
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -15,6 +15,9 @@
 	// place their own requests. With more, one VM of each region does so for
 	// an account or a service.
 	smallFleet = 16
+	// learnWait is when to come back to a VM that does not know its fleet yet;
+	// the member table is read within 0.1 s of the start.
+	learnWait = 100 * time.Millisecond
 	// holderTimeout bounds the question to an account's holder; a round trip
 	// within a region takes 1 ms.
 	holderTimeout = 150 * time.Millisecond
@@ -28,6 +31,8 @@
 type Peers interface {
 	// Count is the number of other VMs that are known.
 	Count() int
+	// KnowsFleet reports whether the other VMs are known.
+	KnowsFleet() bool
 	// Holder returns the VM of this region that holds something of that name.
 	Holder(name string) (vm structs.VMID, self bool)
 	// Borrow asks a VM for quota tokens.
@@ -47,6 +52,9 @@
 	if account.Rate <= 0 {
 		return share.Verdict{Admitted: true}
 	}
+	if !s.opts.Peers.KnowsFleet() {
+		return share.Verdict{Wait: learnWait}
+	}
 	if s.opts.Peers.Count() < smallFleet {
 		return s.admitHere(account, starts, again, 0)
 	}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -77,6 +77,7 @@
 		members = append(members, member)
 	}
 	m.introduce(members)
+	m.tableRead.Store(true)
 	return m.writeOwn(ctx, own)
 }
 
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -37,6 +37,9 @@
 	joinRounds    = 8
 	refreshPeriod = 5 * time.Second
 	storeTimeout  = 2 * time.Second
+	// learnSpan is how long a process waits for the member table; with the
+	// store away, its peers have told it of one another by then.
+	learnSpan = 2 * time.Second
 )
 
 const membersTable = "members"
@@ -92,6 +95,8 @@
 	turn      int           // where the next round of digests begins
 
 	configsSent atomic.Uint64 // configurations given to peers
+	tableRead   atomic.Bool   // the member table was read once
+	began       time.Time
 }
 
 type known struct {
@@ -107,7 +112,10 @@
 
 // New makes the component.
 func New(opts Options) *Mesh {
-	m := &Mesh{opts: opts, server: wire.NewServer(wire.Options{}), members: make(map[structs.VMID]*known), forgotten: make(map[structs.Incarnation]bool)}
+	m := &Mesh{
+		opts: opts, server: wire.NewServer(wire.Options{}), began: time.Now(),
+		members: make(map[structs.VMID]*known), forgotten: make(map[structs.Incarnation]bool),
+	}
 	m.client = wire.NewClient(wire.Options{})
 	serveStore(m.server, opts.Direct)
 	wire.Unary(m.server, MethodDigest, m.answer)
@@ -160,6 +168,11 @@
 	return m.callVM(ctx, vm, MethodEnd, r, &struct{}{})
 }
 
+// KnowsFleet reports whether this VM has had the time to learn of the others. VMs
+// that start together and know different peers would each be some account's
+// holder.
+func (m *Mesh) KnowsFleet() bool { return m.tableRead.Load() || time.Since(m.began) > learnSpan }
+
 // Count is the number of other VMs that are known.
 func (m *Mesh) Count() int {
 	m.mu.Lock()
--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -228,3 +228,15 @@
 	}
 	assert.Equal(t, sum, uint64(1))
 }
+
+// A VM knows its fleet once it has read the member table, or after a while without.
+func TestFleetIsKnownWithTheTable(t *testing.T) {
+	late := &latecomer{Store: rows.New()}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	n := startNode(t, late, 0, listener, nil)
+	assert.Assert(t, !n.mesh.KnowsFleet())
+	late.reached.Store(true)
+	until(t, "the table", n.mesh.KnowsFleet)
+	assert.Assert(t, time.Since(n.mesh.began) < learnSpan)
+}
