A look at a book leaves its changes as they are; ended turns leave no reservation

Cause (last reading): Outlook performed the waiting changes on a copy of the book and so overwrote whether their vouchers were granted, beside the transaction that carried them; a voucher could have been used that the store does not have. A turn that asked twice (early answer, then the outcome) and ended meanwhile withdrew one question and left the other, or left the stored reservation for 30 s. Change: perform returns what the changes came to; a turn's end withdraws all its questions, and skips the settlement only if the store can't have a reservation. Tests: extended ones failed before (two open reservations where one is due). Room of a transaction no longer counts a change that did not fit.

--- a/ledger/change.go
+++ b/ledger/change.go
@@ -7,24 +7,30 @@
 	"github.com/endivecourse/endivecourse/structs"
 )
 
-// perform applies settlements first: they make room.
-func perform(book *Book, changes []*change) (results []error, changed bool) {
-	results = make([]error, len(changes))
-	for _, c := range changes {
+// outcome is what a change came to.
+type outcome struct {
+	err     error
+	granted bool // the voucher was opened
+}
+
+// perform applies the changes to a book, settlements first: they make room.
+func perform(book *Book, changes []*change) (outcomes []outcome, changed bool) {
+	outcomes = make([]outcome, len(changes))
+	for i, c := range changes {
 		if !c.settles {
 			continue
 		}
 		book.Settle(c.reserve.Turn, c.tokens)
 		changed = true
-		c.granted = c.voucher.Turn != "" && book.Extend(c.voucher, c.budget)
+		outcomes[i].granted = c.voucher.Turn != "" && book.Extend(c.voucher, c.budget)
 	}
 	for i, c := range changes {
 		if !c.settles {
-			results[i] = book.Reserve(c.reserve, c.budget)
-			changed = changed || results[i] == nil
+			outcomes[i].err = book.Reserve(c.reserve, c.budget)
+			changed = changed || outcomes[i].err == nil
 		}
 	}
-	return results, changed
+	return outcomes, changed
 }
 
 // change is one change of a book.
@@ -38,7 +44,6 @@
 	rows rowstore.Tx
 	// voucher, if it has a name, is opened for the turn to come.
 	voucher Reservation
-	granted bool
 	done    chan error // nil when nobody waits
 	sent    bool       // a transaction has carried it
 	// hold is until when a reservation may wait for settlements; busy is what
--- a/ledger/group.go
+++ b/ledger/group.go
@@ -41,9 +41,10 @@
 type work struct {
 	entry   *entry
 	changes []*change
-	results []error
-	next    Book // the book after the changes
-	rounds  int  // lost to other VMs
+	// outcomes are those of the changes, next is the book after them.
+	outcomes []outcome
+	next     Book
+	rounds   int // lost to other VMs
 }
 
 // enqueue hands an entry with waiting changes to its group. The caller holds the
@@ -97,7 +98,7 @@
 			break
 		}
 		g.queue = g.queue[1:]
-		e.queued, e.writing, e.pending = false, true, changes
+		e.queued, e.writing, e.tried, e.pending = false, true, true, changes
 		e.waiting = e.waiting[len(changes):]
 		batch = append(batch, &work{entry: e, changes: changes})
 	}
@@ -113,22 +114,23 @@
 // fit returns the first of the changes that fit, at least one if alone.
 func (r *room) fit(changes []*change, alone bool) []*change {
 	const bookEntries = 2 // expected and put
-	entries, bytes, count := bookEntries, 0, 0
+	left := room{entries: r.entries - bookEntries, bytes: r.bytes}
+	count := 0
 	for _, c := range changes {
-		entries += len(c.rows.Expect) + len(c.rows.Put)
+		next := left
+		next.entries -= len(c.rows.Expect) + len(c.rows.Put)
 		for _, put := range c.rows.Put {
-			bytes += len(put.Value)
+			next.bytes -= len(put.Value)
 		}
-		if (entries > r.entries || bytes > r.bytes) && (count > 0 || !alone) {
+		if (next.entries < 0 || next.bytes < 0) && (count > 0 || !alone) {
 			break
 		}
+		left = next
 		count++
 	}
-	if count == 0 {
-		return nil
+	if count > 0 {
+		*r = left
 	}
-	r.entries -= entries
-	r.bytes -= bytes
 	return changes[:count]
 }
 
@@ -171,7 +173,7 @@
 		w.dropEnded(now)
 		w.next = w.entry.book.Clone()
 		var changed bool
-		w.results, changed = perform(&w.next, w.changes)
+		w.outcomes, changed = perform(&w.next, w.changes)
 		if !changed && (w.entry.known || len(w.changes) == 0) {
 			k.deliver(w)
 			continue
@@ -363,20 +365,20 @@
 	e := w.entry
 	now := time.Now()
 	for i, c := range w.changes {
-		if c.granted {
+		if w.outcomes[i].granted {
 			e.vouchers[turnOf(c.voucher)] = c.voucher
 		}
 		if c.settles {
 			k.forgetName(e, c.reserve.Turn)
 		}
 		var busy *BusyError
-		if errors.As(w.results[i], &busy) && now.Before(c.hold) {
+		if errors.As(w.outcomes[i].err, &busy) && now.Before(c.hold) {
 			c.busy = busy
 			k.park(e, c)
 			k.releaseVouchers(e, now, 0)
 			continue
 		}
-		c.finish(w.results[i])
+		c.finish(w.outcomes[i].err)
 	}
 	k.leave(e)
 }
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -60,6 +60,7 @@
 	book    Book
 	version uint64
 	known   bool // the row was read or written by this process
+	tried   bool // a transaction was sent
 	// waiting are the changes of the next transaction; parked are reservations
 	// that wait for a settlement to make room.
 	waiting []*change
@@ -208,24 +209,37 @@
 	return e
 }
 
-// withdraw drops a reservation that the store has not got, and reports whether
-// there was one. Its turn has ended.
+// withdraw drops the reservations of a turn that has ended, and reports whether
+// the store can't have got any of them.
 func (e *entry) withdraw(turn structs.RequestID) bool {
-	for i, c := range e.waiting {
-		if !c.settles && !c.sent && c.reserve.Turn == turn {
-			e.waiting = append(e.waiting[:i:i], e.waiting[i+1:]...)
+	found, sent := 0, false
+	for _, list := range []*[]*change{&e.waiting, &e.parked} {
+		kept := (*list)[:0:0]
+		for _, c := range *list {
+			if c.settles || c.reserve.Turn != turn {
+				kept = append(kept, c)
+				continue
+			}
+			found++
+			sent = sent || c.sent
 			c.finish(&WithdrawnError{Turn: turn})
-			return true
 		}
+		*list = kept
 	}
-	for i, c := range e.parked {
-		if c.reserve.Turn == turn {
-			e.parked = append(e.parked[:i:i], e.parked[i+1:]...)
-			c.finish(&WithdrawnError{Turn: turn})
+	return found > 0 && !sent && !e.mayHold(turn)
+}
+
+// mayHold reports whether the stored book may have a reservation of the turn.
+func (e *entry) mayHold(turn structs.RequestID) bool {
+	for _, c := range e.pending {
+		if !c.settles && c.reserve.Turn == turn {
 			return true
 		}
 	}
-	return false
+	if e.known {
+		return e.book.holds(turn)
+	}
+	return e.tried
 }
 
 // WithdrawnError says that a turn ended before its tokens were reserved.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -327,9 +327,13 @@
 		assert.Assert(t, !first.Outlook(program, reservation("3", most), budget))
 		assert.NilError(t, <-one)
 		assert.NilError(t, <-two)
-		first.Settle(program, "1", 20)
+		ended := first.Finish(t.Context(), program, reservation("1", most), budget, 20, rowOf("1"))
 		assert.Assert(t, first.Outlook(program, reservation("3", most), budget))
 
+		assert.NilError(t, <-ended)
+		synctest.Wait()
+		assert.Equal(t, len(first.books[program.Key()].vouchers), 0)
+
 		back := newKeeper(store)
 		assert.Assert(t, !back.Outlook(program, reservation("4", most), budget))
 		time.Sleep(bookLife)
@@ -349,6 +353,7 @@
 			first := keeper.Reserve(t.Context(), program, reservation("2", 100), 1000, "")
 			time.Sleep(waited)
 			second := keeper.Reserve(t.Context(), program, reservation("3", 100), 1000, "")
+			keeper.Reserve(t.Context(), program, reservation("2", 100), 1000, "") // asked again, as after an early answer
 			keeper.Settle(program, "2", 0)
 			keeper.Settle(program, "3", 0)
 			<-first
