--- a/daemon/endived_test.go
+++ b/daemon/endived_test.go
@@ -417,6 +417,21 @@
 	assert.Assert(t, startsAfter("other") < storeTime/2)
 }
 
+// A turn that runs before its reservation is stored shows its caller nothing until
+// then, and does not claim that it has not run.
+func TestEarlyTurnShowsNothingUnreserved(t *testing.T) {
+	b := newBed(t, "near-a")
+	engine := b.target("engine-1", "engine", "near-a")
+	assert.Equal(t, b.turn(b.vms[0], "", "warm-up").status, 200)
+	b.site.Store.SetFaults(rows.Faults{Delay: 3 * time.Second})
+	header := map[string]string{platformtest.HeaderProgram: "other", platformtest.HeaderBudget: "1000", platformtest.HeaderUsage: "100,30"}
+	got := b.do(call{path: "/chat/1", body: "x", header: header})
+	b.site.Store.SetFaults(rows.Faults{})
+	assert.Equal(t, len(engine.Runs()), 2)
+	assert.Equal(t, got.status, 502)
+	assert.Assert(t, !strings.Contains(got.body, "piece"), got.body)
+}
+
 // A program that was stopped comes back with a first turn after all VMs were
 // lost, and does not run.
 func TestStoppedProgramComesBack(t *testing.T) {
