--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -16,9 +16,10 @@
 
 skip='^$'
 if [ -s KNOWN-RED.txt ]; then
-	names=$(awk '!/^#/ && NF {print $1}' KNOWN-RED.txt | paste -sd'|')
+	# A subtest is matched level by level, and alternatives stand at the top.
+	names=$(awk '!/^#/ && NF {gsub("/", "$/^", $1); print "^" $1 "$"}' KNOWN-RED.txt | paste -sd'|')
 	if [ -n "$names" ]; then
-		skip="^($names)\$"
+		skip=$names
 		echo "known red, not run:"
 		grep -v '^#' KNOWN-RED.txt
 	fi
