One copy of the periodic duty, of a slot's end and of a stream's beginning

Cause (reading the whole change as a newcomer; a list of places that share lines): three duties had the same ticker loop; a slot was given back in two ways; two places waited for the reservation before a stream begins; a change remembered that it was sent and what it waited for, which the book, its transaction and the parking already tell; each choice of a target decayed the counts of all targets, most of which never failed; method and type grant meant two things; fleet.MethodEnd was the release. Change: kernel.Every; acquire uses finish; begin waits; change.sent and change.busy are gone; failing returns at once without failures; serveLine, MethodRelease. Result: no behaviour changes; tests of kernel, edge, fleet, ledger, placement, conversation and daemon pass with the race detector.

--- a/edge/acquire.go
+++ b/edge/acquire.go
@@ -54,7 +54,7 @@
 	w := &waiter{ticket: ticket, query: query, granted: make(chan placement.Choice, 1)}
 	line.Add(&w.ticket)
 	s.waiters[&w.ticket] = w
-	s.grant(query.Service)
+	s.serveLine(query.Service)
 	s.mu.Unlock()
 	return s.wait(ctx, w, hold)
 }
@@ -81,8 +81,7 @@
 	if ctx.Err() == nil {
 		return choice.Target, nil
 	}
-	s.targets.End(choice.Target.ID)
-	s.grant(w.query.Service)
+	s.finish(choice.Target.ID, placement.ResultNone, 0)
 	return placement.Target{}, err
 }
 
@@ -95,8 +94,8 @@
 	return line
 }
 
-// grant hands free slots to those first in line.
-func (s *Server) grant(service structs.ServiceID) {
+// serveLine hands free slots to those first in line. The caller holds the lock.
+func (s *Server) serveLine(service structs.ServiceID) {
 	line := s.line(service)
 	now := structs.Now()
 	for {
@@ -116,8 +115,9 @@
 	}
 }
 
-func (s *Server) grantAll() {
+// serveLines does so for all services. The caller holds the lock.
+func (s *Server) serveLines() {
 	for service := range s.lines {
-		s.grant(service)
+		s.serveLine(service)
 	}
 }
--- a/edge/place.go
+++ b/edge/place.go
@@ -137,7 +137,7 @@
 func (s *Server) finish(id structs.TargetID, result placement.Result, latency time.Duration) {
 	s.targets.Ended(structs.Now(), id, result, latency)
 	if target, known := s.targets.Get(id); known {
-		s.grant(target.Service)
+		s.serveLine(target.Service)
 	}
 }
 
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -136,10 +136,9 @@
 		whole := wholeEvents(pending)
 		if whole > 0 {
 			if !begun {
-				if refusal := x.awaitReservation(ctx, nil); refusal != nil {
+				if refusal := x.begin(ctx, resp); refusal != nil {
 					return verdict{sent: true, cause: refusal}
 				}
-				x.begin(resp)
 				begun = true
 			}
 			if failed := x.pass(pending[:whole]); failed != nil {
@@ -156,9 +155,14 @@
 	}
 }
 
-func (x *exchange) begin(resp *http.Response) {
+// begin starts the answer to the caller, once the turn's tokens are reserved.
+func (x *exchange) begin(ctx context.Context, resp *http.Response) *structs.Refusal {
+	if refusal := x.awaitReservation(ctx, nil); refusal != nil {
+		return refusal
+	}
 	x.firstByte = structs.Now().Sub(x.Arrived)
 	x.out.Begin(resp.StatusCode, x.server.opts.Dialect.AnswerHeader(resp.Header))
+	return nil
 }
 
 func (x *exchange) pass(events []byte) error {
@@ -185,10 +189,9 @@
 		return x.broken(ctx, target, errors.Wrap(err, "read stream"))
 	}
 	if !begun {
-		if refusal := x.awaitReservation(ctx, nil); refusal != nil {
+		if refusal := x.begin(ctx, resp); refusal != nil {
 			return verdict{sent: true, cause: refusal}
 		}
-		x.begin(resp)
 	}
 	x.finishCrashCheck()
 	if err := x.commit(ctx); err != nil {
--- a/edge/server.go
+++ b/edge/server.go
@@ -92,8 +92,8 @@
 
 // Start starts the server's duties.
 func (s *Server) Start(_ context.Context, k *kernel.Kernel) error {
-	k.Go("edge.sweep", s.sweep)
-	k.Go("edge.wake", s.wakePeriodically)
+	k.Every("edge.sweep", sweepPeriod, s.sweep)
+	k.Every("edge.wake", wakePeriod, s.wake)
 	return nil
 }
 
@@ -114,25 +114,16 @@
 // Error says so.
 func (e *NoConfigError) Error() string { return "no configuration has arrived yet" }
 
-func (s *Server) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			s.pool.Sweep(now)
-			s.opts.Local.Ledger.Sweep(now)
-			s.expireLapsed()
-			s.mu.Lock()
-			s.shares.Sweep(structs.Now())
-			s.expireGrants(structs.Now())
-			switches := s.targets.Switches(structs.Now())
-			s.mu.Unlock()
-			s.logSwitches(switches)
-		}
-	}
+func (s *Server) sweep(_ context.Context, now time.Time) {
+	s.pool.Sweep(now)
+	s.opts.Local.Ledger.Sweep(now)
+	s.expireLapsed()
+	s.mu.Lock()
+	s.shares.Sweep(structs.Now())
+	s.expireGrants(structs.Now())
+	switches := s.targets.Switches(structs.Now())
+	s.mu.Unlock()
+	s.logSwitches(switches)
 }
 
 func (s *Server) logSwitches(switches []placement.Switch) {
@@ -145,21 +136,11 @@
 	}
 }
 
-func (s *Server) wakePeriodically(ctx context.Context) error {
-	ticker := time.NewTicker(wakePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			s.mu.Lock()
-			if len(s.waiters) > 0 {
-				s.grantAll()
-			}
-			s.mu.Unlock()
-		}
-	}
+// wake looks at the waiting requests though nothing has told of a free slot.
+func (s *Server) wake(context.Context, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serveLines()
 }
 
 // Digest fills what the peers need to know.
--- a/edge/targets.go
+++ b/edge/targets.go
@@ -47,7 +47,7 @@
 			}
 		}
 	}
-	s.grantAll()
+	s.serveLines()
 }
 
 func (s *Server) list(t placement.Target) {
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -132,7 +132,7 @@
 	wire.Unary(m.server, MethodPlace, func(ctx context.Context, p Placement) (Placed, error) {
 		return m.opts.Hooks.Place(ctx, p), nil
 	})
-	wire.Unary(m.server, MethodEnd, func(_ context.Context, r Release) (struct{}, error) {
+	wire.Unary(m.server, MethodRelease, func(_ context.Context, r Release) (struct{}, error) {
 		m.opts.Hooks.Release(r)
 		return struct{}{}, nil
 	})
@@ -165,7 +165,7 @@
 
 // Release ends a grant of a placer.
 func (m *Mesh) Release(ctx context.Context, vm structs.VMID, r Release) error {
-	return m.callVM(ctx, vm, MethodEnd, r, &struct{}{})
+	return m.callVM(ctx, vm, MethodRelease, r, &struct{}{})
 }
 
 // KnowsFleet reports whether this VM has had the time to learn of the others. VMs
@@ -192,7 +192,7 @@
 		}
 		return err
 	})
-	k.Go("fleet.digests", m.tellPeers)
+	k.Every("fleet.digests", nearPeriod, m.tellPeers)
 	k.Go("fleet.members", m.refreshMembers)
 	return nil
 }
@@ -260,24 +260,15 @@
 	}
 }
 
-func (m *Mesh) tellPeers(ctx context.Context) error {
-	ticker := time.NewTicker(nearPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			m.forgetSilent(now)
-			peers := m.due(now)
-			if len(peers) == 0 {
-				continue
-			}
-			digest := m.digest()
-			for _, peer := range peers {
-				go m.tell(ctx, peer, digest)
-			}
-		}
+func (m *Mesh) tellPeers(ctx context.Context, now time.Time) {
+	m.forgetSilent(now)
+	peers := m.due(now)
+	if len(peers) == 0 {
+		return
+	}
+	digest := m.digest()
+	for _, peer := range peers {
+		go m.tell(ctx, peer, digest)
 	}
 }
 
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -47,12 +47,12 @@
 
 // Methods of the peers' server.
 const (
-	MethodDigest = "fleet.digest"
-	MethodConfig = "fleet.config"
-	MethodLend   = "fleet.lend"
-	MethodAdmit  = "fleet.admit"
-	MethodPlace  = "fleet.place"
-	MethodEnd    = "fleet.release"
+	MethodDigest  = "fleet.digest"
+	MethodConfig  = "fleet.config"
+	MethodLend    = "fleet.lend"
+	MethodAdmit   = "fleet.admit"
+	MethodPlace   = "fleet.place"
+	MethodRelease = "fleet.release"
 )
 
 // LoanRequest asks a VM for quota tokens of an account.
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -90,6 +90,22 @@
 	})
 }
 
+// Every runs a duty that does its job once a period.
+func (k *Kernel) Every(name string, period time.Duration, job func(ctx context.Context, now time.Time)) {
+	k.Go(name, func(ctx context.Context) error {
+		ticker := time.NewTicker(period)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case now := <-ticker.C:
+				job(ctx, now)
+			}
+		}
+	})
+}
+
 func (k *Kernel) countDuty(name string, by int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -45,11 +45,8 @@
 	// voucher, if it has a name, is opened for the turn to come.
 	voucher Reservation
 	done    chan error // nil when nobody waits
-	sent    bool       // a transaction has carried it
-	// hold is until when a reservation may wait for settlements; busy is what
-	// it waits for.
+	// hold is until when a reservation may wait for settlements.
 	hold time.Time
-	busy error
 	// until is when the change is of no more use; zero for settlements, which
 	// are tried for settleTimeout.
 	until time.Time
--- a/ledger/group.go
+++ b/ledger/group.go
@@ -178,9 +178,6 @@
 			k.deliver(w)
 			continue
 		}
-		for _, c := range w.changes {
-			c.sent = true
-		}
 		rest = append(rest, w)
 	}
 	return rest
@@ -373,8 +370,7 @@
 		}
 		var busy *BusyError
 		if errors.As(w.outcomes[i].err, &busy) && now.Before(c.hold) {
-			c.busy = busy
-			k.park(e, c)
+			k.park(e, c, busy)
 			k.releaseVouchers(e, now, 0)
 			continue
 		}
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -212,7 +212,7 @@
 // withdraw drops the reservations of a turn that has ended, and reports whether
 // the store can't have got any of them.
 func (e *entry) withdraw(turn structs.RequestID) bool {
-	found, sent := 0, false
+	found := false
 	for _, list := range []*[]*change{&e.waiting, &e.parked} {
 		kept := (*list)[:0:0]
 		for _, c := range *list {
@@ -220,13 +220,12 @@
 				kept = append(kept, c)
 				continue
 			}
-			found++
-			sent = sent || c.sent
+			found = true
 			c.finish(&WithdrawnError{Turn: turn})
 		}
 		*list = kept
 	}
-	return found > 0 && !sent && !e.mayHold(turn)
+	return found && !e.mayHold(turn)
 }
 
 // mayHold reports whether the stored book may have a reservation of the turn.
@@ -250,8 +249,9 @@
 	return "turn " + string(e.Turn) + " ended before its tokens were reserved"
 }
 
-// park holds a reservation back until a settlement makes room or its hold ends.
-func (k *Keeper) park(e *entry, c *change) {
+// park holds a busy reservation back until a settlement makes room or its hold
+// ends.
+func (k *Keeper) park(e *entry, c *change, busy *BusyError) {
 	e.parked = append(e.parked, c)
 	time.AfterFunc(time.Until(c.hold), func() {
 		k.mu.Lock()
@@ -259,7 +259,7 @@
 		for i, parked := range e.parked {
 			if parked == c {
 				e.parked = append(e.parked[:i:i], e.parked[i+1:]...)
-				c.finish(c.busy)
+				c.finish(busy)
 				return
 			}
 		}
--- a/placement/outcomes.go
+++ b/placement/outcomes.go
@@ -58,6 +58,9 @@
 // failing estimates the part of requests that the target fails, from the answers
 // at all VMs. VMs report only the targets that failed them.
 func (o *outcomes) failing(now structs.Instant) float64 {
+	if o.bad == 0 && len(o.remote) == 0 {
+		return 0 // as most targets are, at each choice
+	}
 	o.decay(now)
 	good, bad := o.good, o.bad
 	for vm, r := range o.remote {
