--- a/daemon/endived_targets_test.go
+++ b/daemon/endived_targets_test.go
@@ -146,21 +146,38 @@
 	b.until("dropped", func() bool { return len(b.logs.lines(`"target dropped"`, `"app-2"`)) > 0 })
 }
 
-// Targets whose entries lapse while the store is away are kept until two
-// seconds after its return.
-func TestLapsedTargetsAreKept(t *testing.T) {
-	b := newBed(t, "near-a")
-	app := b.target("app-1", "app", "near-a")
+// lapse removes a target's entry right after the store has been away.
+func lapse(b *bed, app *platformtest.Target) {
 	b.vms[0].Gate.Set(platformtest.GateBusy)
 	b.until("disturbed", func() bool { return len(b.logs.lines("lost the direct path")) > 0 })
 	b.site.Unlist(app)
 	b.vms[0].Gate.Set(platformtest.GateOpen)
 	b.until("lapsed", func() bool { return len(b.logs.lines("target lapsed")) > 0 })
+}
+
+// Targets whose entries lapse while the store is away are kept until two
+// seconds after its return.
+func TestLapsedTargetsAreKept(t *testing.T) {
+	b := newBed(t, "near-a")
+	app := b.target("app-1", "app", "near-a")
+	lapse(b, app)
 	assert.Equal(t, b.do(call{path: "/read/1"}).status, 200)
 	b.until("gone", func() bool { return len(b.logs.lines("target dropped")) > 0 })
 	assert.Equal(t, b.do(call{path: "/read/1"}).status, 503)
 }
 
+// A lapsed target that comes back within the grace stays in use, and says so.
+func TestLapsedTargetComesBack(t *testing.T) {
+	b := newBed(t, "near-a")
+	app := b.target("app-1", "app", "near-a")
+	lapse(b, app)
+	b.site.List(app, "near-a")
+	b.until("back", func() bool {
+		return len(b.logs.lines("target is listed again")) == 1
+	})
+	assert.Equal(t, b.do(call{path: "/read/1"}).status, 200)
+}
+
 // An entry that can't be read names no target and hurts no other.
 func TestMalformedEntry(t *testing.T) {
 	b := newBed(t, "near-a")
--- a/edge/targets.go
+++ b/edge/targets.go
@@ -51,7 +51,10 @@
 }
 
 func (s *Server) list(t placement.Target) {
-	delete(s.listing.lapsed, t.ID)
+	if _, lapsed := s.listing.lapsed[t.ID]; lapsed {
+		delete(s.listing.lapsed, t.ID)
+		s.log.Info("target is listed again", "target", string(t.ID))
+	}
 	old, known := s.targets.Get(t.ID)
 	s.targets.Put(t)
 	switch {
