wire: a reply can't be sent to a stream that is being closed

Cause: clientConn.handle took the stream under the lock and sent to its channel without it, so closeStreams could close the channel in between; a send after the close panics. Seen once as a data race of TestNewerConfigurationIsFetchedFromOnePeer. Change: the send happens under the lock; it never blocks.

--- a/wire/stream.go
+++ b/wire/stream.go
@@ -69,19 +69,29 @@
 		p.conn.close(&MalformedFrameError{Field: "kind", Value: uint64(f.kind)})
 		return
 	}
+	if !p.deliver(f) {
+		p.conn.close(&MalformedFrameError{Field: "credits", Value: streamCredits})
+	}
+}
+
+// deliver passes a frame to its stream, unless the stream was cancelled. It reports
+// false when the server exceeded the stream's credits. The lock keeps closeStreams
+// from closing the channel during the send.
+func (p *clientConn) deliver(f frame) bool {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	s := p.streams[f.stream]
+	if s == nil {
+		return true
+	}
 	if f.kind != frameReply {
 		delete(p.streams, f.stream)
 	}
-	p.mu.Unlock()
-	if s == nil {
-		return // the stream was cancelled
-	}
 	select {
 	case s.frames <- f:
+		return true
 	default:
-		p.conn.close(&MalformedFrameError{Field: "credits", Value: streamCredits})
+		return false
 	}
 }
 
