kernel: stop a component that failed halfway through its start

Cause: Run did not stop the component whose Start returned an error. Workers that it had started before, such as the server of its first listener, never ended, and Run waited for them for good, without a log line. Seen once as a hang of TestInvalidRequestsAreRefused; only platform.Frontend starts a worker before a step that can fail. Change: startAll returns the failed component too, so that stopAll stops it. Measured: TestRunEndsWhenComponentFailsAfterItsFirstWorker did not return within 5 s before, and ends at once now.

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -18,8 +18,8 @@
 	Name() string
 	// Start starts the component's workers with k.Go and returns.
 	Start(ctx context.Context, k *Kernel) error
-	// Stop stops what Start started. Components are stopped in the reverse
-	// order of their start.
+	// Stop stops what Start started, also after a Start that failed halfway.
+	// Components are stopped in the reverse order of their start.
 	Stop(ctx context.Context) error
 }
 
@@ -143,6 +143,7 @@
 	return nil
 }
 
+// startAll returns the components whose Start was called, with the one that failed last.
 func (k *Kernel) startAll(ctx context.Context) (started []Component, err error) {
 	for _, c := range k.components {
 		if p, ok := c.(Provisioner); ok {
@@ -162,10 +163,10 @@
 		}
 	}
 	for _, c := range k.components {
+		started = append(started, c)
 		if err := c.Start(ctx, k); err != nil {
 			return started, errors.Wrapf(err, "start %s", c.Name())
 		}
-		started = append(started, c)
 	}
 	return started, nil
 }
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -96,3 +96,36 @@
 	k.cancel()
 	assert.NilError(t, k.group.Wait())
 }
+
+// halfStartedComponent starts a worker that only Stop ends, and then fails to start.
+type halfStartedComponent struct{ stopped chan struct{} }
+
+func (c *halfStartedComponent) Name() string { return "half" }
+
+func (c *halfStartedComponent) Start(_ context.Context, k *Kernel) error {
+	k.Go("half.serve", func(context.Context) error {
+		<-c.stopped
+		return nil
+	})
+	return errors.New("address in use")
+}
+
+func (c *halfStartedComponent) Stop(context.Context) error {
+	close(c.stopped)
+	return nil
+}
+
+// Run must return when a component fails to start after its first worker, for example
+// because the second of its addresses is in use.
+func TestRunEndsWhenComponentFailsAfterItsFirstWorker(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	k := New(discardLogger(), &halfStartedComponent{stopped: make(chan struct{})})
+	result := make(chan error, 1)
+	go func() { result <- k.Run(t.Context(), time.Second) }()
+	select {
+	case err := <-result:
+		assert.ErrorContains(t, err, "address in use")
+	case <-time.After(5 * time.Second):
+		t.Fatal("Run did not return within 5 s")
+	}
+}
