scheduler: an abandoned query shares no memory with the loop

Cause: runOnLoop returns when the caller's context ends while the loop may still run the caller's function, which wrote to the caller's variables (history, getProgram, listPrograms, releaseOne, the quarantine's export and the drain). Change: queryLoop returns the result over a channel; runOnLoop is left for functions without a result. Measured: TestAbandonedQuerySharesNoMemoryWithLoop reports the race on the code before and passes now.

--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -55,11 +55,11 @@
 func (s *Scheduler) DumpState() any {
 	ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
 	defer cancel()
-	state := make(chan State, 1)
-	if err := s.runOnLoop(ctx, func(l *loop) { state <- l.state() }); err != nil {
+	state, err := queryLoop(ctx, s, (*loop).state)
+	if err != nil {
 		return err.Error()
 	}
-	return <-state
+	return state
 }
 
 func (l *loop) state() State {
--- a/scheduler/handlers.go
+++ b/scheduler/handlers.go
@@ -61,17 +61,27 @@
 }
 
 func (s *Scheduler) getProgram(ctx context.Context, ref structs.ProgramRef) (structs.ProgramInfo, error) {
-	var info structs.ProgramInfo
-	var refusal *structs.Refusal
-	err := s.runOnLoop(ctx, func(l *loop) { info, refusal = l.core.Info(ref.ID, ref.Account) })
-	return info, s.resultError(ref.ID, err, refusal)
+	found, err := queryLoop(ctx, s, func(l *loop) lookup[structs.ProgramInfo] {
+		return newLookup(l.core.Info(ref.ID, ref.Account))
+	})
+	return found.value, s.resultError(ref.ID, err, found.refusal)
 }
 
 func (s *Scheduler) history(ctx context.Context, ref structs.ProgramRef) (structs.History, error) {
-	var history structs.History
-	var refusal *structs.Refusal
-	err := s.runOnLoop(ctx, func(l *loop) { history, refusal = l.core.History(ref.ID, ref.Account) })
-	return history, s.resultError(ref.ID, err, refusal)
+	found, err := queryLoop(ctx, s, func(l *loop) lookup[structs.History] {
+		return newLookup(l.core.History(ref.ID, ref.Account))
+	})
+	return found.value, s.resultError(ref.ID, err, found.refusal)
+}
+
+// lookup is what the core returns for one program.
+type lookup[T any] struct {
+	value   T
+	refusal *structs.Refusal
+}
+
+func newLookup[T any](value T, refusal *structs.Refusal) lookup[T] {
+	return lookup[T]{value: value, refusal: refusal}
 }
 
 // resultError returns err or the refusal, completed with the slot's owner.
@@ -86,9 +96,9 @@
 }
 
 func (s *Scheduler) listPrograms(ctx context.Context, req structs.ListPrograms) (structs.ProgramList, error) {
-	var list structs.ProgramList
-	err := s.runOnLoop(ctx, func(l *loop) { list.Programs = l.core.List(req.Account) })
-	return list, err
+	return queryLoop(ctx, s, func(l *loop) structs.ProgramList {
+		return structs.ProgramList{Programs: l.core.List(req.Account)}
+	})
 }
 
 func (s *Scheduler) owners(context.Context, structs.OwnersQuery) (structs.Owners, error) {
--- a/scheduler/quarantine_sync.go
+++ b/scheduler/quarantine_sync.go
@@ -106,8 +106,8 @@
 }
 
 func (h *quarantineSync) writeOwnRow(ctx context.Context, own backing.Row) error {
-	var reports []quarantine.Report
-	if err := h.s.runOnLoop(ctx, func(l *loop) { reports = l.quarantine.Export(structs.Now()) }); err != nil {
+	reports, err := queryLoop(ctx, h.s, func(l *loop) []quarantine.Report { return l.quarantine.Export(structs.Now()) })
+	if err != nil {
 		return err
 	}
 	digest := quarantine.Digest(reports)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -98,21 +98,30 @@
 // post queues a message for the loop. It waits while the ring is full.
 func (s *Scheduler) post(ctx context.Context, m message) error { return s.events.Put(ctx, m) }
 
-// runOnLoop runs fn on the loop's goroutine and waits until it returns or ctx ends.
+// runOnLoop runs fn on the loop's goroutine and waits until it returns or ctx ends. fn
+// may run after ctx has ended, so it must not write to variables of the caller; use
+// queryLoop for a result.
 func (s *Scheduler) runOnLoop(ctx context.Context, fn func(*loop)) error {
-	done := make(chan struct{})
-	err := s.post(ctx, message{fn: func(l *loop) {
-		defer close(done)
+	_, err := queryLoop(ctx, s, func(l *loop) struct{} {
 		fn(l)
-	}})
-	if err != nil {
-		return notReady("%v", err)
+		return struct{}{}
+	})
+	return err
+}
+
+// queryLoop runs query on the loop's goroutine and returns its result. It returns a
+// refusal when ctx ends first; the loop's late result is then dropped.
+func queryLoop[T any](ctx context.Context, s *Scheduler, query func(*loop) T) (T, error) {
+	var none T
+	result := make(chan T, 1)
+	if err := s.post(ctx, message{fn: func(l *loop) { result <- query(l) }}); err != nil {
+		return none, notReady("%v", err)
 	}
 	select {
-	case <-done:
-		return nil
+	case value := <-result:
+		return value, nil
 	case <-ctx.Done():
-		return notReady("%v", ctx.Err())
+		return none, notReady("%v", ctx.Err())
 	}
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -317,3 +317,33 @@
 		n.stop(t)
 	})
 }
+
+// A caller that stops waiting for the loop must not share memory with the function that
+// the loop still runs for it. The race detector reports the shared variable.
+func TestAbandonedQuerySharesNoMemoryWithLoop(t *testing.T) {
+	const rounds = 20
+	virtualTime(t, func(t *testing.T) {
+		site := newTestSite()
+		n := site.start("one")
+		waitForSlots(n)
+		id := structs.ProgramID("north/p")
+		n.create(t, id)
+		for range rounds {
+			blocked := make(chan struct{})
+			go n.runOnLoop(background, func(*loop) { <-blocked })
+			synctest.Wait()
+			ctx, cancel := context.WithCancel(background)
+			turns := make(chan int, 1)
+			go func() {
+				history, _ := n.history(ctx, structs.ProgramRef{ID: id, Account: "acme"})
+				turns <- len(history.Turns)
+			}()
+			synctest.Wait()
+			cancel()
+			close(blocked)
+			<-turns
+			synctest.Wait()
+		}
+		n.stop(t)
+	})
+}
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -202,13 +202,13 @@
 }
 
 func (s *Scheduler) releaseOne(ctx context.Context, a program.Release) bool {
-	var driver target.Driver
-	if err := s.runOnLoop(ctx, func(l *loop) { driver = l.driverOf(a.Target) }); err != nil || driver == nil {
+	driver, err := queryLoop(ctx, s, func(l *loop) target.Driver { return l.driverOf(a.Target) })
+	if err != nil || driver == nil {
 		return false
 	}
 	releaseCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	err := driver.Release(releaseCtx, a.Program)
+	err = driver.Release(releaseCtx, a.Program)
 	if err == nil {
 		s.stats.released.Add(1)
 	}
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -159,14 +159,12 @@
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for {
-		remaining := 0
-		err := s.runOnLoop(ctx, func(l *loop) {
+		remaining, err := queryLoop(ctx, s, func(l *loop) int {
 			if !ok {
-				remaining = l.core.Counts().Calls + l.core.Counts().Writes
-				return
+				return l.core.Counts().Calls + l.core.Counts().Writes
 			}
 			l.handOverIdle(releaser, l.ownedSlots())
-			remaining = len(l.epochs) + int(s.handovers.Load())
+			return len(l.epochs) + int(s.handovers.Load())
 		})
 		if err != nil {
 			return err
