--- a/daemon/endived_turns_test.go
+++ b/daemon/endived_turns_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -116,7 +115,7 @@
 	b.site.Store.SetFaults(rows.Faults{})
 	b.site.MarkStarted()
 	b.start(vm)
-	b.waitUntil("ready after the restart", func() bool { return b.send(request{path: "/open/1", method: http.MethodGet}).status != 0 })
+	b.waitReady(vm)
 	b.waitUntil("target listed after the restart", func() bool { return len(b.logs.lines(`"target listed"`, `"engine-1"`)) >= 2 })
 	b.site.Store.SetFaults(rows.Faults{Delay: storeDelay})
 	assert.Assert(t, startDelay("other") >= storeDelay)
