keeper: test of a full tail picks its slot after the groups are balanced

Cause: TestFullTailKeepsNothing took a slot of "a" as soon as all slots were owned. When "a" owned all 32 of them, groups moved to the other VMs during the test's 10 s, and the append with the old epoch was refused, as it must be. Trace of three failures in three runs of at most 300: held {a:32} at the start, {a:28 b:1 c:2} at the end, slot 0 owned by c with epoch 2. No fault of the keeper.

--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -264,6 +264,7 @@
 func TestFullTailKeepsNothing(t *testing.T) {
 	withDomain(t, threeVMs, func(t *testing.T, d *domain) {
 		d.waitOwned(20 * time.Second)
+		time.Sleep(2 * time.Minute) // a slot that moves to balance the groups has a new epoch
 		slot, epoch := heldSlot(t, d, "a")
 		d.update(func() { d.isStoreDown = true })
 		large := turnRecord(slot, epoch, "d/1", 1)
