edge: a token budget also binds turns that are not stored

Cause: budgets were reserved only on routes that store turns (edge.runTurn). Change: a stream with a budget is a turn, stored or not; one mechanism serves both. The next turn of a line that is not stored finds its advance reservation by the line (session) instead of the previous turn's ID, so a turn costs one store call, as before: settlement and advance reservation in one transaction, which nobody waits for. While no VM reaches the store, a turn runs if it has an advance reservation.

--- a/conversation/errors.go
+++ b/conversation/errors.go
@@ -23,6 +23,7 @@
 	codeSlowStore
 	codePending
 	codeOther
+	codeNoAdvance
 )
 
 // Reply is the home VM's reply to a call. Code identifies the type of the error, and
@@ -48,6 +49,15 @@
 // Error implements error.
 func (e *PendingError) Error() string { return "the reservation is not stored yet" }
 
+// NoAdvanceError reports that a turn has no advance reservation, so that it needs the
+// store.
+type NoAdvanceError struct{ Turn structs.RequestID }
+
+// Error names the turn.
+func (e *NoAdvanceError) Error() string {
+	return "turn " + string(e.Turn) + " has no advance reservation"
+}
+
 // SlowStoreError reports that the home VM is alive but its transaction has not ended
 // yet.
 type SlowStoreError struct{ Waited time.Duration }
@@ -68,12 +78,15 @@
 		missing  *turnlog.NotFoundError
 		tooLarge *turnlog.TooLargeError
 		pending  *PendingError
+		advance  *NoAdvanceError
 	)
 	switch {
 	case err == nil:
 		return Reply{}
 	case errors.As(err, &pending):
 		return Reply{Code: codePending}
+	case errors.As(err, &advance):
+		return Reply{Code: codeNoAdvance, Turn: advance.Turn}
 	case errors.As(err, &spent):
 		return Reply{Code: codeSpent, Numbers: [3]int64{spent.Spent, spent.Budget}}
 	case errors.As(err, &busy):
@@ -101,6 +114,8 @@
 		return &turnlog.TooLargeError{Bytes: int(r.Numbers[0]), Max: int(r.Numbers[1])}
 	case codePending:
 		return &PendingError{}
+	case codeNoAdvance:
+		return &NoAdvanceError{Turn: r.Turn}
 	case codeSlowStore:
 		return &SlowStoreError{Waited: storeTimeout}
 	}
--- a/conversation/local.go
+++ b/conversation/local.go
@@ -29,7 +29,12 @@
 	Program     ledger.Program     `msgpack:"p"`
 	Reservation ledger.Reservation `msgpack:"r"`
 	Budget      int64              `msgpack:"b"`
-	Previous    structs.RequestID  `msgpack:"v"`
+	// AdvanceKey is the key of the advance reservation that the turn may use: the turn
+	// that it continues or, for turns that are not stored, the key of their line.
+	AdvanceKey structs.RequestID `msgpack:"v"`
+	// NeedsAdvance refuses the turn with *NoAdvanceError if it has no advance
+	// reservation; the store is not called.
+	NeedsAdvance bool `msgpack:"d,omitempty"`
 	// AllowsPending asks for *PendingError as soon as the reservation is likely to be
 	// granted.
 	AllowsPending bool `msgpack:"e,omitempty"`
@@ -41,6 +46,11 @@
 	Program ledger.Program    `msgpack:"p"`
 	Turn    structs.RequestID `msgpack:"t"`
 	Tokens  int64             `msgpack:"n"` // delivered to the caller
+	// AdvanceKey, if not empty, asks for an advance reservation of MaxTokens for the
+	// next turn of the line, within Budget.
+	AdvanceKey structs.RequestID `msgpack:"v,omitempty"`
+	MaxTokens  int64             `msgpack:"m,omitempty"`
+	Budget     int64             `msgpack:"b,omitempty"`
 }
 
 // FindRequest asks for the records of turns of a program.
@@ -61,8 +71,14 @@
 // reservation is likely to be granted but not stored yet; the reservation continues in
 // the background.
 func (l *Local) Reserve(ctx context.Context, req ReserveRequest) error {
+	if req.NeedsAdvance {
+		if !l.Ledger.UseAdvance(req.Program, req.Reservation, req.AdvanceKey) {
+			return &NoAdvanceError{Turn: req.Reservation.Turn}
+		}
+		return nil
+	}
 	isLikely := req.AllowsPending && l.Ledger.Forecast(req.Program, req.Reservation, req.Budget)
-	done := l.Ledger.Reserve(ctx, req.Program, req.Reservation, req.Budget, req.Previous)
+	done := l.Ledger.Reserve(ctx, req.Program, req.Reservation, req.Budget, req.AdvanceKey)
 	if !isLikely {
 		return wait(ctx, done)
 	}
@@ -93,7 +109,8 @@
 	if err != nil {
 		return err
 	}
-	if err := wait(ctx, l.Ledger.FinishTurn(ctx, req.Program, req.Reservation, req.Budget, req.Tokens, rows)); err != nil {
+	end := ledger.TurnEnd{Reservation: req.Reservation, Budget: req.Budget, Tokens: req.Tokens, AdvanceKey: id, Rows: rows}
+	if err := wait(ctx, l.Ledger.FinishTurn(ctx, req.Program, end)); err != nil {
 		return err
 	}
 	l.Turns.AddToCache(id, req.Record)
@@ -101,7 +118,16 @@
 }
 
 // Settle settles the reservation of a turn that was not stored.
-func (l *Local) Settle(req SettleRequest) { l.Ledger.SettleTurn(req.Program, req.Turn, req.Tokens) }
+func (l *Local) Settle(req SettleRequest) {
+	if req.AdvanceKey == "" {
+		l.Ledger.SettleTurn(req.Program, req.Turn, req.Tokens)
+		return
+	}
+	l.Ledger.SettleInAdvance(req.Program, ledger.TurnEnd{
+		Reservation: ledger.Reservation{Turn: req.Turn, Tokens: req.MaxTokens},
+		Budget:      req.Budget, Tokens: req.Tokens, AdvanceKey: req.AdvanceKey,
+	})
+}
 
 // Find returns the records of turns of a program, from the cache or the store.
 func (l *Local) Find(ctx context.Context, req FindRequest) ([]*turnlog.Record, error) {
--- a/daemon/endived_turns_test.go
+++ b/daemon/endived_turns_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -153,3 +154,34 @@
 	b.waitUntil("402", func() bool { return b.send(turn).status == 402 })
 	assert.Equal(t, len(engine.Runs()), 1)
 }
+
+// A budget also binds programs whose turns are not stored, over all VMs and after a
+// restart of all VMs.
+func TestBudgetHoldsForTurnsThatAreNotStored(t *testing.T) {
+	const budget, maxTokens, tokensPerTurn = 90, 30, 30
+	b := newTestSite(t, "near-a", "far-a")
+	engine := b.addTarget("engine-1", "engine", "near-a")
+	send := func(vm *platformtest.VM, line string) int {
+		header := map[string]string{
+			platformtest.HeaderProgram: "looping", platformtest.HeaderLine: line,
+			platformtest.HeaderBudget: fmt.Sprint(budget), platformtest.HeaderUsage: fmt.Sprintf("100,%d", maxTokens),
+		}
+		var status int
+		b.waitUntil("no longer reserved by other turns", func() bool {
+			status = b.send(request{vm: vm, path: "/draft/1", body: "x", header: header}).status
+			return status != 503
+		})
+		return status
+	}
+	delivered := 0
+	for turn := range 8 {
+		if send(b.vms[turn%2], fmt.Sprint("line-", turn%3)) == 200 {
+			delivered += tokensPerTurn
+		}
+	}
+	assert.Assert(t, delivered <= budget+maxTokens, "%d tokens delivered", delivered)
+	assert.Assert(t, delivered >= budget, "%d tokens delivered", delivered)
+	ran := len(engine.Runs())
+	assert.Equal(t, send(b.vms[0], "line-9"), 402)
+	assert.Equal(t, len(engine.Runs()), ran)
+}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -172,7 +172,7 @@
 	count := 0
 	for rest := events; len(rest) > 0; count++ {
 		end := bytes.Index(rest, eventEnd) + len(eventEnd)
-		if x.turn != nil {
+		if x.turn != nil && x.turn.record != nil {
 			x.turn.record.Output = appendData(x.turn.record.Output, rest[:end])
 		}
 		rest = rest[end:]
--- a/edge/request.go
+++ b/edge/request.go
@@ -35,6 +35,9 @@
 // TurnInfo describes a request as a turn of a conversation.
 type TurnInfo struct {
 	Previous structs.RequestID // the turn that it continues, if any
+	// Line names the line of turns to which the turn belongs; a sub-program has a line
+	// of its own. It is empty if not stated.
+	Line string
 	// Budget is the number of tokens that all turns of the program may generate, 0
 	// if not stated; MaxTokens is the most that this turn generates.
 	Budget, MaxTokens int64
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -205,7 +205,7 @@
 func (x *exchange) run(ctx context.Context) *structs.Refusal {
 	ctx, cancel := x.withDeadline(ctx)
 	defer cancel()
-	if x.route.StoresTurns {
+	if x.isTurn() {
 		return x.runTurn(ctx)
 	}
 	return x.dispatch(ctx, x.Body)
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -8,6 +8,7 @@
 
 	"github.com/endivecourse/endivecourse/conversation"
 	"github.com/endivecourse/endivecourse/ledger"
+	"github.com/endivecourse/endivecourse/routing"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/turnlog"
 )
@@ -35,25 +36,33 @@
 	chainTimeout = 2 * time.Second
 )
 
-// turn is a request that continues a conversation.
+// turn is a request that is stored as a turn of a conversation, or whose tokens count
+// against a program's budget, or both.
 type turn struct {
-	chain    *turnlog.Chain // nil for a first turn
-	record   *turnlog.Record
+	chain    *turnlog.Chain  // nil for a first turn and for turns that are not stored
+	record   *turnlog.Record // nil for turns that are not stored
 	program  ledger.Program
 	reserved <-chan error // nil without a budget
 	// likelyGranted is closed when the forecast says that the reservation will be
 	// granted.
 	likelyGranted <-chan struct{}
 	isSettled     bool // the turn was settled when it was stored
+	isComplete    bool // the caller has received the whole turn
+}
+
+func (x *exchange) isTurn() bool {
+	return x.route.StoresTurns || x.route.Kind == routing.Streaming && x.hasBudget()
 }
 
 // runTurn reads the turns before this one, reserves the turn's tokens and runs it.
 func (x *exchange) runTurn(ctx context.Context) *structs.Refusal {
-	if refusal := x.awaitStore(ctx); refusal != nil {
-		return refusal
-	}
 	x.turn = &turn{program: ledger.Program{Account: x.accountID(), ID: x.Program}}
-	x.startReservation(ctx)
+	if !x.reserveInOutage(ctx) {
+		if refusal := x.awaitStore(ctx); refusal != nil {
+			return refusal
+		}
+		x.startReservation(ctx)
+	}
 	defer x.settle()
 	if refusal := x.readChain(ctx); refusal != nil {
 		return refusal
@@ -61,7 +70,9 @@
 	if refusal := x.awaitReservation(ctx, x.turn.likelyGranted); refusal != nil {
 		return refusal
 	}
-	x.turn.record = turnlog.NewRecord(x.accountID(), x.turn.chain, x.Body)
+	if x.route.StoresTurns {
+		x.turn.record = turnlog.NewRecord(x.accountID(), x.turn.chain, x.Body)
+	}
 	body := x.Body
 	if x.turn.chain != nil {
 		body = x.turn.chain.Prompt(x.Body)
@@ -69,6 +80,18 @@
 	return x.dispatch(ctx, body)
 }
 
+// reserveInOutage uses an advance reservation while no VM can reach the store. It
+// reports whether the turn may run: it needs the store neither for its tokens nor for
+// its end.
+func (x *exchange) reserveInOutage(ctx context.Context) bool {
+	if x.route.StoresTurns || !x.hasBudget() || x.server.opts.Store.UnreachableFor() == 0 {
+		return false
+	}
+	request := x.reserveRequest()
+	request.NeedsAdvance = true
+	return x.server.opts.Conversations.Reserve(ctx, request) == nil
+}
+
 // awaitStore refuses the turn while no VM can reach the store. Turns of programs
 // that have already started wait briefly for the store, since that serves them
 // sooner than a retry; new programs are refused at once.
@@ -111,10 +134,8 @@
 	}
 	done, likelyGranted := make(chan error, 1), make(chan struct{})
 	x.turn.reserved, x.turn.likelyGranted = done, likelyGranted
-	start := conversation.ReserveRequest{
-		Program: x.turn.program, Reservation: x.reservation(), Budget: x.Turn.Budget, Previous: x.Turn.Previous,
-		AllowsPending: x.server.isStoreStable(),
-	}
+	start := x.reserveRequest()
+	start.AllowsPending = x.server.isStoreStable()
 	go func() {
 		err := x.server.opts.Conversations.Reserve(ctx, start)
 		var pending *conversation.PendingError
@@ -127,6 +148,22 @@
 	}()
 }
 
+func (x *exchange) reserveRequest() conversation.ReserveRequest {
+	return conversation.ReserveRequest{
+		Program: x.turn.program, Reservation: x.reservation(), Budget: x.Turn.Budget, AdvanceKey: x.advanceKey(),
+	}
+}
+
+// advanceKey returns the key of the advance reservation that the turn before this one
+// left: that turn's ID or, for turns that don't name it, the line of turns. It is empty
+// if neither is stated.
+func (x *exchange) advanceKey() structs.RequestID {
+	if x.route.StoresTurns || x.Turn.Line == "" {
+		return x.Turn.Previous
+	}
+	return structs.RequestID("line/" + x.Turn.Line)
+}
+
 // isStoreStable reports whether the store has not failed recently, so that
 // reservations are expected to be quick and turns may run before theirs has been
 // made.
@@ -186,18 +223,29 @@
 func (x *exchange) hasBudget() bool { return x.Turn.Budget > 0 && x.Program != "" }
 
 // settle replaces the reservation by the tokens that the caller received, unless
-// that was done when the turn was stored.
+// that was done when the turn was stored. A complete turn that is not stored makes an
+// advance reservation for the next one of its line.
 func (x *exchange) settle() {
-	if x.hasBudget() && !x.turn.isSettled {
-		x.server.opts.Conversations.Settle(conversation.SettleRequest{Program: x.turn.program, Turn: x.ID, Tokens: x.tokens})
+	if !x.hasBudget() || x.turn.isSettled {
+		return
+	}
+	request := conversation.SettleRequest{Program: x.turn.program, Turn: x.ID, Tokens: x.tokens}
+	if x.turn.isComplete && !x.route.StoresTurns {
+		request.AdvanceKey, request.MaxTokens, request.Budget = x.advanceKey(), x.reservation().Tokens, x.Turn.Budget
 	}
+	x.server.opts.Conversations.Settle(request)
 }
 
-// storeTurn stores the turn. The response to the caller may end only after that.
+// storeTurn stores the turn if its route asks for it. The response to the caller may
+// end only after that.
 func (x *exchange) storeTurn(ctx context.Context) error {
 	if x.turn == nil {
 		return nil
 	}
+	if !x.route.StoresTurns {
+		x.turn.isComplete = true
+		return nil
+	}
 	x.turn.record.Target = x.target
 	end := conversation.FinishRequest{
 		Program: x.turn.program, Reservation: x.reservation(), Tokens: x.tokens, Record: x.turn.record,
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -43,9 +43,11 @@
 	tokens       int64 // delivered to the caller; settlements only
 	// rows are written in the same transaction.
 	rows rowstore.Tx
-	// advance is reserved for the next turn if its Turn is not empty.
-	advance Reservation
-	done    chan error // nil when nobody waits for the result
+	// advance is reserved for the next turn if its Turn is not empty. The next turn asks
+	// for it by advanceKey.
+	advance    Reservation
+	advanceKey structs.RequestID
+	done       chan error // nil when nobody waits for the result
 	// blockUntil is the time until which a reservation may wait for settlements.
 	blockUntil time.Time
 	// deadline is the time after which the change is no longer useful. It is zero for
@@ -76,6 +78,3 @@
 	}
 	return deadline
 }
-
-// continuedTurn returns the turn that is followed by the turn of an advance reservation.
-func continuedTurn(advance Reservation) structs.RequestID { return advance.Turn[len("after/"):] }
--- a/ledger/group_commit.go
+++ b/ledger/group_commit.go
@@ -365,7 +365,7 @@
 	now := time.Now()
 	for i, c := range item.changes {
 		if item.outcomes[i].hasAdvance {
-			e.advances[continuedTurn(c.advance)] = c.advance
+			k.keepAdvance(e, c.advanceKey, c.advance)
 		}
 		if c.isSettlement {
 			k.forgetAdvanceID(e, c.reservation.Turn)
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -70,8 +70,8 @@
 	inFlight    []*change // changes in the current transaction
 	settleTimer *time.Timer
 	lastUsed    time.Time
-	// advances are the advance reservations by the turn whose successor may use them.
-	// Only this process uses them.
+	// advances are the advance reservations by the key with which the next turn asks for
+	// them. Only this process uses them.
 	advances map[structs.RequestID]Reservation
 	// advanceIDs maps a turn that uses an advance reservation to the ID of that
 	// reservation in the balance.
@@ -92,13 +92,13 @@
 // Key returns an ID that is unique among the programs of all accounts.
 func (p Program) Key() string { return string(p.Account) + "/" + string(p.ID) }
 
-// Reserve requests a reservation for a turn. If previous is not empty, the turn continues
-// that turn and may use its advance reservation. The request expires at the deadline of
-// ctx. The channel receives nil once the reservation is stored, or *BudgetSpentError,
+// Reserve requests a reservation for a turn. The turn uses the advance reservation that
+// was made under advanceKey, if there is one. The request expires at the deadline of ctx.
+// The channel receives nil once the reservation is stored, or *BudgetSpentError,
 // *BudgetReservedError or an error of the store.
-func (k *Keeper) Reserve(ctx context.Context, p Program, r Reservation, budget int64, previous structs.RequestID) <-chan error {
+func (k *Keeper) Reserve(ctx context.Context, p Program, r Reservation, budget int64, advanceKey structs.RequestID) <-chan error {
 	done := make(chan error, 1)
-	if k.useAdvance(p, r, previous) {
+	if k.UseAdvance(p, r, advanceKey) {
 		done <- nil
 		return done
 	}
@@ -135,20 +135,20 @@
 	return balance.Reserve(r, budget) == nil
 }
 
-// useAdvance assigns the advance reservation that was made at the end of the previous
-// turn to turn r, and reports whether there was one that is large enough.
-func (k *Keeper) useAdvance(p Program, r Reservation, previous structs.RequestID) bool {
+// UseAdvance assigns the advance reservation that was made under a key to turn r, and
+// reports whether there was one that is large enough. It needs no store.
+func (k *Keeper) UseAdvance(p Program, r Reservation, key structs.RequestID) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	e := k.entries[p.Key()]
 	if e == nil {
 		return false
 	}
-	advance, ok := e.advances[previous]
+	advance, ok := e.advances[key]
 	if !ok || advance.Tokens < r.Tokens {
 		return false
 	}
-	delete(e.advances, previous)
+	delete(e.advances, key)
 	e.advanceIDs[r.Turn] = advance.Turn
 	return true
 }
@@ -158,20 +158,51 @@
 	k.addChange(p, &change{reservation: Reservation{Turn: turn}, isSettlement: true, tokens: tokens, createdAt: time.Now()}, false)
 }
 
-// FinishTurn stores the rows of a turn that was answered completely, settles it and, if
-// the budget has room, makes an advance reservation of the same size for the turn that
-// continues it, all in one transaction. The request expires at the deadline of ctx: a
-// turn must not be stored after its caller has seen it fail. The channel receives nil
-// once the transaction is stored.
-func (k *Keeper) FinishTurn(ctx context.Context, p Program, r Reservation, budget, tokens int64, rows rowstore.Tx) <-chan error {
-	done := make(chan error, 1)
+// TurnEnd describes a turn that was answered completely.
+type TurnEnd struct {
+	Reservation    Reservation
+	Budget, Tokens int64
+	// AdvanceKey is the key with which the next turn asks for its advance reservation.
+	AdvanceKey structs.RequestID
+	// Rows are stored in the same transaction.
+	Rows rowstore.Tx
+}
+
+// FinishTurn stores the rows of a turn, settles it and, if the budget has room, makes an
+// advance reservation of the same size for the next turn, all in one transaction. The
+// request expires at the deadline of ctx: a turn must not be stored after its caller has
+// seen it fail. The channel receives nil once the transaction is stored.
+func (k *Keeper) FinishTurn(ctx context.Context, p Program, end TurnEnd) <-chan error {
+	c := end.change()
+	c.done = make(chan error, 1)
 	deadline, hasDeadline := ctx.Deadline()
 	if !hasDeadline {
 		deadline = time.Now().Add(settleTimeout)
 	}
-	advance := Reservation{Turn: "after/" + r.Turn, Tokens: r.Tokens, CreatedAt: time.Now().UnixMilli()}
-	k.addChange(p, &change{reservation: r, budget: budget, isSettlement: true, tokens: tokens, rows: rows, advance: advance, done: done, deadline: deadline}, true)
-	return done
+	c.deadline = deadline
+	k.addChange(p, c, true)
+	return c.done
+}
+
+// SettleInAdvance settles a turn that is not stored like FinishTurn, in the background.
+func (k *Keeper) SettleInAdvance(p Program, end TurnEnd) { k.addChange(p, end.change(), true) }
+
+func (end TurnEnd) change() *change {
+	now := time.Now()
+	return &change{
+		reservation: end.Reservation, budget: end.Budget, isSettlement: true, tokens: end.Tokens, rows: end.Rows, createdAt: now,
+		advance:    Reservation{Turn: "after/" + end.Reservation.Turn, Tokens: end.Reservation.Tokens, CreatedAt: now.UnixMilli()},
+		advanceKey: end.AdvanceKey,
+	}
+}
+
+// keepAdvance makes an advance reservation available to the next turn. One that was made
+// under the same key and not used is released.
+func (k *Keeper) keepAdvance(e *entry, key structs.RequestID, advance Reservation) {
+	if old, exists := e.advances[key]; exists && old.Turn != advance.Turn {
+		e.waiting = append(e.waiting, &change{reservation: old, isSettlement: true, createdAt: time.Now()})
+	}
+	e.advances[key] = advance
 }
 
 func (k *Keeper) addChange(p Program, c *change, isUrgent bool) {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -136,7 +136,7 @@
 		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", maxTokens), budget, ""))
 		for turn := 1; turn <= 5; turn++ {
 			id := fmt.Sprint(turn)
-			assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, newReservation(id, maxTokens), budget, 30, turnRow(id)))
+			assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation(id, maxTokens), Budget: budget, Tokens: 30, AdvanceKey: newReservation(id, maxTokens).Turn, Rows: turnRow(id)}))
 			before := store.Calls()
 			next := newReservation(fmt.Sprint(turn+1), maxTokens)
 			assert.NilError(t, <-keeper.Reserve(t.Context(), program, next, budget, structs.RequestID(id)))
@@ -170,10 +170,10 @@
 		store := rows.New()
 		keeper := newTestKeeper(store)
 		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", 100), 150, ""))
-		assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, newReservation("1", 100), 150, 60, turnRow("1")))
+		assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation("1", 100), Budget: 150, Tokens: 60, AdvanceKey: newReservation("1", 100).Turn, Rows: turnRow("1")}))
 		assert.Equal(t, len(keeper.entries[program.Key()].balance.Open), 0)
 		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("2", 100), 320, "1"))
-		assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, newReservation("2", 100), 320, 60, turnRow("2")))
+		assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation("2", 100), Budget: 320, Tokens: 60, AdvanceKey: newReservation("2", 100).Turn, Rows: turnRow("2")}))
 		assert.Equal(t, len(keeper.entries[program.Key()].balance.Open), 1)
 		time.Sleep(advanceTTL)
 		keeper.Sweep(time.Now())
@@ -230,7 +230,7 @@
 		var finished []<-chan error
 		for n := range programs {
 			rows := turnRow(fmt.Sprint("turn-", n))
-			finished = append(finished, keeper.FinishTurn(t.Context(), programNamed(n), newReservation("1", 100), 1000, 50, rows))
+			finished = append(finished, keeper.FinishTurn(t.Context(), programNamed(n), TurnEnd{Reservation: newReservation("1", 100), Budget: 1000, Tokens: 50, AdvanceKey: newReservation("1", 100).Turn, Rows: rows}))
 		}
 		for _, done := range finished {
 			assert.NilError(t, <-done)
@@ -286,7 +286,7 @@
 
 		keeper = newTestKeeper(rows.New())
 		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", maxTokens), 2*budget, ""))
-		assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, newReservation("1", maxTokens), 2*budget, maxTokens, turnRow("1")))
+		assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation("1", maxTokens), Budget: 2 * budget, Tokens: maxTokens, AdvanceKey: newReservation("1", maxTokens).Turn, Rows: turnRow("1")}))
 		assert.Equal(t, len(keeper.entries[program.Key()].advances), 1)
 		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("2", maxTokens), 2*budget, "other"))
 		start := time.Now()
@@ -332,7 +332,7 @@
 		assert.Assert(t, !first.Forecast(program, newReservation("3", maxTokens), budget))
 		assert.NilError(t, <-firstDone)
 		assert.NilError(t, <-secondDone)
-		done := first.FinishTurn(t.Context(), program, newReservation("1", maxTokens), budget, 20, turnRow("1"))
+		done := first.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation("1", maxTokens), Budget: budget, Tokens: 20, AdvanceKey: newReservation("1", maxTokens).Turn, Rows: turnRow("1")})
 		assert.Assert(t, first.Forecast(program, newReservation("3", maxTokens), budget))
 
 		assert.NilError(t, <-done)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -64,10 +64,13 @@
 	// the time of Retention.
 	StoresTurns bool
 	Retention   time.Duration
+	// IsResumable means that a stream that broke off may go on at another target after
+	// the last event that was received.
+	IsResumable bool
 }
 
 // IsRepeatable reports whether a request may run more than once.
-func (r *Route) IsRepeatable() bool { return r.Kind == Safe }
+func (r *Route) IsRepeatable() bool { return r.Kind == Safe || r.Kind == Streaming && r.IsResumable }
 
 // PickService picks one of the route's services by weight. It returns the same service
 // for the same affinity as long as the weights don't change.
