edge: turns that are not stored stay at the target that has their prompt

Cause: only a stored turn names the target of the turn before it, so on routes that store no turns each turn went to the least loaded target, which read the whole prompt again. Change: each VM remembers the last target of a line of turns and of a program, in a bounded table, and prefers it as it does for stored turns.

--- a/daemon/endived_turns_test.go
+++ b/daemon/endived_turns_test.go
@@ -185,3 +185,26 @@
 	assert.Equal(t, send(b.vms[0], "line-9"), 402)
 	assert.Equal(t, len(engine.Runs()), ran)
 }
+
+// The turns of a line that are not stored go to the target that has their prompt in its
+// cache, and the first turn of a sub-program to that of its parent, although another
+// target would do as well.
+func TestLineOfTurnsStaysAtItsTarget(t *testing.T) {
+	b := newTestSite(t, "near-a")
+	first := b.addTarget("engine-2", "engine", "near-a")
+	send := func(line string) {
+		header := map[string]string{
+			platformtest.HeaderProgram: "program", platformtest.HeaderLine: line,
+			platformtest.HeaderBudget: "10000", platformtest.HeaderUsage: "100,30",
+		}
+		assert.Equal(t, b.send(request{path: "/draft/1", body: line, header: header}).status, 200)
+	}
+	send("main")
+	second := b.addTarget("engine-1", "engine", "near-a")
+	for range 3 {
+		send("main")
+	}
+	send("sub")
+	assert.Equal(t, len(first.Runs()), 5)
+	assert.Equal(t, len(second.Runs()), 0)
+}
--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -59,7 +59,7 @@
 	var lastErr error
 	connectFailures := 0
 	for x.sends < x.maxSends() && connectFailures < maxConnectFailures {
-		query := placement.Query{Service: x.service.ID, CacheTarget: x.previousTarget(), Exclude: tried}
+		query := placement.Query{Service: x.service.ID, CacheTarget: x.cachedTarget(), Exclude: tried}
 		g, err := x.acquireSlot(ctx, query)
 		if err != nil {
 			return x.refuseWithoutSlot(ctx, err, lastErr)
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -164,6 +164,7 @@
 		return refusal
 	}
 	x.firstByte = structs.Now().Sub(x.Arrived)
+	x.rememberTarget()
 	x.out.BeginStream(resp.StatusCode, x.server.opts.Dialect.CallerHeader(resp.Header))
 	return nil
 }
--- a/edge/server.go
+++ b/edge/server.go
@@ -66,6 +66,7 @@
 	listing           listing
 	queues            map[structs.ServiceID]*admission.Queue
 	waiters           map[*admission.Request]*waiter
+	recent            recentTargets
 	limiter           *share.Limiter
 	quarantine        *quarantine.List
 	peerGrants        map[uint64]peerGrant
