share: a returning account has its burst; refusals log the inputs of the limit

Cause: with one holder of an account a region, a bucket that was dropped when it was full came back with 5 tokens at most, since another VM might have held it before. Small accounts of a large fleet come and go, and lost their burst each time. Change: the bucket starts as full as it would be since the members of the region last changed, or since the start. A refusal over the rate logs rate, burst, tokens and share at the holder. Forgotten processes are dropped from memory after two minutes (the list grew with each restart).

--- a/edge/placement_test.go
+++ b/edge/placement_test.go
@@ -33,6 +33,8 @@
 
 func (p *fakePeers) PeerCount() int { return len(p.servers) - 1 }
 
+func (p *fakePeers) MembersChangedAt() structs.Instant { return 0 }
+
 func (p *fakePeers) Holder(string) (structs.VMID, bool) { return "", true }
 
 func (p *fakePeers) Placer(structs.ServiceID) (structs.VMID, bool) {
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -34,6 +34,8 @@
 	// IsMembershipKnown reports whether this VM has had time to learn of the other
 	// VMs.
 	IsMembershipKnown() bool
+	// MembersChangedAt returns when a VM of this region last joined or was forgotten.
+	MembersChangedAt() structs.Instant
 	// Holder returns the VM of this region that holds the item with the given
 	// name.
 	Holder(name string) (vm structs.VMID, self bool)
@@ -71,7 +73,7 @@
 		reply, err := s.opts.Peers.RequestAdmission(ctx, vm, fleet.AdmissionRequest{Account: account.ID, StartsProgram: startsProgram, IsRetry: isRetry})
 		cancel()
 		if err == nil {
-			return share.Decision{Admitted: reply.IsAdmitted, Wait: reply.Wait}
+			return share.Decision{Admitted: reply.IsAdmitted, Wait: reply.Wait, Tokens: reply.Tokens, Share: reply.Share}
 		}
 		s.log.Warn("quota holder does not answer", "account", string(account.ID), "holder", string(vm), "cause", err.Error())
 	}
@@ -86,14 +88,14 @@
 		return fleet.AdmissionReply{IsAdmitted: true}
 	}
 	decision := s.admitLocally(table.Accounts[req.Account], req.StartsProgram, req.IsRetry, s.opts.Regions)
-	return fleet.AdmissionReply{IsAdmitted: decision.Admitted, Wait: decision.Wait}
+	return fleet.AdmissionReply{IsAdmitted: decision.Admitted, Wait: decision.Wait, Tokens: decision.Tokens, Share: decision.Share}
 }
 
 // admitLocally takes a token from this VM's bucket or, if there is none, borrows
 // tokens from peers.
 func (s *Server) admitLocally(account *routing.Account, startsProgram, isRetry bool, holders int) share.Decision {
 	s.mu.Lock()
-	s.limiter.SetHolders(holders)
+	s.limiter.SetHolders(holders, s.opts.Peers.MembersChangedAt())
 	if !isRetry {
 		s.limiter.RecordRequest(structs.Now(), account.ID, limitOf(account))
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -172,12 +173,18 @@
 		decision = s.admitAccount(x.account, x.startsProgram(), true)
 	}
 	if !decision.Admitted {
-		return retryableRefusal(structs.RefusedOverRate, decision.Wait, "the account is over its rate")
+		return x.refuseOverRate(decision)
 	}
 	x.hasQuotaToken = true
 	return nil
 }
 
+func (x *exchange) refuseOverRate(d share.Decision) *structs.Refusal {
+	reason := fmt.Sprintf("the account is over its rate of %g/s with a burst of %g: %.1f tokens here, share %.2f",
+		x.account.Rate, x.account.Burst, d.Tokens, d.Share)
+	return retryableRefusal(structs.RefusedOverRate, d.Wait, reason)
+}
+
 func limitOf(account *routing.Account) share.Limit {
 	return share.Limit{Rate: account.Rate, Burst: account.Burst}
 }
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -32,6 +33,9 @@
 	maxDigestsPerRound = 12
 	// memberTimeout is the time after which a VM that sends nothing is forgotten.
 	memberTimeout = 15 * time.Second
+	// forgottenTTL is how long a forgotten process is not added again. The other VMs
+	// forget it within memberTimeout too.
+	forgottenTTL = 8 * memberTimeout
 	// The member table is read every startupRefreshPeriod for the first
 	// startupRefreshRounds, while the VMs of a deployment start, and every
 	// refreshPeriod afterwards.
@@ -93,9 +97,10 @@
 	members map[structs.VMID]*peerState
 	// forgottenIncarnations holds the processes that were forgotten; they are not
 	// added again because another VM still lists them.
-	forgottenIncarnations map[structs.Incarnation]bool
+	forgottenIncarnations map[structs.Incarnation]time.Time // when each was forgotten
 	newerConfig           *configSource // nil unless a peer has a newer configuration
 	nextPeer              int           // index at which the next round of digests begins
+	membersChangedAt      structs.Instant
 
 	configsSent  atomic.Uint64 // configurations sent to peers
 	hasReadTable atomic.Bool   // the member table has been read at least once
@@ -118,7 +123,7 @@
 func New(opts Options) *Mesh {
 	m := &Mesh{
 		opts: opts, server: wire.NewServer(wire.Options{}), startedAt: time.Now(),
-		members: make(map[structs.VMID]*peerState), forgottenIncarnations: make(map[structs.Incarnation]bool),
+		members: make(map[structs.VMID]*peerState), forgottenIncarnations: make(map[structs.Incarnation]time.Time),
 	}
 	m.client = wire.NewClient(wire.Options{})
 	serveStore(m.server, opts.DirectStore)
@@ -246,7 +251,7 @@
 	old := m.members[from.VM]
 	if old == nil || old.Incarnation != from.Incarnation {
 		m.opts.Log.Info("peer joined", "peer", string(from.VM), "incarnation", string(from.Incarnation), "address", from.Address)
-		m.members[from.VM] = &peerState{Member: from, lastSeen: time.Now()}
+		m.addMember(from)
 		return
 	}
 	old.lastSeen = time.Now()
@@ -258,14 +263,40 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, member := range members {
-		if member.VM == m.opts.Self.VM || member.VM == "" || m.members[member.VM] != nil || m.forgottenIncarnations[member.Incarnation] {
+		if member.VM == m.opts.Self.VM || member.VM == "" || m.members[member.VM] != nil || m.isForgotten(member.Incarnation) {
 			continue
 		}
 		m.opts.Log.Info("peer introduced", "peer", string(member.VM), "incarnation", string(member.Incarnation), "address", member.Address)
-		m.members[member.VM] = &peerState{Member: member, lastSeen: time.Now()}
+		m.addMember(member)
 	}
 }
 
+func (m *Mesh) isForgotten(incarnation structs.Incarnation) bool {
+	_, isForgotten := m.forgottenIncarnations[incarnation]
+	return isForgotten
+}
+
+// addMember adds or replaces a member. The caller holds the lock.
+func (m *Mesh) addMember(member Member) {
+	m.members[member.VM] = &peerState{Member: member, lastSeen: time.Now()}
+	m.noteChangeIn(member.Region)
+}
+
+// noteChangeIn records a change of the members of a region. The caller holds the lock.
+func (m *Mesh) noteChangeIn(region string) {
+	if region == m.opts.Self.Region {
+		m.membersChangedAt = structs.Now()
+	}
+}
+
+// MembersChangedAt returns when a VM of this region last joined or was forgotten, 0 if
+// none did.
+func (m *Mesh) MembersChangedAt() structs.Instant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.membersChangedAt
+}
+
 func (m *Mesh) sendDigests(ctx context.Context, now time.Time) {
 	m.expirePeers(now)
 	peers := m.pickDuePeers(now)
@@ -385,12 +416,14 @@
 
 func (m *Mesh) expirePeers(now time.Time) {
 	m.mu.Lock()
+	maps.DeleteFunc(m.forgottenIncarnations, func(_ structs.Incarnation, at time.Time) bool { return now.Sub(at) > forgottenTTL })
 	var expired []Member
 	for id, peer := range m.members {
 		if now.Sub(peer.lastSeen) > memberTimeout {
 			expired = append(expired, peer.Member)
 			delete(m.members, id)
-			m.forgottenIncarnations[peer.Incarnation] = true
+			m.noteChangeIn(peer.Region)
+			m.forgottenIncarnations[peer.Incarnation] = now
 		}
 	}
 	m.mu.Unlock()
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -77,6 +77,9 @@
 type AdmissionReply struct {
 	IsAdmitted bool          `msgpack:"a"`
 	Wait       time.Duration `msgpack:"w,omitempty"` // until a token is available
+	// Tokens and Share are the holder's tokens and share of the account, for the log.
+	Tokens float64 `msgpack:"t,omitempty"`
+	Share  float64 `msgpack:"s,omitempty"`
 }
 
 // PlacementRequest asks a service's placer for a target.
--- a/share/share.go
+++ b/share/share.go
@@ -82,6 +82,9 @@
 	Wait time.Duration
 	// Lenders are the VMs to ask for tokens before the request is refused, best first.
 	Lenders []structs.VMID
+	// Tokens and Share are this VM's tokens and share of the account that decided, for
+	// the log.
+	Tokens, Share float64
 }
 
 // Limiter is one VM's part of the rate limits of all accounts.
@@ -97,7 +100,9 @@
 	// isStarting is true while the process may not know all its peers yet.
 	isStarting bool
 	// holders is the number of VMs that hold buckets of each account, 0 if all VMs do.
-	holders int
+	// heldSince is when the VM that holds an account may have changed last.
+	holders   int
+	heldSince structs.Instant
 }
 
 type account struct {
@@ -133,8 +138,11 @@
 }
 
 // SetHolders sets the number of VMs that hold buckets of each account; 0 means all VMs.
-// If many VMs shared an account, each bucket would hold less than one token.
-func (s *Limiter) SetHolders(holders int) { s.holders = holders }
+// If many VMs shared an account, each bucket would hold less than one token. since is
+// when another VM may last have been the holder of an account that this VM holds now.
+func (s *Limiter) SetHolders(holders int, since structs.Instant) {
+	s.holders, s.heldSince = holders, since
+}
 
 // Report replaces what is known of a peer's demand and spare tokens. isNear means that
 // the peer can be asked for tokens quickly.
@@ -188,13 +196,15 @@
 	a := s.account(now, id, limit)
 	s.refill(now, id, a)
 	if missing := reservedFraction*limit.Burst - s.totalTokens(now, id, a); startsProgram && missing > 0 {
-		return Decision{Wait: seconds(missing / limit.Rate)}
+		return Decision{Wait: seconds(missing / limit.Rate), Tokens: a.tokens, Share: a.share}
 	}
 	if a.tokens >= 1 {
 		a.tokens--
 		return Decision{Admitted: true}
 	}
-	return Decision{Wait: seconds((1 - a.tokens) / (a.share * limit.Rate)), Lenders: s.lenders(now, id, a)}
+	return Decision{
+		Wait: seconds((1 - a.tokens) / (a.share * limit.Rate)), Lenders: s.lenders(now, id, a), Tokens: a.tokens, Share: a.share,
+	}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -349,10 +359,11 @@
 	a := s.accounts[id]
 	if a == nil {
 		even := s.evenShare()
-		refilled := even * limit.Rate * now.Sub(s.started).Seconds()
+		filledSince := s.started
 		if s.holders > 0 {
-			refilled = 0 // another VM may have held and used this bucket until now
+			filledSince = max(s.started, s.heldSince) // another VM may have used the bucket before
 		}
+		refilled := even * limit.Rate * now.Sub(filledSince).Seconds()
 		a = &account{
 			limit: limit, decayedAt: now, refilledAt: now, share: even,
 			tokens: math.Min(s.minCapacity()+refilled, math.Max(even*limit.Burst, s.minCapacity())),
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -281,7 +281,7 @@
 			limit := Limit{Rate: 14, Burst: 14}
 			f := newSimulation(91)
 			for _, s := range f.limiters {
-				s.SetHolders(2)
+				s.SetHolders(2, 0)
 			}
 			holders := f.vms[:2]
 			pickVM := func() structs.VMID { return holders[rng.IntN(2)] }
@@ -294,3 +294,22 @@
 		})
 	}
 }
+
+// An account that was idle, so that its holder dropped its full bucket, must have its
+// whole burst again when it returns. If the holder may just have changed, the bucket
+// starts low instead, since the previous holder may have spent the burst.
+func TestReturningAccountHasItsBurst(t *testing.T) {
+	const now = structs.Instant(time.Minute)
+	limit := Limit{Rate: 4, Burst: 20}
+	admitAll := func(heldSince structs.Instant) int {
+		s := New(0, slack)
+		s.SetHolders(2, heldSince)
+		admitted := 0
+		for s.Admit(now, testAccount, limit, false).Admitted {
+			admitted++
+		}
+		return admitted
+	}
+	assert.Equal(t, admitAll(structs.Instant(time.Second)), 10)
+	assert.Equal(t, admitAll(now), 5)
+}
