share: requests over the rate wait for their token in turn; other regions lend

A refused request was told the time of the next single token, so all came back together, one got it and the others failed for good. And the holder of the other region kept a share and a burst that nobody there asked for. Change: a request may take the next token that no other request has taken, and is held until then, for at most 1 s and a third of its time; a refused one is told when the queue of tokens ends. A holder without tokens asks the holder of the other region; one that had none is asked again after 0.4 s. The wait ends when the caller leaves, and stands in the log as token_wait_ms.

--- a/edge/placement_test.go
+++ b/edge/placement_test.go
@@ -35,6 +35,8 @@
 
 func (p *fakePeers) MembersChangedAt() structs.Instant { return 0 }
 
+func (p *fakePeers) OtherHolders(string) []structs.VMID { return nil }
+
 func (p *fakePeers) Holder(string) (structs.VMID, bool) { return "", true }
 
 func (p *fakePeers) Placer(structs.ServiceID) (structs.VMID, bool) {
@@ -205,8 +207,8 @@
 	p := &fakePeers{isMembershipUnknown: true}
 	s := New(Options{VM: "1", Domain: "d", Region: "r", Peers: p, QuotaSlack: 20, Regions: 2, Log: slog.New(slog.DiscardHandler)})
 	account := &routing.Account{ID: "account", Rate: 10, Burst: 20}
-	verdict := s.admitAccount(account, false, false)
+	verdict := s.admitAccount(account, false, 0)
 	assert.Assert(t, !verdict.Admitted && verdict.Wait == membershipRetryAfter)
 	p.isMembershipUnknown = false
-	assert.Assert(t, s.admitAccount(account, false, true).Admitted)
+	assert.Assert(t, s.admitAccount(account, false, 0).Admitted)
 }
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -39,6 +39,8 @@
 	// Holder returns the VM of this region that holds the item with the given
 	// name.
 	Holder(name string) (vm structs.VMID, self bool)
+	// OtherHolders returns the VMs that hold the item in the other regions.
+	OtherHolders(name string) []structs.VMID
 	// BorrowTokens asks a VM for quota tokens of an account and returns their
 	// number.
 	BorrowTokens(ctx context.Context, vm structs.VMID, account structs.AccountID) (int, error)
@@ -53,8 +55,8 @@
 }
 
 // admitAccount takes a quota token from this VM's bucket or from the account's
-// quota holder. isRetry means that the request has already been counted as demand.
-func (s *Server) admitAccount(account *routing.Account, startsProgram, isRetry bool) share.Decision {
+// quota holder.
+func (s *Server) admitAccount(account *routing.Account, startsProgram bool, maxWait time.Duration) share.Decision {
 	if account.Rate <= 0 {
 		return share.Decision{Admitted: true}
 	}
@@ -62,15 +64,15 @@
 		return share.Decision{Wait: membershipRetryAfter}
 	}
 	if s.opts.Peers.PeerCount() < maxUncoordinatedVMs {
-		return s.admitLocally(account, startsProgram, isRetry, 0)
+		return s.admitLocally(account, startsProgram, maxWait, 0)
 	}
 	for range maxHolderAttempts {
-		vm, self := s.opts.Peers.Holder("account/" + string(account.ID))
+		vm, self := s.opts.Peers.Holder(holderName(account.ID))
 		if self {
-			return s.admitLocally(account, startsProgram, isRetry, s.opts.Regions)
+			return s.admitLocally(account, startsProgram, maxWait, s.opts.Regions)
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), holderTimeout)
-		reply, err := s.opts.Peers.RequestAdmission(ctx, vm, fleet.AdmissionRequest{Account: account.ID, StartsProgram: startsProgram, IsRetry: isRetry})
+		reply, err := s.opts.Peers.RequestAdmission(ctx, vm, fleet.AdmissionRequest{Account: account.ID, StartsProgram: startsProgram, MaxWait: maxWait})
 		cancel()
 		if err == nil {
 			return share.Decision{Admitted: reply.IsAdmitted, Wait: reply.Wait, Tokens: reply.Tokens, Share: reply.Share}
@@ -80,40 +82,78 @@
 	return share.Decision{Wait: holderRetryAfter}
 }
 
+// holderName is the name by which an account's quota holder is picked.
+func holderName(account structs.AccountID) string { return "account/" + string(account) }
+
+// returnToken gives back the token of a request that reached no target.
+func (s *Server) returnToken(account structs.AccountID) {
+	if s.opts.Peers.PeerCount() >= maxUncoordinatedVMs {
+		if vm, self := s.opts.Peers.Holder(holderName(account)); !self {
+			go s.returnTokenTo(vm, account)
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.ReturnToken(account)
+}
+
+func (s *Server) returnTokenTo(vm structs.VMID, account structs.AccountID) {
+	ctx, cancel := context.WithTimeout(context.Background(), holderTimeout)
+	defer cancel()
+	if _, err := s.opts.Peers.RequestAdmission(ctx, vm, fleet.AdmissionRequest{Account: account, Returns: true}); err != nil {
+		s.log.Info("quota token of a refused request is lost", "account", string(account), "holder", string(vm), "cause", err.Error())
+	}
+}
+
 // AdmitForPeer answers a VM of this region for which this VM is the quota holder.
 func (s *Server) AdmitForPeer(req fleet.AdmissionRequest) fleet.AdmissionReply {
+	if req.Returns {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.limiter.ReturnToken(req.Account)
+		return fleet.AdmissionReply{}
+	}
 	table := s.opts.Config.Current()
 	if table == nil || table.Accounts[req.Account] == nil {
 		// The asking VM has a newer configuration, in which the account is new.
 		return fleet.AdmissionReply{IsAdmitted: true}
 	}
-	decision := s.admitLocally(table.Accounts[req.Account], req.StartsProgram, req.IsRetry, s.opts.Regions)
+	decision := s.admitLocally(table.Accounts[req.Account], req.StartsProgram, req.MaxWait, s.opts.Regions)
 	return fleet.AdmissionReply{IsAdmitted: decision.Admitted, Wait: decision.Wait, Tokens: decision.Tokens, Share: decision.Share}
 }
 
-// admitLocally takes a token from this VM's bucket or, if there is none, borrows
-// tokens from peers.
-func (s *Server) admitLocally(account *routing.Account, startsProgram, isRetry bool, holders int) share.Decision {
+// admitLocally takes a token from this VM's bucket. If there is none, it borrows
+// tokens from peers, and if they have none either, the request takes the next token
+// that becomes available within maxWait.
+func (s *Server) admitLocally(account *routing.Account, startsProgram bool, maxWait time.Duration, holders int) share.Decision {
+	request := share.Request{Account: account.ID, Limit: limitOf(account), StartsProgram: startsProgram}
 	s.mu.Lock()
 	s.limiter.SetHolders(holders, s.opts.Peers.MembersChangedAt())
-	if !isRetry {
-		s.limiter.RecordRequest(structs.Now(), account.ID, limitOf(account))
-	}
+	s.limiter.RecordRequest(structs.Now(), account.ID, request.Limit)
+	decision := s.limiter.Admit(structs.Now(), request)
 	s.mu.Unlock()
-	decision := s.takeToken(account, startsProgram)
-	for _, vm := range decision.Lenders {
+	lenders := decision.Lenders
+	if len(lenders) == 0 && decision.MayBorrow {
+		lenders = s.opts.Peers.OtherHolders(holderName(account.ID))
+	}
+	for _, vm := range lenders {
 		if decision.Admitted || !s.borrowTokens(vm, account) {
 			continue
 		}
-		decision = s.takeToken(account, startsProgram)
+		decision = s.takeToken(request)
+	}
+	if !decision.Admitted && maxWait > 0 {
+		request.MaxWait = maxWait
+		decision = s.takeToken(request)
 	}
 	return decision
 }
 
-func (s *Server) takeToken(account *routing.Account, startsProgram bool) share.Decision {
+func (s *Server) takeToken(request share.Request) share.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limiter.Admit(structs.Now(), account.ID, limitOf(account), startsProgram)
+	return s.limiter.Admit(structs.Now(), request)
 }
 
 // borrowTokens asks a peer for quota tokens and reports whether it gave any.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -22,6 +22,9 @@
 	// borrowTimeout bounds a request for quota tokens; a round trip between
 	// regions takes 25 ms.
 	borrowTimeout = 100 * time.Millisecond
+	// maxTokenWaitDivisor divides the time that a request has left: it may wait that
+	// part of it for a quota token.
+	maxTokenWaitDivisor = 3
 	// defaultTimeout bounds requests that state no deadline.
 	defaultTimeout = 60 * time.Second
 )
@@ -45,6 +48,7 @@
 	grant         *grant           // of the last attempt
 	mayHaveRun    bool             // it is unknown whether an earlier send ran
 	slotWait      time.Duration    // time spent waiting for a slot
+	tokenWait     time.Duration    // time spent waiting for a quota token
 	firstByte     time.Duration    // from arrival to the first byte of the response
 	hasQuotaToken bool             // a quota token was taken for the request
 	tokens        int64
@@ -55,7 +59,7 @@
 func (s *Server) Serve(ctx context.Context, req *Request, out Responder) {
 	x := &exchange{Request: req, server: s, out: out}
 	s.stats.countStarted()
-	refusal := x.prepare()
+	refusal := x.prepare(ctx)
 	if refusal == nil {
 		refusal = x.run(ctx)
 	}
@@ -73,7 +77,7 @@
 }
 
 // prepare decides whether the request may run at all.
-func (x *exchange) prepare() *structs.Refusal {
+func (x *exchange) prepare(ctx context.Context) *structs.Refusal {
 	x.table = x.server.opts.Config.Current()
 	if x.table == nil {
 		return retryableRefusal(structs.RefusedNotReady, noConfigRetryAfter, "no configuration has arrived yet")
@@ -95,7 +99,7 @@
 	}
 	x.setDeadline()
 	x.fingerprint = x.computeFingerprint()
-	return x.admit()
+	return x.admit(ctx)
 }
 
 // denyByConfig refuses a request because of what the configuration says. If the
@@ -156,7 +160,7 @@
 }
 
 // admit checks the quarantine and takes a quota token.
-func (x *exchange) admit() *structs.Refusal {
+func (x *exchange) admit(ctx context.Context) *structs.Refusal {
 	s := x.server
 	s.mu.Lock()
 	left := s.quarantine.Remaining(structs.Now(), x.fingerprint)
@@ -167,16 +171,28 @@
 	if x.account == nil {
 		return nil
 	}
-	decision := s.admitAccount(x.account, x.startsProgram(), false)
-	if !decision.Admitted && decision.Wait <= share.MaxTokenWait && decision.Wait < x.timeLeft()/4 {
-		time.Sleep(decision.Wait)
-		decision = s.admitAccount(x.account, x.startsProgram(), true)
-	}
+	decision := s.admitAccount(x.account, x.startsProgram(), min(share.MaxTokenWait, x.timeLeft()/maxTokenWaitDivisor))
 	if !decision.Admitted {
 		return x.refuseOverRate(decision)
 	}
 	x.hasQuotaToken = true
-	return nil
+	return x.awaitToken(ctx, decision.Wait)
+}
+
+// awaitToken holds the request until its quota token is available.
+func (x *exchange) awaitToken(ctx context.Context, wait time.Duration) *structs.Refusal {
+	if wait <= 0 {
+		return nil
+	}
+	x.tokenWait = wait
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return x.refuseTimedOut(ctx.Err())
+	}
 }
 
 func (x *exchange) refuseOverRate(d share.Decision) *structs.Refusal {
@@ -193,12 +209,6 @@
 // refusing it loses no completed work of the program.
 func (x *exchange) startsProgram() bool { return x.route.StoresTurns && x.Turn.Previous == "" }
 
-func (s *Server) returnToken(account structs.AccountID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.limiter.ReturnToken(account)
-}
-
 // priority returns the rank of the request; 0 is served first.
 func (x *exchange) priority() int {
 	if x.account != nil && x.account.HasPriority {
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -102,7 +102,7 @@
 }
 
 func (x *exchange) logAttrs(outcome string, took time.Duration, refusal *structs.Refusal) []slog.Attr {
-	attrs := make([]slog.Attr, 0, 18)
+	attrs := make([]slog.Attr, 0, 19)
 	attrs = append(attrs,
 		slog.String("request", string(x.ID)),
 		slog.String("outcome", outcome),
@@ -123,6 +123,9 @@
 	if x.Turn.Previous != "" {
 		attrs = append(attrs, slog.String("previous", string(x.Turn.Previous)))
 	}
+	if x.tokenWait > 0 {
+		attrs = append(attrs, slog.Int64("token_wait_ms", x.tokenWait.Milliseconds()))
+	}
 	if x.sends > 0 {
 		attrs = append(attrs,
 			slog.String("target", string(x.target)),
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -98,8 +98,8 @@
 	// forgottenIncarnations holds the processes that were forgotten; they are not
 	// added again because another VM still lists them.
 	forgottenIncarnations map[structs.Incarnation]time.Time // when each was forgotten
-	newerConfig           *configSource // nil unless a peer has a newer configuration
-	nextPeer              int           // index at which the next round of digests begins
+	newerConfig           *configSource                     // nil unless a peer has a newer configuration
+	nextPeer              int                               // index at which the next round of digests begins
 	membersChangedAt      structs.Instant
 
 	configsSent  atomic.Uint64 // configurations sent to peers
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -70,13 +70,19 @@
 type AdmissionRequest struct {
 	Account       structs.AccountID `msgpack:"a"`
 	StartsProgram bool              `msgpack:"s,omitempty"` // the request begins a program
-	IsRetry       bool              `msgpack:"g,omitempty"` // not the first attempt of the request
+	// MaxWait is how long the request may be held until its token is available.
+	MaxWait time.Duration `msgpack:"m,omitempty"`
+	// Returns means that the request was refused without having run: its token is given
+	// back.
+	Returns bool `msgpack:"r,omitempty"`
 }
 
 // AdmissionReply answers an AdmissionRequest.
 type AdmissionReply struct {
-	IsAdmitted bool          `msgpack:"a"`
-	Wait       time.Duration `msgpack:"w,omitempty"` // until a token is available
+	IsAdmitted bool `msgpack:"a"`
+	// Wait is how long an admitted request has to be held, or the time after which a new
+	// attempt of a refused one gets a token.
+	Wait time.Duration `msgpack:"w,omitempty"`
 	// Tokens and Share are the holder's tokens and share of the account, for the log.
 	Tokens float64 `msgpack:"t,omitempty"`
 	Share  float64 `msgpack:"s,omitempty"`
--- a/fleet/vm_roles.go
+++ b/fleet/vm_roles.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,6 +46,24 @@
 	return m.pickByHash(name, true, func(peer *peerState) bool { return now.Sub(peer.lastFailure) >= failureBackoff })
 }
 
+// OtherHolders returns the VMs that hold an item in the other regions.
+func (m *Mesh) OtherHolders(name string) []structs.VMID {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	best := make(map[string]structs.VMID) // by region
+	hashes := make(map[string]uint64)
+	for id, peer := range m.members {
+		if peer.Region == m.opts.Self.Region || now.Sub(peer.lastFailure) < failureBackoff {
+			continue
+		}
+		if hash := rendezvousHash(id, name); hash > hashes[peer.Region] {
+			best[peer.Region], hashes[peer.Region] = id, hash
+		}
+	}
+	return slices.Sorted(maps.Values(best))
+}
+
 // pickByHash returns the VM with the highest hash among this region's eligible
 // peers and this VM. A VM that is not eligible itself is chosen only if there is no
 // eligible peer.
--- a/share/share.go
+++ b/share/share.go
@@ -55,6 +55,9 @@
 	// minDemand is the demand, in requests per second, below which an account is not
 	// reported and may be dropped.
 	minDemand = 0.05
+	// borrowPause is the time after which the holder of another region that had no tokens
+	// to spare is asked again.
+	borrowPause = 400 * time.Millisecond
 	// spareReportTTL is how long a peer's report of its spare tokens counts.
 	spareReportTTL = 2 * time.Second
 )
@@ -71,15 +74,30 @@
 // SpareTokens is the number of tokens that a VM can lend, by account.
 type SpareTokens map[structs.AccountID]float64
 
-// MaxTokenWait is the longest time that a request may be held until a token is available.
-// For callers a short wait is faster than a refusal followed by a retry.
-const MaxTokenWait = 250 * time.Millisecond
+// MaxTokenWait is the longest time that a request may be held until its token is
+// available. For callers a wait is faster than a refusal and a retry that competes with
+// all others; they give up a stream that sends nothing for 2 s.
+const MaxTokenWait = time.Second
+
+// Request is a request for one token.
+type Request struct {
+	Account structs.AccountID
+	Limit   Limit
+	// StartsProgram means that refusing the request loses no work of a program.
+	StartsProgram bool
+	// MaxWait is how long the request may be held, 0 for not at all.
+	MaxWait time.Duration
+}
 
 // Decision is the result of Admit.
 type Decision struct {
 	Admitted bool
-	// Wait is the time until this VM's own bucket has a token.
+	// Wait is how long an admitted request has to be held until the token that it took
+	// is available. For a refused request, it is the time after which a new attempt gets
+	// a token.
 	Wait time.Duration
+	// MayBorrow means that the holders of other regions may have tokens to spare.
+	MayBorrow bool
 	// Lenders are the VMs to ask for tokens before the request is refused, best first.
 	Lenders []structs.VMID
 	// Tokens and Share are this VM's tokens and share of the account that decided, for
@@ -115,6 +133,8 @@
 	share        float64 // this VM's share, 0 to 1
 	tokens       float64
 	refilledAt   structs.Instant
+	// borrowAfter is when the holders of other regions may have spare tokens again.
+	borrowAfter structs.Instant
 }
 
 type peer struct {
@@ -187,24 +207,33 @@
 	a.demand += 1 / demandTau
 }
 
-// Admit takes a token for one request. A request that starts a program is admitted only
-// while the buckets of all VMs hold more than is reserved for running programs.
-func (s *Limiter) Admit(now structs.Instant, id structs.AccountID, limit Limit, startsProgram bool) Decision {
-	if limit.Rate <= 0 {
+// Admit takes a token for one request. If there is none, the request may take the next
+// one that no other request has taken and wait for it, so that requests that arrive
+// together get their tokens one after the other instead of all coming back at once. A
+// request that starts a program is admitted only while the buckets of all VMs hold more
+// than is reserved for running programs.
+func (s *Limiter) Admit(now structs.Instant, r Request) Decision {
+	if r.Limit.Rate <= 0 {
 		return Decision{Admitted: true}
 	}
-	a := s.account(now, id, limit)
-	s.refill(now, id, a)
-	if missing := reservedFraction*limit.Burst - s.totalTokens(now, id, a); startsProgram && missing > 0 {
-		return Decision{Wait: seconds(missing / limit.Rate), Tokens: a.tokens, Share: a.share}
+	a := s.account(now, r.Account, r.Limit)
+	s.refill(now, r.Account, a)
+	decision := Decision{Tokens: a.tokens, Share: a.share}
+	if missing := reservedFraction*r.Limit.Burst - s.totalTokens(now, r.Account, a); r.StartsProgram && missing > 0 {
+		decision.Wait = seconds(missing / r.Limit.Rate)
+		return decision
 	}
-	if a.tokens >= 1 {
-		a.tokens--
-		return Decision{Admitted: true}
+	if a.tokens < 1 {
+		decision.Wait = seconds((1 - a.tokens) / (a.share * r.Limit.Rate))
 	}
-	return Decision{
-		Wait: seconds((1 - a.tokens) / (a.share * limit.Rate)), Lenders: s.lenders(now, id, a), Tokens: a.tokens, Share: a.share,
+	if decision.Wait <= r.MaxWait {
+		a.tokens--
+		decision.Admitted = true
+		return decision
 	}
+	decision.Lenders = s.lenders(now, r.Account, a)
+	decision.MayBorrow = s.holders > 1 && now >= a.borrowAfter
+	return decision
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -313,6 +342,9 @@
 func (s *Limiter) AddBorrowed(now structs.Instant, from structs.VMID, id structs.AccountID, limit Limit, tokens int) {
 	a := s.account(now, id, limit)
 	a.tokens += float64(tokens)
+	if tokens == 0 {
+		a.borrowAfter = now.Add(borrowPause)
+	}
 	p := s.peers[from]
 	if p == nil {
 		return
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,14 +31,6 @@
 	admitted []structs.Instant
 	refused  int
 	rounds   int
-	delayed  []delayedRequest
-}
-
-// delayedRequest waits for a token, as in package edge.
-type delayedRequest struct {
-	vm            structs.VMID
-	until         structs.Instant
-	startsProgram bool
 }
 
 const testAccount = structs.AccountID("tenant")
@@ -71,46 +64,32 @@
 	}
 }
 
-// sendRequest simulates one request, including the tokens borrowed for it.
-func (f *simulation) sendRequest(vm structs.VMID, limit Limit, startsProgram, isRetry bool) bool {
+// sendRequest simulates one request, including the tokens borrowed for it and its wait
+// for a token, as in package edge.
+func (f *simulation) sendRequest(vm structs.VMID, limit Limit) bool {
 	s := f.limiters[vm]
-	if !isRetry {
-		s.RecordRequest(f.now, testAccount, limit)
-	}
-	decision := s.Admit(f.now, testAccount, limit, startsProgram)
+	s.RecordRequest(f.now, testAccount, limit)
+	request := Request{Account: testAccount, Limit: limit}
+	decision := s.Admit(f.now, request)
 	for _, lender := range decision.Lenders {
 		if decision.Admitted || !f.canReach(vm, lender) {
 			continue
 		}
 		s.AddBorrowed(f.now, lender, testAccount, limit, f.limiters[lender].Lend(f.now, testAccount, limit))
-		decision = s.Admit(f.now, testAccount, limit, startsProgram)
+		decision = s.Admit(f.now, request)
+	}
+	if !decision.Admitted {
+		request.MaxWait = MaxTokenWait
+		decision = s.Admit(f.now, request)
 	}
-	switch {
-	case decision.Admitted:
-		f.admitted = append(f.admitted, f.now)
-	case !isRetry && decision.Wait <= MaxTokenWait:
-		f.delayed = append(f.delayed, delayedRequest{vm, f.now.Add(decision.Wait), startsProgram})
-	default:
+	if decision.Admitted {
+		f.admitted = append(f.admitted, f.now.Add(decision.Wait))
+	} else {
 		f.refused++
 	}
 	return decision.Admitted
 }
 
-// retryDelayed sends the delayed requests again whose wait has ended.
-func (f *simulation) retryDelayed(limit Limit) {
-	var remaining []delayedRequest
-	due := f.delayed
-	f.delayed = nil
-	for _, h := range due {
-		if f.now < h.until {
-			remaining = append(remaining, h)
-			continue
-		}
-		f.sendRequest(h.vm, limit, h.startsProgram, true)
-	}
-	f.delayed = append(f.delayed, remaining...)
-}
-
 // run sends requests at the given rate for a duration; pickVM returns the VM for each.
 func (f *simulation) run(rng *rand.Rand, d time.Duration, perSecond float64, limit Limit, pickVM func() structs.VMID) {
 	lastDigest := f.now
@@ -119,10 +98,9 @@
 			lastDigest = f.now
 			f.exchangeReports()
 		}
-		f.retryDelayed(limit)
 		for n := perSecond * step.Seconds(); n > 0; n-- {
 			if rng.Float64() < n {
-				f.sendRequest(pickVM(), limit, false, false)
+				f.sendRequest(pickVM(), limit)
 			}
 		}
 	}
@@ -132,6 +110,7 @@
 func (f *simulation) checkQuota(t *testing.T, limit Limit) {
 	t.Helper()
 	allowed := (limit.Rate*quotaWindow.Seconds()+limit.Burst)*(1+overage) + slack
+	slices.Sort(f.admitted)
 	first := 0
 	for i, at := range f.admitted {
 		for at.Sub(f.admitted[first]) > quotaWindow {
@@ -229,11 +208,11 @@
 	now := structs.Instant(10 * time.Second)
 	s.RecordRequest(now, testAccount, limit)
 	starts := 0
-	for s.Admit(now, testAccount, limit, true).Admitted {
+	for s.Admit(now, Request{Account: testAccount, Limit: limit, StartsProgram: true}).Admitted {
 		starts++
 	}
 	rest := 0
-	for s.Admit(now, testAccount, limit, false).Admitted {
+	for s.Admit(now, Request{Account: testAccount, Limit: limit}).Admitted {
 		rest++
 	}
 	assert.Assert(t, starts >= 12 && starts <= 14, "%d starts", starts)
@@ -262,10 +241,10 @@
 	now := structs.Instant(10 * time.Second)
 	s := New(0, 0)
 	s.RecordRequest(now, testAccount, Limit{Rate: 100, Burst: 100})
-	assert.Assert(t, s.Admit(now, testAccount, Limit{Rate: 100, Burst: 100}, false).Admitted)
+	assert.Assert(t, s.Admit(now, Request{Account: testAccount, Limit: Limit{Rate: 100, Burst: 100}}).Admitted)
 	low := Limit{Rate: 2, Burst: 2}
 	admitted := 0
-	for s.Admit(now, testAccount, low, false).Admitted {
+	for s.Admit(now, Request{Account: testAccount, Limit: low}).Admitted {
 		admitted++
 	}
 	assert.Assert(t, admitted <= 2, "%d admitted", admitted)
@@ -305,7 +284,7 @@
 		s := New(0, slack)
 		s.SetHolders(2, heldSince)
 		admitted := 0
-		for s.Admit(now, testAccount, limit, false).Admitted {
+		for s.Admit(now, Request{Account: testAccount, Limit: limit}).Admitted {
 			admitted++
 		}
 		return admitted
@@ -313,3 +292,25 @@
 	assert.Equal(t, admitAll(structs.Instant(time.Second)), 10)
 	assert.Equal(t, admitAll(now), 5)
 }
+
+// A program of a small account starts its sub-programs at once. Their requests must get
+// the account's tokens one after the other. If each came back after the time for one
+// token instead, all but one of them would be refused each time.
+func TestRequestsThatArriveTogetherGetTokensInTurn(t *testing.T) {
+	const now = structs.Instant(time.Minute)
+	const together = 9
+	limit := Limit{Rate: 5, Burst: 5}
+	s := New(0, 0)
+	s.SetHolders(1, 0)
+	request := Request{Account: testAccount, Limit: limit, MaxWait: MaxTokenWait}
+	for i := range together {
+		decision := s.Admit(now, request)
+		assert.Assert(t, decision.Admitted, "request %d is refused", i)
+		earliest := time.Duration(max(0, i+1-int(limit.Burst))) * time.Second / time.Duration(limit.Rate)
+		assert.Assert(t, decision.Wait >= earliest-time.Millisecond, "request %d runs after %s", i, decision.Wait)
+	}
+	for s.Admit(now, request).Admitted {
+	}
+	refusal := s.Admit(now, request)
+	assert.Assert(t, !refusal.Admitted && refusal.Wait >= MaxTokenWait, "a refused request is told when it gets a token: %s", refusal.Wait)
+}
