fleet: coordinators of a region carry the roles; digests follow them

Cause: in a fleet of 195 VMs each VM sent 12 digests a round to members in turn, half of them to the other region. A member was heard of every 4.9 s, but a role is given only to a VM seen within 2.5 s, so VMs picked different home VMs and placers from moment to moment, also those of 0.192 core; and the digests were most of the bytes between regions. A reply to a digest carried the whole list of members whenever two VMs knew different ones, 23 KB at this size. Change: above 16 VMs, the 12 members of a region with the highest capacity are its coordinators, and only they are home VMs, placers and quota holders. Each round sends 4 digests to coordinators, 6 to other members of the region and 3 to other regions. A reply introduces recent members only, 32 at most, and carries suspected requests, which would spread more slowly otherwise. The time after which a silent member is forgotten follows the size of the fleet.

--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -24,6 +24,7 @@
 	"github.com/endivecourse/endivecourse/ledger"
 	"github.com/endivecourse/endivecourse/logline"
 	"github.com/endivecourse/endivecourse/platform"
+	"github.com/endivecourse/endivecourse/quarantine"
 	"github.com/endivecourse/endivecourse/routing"
 	"github.com/endivecourse/endivecourse/rowstore"
 	"github.com/endivecourse/endivecourse/rowstore/storepath"
@@ -131,6 +132,7 @@
 		Address:     loaded.PeerAddress,
 		Domain:      loaded.Domain,
 		Region:      loaded.Region,
+		Capacity:    loaded.MilliCores,
 	}
 	peers, err := net.Listen("tcp", loaded.PeerAddress)
 	if err != nil {
@@ -147,10 +149,12 @@
 		IsStoreReachable: func() bool { return router.IsDirectUp() },
 		Serve:            func(s *wire.Server) { conversation.Register(s, local) },
 		Hooks: fleet.Hooks{
-			Digest:      func() fleet.Digest { return server.Digest() },
-			ApplyDigest: func(d fleet.Digest) { server.ApplyDigest(d) },
-			Lend:        func(account structs.AccountID) int { return server.Lend(account) },
-			Admit:       func(request fleet.AdmissionRequest) fleet.AdmissionReply { return server.AdmitForPeer(request) },
+			Digest:       func() fleet.Digest { return server.Digest() },
+			ApplyDigest:  func(d fleet.Digest) { server.ApplyDigest(d) },
+			Crashes:      func() []quarantine.Report { return server.Crashes() },
+			ApplyCrashes: func(reports []quarantine.Report) { server.ApplyCrashes(reports) },
+			Lend:         func(account structs.AccountID) int { return server.Lend(account) },
+			Admit:        func(request fleet.AdmissionRequest) fleet.AdmissionReply { return server.AdmitForPeer(request) },
 			Place: func(ctx context.Context, p fleet.PlacementRequest) fleet.PlacementReply {
 				return server.PlaceForPeer(ctx, p)
 			},
--- a/edge/server.go
+++ b/edge/server.go
@@ -179,6 +179,20 @@
 	}
 }
 
+// Crashes returns the requests that are suspected to crash targets.
+func (s *Server) Crashes() []quarantine.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quarantine.Export(structs.Now())
+}
+
+// ApplyCrashes records the crashes that a peer reports.
+func (s *Server) ApplyCrashes(reports []quarantine.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quarantine.Import(structs.Now(), reports)
+}
+
 // Lend gives a peer quota tokens of an account and returns their number.
 func (s *Server) Lend(account structs.AccountID) int {
 	s.mu.Lock()
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/kernel"
+	"github.com/endivecourse/endivecourse/quarantine"
 	"github.com/endivecourse/endivecourse/routing"
 	"github.com/endivecourse/endivecourse/rowstore"
 	"github.com/endivecourse/endivecourse/structs"
@@ -28,8 +29,8 @@
 	// callTimeout bounds the wait for the reply to a digest. If none arrives, the
 	// connection is assumed to be lost and is closed.
 	callTimeout = 700 * time.Millisecond
-	// maxDigestsPerRound bounds the digests of one round, whatever the number of
-	// VMs.
+	// maxDigestsPerRound bounds the digests of one round in a fleet without
+	// coordinators.
 	maxDigestsPerRound = 12
 	// memberTimeout is the time after which a VM that sends nothing is forgotten.
 	memberTimeout = 15 * time.Second
@@ -57,6 +58,10 @@
 	Digest func() Digest
 	// ApplyDigest applies a peer's digest.
 	ApplyDigest func(d Digest)
+	// Crashes returns the requests that this VM suspects to crash targets; ApplyCrashes
+	// adds those of a peer.
+	Crashes      func() []quarantine.Report
+	ApplyCrashes func(reports []quarantine.Report)
 	// Lend gives up quota tokens of an account and returns their number.
 	Lend func(account structs.AccountID) int
 	// Admit decides on a request of an account for which this VM is the quota
@@ -99,7 +104,8 @@
 	// added again because another VM still lists them.
 	forgottenIncarnations map[structs.Incarnation]time.Time // when each was forgotten
 	newerConfig           *configSource                     // nil unless a peer has a newer configuration
-	nextPeer              int                               // index at which the next round of digests begins
+	groups                *groups                           // nil after a change of the members
+	rotation              rotation
 	membersChangedAt      structs.Instant
 
 	configsSent  atomic.Uint64 // configurations sent to peers
@@ -110,6 +116,7 @@
 // peerState is what this VM knows of a member.
 type peerState struct {
 	Member
+	addedAt   time.Time
 	lastSeen  time.Time // when it was added or last sent or answered a digest
 	lastSent  time.Time
 	isSending bool // a digest is being sent
@@ -218,6 +225,11 @@
 func (m *Mesh) Members() []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.memberList()
+}
+
+// memberList returns the other members. The caller holds the lock.
+func (m *Mesh) memberList() []Member {
 	members := make([]Member, 0, len(m.members))
 	for _, peer := range m.members {
 		members = append(members, peer.Member)
@@ -233,9 +245,9 @@
 	m.recordStoreReachable(d.From.VM, d.IsStoreReachable)
 	m.opts.Hooks.ApplyDigest(d)
 	m.noteNewerConfig(d.Config, d.From)
-	reply := DigestReply{Config: m.opts.Config.Version()}
+	reply := DigestReply{Config: m.opts.Config.Version(), Crashes: m.opts.Hooks.Crashes()}
 	if m.membersHash() != d.MembersHash {
-		reply.Members = append(m.Members(), m.opts.Self)
+		reply.Members = m.recentMembers(time.Now())
 	}
 	return reply, nil
 }
@@ -278,12 +290,14 @@
 
 // addMember adds or replaces a member. The caller holds the lock.
 func (m *Mesh) addMember(member Member) {
-	m.members[member.VM] = &peerState{Member: member, lastSeen: time.Now()}
+	now := time.Now()
+	m.members[member.VM] = &peerState{Member: member, addedAt: now, lastSeen: now}
 	m.noteChangeIn(member.Region)
 }
 
 // noteChangeIn records a change of the members of a region. The caller holds the lock.
 func (m *Mesh) noteChangeIn(region string) {
+	m.groups = nil
 	if region == m.opts.Self.Region {
 		m.membersChangedAt = structs.Now()
 	}
@@ -334,28 +348,27 @@
 	return hasher.Sum64()
 }
 
-// pickDuePeers returns the peers that get a digest in this round, at most
-// maxDigestsPerRound. Successive rounds rotate through the peers.
+// currentGroups returns the groups of the members. The caller holds the lock.
+func (m *Mesh) currentGroups() *groups {
+	if m.groups == nil {
+		m.groups = newGroups(m.opts.Self, m.memberList())
+	}
+	return m.groups
+}
+
+// pickDuePeers returns the peers that get a digest in this round.
 func (m *Mesh) pickDuePeers(now time.Time) []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	ids := make([]structs.VMID, 0, len(m.members))
-	for id := range m.members {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
 	var peers []Member
-	for i := range ids {
-		peer := m.members[ids[(m.nextPeer+i)%len(ids)]]
-		if peer.isSending || now.Sub(peer.lastSent) < m.digestPeriod(peer) {
-			continue
-		}
+	due := m.rotation.pick(m.currentGroups(), func(vm structs.VMID) bool {
+		peer := m.members[vm]
+		return !peer.isSending && now.Sub(peer.lastSent) >= m.digestPeriod(peer)
+	})
+	for _, vm := range due {
+		peer := m.members[vm]
 		peer.lastSent, peer.isSending = now, true
 		peers = append(peers, peer.Member)
-		if len(peers) == maxDigestsPerRound {
-			m.nextPeer += i + 1
-			break
-		}
 	}
 	return peers
 }
@@ -384,6 +397,7 @@
 	}
 	m.recordAlive(peer)
 	m.addMembers(reply.Members)
+	m.opts.Hooks.ApplyCrashes(reply.Crashes)
 	m.noteNewerConfig(reply.Config, peer)
 }
 
@@ -416,19 +430,20 @@
 
 func (m *Mesh) expirePeers(now time.Time) {
 	m.mu.Lock()
+	timeout := max(memberTimeout, m.currentGroups().rotationTime()*3/2)
 	maps.DeleteFunc(m.forgottenIncarnations, func(_ structs.Incarnation, at time.Time) bool { return now.Sub(at) > forgottenTTL })
 	var expired []Member
 	for id, peer := range m.members {
-		if now.Sub(peer.lastSeen) > memberTimeout {
+		if now.Sub(peer.lastSeen) > timeout {
 			expired = append(expired, peer.Member)
 			delete(m.members, id)
-			m.noteChangeIn(peer.Region)
 			m.forgottenIncarnations[peer.Incarnation] = now
+			m.noteChangeIn(peer.Region)
 		}
 	}
 	m.mu.Unlock()
 	for _, member := range expired {
-		m.opts.Log.Warn("peer forgotten after silence", "peer", string(member.VM), "silence_ms", memberTimeout.Milliseconds())
+		m.opts.Log.Warn("peer forgotten after silence", "peer", string(member.VM), "silence_ms", timeout.Milliseconds())
 		m.client.CloseConn(member.Address)
 		m.opts.Hooks.ForgetVM(member.VM)
 		go m.deleteRow(member)
--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/endivecourse/endivecourse/internal/standin/rows"
 	"github.com/endivecourse/endivecourse/kernel"
+	"github.com/endivecourse/endivecourse/quarantine"
 	"github.com/endivecourse/endivecourse/routing"
 	"github.com/endivecourse/endivecourse/rowstore"
 	"github.com/endivecourse/endivecourse/structs"
@@ -108,9 +109,11 @@
 				defer n.mu.Unlock()
 				n.senders[d.From.VM]++
 			},
-			Lend:     func(structs.AccountID) int { return 7 },
-			Admit:    func(AdmissionRequest) AdmissionReply { return AdmissionReply{} },
-			ForgetVM: func(structs.VMID) {},
+			Crashes:      func() []quarantine.Report { return nil },
+			ApplyCrashes: func([]quarantine.Report) {},
+			Lend:         func(structs.AccountID) int { return 7 },
+			Admit:        func(AdmissionRequest) AdmissionReply { return AdmissionReply{} },
+			ForgetVM:     func(structs.VMID) {},
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -19,6 +19,8 @@
 	Address     string              `msgpack:"a"` // host:port of its server for peers
 	Domain      structs.DomainID    `msgpack:"d"`
 	Region      string              `msgpack:"r"`
+	// Capacity is the VM's processor share in thousandths of a core.
+	Capacity int `msgpack:"w,omitempty"`
 }
 
 // Digest is the periodic report of one VM to another.
@@ -44,6 +46,8 @@
 	Config uint64 `msgpack:"c"`
 	// Members is sent if the two VMs know different members.
 	Members []Member `msgpack:"m,omitempty"`
+	// Crashes are the requests that the replying VM suspects to crash targets.
+	Crashes []quarantine.Report `msgpack:"x,omitempty"`
 }
 
 // Methods of the server for peers.
--- a/fleet/vm_roles.go
+++ b/fleet/vm_roles.go
@@ -54,7 +54,7 @@
 	best := make(map[string]structs.VMID) // by region
 	hashes := make(map[string]uint64)
 	for id, peer := range m.members {
-		if peer.Region == m.opts.Self.Region || now.Sub(peer.lastFailure) < failureBackoff {
+		if peer.Region == m.opts.Self.Region || !m.currentGroups().mayHaveRole(id) || now.Sub(peer.lastFailure) < failureBackoff {
 			continue
 		}
 		if hash := rendezvousHash(id, name); hash > hashes[peer.Region] {
@@ -65,17 +65,17 @@
 }
 
 // pickByHash returns the VM with the highest hash among this region's eligible
-// peers and this VM. A VM that is not eligible itself is chosen only if there is no
+// peers and this VM. In a fleet with coordinators, only they are eligible. A VM that is not eligible itself is chosen only if there is no
 // eligible peer.
 func (m *Mesh) pickByHash(name string, selfEligible bool, isEligible func(peer *peerState) bool) (structs.VMID, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	best, bestHash := m.opts.Self.VM, uint64(0)
-	if selfEligible {
+	if selfEligible && m.currentGroups().mayHaveRole(best) {
 		bestHash = rendezvousHash(best, name)
 	}
 	for id, peer := range m.members {
-		if peer.Region != m.opts.Self.Region || !isEligible(peer) {
+		if peer.Region != m.opts.Self.Region || !m.currentGroups().mayHaveRole(id) || !isEligible(peer) {
 			continue
 		}
 		if hash := rendezvousHash(id, name); hash > bestHash {
