hop, edge: bytes of a target that never end are cut off

Cause: the head of a target's response and an event of a stream had no limit. A target that sends bytes without end was read until the request's deadline: 256 MB and more into the memory of a VM that has 112 MB. Change: a connection reads at most 64 KB of a head and 16 MB of a response, framing included, and a stream at most 1 MB of one event; typed errors say which. The connection is closed, the target's failure counted, and the caller gets 502, since the request may have run.

--- a/daemon/endived_targets_test.go
+++ b/daemon/endived_targets_test.go
@@ -247,3 +247,34 @@
 	assert.NilError(t, err)
 	assert.Assert(t, strings.Contains(string(text), `endive_request_outcomes_total{outcome="no_target"} 1`), string(text))
 }
+
+// A target may send bytes that are no answer and never end. The daemon must read only a
+// bounded number of them, close the connection well before the request's deadline, count
+// a failure of the target and tell the caller that the request may have run. It answers
+// the next request on the caller's connection correctly.
+func TestEndlessResponsesAreCutOff(t *testing.T) {
+	const maxBytes = 24 << 20 // the limit of a response and what the sockets hold
+	for part, path := range map[platformtest.Part]string{
+		platformtest.PartHead: "/order/1", platformtest.PartBody: "/order/1",
+		platformtest.PartChunked: "/order/1", platformtest.PartEvent: "/chat/1",
+	} {
+		t.Run(string(part), func(t *testing.T) {
+			b := newTestSite(t, "near-a")
+			service := map[string]string{"/order/1": "app", "/chat/1": "engine"}[path]
+			target := b.addTarget("target-1", service, "near-a")
+			target.Set(platformtest.Behaviour{Endless: part, Events: 3})
+			header := map[string]string{platformtest.HeaderDeadline: "3500", platformtest.HeaderProgram: "program"}
+			got := b.send(request{path: path, body: "x", header: header})
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, 502)
+			assert.Assert(t, !strings.Contains(got.body, "xxxx"))
+			b.waitUntil("the connection is closed", func() bool { return target.Running() == 0 })
+			assert.Assert(t, target.EndlessBytes() <= maxBytes, "%d bytes were read", target.EndlessBytes())
+			assert.Equal(t, len(target.Runs()), 1)
+			target.Set(platformtest.Behaviour{Events: 3})
+			next := b.send(request{path: path, body: "y", header: header})
+			assert.Equal(t, next.status, 200)
+			assert.Assert(t, strings.Contains(next.body, next.id))
+		})
+	}
+}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -14,18 +15,20 @@
 )
 
 const (
-	// maxResponseBytes bounds a response that is read completely before it is
-	// passed on.
-	maxResponseBytes = 16 << 20
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
 	// readBytes is the size of one read of a stream.
 	readBytes = 8 << 10
 )
 
-// ResponseTooLargeError reports that a response exceeds the size limit.
-type ResponseTooLargeError struct{ Max int }
+// EventTooLargeError reports that a stream sent more bytes without the end of an event
+// than an event may have.
+type EventTooLargeError struct{ Max int }
 
-// Error implements error.
-func (e *ResponseTooLargeError) Error() string { return "answer is over the size limit" }
+// Error includes the limit.
+func (e *EventTooLargeError) Error() string {
+	return "an event of the stream is over " + strconv.Itoa(e.Max) + " bytes"
+}
 
 // AmbiguousStatusError reports that a target answered with a status by which a
 // caller would conclude that the request was not run, but did not confirm this.
@@ -88,7 +91,7 @@
 }
 
 func (x *exchange) relayBuffered(ctx context.Context, target placement.Target, resp *http.Response) attemptResult {
-	body, err := readBody(resp.Body)
+	body, err := io.ReadAll(resp.Body) // bounded by the connection
 	if err != nil {
 		x.recordIncompleteResponse(ctx, target, err)
 		return attemptResult{isRunUnknown: true, cause: errors.Wrap(err, "read answer")}
@@ -106,14 +109,6 @@
 	return attemptResult{isAnswered: true}
 }
 
-func readBody(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
-	if err == nil && len(data) > maxResponseBytes {
-		return nil, &ResponseTooLargeError{Max: maxResponseBytes}
-	}
-	return data, err
-}
-
 // clearCrashes clears the crashes counted against the request, since a target has
 // answered it.
 func (x *exchange) clearCrashes() {
@@ -148,6 +143,9 @@
 			}
 			buffered = append(buffered[:0], buffered[complete:]...)
 		}
+		if len(buffered) > maxEventBytes {
+			err = &EventTooLargeError{Max: maxEventBytes}
+		}
 		if err == io.EOF && len(buffered) > 0 {
 			err = &IncompleteEventError{Bytes: len(buffered)}
 		}
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -26,8 +26,46 @@
 	maxStrayResponses = 3
 	// maxStrayBytes bounds the body of such a response.
 	maxStrayBytes = 1 << 20
+	// maxHeadBytes bounds the status line and headers of a response.
+	maxHeadBytes = 64 << 10
+	// MaxResponseBytes bounds a whole response, with its framing.
+	MaxResponseBytes = 16 << 20
 )
 
+// ResponseTooLargeError reports that a target sent more bytes than a response or its
+// head may have. They may be no response at all, and never end.
+type ResponseTooLargeError struct {
+	Part string // "head" or "response"
+	Max  int
+}
+
+// Error names the part and the limit.
+func (e *ResponseTooLargeError) Error() string {
+	return "the target's " + e.Part + " is over " + strconv.Itoa(e.Max) + " bytes"
+}
+
+// boundedReader reads from a connection and fails once a response has used up its
+// bytes.
+type boundedReader struct {
+	net  net.Conn
+	left int
+	part string
+	max  int
+}
+
+// allow starts a new bound.
+func (r *boundedReader) allow(part string, max int) { r.part, r.left, r.max = part, max, max }
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, &ResponseTooLargeError{Part: r.part, Max: r.max}
+	}
+	n, err := r.net.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // StrayResponseError reports that only responses to other requests arrived.
 type StrayResponseError struct{ ID string }
 
@@ -40,15 +78,17 @@
 type Conn struct {
 	net                 net.Conn
 	address             string
-	reader              *bufio.Reader
-	expires             time.Time // when the pooled connection must no longer be used
-	closesAfterResponse bool      // the target closes the connection after this response
-	hasStrayBytes       bool      // data that belongs to no request has arrived
+	bounded             *boundedReader
+	reader              *bufio.Reader // reads from bounded
+	expires             time.Time     // when the pooled connection must no longer be used
+	closesAfterResponse bool          // the target closes the connection after this response
+	hasStrayBytes       bool          // data that belongs to no request has arrived
 	writeDone           chan error
 }
 
 func newConn(nc net.Conn, address string) *Conn {
-	return &Conn{net: nc, address: address, reader: bufio.NewReaderSize(nc, readBufferBytes)}
+	bounded := &boundedReader{net: nc}
+	return &Conn{net: nc, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes)}
 }
 
 // Close closes the connection, which makes the target abandon its request.
@@ -137,10 +177,12 @@
 func (c *Conn) readResponse(req *http.Request, id, idHeader string) (*http.Response, error) {
 	responseID := ""
 	for range maxStrayResponses + 1 {
+		c.bounded.allow("head", maxHeadBytes)
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
+		c.bounded.allow("response", MaxResponseBytes)
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
