edge: a placer for a service under pressure, also on small fleets; quota holders in touch

In a burst, or when targets leave, all send to the same targets; the turns wait in the targets' queues while others have free slots, and every program becomes late.

Change: coordinators send digests to those of other regions in 1.2 s; other VMs send fewer.

--- a/edge/placement.go
+++ b/edge/placement.go
@@ -15,8 +15,9 @@
 // In a fleet of many VMs, each VM sends few requests to a target, and the loads
 // that VMs report to one another are older than most requests. There, one VM of
 // each region, the placement coordinator (the placer) of the service, picks the
-// targets and keeps the queue for all VMs of the region. If the placer does not
-// answer, each VM decides from its own view.
+// targets and keeps the queue for all VMs of the region. In a small fleet this is
+// done only while the service is under pressure. If the placer does not answer, each
+// VM decides from its own view.
 
 const (
 	// placerQueueWait is how long one request to the placer waits in its queue. It
@@ -54,7 +55,7 @@
 // acquireGrant returns a slot, from the service's placer or from this VM's own
 // view. It waits for at most maxWait.
 func (s *Server) acquireGrant(ctx context.Context, query placement.Query, request admission.Request, maxWait, timeLeft time.Duration) (*grant, error) {
-	if s.opts.Peers.PeerCount() >= maxUncoordinatedVMs {
+	if s.needsPlacer(query.Service) {
 		g, err := s.acquireFromPlacer(ctx, query, request, maxWait, timeLeft)
 		if g != nil || err != nil {
 			return g, err
@@ -64,6 +65,17 @@
 	return &grant{target: target}, err
 }
 
+func (s *Server) needsPlacer(service structs.ServiceID) bool {
+	if s.opts.Peers.PeerCount() >= maxUncoordinatedVMs {
+		return true
+	}
+	now := structs.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	running, slots := s.targets.Load(now, service)
+	return s.pressure.Update(now, service, running, slots)
+}
+
 // acquireFromPlacer asks the placer for a slot, again and again while all targets
 // are full. It returns neither a grant nor an error if this VM has to pick the
 // target itself.
--- a/edge/server.go
+++ b/edge/server.go
@@ -67,6 +67,7 @@
 	queues            map[structs.ServiceID]*admission.Queue
 	waiters           map[*admission.Request]*waiter
 	recent            recentTargets
+	pressure          placement.Pressure
 	limiter           *share.Limiter
 	quarantine        *quarantine.List
 	peerGrants        map[uint64]peerGrant
--- a/fleet/coordinators.go
+++ b/fleet/coordinators.go
@@ -25,15 +25,19 @@
 const (
 	coordinatorDigests = 4
 	sameRegionDigests  = 6
-	otherRegionDigests = 3
+	otherRegionDigests = 2
+	// farCoordinatorDigests are those of a coordinator to coordinators of other regions:
+	// the holders of an account's quota must know of each other's demand.
+	farCoordinatorDigests = 3
 )
 
 // groups are the members of a fleet other than this VM, by how often they get digests.
 type groups struct {
-	isCoordinator map[structs.VMID]bool // coordinators of all regions, this VM included
-	coordinators  []structs.VMID        // of this VM's region
-	sameRegion    []structs.VMID        // other members of this VM's region
-	otherRegion   []structs.VMID
+	isCoordinator   map[structs.VMID]bool // coordinators of all regions, this VM included
+	coordinators    []structs.VMID        // of this VM's region
+	sameRegion      []structs.VMID        // other members of this VM's region
+	farCoordinators []structs.VMID        // of other regions; empty on a VM that is none itself
+	otherRegion     []structs.VMID        // other members of other regions
 }
 
 // newGroups sorts the members into groups. In a small fleet there are no coordinators.
@@ -53,6 +57,8 @@
 	}
 	for _, member := range members {
 		switch {
+		case member.Region != self.Region && g.isCoordinator[self.VM] && g.isCoordinator[member.VM]:
+			g.farCoordinators = append(g.farCoordinators, member.VM)
 		case member.Region != self.Region:
 			g.otherRegion = append(g.otherRegion, member.VM)
 		case g.isCoordinator[member.VM]:
@@ -61,7 +67,7 @@
 			g.sameRegion = append(g.sameRegion, member.VM)
 		}
 	}
-	for _, group := range [][]structs.VMID{g.coordinators, g.sameRegion, g.otherRegion} {
+	for _, group := range [][]structs.VMID{g.coordinators, g.sameRegion, g.farCoordinators, g.otherRegion} {
 		slices.Sort(group)
 	}
 	return g
@@ -93,6 +99,7 @@
 	rounds := max(
 		roundsFor(len(g.coordinators), coordinatorDigests),
 		roundsFor(len(g.sameRegion), sameRegionDigests),
+		roundsFor(len(g.farCoordinators), farCoordinatorDigests),
 		roundsFor(len(g.otherRegion), otherRegionDigests),
 	)
 	return sameRegionPeriod * time.Duration(rounds)
@@ -103,7 +110,7 @@
 // rotation picks the peers that get a digest in each round. Successive rounds rotate
 // through the peers of each group.
 type rotation struct {
-	nextCoordinator, nextSameRegion, nextOtherRegion int
+	nextCoordinator, nextSameRegion, nextFarCoordinator, nextOtherRegion int
 }
 
 // pick returns the peers of one round for which isDue reports true.
@@ -114,6 +121,7 @@
 	}
 	peers := pickFrom(g.coordinators, &r.nextCoordinator, coordinatorDigests, isDue)
 	peers = append(peers, pickFrom(g.sameRegion, &r.nextSameRegion, sameRegionDigests, isDue)...)
+	peers = append(peers, pickFrom(g.farCoordinators, &r.nextFarCoordinator, farCoordinatorDigests, isDue)...)
 	return append(peers, pickFrom(g.otherRegion, &r.nextOtherRegion, otherRegionDigests, isDue)...)
 }
 
--- a/fleet/coordinators_test.go
+++ b/fleet/coordinators_test.go
@@ -29,11 +29,12 @@
 
 // All VMs must pick the same coordinators, of the highest capacity, in every failure
 // domain; they exchange digests with each of them within a second, since a role is
-// given to a VM only while it was seen recently. The number of digests, and of those
+// given to a VM only while it was seen recently. Coordinators of two regions exchange
+// digests too, since each region has a holder of an account's quota. The number of digests, and of those
 // between regions, must not grow with the fleet. Play of the rounds of all VMs.
 func TestDigestsOfLargeFleetsAreBounded(t *testing.T) {
 	const maxPerSecond, maxOtherRegionPerSecond = 44.0, 10.5
-	const maxCoordinatorAge = time.Second
+	const maxCoordinatorAge, maxFarCoordinatorAge = time.Second, 1500 * time.Millisecond
 	for _, count := range []int{66, 195, 510} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			members := newTestFleet(count)
@@ -61,7 +62,7 @@
 			rounds := int(2 * all[0].rotationTime() / sameRegionPeriod)
 			rotations := make([]rotation, count)
 			contacted := make(map[[2]structs.VMID]int) // round of the last digest between two VMs, in either direction
-			digests, toOtherRegion, oldestCoordinator, oldest := 0, 0, 0, 0
+			digests, toOtherRegion, oldestCoordinator, oldestFarCoordinator, oldest := 0, 0, 0, 0, 0
 			for round := range rounds {
 				for i, self := range members {
 					for _, vm := range rotations[i].pick(all[i], func(structs.VMID) bool { return true }) {
@@ -75,6 +76,9 @@
 							if all[i].isCoordinator[pair[1]] && regionOf[vm] == self.Region {
 								oldestCoordinator = max(oldestCoordinator, age)
 							}
+							if all[i].isCoordinator[pair[0]] && all[i].isCoordinator[pair[1]] {
+								oldestFarCoordinator = max(oldestFarCoordinator, age)
+							}
 							contacted[pair] = round
 						}
 					}
@@ -83,11 +87,13 @@
 			seconds := float64(rounds) * sameRegionPeriod.Seconds() * float64(count)
 			perSecond, otherPerSecond := float64(digests)/seconds, float64(toOtherRegion)/seconds
 			coordinatorAge := time.Duration(oldestCoordinator) * sameRegionPeriod
+			farAge := time.Duration(oldestFarCoordinator) * sameRegionPeriod
 			age := time.Duration(oldest) * sameRegionPeriod
 			t.Logf("%.1f digests a second and VM, %.1f to other regions, coordinators seen within %s, all within %s", perSecond, otherPerSecond, coordinatorAge, age)
 			assert.Assert(t, perSecond <= maxPerSecond, "%.1f digests a second", perSecond)
 			assert.Assert(t, otherPerSecond <= maxOtherRegionPerSecond, "%.1f digests a second to other regions", otherPerSecond)
 			assert.Assert(t, coordinatorAge <= maxCoordinatorAge, "a coordinator was not heard of for %s", coordinatorAge)
+			assert.Assert(t, farAge <= maxFarCoordinatorAge, "coordinators of two regions were not in contact for %s", farAge)
 			assert.Assert(t, len(contacted) == count*(count-1), "%d pairs were in contact", len(contacted))
 			assert.Assert(t, age <= max(memberTimeout, all[0].rotationTime()*3/2), "a member was not heard of for %s", age)
 		})
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -31,12 +31,14 @@
 	admitted []structs.Instant
 	refused  int
 	rounds   int
+	// deliverEvery is the number of rounds after which reports reach the other VMs.
+	deliverEvery int
 }
 
 const testAccount = structs.AccountID("tenant")
 
 func newSimulation(count int) *simulation {
-	f := &simulation{limiters: make(map[structs.VMID]*Limiter), isolated: make(map[structs.VMID]bool)}
+	f := &simulation{deliverEvery: 1, limiters: make(map[structs.VMID]*Limiter), isolated: make(map[structs.VMID]bool)}
 	for i := range count {
 		vm := structs.VMID(fmt.Sprintf("vm-%d", i))
 		f.vms = append(f.vms, vm)
@@ -57,7 +59,7 @@
 		demand, spare := f.limiters[from].Demand(f.now), f.limiters[from].SpareTokens(f.now)
 		for j, to := range f.vms {
 			skipped := (i%3 == 0) != (j%3 == 0) && (f.rounds+i)%2 == 0
-			if from != to && f.canReach(from, to) && !skipped {
+			if from != to && f.canReach(from, to) && !skipped && f.rounds%f.deliverEvery == 0 {
 				f.limiters[to].Report(f.now, from, true, demand, spare)
 			}
 		}
@@ -314,3 +316,22 @@
 	refusal := s.Admit(now, request)
 	assert.Assert(t, !refusal.Admitted && refusal.Wait >= MaxTokenWait, "a refused request is told when it gets a token: %s", refusal.Wait)
 }
+
+// The holders of an account in two regions exchange reports every fourth round in a fleet with
+// coordinators. If the account suddenly sends many times its rate through both, they must
+// not both take the whole rate until they know of each other.
+func TestHoldersOfTwoRegionsShareRate(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		limit := Limit{Rate: 10, Burst: 10}
+		f := newSimulation(2)
+		f.deliverEvery = 4
+		for _, s := range f.limiters {
+			s.SetHolders(2, 0)
+		}
+		f.now = f.now.Add(10 * time.Second)
+		f.run(rng, 3*time.Second, limit.Rate/4, limit, func() structs.VMID { return "vm-0" })
+		f.run(rng, 10*time.Second, 6*limit.Rate, limit, f.randomVM(rng))
+		f.checkQuota(t, limit)
+	}
+}
