hop: a late response without an ID reaches nobody

Cause: a response without the request's ID was accepted on any connection on which no stray response had been seen, so a late copy without the ID on a connection in use again went to the next caller as its answer. A late copy with its ID was dropped before. Change: a response without an ID is accepted only on a connection that has carried no other request. Measured: TestLateCopyWithoutIDReachesNobody got the other request's answer before. TestLateCopyOfResponseReachesNobody, TestResponseWithoutIDOnNewConnection and TestHeadIsBounded are new and passed at once.

--- a/hop/conn.go
+++ b/hop/conn.go
@@ -83,6 +83,7 @@
 	expires             time.Time     // when the pooled connection must no longer be used
 	closesAfterResponse bool          // the target closes the connection after this response
 	hasStrayBytes       bool          // data that belongs to no request has arrived
+	isReused            bool          // it has carried another request before
 	writeDone           chan error
 }
 
@@ -172,8 +173,9 @@
 	return nil
 }
 
-// readResponse returns the response with the wanted ID. A response without any ID
-// is accepted too, unless a stray response has arrived before.
+// readResponse returns the response with the wanted ID. A response without any ID is
+// accepted only on a connection that has carried no other request and no stray response:
+// elsewhere it may be a late copy of an earlier response.
 func (c *Conn) readResponse(req *http.Request, id, idHeader string) (*http.Response, error) {
 	responseID := ""
 	for range maxStrayResponses + 1 {
@@ -187,7 +189,7 @@
 			continue
 		}
 		responseID = resp.Header.Get(idHeader)
-		if responseID == id || responseID == "" && !c.hasStrayBytes {
+		if responseID == id || responseID == "" && !c.hasStrayBytes && !c.isReused {
 			c.recordExpiry(resp)
 			return resp, nil
 		}
--- a/hop/pool.go
+++ b/hop/pool.go
@@ -77,6 +77,7 @@
 			break
 		}
 		if c.isUsable(time.Now()) {
+			c.isReused = true
 			return c, nil
 		}
 		c.Close()
