--- a/daemon/endived_targets_test.go
+++ b/daemon/endived_targets_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -278,3 +281,97 @@
 		})
 	}
 }
+
+// A planned stop under load cuts off no request that was accepted: callers keep their
+// open connections in use and open new ones as long as the VM is ready.
+func TestDrainUnderLoadCutsOffNoRequest(t *testing.T) {
+	const callers = 16
+	b := newTestSite(t)
+	vm := b.site.AddVM("near-a")
+	b.vms = []*platformtest.VM{vm}
+	stop := b.startWithDrain(vm, 7*time.Second)
+	b.waitReady(vm)
+	app := b.addTarget("app-1", "app", "near-a")
+	app.Set(platformtest.Behaviour{Duration: 20 * time.Millisecond})
+	var isReady atomic.Bool
+	isReady.Store(true)
+	failures := make(chan string, callers)
+	var running sync.WaitGroup
+	for caller := range callers {
+		running.Go(func() { failures <- callUntilClosed(vm, caller, &isReady) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop()
+	}()
+	b.waitUntil("not ready", func() bool {
+		resp, err := b.client.Get("http://" + vm.ReadinessAddress + "/readyz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 503
+	})
+	isReady.Store(false)
+	running.Wait()
+	<-stopped
+	close(failures)
+	for failure := range failures {
+		assert.Equal(t, failure, "")
+	}
+}
+
+// callUntilClosed sends requests on one connection at a time. It opens a new connection
+// only while the VM is ready, and returns a description of the first request that got no
+// complete answer.
+func callUntilClosed(vm *platformtest.VM, caller int, isReady *atomic.Bool) string {
+	for n := 0; isReady.Load(); n++ {
+		transport := &http.Transport{MaxIdleConnsPerHost: 1}
+		client := &http.Client{Transport: transport}
+		for isOpen := true; isOpen; n++ {
+			id := fmt.Sprintf("%d-%d", caller, n)
+			req, err := http.NewRequest(http.MethodPost, "http://"+vm.CallerAddress+"/order/1", strings.NewReader(id))
+			if err != nil {
+				return err.Error()
+			}
+			req.Host = platformtest.Host
+			req.Header.Set(platformtest.HeaderRequestID, id)
+			req.Header.Set(platformtest.HeaderKey, "key-one")
+			req.Header.Set(platformtest.HeaderDeadline, "3000")
+			resp, err := client.Do(req)
+			if err != nil {
+				return id + ": " + err.Error()
+			}
+			body, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if err != nil || resp.StatusCode != http.StatusOK || !strings.Contains(string(body), id) {
+				return fmt.Sprintf("%s: status %d, %q, %v", id, resp.StatusCode, body, err)
+			}
+			isOpen = !resp.Close
+		}
+		transport.CloseIdleConnections()
+	}
+	return ""
+}
+
+// A target that sends a byte now and then, but never the end of an event, must not hold
+// its request beyond the deadline. A slow target whose events are complete is not cut.
+func TestTrickledBytesEndAtDeadline(t *testing.T) {
+	const deadline = 1500 * time.Millisecond
+	b := newTestSite(t, "near-a")
+	target := b.addTarget("engine-1", "engine", "near-a")
+	header := map[string]string{platformtest.HeaderDeadline: fmt.Sprint(deadline.Milliseconds())}
+	target.Set(platformtest.Behaviour{Events: 4, Duration: 300 * time.Millisecond})
+	slow := b.send(request{path: "/draft/1", body: "x", header: header})
+	assert.NilError(t, slow.err)
+	assert.Equal(t, strings.Count(slow.body, "piece"), 4)
+	target.Set(platformtest.Behaviour{Trickle: 50 * time.Millisecond})
+	start := time.Now()
+	got := b.send(request{path: "/draft/1", body: "x", header: header})
+	took := time.Since(start)
+	assert.Assert(t, took >= deadline-100*time.Millisecond && took < deadline+500*time.Millisecond, "%s", took)
+	assert.Equal(t, got.status, 504)
+	b.waitUntil("the target's connection is closed", func() bool { return target.Running() == 0 })
+}
--- a/daemon/testsite_test.go
+++ b/daemon/testsite_test.go
@@ -90,15 +90,21 @@
 	return b, vm, stop
 }
 
-// start runs the daemon of a VM and returns a function that stops it.
+// start runs the daemon of a VM and returns a function that stops it at once.
 func (b *testSite) start(vm *platformtest.VM) (stop func()) {
+	return b.startWithDrain(vm, time.Millisecond)
+}
+
+// startWithDrain runs the daemon of a VM and returns a function that stops it; the daemon
+// drains for at most the given time.
+func (b *testSite) startWithDrain(vm *platformtest.VM, drain time.Duration) (stop func()) {
 	loaded, err := platform.LoadSettings(vm.SettingsPath)
 	assert.NilError(b.t, err)
 	e, err := newEndived(loaded, vm.SettingsPath, slog.New(slog.NewJSONHandler(b.logs, nil)).With("vm", vm.Name))
 	assert.NilError(b.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- e.kernel.Run(ctx, time.Millisecond) }()
+	go func() { done <- e.kernel.Run(ctx, drain) }()
 	stop = sync.OnceFunc(func() {
 		cancel()
 		if err := <-done; err != nil {
