--- a/edge/relay.go
+++ b/edge/relay.go
@@ -129,8 +129,9 @@
 	hasBegun := false
 	for {
 		n, err := resp.Body.Read(chunk)
+		searched := len(buffered)
 		buffered = append(buffered, chunk[:n]...)
-		complete := completeEvents(buffered)
+		complete := completeEvents(buffered, searched)
 		if complete > 0 {
 			if !hasBegun {
 				if refusal := x.beginStream(ctx, resp); refusal != nil {
