--- a/daemon/endived_targets_test.go
+++ b/daemon/endived_targets_test.go
@@ -223,14 +223,7 @@
 	}()
 	b.waitUntil("running", func() bool { return app.Running() == 1 })
 	cancel()
-	b.waitUntil("not ready", func() bool {
-		resp, err := b.client.Get("http://" + vm.ReadinessAddress + "/readyz")
-		if err != nil {
-			return false
-		}
-		resp.Body.Close()
-		return resp.StatusCode == 503
-	})
+	b.waitReadiness(vm, http.StatusServiceUnavailable)
 	assert.Equal(t, (<-got).status, 200)
 	assert.NilError(t, <-done)
 }
@@ -306,14 +299,7 @@
 		defer close(stopped)
 		stop()
 	}()
-	b.waitUntil("not ready", func() bool {
-		resp, err := b.client.Get("http://" + vm.ReadinessAddress + "/readyz")
-		if err != nil {
-			return false
-		}
-		resp.Body.Close()
-		return resp.StatusCode == 503
-	})
+	b.waitReadiness(vm, http.StatusServiceUnavailable)
 	isReady.Store(false)
 	running.Wait()
 	<-stopped
--- a/daemon/testsite_test.go
+++ b/daemon/testsite_test.go
@@ -117,13 +117,19 @@
 
 func (b *testSite) waitReady(vm *platformtest.VM) {
 	b.t.Helper()
-	b.waitUntil("ready", func() bool {
+	b.waitReadiness(vm, http.StatusOK)
+}
+
+// waitReadiness waits until the readiness probe of a VM returns the status.
+func (b *testSite) waitReadiness(vm *platformtest.VM, status int) {
+	b.t.Helper()
+	b.waitUntil("readiness "+http.StatusText(status), func() bool {
 		resp, err := b.client.Get("http://" + vm.ReadinessAddress + "/readyz")
 		if err != nil {
 			return false
 		}
 		resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
+		return resp.StatusCode == status
 	})
 }
 
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -12,8 +12,8 @@
 
 const (
 	// maxUncoordinatedVMs is the largest number of VMs that each hold a bucket of
-	// every account and place their own requests. In a larger fleet, one VM of
-	// each region does this for an account or a service.
+	// every account and, except under pressure, place their own requests. In a larger
+	// fleet, one VM of each region does this for an account or a service.
 	maxUncoordinatedVMs = fleet.MaxUncoordinatedVMs
 	// membershipRetryAfter is the retry delay of a VM that does not know its peers
 	// yet; the member table is read within 0.1 s of the start.
