--- a/fleet/coordinators.go
+++ b/fleet/coordinators.go
@@ -143,23 +143,10 @@
 	return picked
 }
 
-// recentMembers returns the members that were added in the last introductionTTL, at
-// most maxIntroductions. Older ones are in the member table.
-func (m *Mesh) recentMembers(now time.Time) []Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	recent := []Member{m.opts.Self}
-	for _, peer := range m.members {
-		if now.Sub(peer.addedAt) < introductionTTL && len(recent) < maxIntroductions {
-			recent = append(recent, peer.Member)
-		}
+// currentGroups returns the groups of the members. The caller holds the lock.
+func (m *Mesh) currentGroups() *groups {
+	if m.groups == nil {
+		m.groups = newGroups(m.opts.Self, m.memberList())
 	}
-	return recent
+	return m.groups
 }
-
-const (
-	// introductionTTL is how long a VM introduces a new member to its peers.
-	introductionTTL = 2 * memberTimeout
-	// maxIntroductions bounds the members in one reply.
-	maxIntroductions = 32
-)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -118,3 +118,24 @@
 		m.opts.Log.Info("row of a forgotten VM not deleted", "peer", string(member.VM), "cause", err.Error())
 	}
 }
+
+// recentMembers returns the members that were added in the last introductionTTL, at
+// most maxIntroductions. Older ones are in the member table.
+func (m *Mesh) recentMembers(now time.Time) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	recent := []Member{m.opts.Self}
+	for _, peer := range m.members {
+		if now.Sub(peer.addedAt) < introductionTTL && len(recent) < maxIntroductions {
+			recent = append(recent, peer.Member)
+		}
+	}
+	return recent
+}
+
+const (
+	// introductionTTL is how long a VM introduces a new member to its peers.
+	introductionTTL = 2 * memberTimeout
+	// maxIntroductions bounds the members in one reply.
+	maxIntroductions = 32
+)
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -348,14 +348,6 @@
 	return hasher.Sum64()
 }
 
-// currentGroups returns the groups of the members. The caller holds the lock.
-func (m *Mesh) currentGroups() *groups {
-	if m.groups == nil {
-		m.groups = newGroups(m.opts.Self, m.memberList())
-	}
-	return m.groups
-}
-
 // pickDuePeers returns the peers that get a digest in this round.
 func (m *Mesh) pickDuePeers(now time.Time) []Member {
 	m.mu.Lock()
