--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -172,6 +172,7 @@
 	x.sends++
 	x.target = target.ID
 	x.sentAt = structs.Now()
+	x.grantedBy, x.targetsAge = g.placer, x.server.targetsAge(x.sentAt)
 	resp, stop, err := conn.RoundTrip(ctx, x.targetRequest(target), body, string(x.ID), x.server.opts.Dialect.IDHeader())
 	if err != nil {
 		conn.Close()
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -46,6 +46,8 @@
 	target        structs.TargetID // of the last send
 	sentAt        structs.Instant  // of the last send
 	grant         *grant           // of the last attempt
+	grantedBy     structs.VMID     // placer that picked the target of the last send, empty for this VM
+	targetsAge    time.Duration    // age of the list of targets at the last send
 	mayHaveRun    bool             // it is unknown whether an earlier send ran
 	slotWait      time.Duration    // time spent waiting for a slot
 	tokenWait     time.Duration    // time spent waiting for a quota token
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -39,6 +39,7 @@
 	})
 	set.NewGauge("endive_store_away_seconds", func() float64 { return s.opts.Store.UnreachableFor().Seconds() })
 	set.NewGauge("endive_config_version", func() float64 { return float64(s.opts.Config.Version()) })
+	set.NewGauge("endive_targets_age_seconds", func() float64 { return s.targetsAge(structs.Now()).Seconds() })
 	return &stats{
 		set:       set,
 		requests:  set.NewCounter("endive_requests_total"),
@@ -102,7 +103,7 @@
 }
 
 func (x *exchange) logAttrs(outcome string, took time.Duration, refusal *structs.Refusal) []slog.Attr {
-	attrs := make([]slog.Attr, 0, 19)
+	attrs := make([]slog.Attr, 0, 21)
 	attrs = append(attrs,
 		slog.String("request", string(x.ID)),
 		slog.String("outcome", outcome),
@@ -130,10 +131,14 @@
 		attrs = append(attrs,
 			slog.String("target", string(x.target)),
 			slog.Int("sends", x.sends),
+			slog.Int64("targets_age_ms", x.targetsAge.Milliseconds()),
 			slog.Int64("waited_ms", x.slotWait.Milliseconds()),
 			slog.Int64("first_byte_ms", x.firstByte.Milliseconds()),
 		)
 	}
+	if x.grantedBy != "" {
+		attrs = append(attrs, slog.String("granted_by", string(x.grantedBy)))
+	}
 	if x.events > 0 {
 		attrs = append(attrs, slog.Int("events", x.events), slog.Int64("tokens", x.tokens))
 	}
--- a/edge/targets.go
+++ b/edge/targets.go
@@ -18,6 +18,17 @@
 	// unlisted maps the targets that are no longer listed to the instant at which
 	// they are dropped.
 	unlisted map[structs.TargetID]structs.Instant
+	readAt   structs.Instant // when the list was last read, 0 for never
+}
+
+// age returns the time since the list was last read.
+func (l *listing) age(now structs.Instant) time.Duration { return now.Sub(l.readAt) }
+
+// targetsAge returns the time since the platform's list of targets was last read.
+func (s *Server) targetsAge(now structs.Instant) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listing.age(now)
 }
 
 // TargetChange is a change of one target in the platform's list; a nil Target means
@@ -33,6 +44,7 @@
 	now := structs.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.listing.readAt = now
 	listed := make(map[structs.TargetID]bool, len(changes))
 	for _, change := range changes {
 		listed[change.ID] = change.Target != nil
@@ -85,7 +97,7 @@
 	}
 	if _, unlisted := s.listing.unlisted[id]; !unlisted {
 		s.listing.unlisted[id] = lastFailure.Add(relistGrace)
-		s.log.Info("target lapsed while the store was away, kept for now", "target", string(id))
+		s.log.Info("target lapsed while the store was away, kept for now", "target", string(id), "failure_age_ms", now.Sub(lastFailure).Milliseconds())
 	}
 }
 
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -35,8 +35,10 @@
 func Follow(ctx context.Context, s Store, opts FollowOptions, report func(TableUpdate)) error {
 	var after uint64
 	isSynced := false
+	gap := readGap{log: opts.Log, table: opts.Table, readAt: time.Now()}
 	for ctx.Err() == nil {
 		update, err := fetchNext(ctx, s, opts, isSynced, after)
+		gap.record(ctx, err)
 		switch {
 		case err == nil:
 			isSynced, after = true, update.Version
