edge: a grant of a target that is known to be leaving is given back

Cause: the placer had not read the targets' table for 4.1 s, and the VM that asked it used the granted target although its own list, 19 ms old, said that it is leaving. Evidence: granted_by and targets_age_ms of those requests.

The VM that sends now gives such a grant back, excludes the target and asks again, so a notice binds as soon as either of the two VMs knows it. The class is a decision taken on another VM's older view; the asking VM's view is as good as the placer's for what only ever grows, such as a notice.

--- a/edge/placement.go
+++ b/edge/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -77,8 +78,8 @@
 }
 
 // acquireFromPlacer asks the placer for a slot, again and again while all targets
-// are full. It returns neither a grant nor an error if this VM has to pick the
-// target itself.
+// are full or the placer grants one that this VM knows to be leaving. It returns
+// neither a grant nor an error if this VM has to pick the target itself.
 func (s *Server) acquireFromPlacer(ctx context.Context, query placement.Query, request admission.Request, maxWait, timeLeft time.Duration) (*grant, error) {
 	start := structs.Now()
 	for {
@@ -104,7 +105,12 @@
 		case reply.HasNoTarget:
 			return nil, &NoTargetError{Service: query.Service}
 		case reply.Target != "":
-			return s.newPlacerGrant(vm, reply), nil
+			g := s.newPlacerGrant(vm, reply)
+			if g == nil || !g.target.IsDraining {
+				return g, nil
+			}
+			s.releaseGrant(g)
+			query.Exclude = append(slices.Clone(query.Exclude), g.target.ID)
 		}
 	}
 }
