edge, storepath: only an outage of the store lets a removed target stay in use

Cause: an entry that disappears within 2.2 s of a failed call counts as expired in an outage and is kept until 2.2 s after the last failure. Evidence: 'target lapsed' with failures 5 to 2,092 ms old on VMs whose reads of the table were answered.

Health now tells an outage (no usable path, or all calls fail for a second) from a path's failures, and only an outage keeps a target. The end of the grace is checked every 50 ms. The class is a fault of one path taken for a fault of what lies behind it. LastFailure has one other user, the decision to wait for a reservation, where a path's failure is meant.

Tests of daemon on lapsed targets pass unchanged.

--- a/edge/server.go
+++ b/edge/server.go
@@ -123,7 +123,6 @@
 func (s *Server) sweep(_ context.Context, now time.Time) {
 	s.pool.Sweep(now)
 	s.opts.Local.Ledger.Sweep(now)
-	s.dropUnlisted()
 	s.mu.Lock()
 	s.limiter.Sweep(structs.Now())
 	s.expireGrants(structs.Now())
@@ -142,11 +141,12 @@
 	}
 }
 
-// retryWaiting grants free slots to waiting requests without being notified of a
-// free slot.
+// retryWaiting drops the targets whose time is over, and grants free slots to waiting
+// requests without being notified of a free slot.
 func (s *Server) retryWaiting(context.Context, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.dropUnlisted(structs.Now())
 	s.grantAllFreeSlots()
 }
 
--- a/edge/targets.go
+++ b/edge/targets.go
@@ -81,7 +81,7 @@
 	}
 }
 
-// removeUnlisted drops a target that is no longer listed. If the store has failed
+// removeUnlisted drops a target that is no longer listed. If the store has been away
 // recently and the target is not draining, the target is kept until relistGrace has
 // passed.
 func (s *Server) removeUnlisted(now structs.Instant, id structs.TargetID) {
@@ -89,15 +89,15 @@
 	if !known {
 		return
 	}
-	lastFailure := s.opts.Store.LastFailure()
-	isStable := lastFailure == 0 || now.Sub(lastFailure) > relistGrace
+	lastOutage := s.opts.Store.LastOutage()
+	isStable := lastOutage == 0 || now.Sub(lastOutage) > relistGrace
 	if isStable || target.IsDraining {
 		s.dropTarget(target, "no longer listed")
 		return
 	}
 	if _, unlisted := s.listing.unlisted[id]; !unlisted {
-		s.listing.unlisted[id] = lastFailure.Add(relistGrace)
-		s.log.Info("target lapsed while the store was away, kept for now", "target", string(id), "failure_age_ms", now.Sub(lastFailure).Milliseconds())
+		s.listing.unlisted[id] = lastOutage.Add(relistGrace)
+		s.log.Info("target lapsed while the store was away, kept for now", "target", string(id), "outage_age_ms", now.Sub(lastOutage).Milliseconds())
 	}
 }
 
@@ -108,17 +108,14 @@
 	go s.pool.CloseIdle(target.Address)
 }
 
-// dropUnlisted drops the unlisted targets whose time is over, once the store is
-// reachable and has been stable for relistGrace.
-func (s *Server) dropUnlisted() {
-	now := structs.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.opts.Store.UnreachableFor() > 0 {
+// dropUnlisted drops the unlisted targets whose time is over, once the store has been
+// back for relistGrace. The caller holds the lock.
+func (s *Server) dropUnlisted(now structs.Instant) {
+	if len(s.listing.unlisted) == 0 {
 		return
 	}
-	// The store may have failed again after the target was unlisted.
-	stableAt := s.opts.Store.LastFailure().Add(relistGrace)
+	// The store may have been away again after the target was unlisted.
+	stableAt := s.opts.Store.LastOutage().Add(relistGrace)
 	for id, until := range s.listing.unlisted {
 		until = max(until, stableAt)
 		if now < until {
--- a/rowstore/storepath/health.go
+++ b/rowstore/storepath/health.go
@@ -17,6 +17,10 @@
 	peers       map[structs.VMID]*peerRecord
 	lastAnswer  structs.Instant
 	lastFailure structs.Instant // of any path, 0 for never
+	// failingSince is the first failure after the last answer, over any path; 0 if there
+	// is none.
+	failingSince structs.Instant
+	outageEnd    structs.Instant // of the last outage, 0 for never
 }
 
 // pathRecord holds the recent results of the calls over one path.
@@ -57,6 +61,9 @@
 	// A store that is merely at its rate limit serves some calls in between.
 	busyLimit   = 3
 	minBusySpan = 150 * time.Millisecond
+	// maxFailingTime is the time for which calls fail, and none is answered over any path,
+	// from which the store counts as away even if some path is still expected to work.
+	maxFailingTime = time.Second
 	// maxPeerPaths bounds the number of peers that one call is tried through, so that an
 	// outage does not multiply the calls.
 	maxPeerPaths = 2
@@ -70,7 +77,10 @@
 // RecordAnswer records that the store answered a call over a path, with success or with
 // an error of its own.
 func (h *Health) RecordAnswer(now structs.Instant, p Path) {
-	h.lastAnswer = now
+	if h.isOutage(now) {
+		h.outageEnd = now
+	}
+	h.lastAnswer, h.failingSince = now, 0
 	if r := h.pathRecord(p); r != nil {
 		*r = pathRecord{lastAnswer: now}
 	}
@@ -79,6 +89,9 @@
 // RecordFailure records that the store did not serve a call over a path.
 func (h *Health) RecordFailure(now structs.Instant, p Path) {
 	h.lastFailure = now
+	if h.failingSince == 0 {
+		h.failingSince = now
+	}
 	if r := h.pathRecord(p); r != nil {
 		r.failedAt = now
 		r.failures++
@@ -141,6 +154,22 @@
 // since it may be due to one partition of the store.
 func (h *Health) IsDirectUp() bool { return h.direct.failures < failureLimit }
 
+// isOutage reports whether the store is away: no path is usable, or all calls have failed
+// for maxFailingTime.
+func (h *Health) isOutage(now structs.Instant) bool {
+	isFailing := h.failingSince != 0 && now.Sub(h.failingSince) >= maxFailingTime
+	return isFailing || h.UnreachableFor(now) > 0
+}
+
+// LastOutage returns the last instant at which the store was away, 0 for never. Failures
+// of one path while another is answered are not an outage.
+func (h *Health) LastOutage(now structs.Instant) structs.Instant {
+	if h.isOutage(now) {
+		return now
+	}
+	return h.outageEnd
+}
+
 // LastFailure returns the time of the last failed call over any path, 0 for never.
 func (h *Health) LastFailure() structs.Instant { return h.lastFailure }
 
--- a/rowstore/storepath/router.go
+++ b/rowstore/storepath/router.go
@@ -86,6 +86,14 @@
 	return r.health.LastFailure()
 }
 
+// LastOutage returns the last instant at which the store was away, whatever the path, 0
+// for never.
+func (r *Router) LastOutage() structs.Instant {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.health.LastOutage(structs.Now())
+}
+
 // UnreachableFor returns the time since the last answer if no path is usable, otherwise
 // 0.
 func (r *Router) UnreachableFor() time.Duration {
--- a/rowstore/storepath/storepath_test.go
+++ b/rowstore/storepath/storepath_test.go
@@ -263,3 +263,29 @@
 		assert.Assert(t, store.refused.Load() < 250, "%d calls", store.refused.Load())
 	})
 }
+
+// Failures of one path are no outage while another path is answered; a store that answers
+// no path is away until its next answer.
+func TestOutageConcernsAllPaths(t *testing.T) {
+	at := func(ms int) structs.Instant { return structs.Instant(time.Duration(ms) * time.Millisecond) }
+	direct, peer := Path{}, Path{VM: "a"}
+	h := NewHealth(at(0))
+	for ms := 0; ms < 6000; ms += 500 {
+		h.RecordPeerReport(at(ms), "a", true, true)
+		h.RecordFailure(at(ms), direct)
+		h.RecordAnswer(at(ms+100), peer)
+		assert.Equal(t, h.LastOutage(at(ms+200)), structs.Instant(0))
+	}
+	h.RecordFailure(at(6000), direct)
+	h.RecordFailure(at(6100), peer)
+	assert.Equal(t, h.LastOutage(at(6100)), at(6100), "no path is usable")
+	h.RecordAnswer(at(7000), direct)
+	assert.Equal(t, h.LastOutage(at(9000)), at(7000))
+
+	h = NewHealth(at(0))
+	h.RecordFailure(at(1000), direct)
+	assert.Equal(t, h.LastOutage(at(1900)), structs.Instant(0))
+	assert.Equal(t, h.LastOutage(at(2000)), at(2000), "failing for a second")
+	h.RecordAnswer(at(2500), direct)
+	assert.Equal(t, h.LastOutage(at(9000)), at(2500))
+}
