storepath, platform: a follower asks all usable peers soon when its path is silent

Cause: a read waited 1.7 s on the silent direct path, then 1.5 s on one peer, picked before the direct path had failed, which was silent too; then the next read began anew.

Calls to the store stay as they are while it answers.

--- a/rowstore/storepath/health.go
+++ b/rowstore/storepath/health.go
@@ -176,25 +176,25 @@
 // UnreachableFor returns the time since the last answer if no path is usable, otherwise
 // 0.
 func (h *Health) UnreachableFor(now structs.Instant) time.Duration {
-	if h.IsDirectUp() || len(h.usablePeerPaths(now)) > 0 {
+	if h.IsDirectUp() || len(h.PeerPaths(now)) > 0 {
 		return 0
 	}
 	return max(now.Sub(h.lastAnswer), 1)
 }
 
 // Paths returns the paths to try, best first. The direct path is always among them, so
-// that its recovery is noticed; with probeDirect it is the first.
-func (h *Health) Paths(now structs.Instant, probeDirect bool) []Path {
-	peers := h.usablePeerPaths(now)
-	if h.IsDirectUp() || probeDirect {
+// that its recovery is noticed.
+func (h *Health) Paths(now structs.Instant) []Path {
+	peers := h.PeerPaths(now)
+	if h.IsDirectUp() {
 		return append([]Path{{}}, peers...)
 	}
 	return append(peers, Path{})
 }
 
-// usablePeerPaths returns the best paths through peers that have recently reported that
+// PeerPaths returns the best paths through peers that have recently reported that
 // they reach the store and that have not just failed a call.
-func (h *Health) usablePeerPaths(now structs.Instant) []Path {
+func (h *Health) PeerPaths(now structs.Instant) []Path {
 	var vms []structs.VMID
 	for vm, peer := range h.peers {
 		isReportedUp := peer.reportedUpAt != 0 && now.Sub(peer.reportedUpAt) < reportTTL
--- a/rowstore/storepath/router.go
+++ b/rowstore/storepath/router.go
@@ -147,27 +147,32 @@
 }
 
 // Watch implements rowstore.Store. It does not retry. It tries the direct path first,
-// which probes that path, and one path through a peer if that fails.
+// which probes that path, and the paths through peers if that fails.
 func (r *Router) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Page, error) {
-	paths := r.paths(true)
-	timeout := wait + watchSlack
-	if !r.IsDirectUp() {
-		wait, timeout = 0, probeTimeout
+	page, err := r.watchDirect(ctx, table, after, wait)
+	if err == nil || isAnswer(err) {
+		return page, err
 	}
-	probeCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	page, err := r.watchVia(probeCtx, paths[0], table, after, wait)
-	if err == nil || isAnswer(err) || len(paths) == 1 {
+	peers := r.peerPaths()
+	if len(peers) == 0 {
 		return page, err
 	}
-	fallbackCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	return r.watchVia(fallbackCtx, paths[1], table, after, 0)
+	result, _ := tryPaths(ctx, r, peers, func(ctx context.Context, s rowstore.Store) (rowstore.Page, error) {
+		return s.Watch(ctx, table, after, 0)
+	})
+	return result.value, result.err
 }
 
-func (r *Router) watchVia(ctx context.Context, p Path, table string, after uint64, wait time.Duration) (rowstore.Page, error) {
-	page, err := r.storeFor(p).Watch(ctx, table, after, wait)
-	r.recordResult(p, err)
+// watchDirect watches over the direct path, only briefly while that is down.
+func (r *Router) watchDirect(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Page, error) {
+	timeout := wait + watchSlack
+	if !r.IsDirectUp() {
+		wait, timeout = 0, probeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	page, err := r.direct.Watch(ctx, table, after, wait)
+	r.recordResult(Path{}, err)
 	return page, err
 }
 
@@ -178,10 +183,16 @@
 	return r.relay.StoreVia(p.VM)
 }
 
-func (r *Router) paths(probeDirect bool) []Path {
+func (r *Router) paths() []Path {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.health.Paths(structs.Now())
+}
+
+func (r *Router) peerPaths() []Path {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.health.Paths(structs.Now(), probeDirect)
+	return r.health.PeerPaths(structs.Now())
 }
 
 // isAnswer reports whether an error is the store's own answer to the call.
@@ -246,7 +257,7 @@
 		if err := r.waitForBreaker(ctx, partition); err != nil {
 			return zero, err
 		}
-		result, done := tryPaths(ctx, r, call)
+		result, done := tryPaths(ctx, r, r.paths(), call)
 		r.recordPartitionResult(partition, result.err)
 		if done || ctx.Err() != nil {
 			return result.value, result.err
@@ -307,11 +318,10 @@
 	return !errors.As(err, &unavailable) || !r.health.HasRecentDirectAnswer(structs.Now())
 }
 
-// tryPaths tries the paths once, best first. The next path is tried when one fails, or
+// tryPaths tries paths once, best first. The next path is tried when one fails, or
 // in parallel when there is no answer within hedgeDelay. It returns true when the result
 // is final: a success, an error of the store itself or the end of ctx.
-func tryPaths[T any](ctx context.Context, r *Router, call func(context.Context, rowstore.Store) (T, error)) (callResult[T], bool) {
-	paths := r.paths(false)
+func tryPaths[T any](ctx context.Context, r *Router, paths []Path, call func(context.Context, rowstore.Store) (T, error)) (callResult[T], bool) {
 	results := make(chan callResult[T], len(paths))
 	started, finished := 0, 0
 	start := func() {
