--- a/daemon/testsite_test.go
+++ b/daemon/testsite_test.go
@@ -176,7 +176,12 @@
 func (b *testSite) send(c request) response {
 	b.t.Helper()
 	b.requestCount++
-	id := fmt.Sprintf("%s-%d", strings.NewReplacer("/", "-").Replace(b.t.Name()), b.requestCount)
+	return b.sendAs(fmt.Sprintf("%s-%d", strings.NewReplacer("/", "-").Replace(b.t.Name()), b.requestCount), c)
+}
+
+// sendAs sends a request with an ID. It may be called from several goroutines.
+func (b *testSite) sendAs(id string, c request) response {
+	b.t.Helper()
 	if c.vm == nil {
 		c.vm = b.vms[0]
 	}
