--- /dev/null
+++ b/edge/rates.go
@@ -0,0 +1,50 @@
+package edge
+
+import (
+	"net/http"
+
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/targetrate"
+)
+
+// recordNamedRate records what a target's response says about its rate. A refusal that
+// names none says nothing.
+func (s *Server) recordNamedRate(id structs.TargetID, resp *http.Response, head ResponseHead) {
+	if head.WrongTarget {
+		return
+	}
+	if head.InvalidRate != "" {
+		s.log.Warn("target names a rate that is not valid", "target", string(id), "rate", head.InvalidRate)
+		return
+	}
+	o := targetrate.Observation{Rate: targetrate.None}
+	switch {
+	case head.NamesRate:
+		o.Rate = float32(head.Rate)
+	case head.NotRun || resp.StatusCode >= http.StatusInternalServerError:
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observeRate(structs.Now(), id, o, "response")
+}
+
+// observeRate records an observation of a target's named rate. The caller holds the lock.
+func (s *Server) observeRate(now structs.Instant, id structs.TargetID, o targetrate.Observation, source string) {
+	if _, isListed := s.targets.Get(id); !isListed {
+		return
+	}
+	if s.targets.Rates.Observe(now, id, o) {
+		s.logRateSwitch(now, id, source)
+	}
+}
+
+func (s *Server) logRateSwitch(now structs.Instant, id structs.TargetID, source string) {
+	rate, isNamed := s.targets.Rates.Rate(id)
+	if !isNamed {
+		s.log.Info("target names no rate any more", "target", string(id), "source", source)
+		return
+	}
+	share, _ := s.targets.Rates.Share(now, id, 0)
+	s.log.Warn("target names a rate", "target", string(id), "per_second", rate, "share", share, "source", source)
+}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -55,6 +55,7 @@
 // relay passes a target's response back to the caller.
 func (x *exchange) relay(ctx context.Context, target placement.Target, conn *hop.Conn, resp *http.Response) attemptResult {
 	head := x.server.opts.Dialect.ParseResponseHead(resp.StatusCode, resp.Header)
+	x.server.recordNamedRate(target.ID, resp, head)
 	if head.NotRun || head.WrongTarget {
 		return x.recordNotRun(target, resp, head)
 	}
--- a/edge/request.go
+++ b/edge/request.go
@@ -58,6 +58,11 @@
 	NotRun bool
 	// WrongTarget reports that another target now uses the address.
 	WrongTarget bool
+	// Rate is the number of requests per second that the target takes from all VMs
+	// together, if NamesRate is set. InvalidRate is the text of a rate that is no number.
+	NamesRate   bool
+	Rate        float64
+	InvalidRate string
 }
 
 // Dialect translates requests and responses to and from the targets' protocol.
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -39,6 +39,11 @@
 	})
 	set.NewGauge("endive_store_away_seconds", func() float64 { return s.opts.Store.UnreachableFor().Seconds() })
 	set.NewGauge("endive_config_version", func() float64 { return float64(s.opts.Config.Version()) })
+	set.NewGauge("endive_targets_naming_rate", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return float64(s.targets.Rates.Count())
+	})
 	set.NewGauge("endive_targets_age_seconds", func() float64 { return s.targetsAge(structs.Now()).Seconds() })
 	return &stats{
 		set:       set,
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/targetrate"
 )
 
 // Target is a back end in the platform's list.
@@ -79,6 +80,9 @@
 
 // TargetSet holds the targets of all services, with their load and health.
 type TargetSet struct {
+	// Rates holds the rates that targets have named.
+	Rates *targetrate.Limiter
+
 	domain   structs.DomainID
 	region   string
 	targets  map[structs.TargetID]*targetState
@@ -88,6 +92,7 @@
 // New returns an empty set for a VM in the given failure domain and region.
 func New(domain structs.DomainID, region string) *TargetSet {
 	return &TargetSet{
+		Rates:    targetrate.New(),
 		domain:   domain,
 		region:   region,
 		targets:  make(map[structs.TargetID]*targetState),
@@ -121,6 +126,7 @@
 	if st := s.targets[id]; st != nil {
 		delete(s.targets, id)
 		delete(s.services[st.Service], id)
+		s.Rates.Remove(id)
 	}
 }
 
