edge, placement: the rate that a target names binds all VMs together

Cause: nothing read that rate; requests followed load and latency alone.

While a target names a rate, its service's requests are placed by one VM of each region, as in a large fleet, and the placers divide the rate by the demand that their digests report. A target without a token has no free slot: requests go to other targets, or wait in the queue. If all usable targets name rates and the expected wait exceeds what the request can wait, it is refused at once with that wait as Retry-After. A VM whose placer is silent uses its even part of the rate. A placer that has just started is told by the VM that asks: a grant of a target whose rate the placer does not know is given back and asked for again with the rate. A rate ends with the first newer response that names none. Digests carry only the rates of targets at which a VM places requests and those that changed within 5 s.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -54,6 +54,17 @@
 	return q.waiting[0]
 }
 
+// Ahead returns the number of waiting requests that get a slot before r.
+func (q *Queue) Ahead(r *Request) int {
+	ahead := 0
+	for _, other := range q.waiting {
+		if other != r && isBefore(other, r) {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.waiting) }
 
@@ -62,8 +73,10 @@
 
 func (h requestHeap) Len() int { return len(h) }
 
-func (h requestHeap) Less(i, j int) bool {
-	a, b := h[i], h[j]
+func (h requestHeap) Less(i, j int) bool { return isBefore(h[i], h[j]) }
+
+// isBefore reports whether a gets a slot before b.
+func isBefore(a, b *Request) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -28,3 +28,14 @@
 	assert.Assert(t, !q.Remove(requests[0]))
 	assert.Assert(t, q.First() == nil)
 }
+
+func TestAheadCountsRequestsThatGoFirst(t *testing.T) {
+	var q Queue
+	requests := []*Request{{Priority: 1, ProgramDeadline: 5}, {Priority: 0, ProgramDeadline: 9}, {Priority: 1, ProgramDeadline: 3}, {Priority: 1, ProgramDeadline: 5}}
+	for _, r := range requests {
+		q.Add(r)
+	}
+	for i, want := range []int{2, 0, 1, 3} {
+		assert.Equal(t, q.Ahead(requests[i]), want)
+	}
+}
--- a/edge/acquire.go
+++ b/edge/acquire.go
@@ -35,9 +35,24 @@
 	return "no slot of service " + string(e.Service) + " became free within " + e.Waited.Round(time.Millisecond).String()
 }
 
+// RateLimitedError reports that the rates which the targets of a service have named leave
+// no slot for a request in time.
+type RateLimitedError struct {
+	Service structs.ServiceID
+	Wait    time.Duration // until a slot is expected
+}
+
+// Error names the service and the time until a slot is expected.
+func (e *RateLimitedError) Error() string {
+	return "targets of service " + string(e.Service) + " take no request for " + e.Wait.Round(time.Millisecond).String() +
+		" by the rates that they have named"
+}
+
 // acquireTarget returns a target and adds one request to its load; recordEnd
-// subtracts it again. While all targets are full, it waits for at most maxWait.
-func (s *Server) acquireTarget(ctx context.Context, query placement.Query, request admission.Request, maxWait time.Duration) (placement.Target, error) {
+// subtracts it again. While all targets are full, it waits for at most maxWait. It
+// refuses at once if the targets' named rates leave no slot within patience, which is at
+// least maxWait.
+func (s *Server) acquireTarget(ctx context.Context, query placement.Query, request admission.Request, maxWait, patience time.Duration) (placement.Target, error) {
 	now := structs.Now()
 	s.mu.Lock()
 	queue := s.queue(query.Service)
@@ -47,7 +62,7 @@
 		return placement.Target{}, &NoTargetError{Service: query.Service}
 	}
 	if choice.HasFreeSlot && queue.Len() == 0 {
-		s.targets.BeginRequest(choice.Target.ID)
+		s.beginRequest(now, choice.Target.ID)
 		s.mu.Unlock()
 		return choice.Target, nil
 	}
@@ -55,10 +70,32 @@
 	queue.Add(&w.request)
 	s.waiters[&w.request] = w
 	s.grantFreeSlots(query.Service)
+	err := s.refuseHopeless(now, w, patience)
 	s.mu.Unlock()
+	if err != nil {
+		return placement.Target{}, err
+	}
 	return s.waitForSlot(ctx, w, maxWait)
 }
 
+// refuseHopeless removes a waiting request from its queue if it gets no slot within
+// patience. The caller holds the lock.
+func (s *Server) refuseHopeless(now structs.Instant, w *waiter, patience time.Duration) error {
+	queue := s.queue(w.query.Service)
+	wait, isBound := s.targets.RateWait(now, w.query, queue.Ahead(&w.request))
+	if !isBound || wait <= patience || !queue.Remove(&w.request) {
+		return nil
+	}
+	delete(s.waiters, &w.request)
+	return &RateLimitedError{Service: w.query.Service, Wait: wait}
+}
+
+// beginRequest counts a request that is sent to a target. The caller holds the lock.
+func (s *Server) beginRequest(now structs.Instant, id structs.TargetID) {
+	s.targets.BeginRequest(id)
+	s.targets.Rates.Take(now, id)
+}
+
 // waitForSlot waits until a slot is granted to w, for at most maxWait. A slot that
 // is granted after ctx has ended is freed again.
 func (s *Server) waitForSlot(ctx context.Context, w *waiter, maxWait time.Duration) (placement.Target, error) {
@@ -113,7 +150,7 @@
 		}
 		queue.Remove(first)
 		delete(s.waiters, first)
-		s.targets.BeginRequest(choice.Target.ID)
+		s.beginRequest(now, choice.Target.ID)
 		w.granted <- choice
 	}
 }
--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -120,6 +120,7 @@
 func (x *exchange) refuseWithoutSlot(ctx context.Context, err, lastErr error) *structs.Refusal {
 	var noTarget *NoTargetError
 	var noFreeSlot *NoFreeSlotError
+	var limited *RateLimitedError
 	reason := err.Error()
 	if lastErr != nil {
 		reason += " after " + lastErr.Error()
@@ -129,6 +130,8 @@
 		return x.refuseTimedOut(err)
 	case errors.As(err, &noTarget):
 		return x.refuseUnserved(structs.RefusedNoTarget, noTargetRetryAfter, reason)
+	case errors.As(err, &limited):
+		return x.refuseUnserved(structs.RefusedQueueFull, limited.Wait, reason)
 	case errors.As(err, &noFreeSlot):
 		return x.refuseUnserved(structs.RefusedQueueFull, noFreeSlotRetryAfter, reason)
 	}
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -11,6 +11,7 @@
 	"github.com/endivecourse/endivecourse/fleet"
 	"github.com/endivecourse/endivecourse/placement"
 	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/targetrate"
 )
 
 // In a fleet of many VMs, each VM sends few requests to a target, and the loads
@@ -57,15 +58,21 @@
 // view. It waits for at most maxWait.
 func (s *Server) acquireGrant(ctx context.Context, query placement.Query, request admission.Request, maxWait, timeLeft time.Duration) (*grant, error) {
 	if s.needsPlacer(query.Service) {
-		g, err := s.acquireFromPlacer(ctx, query, request, maxWait, timeLeft)
-		if g != nil || err != nil {
-			return g, err
+		if vm, self := s.opts.Peers.Placer(query.Service); !self {
+			g, err := s.acquireFromPlacer(ctx, vm, query, request, maxWait, timeLeft)
+			if g != nil || err != nil {
+				return g, err
+			}
+			// The placer's share of the named rates is not this VM's to use.
+			query.RateFraction = 1 / float64(s.opts.Peers.PeerCount()+1)
 		}
 	}
-	target, err := s.acquireTarget(ctx, query, request, maxWait)
+	target, err := s.acquireTarget(ctx, query, request, maxWait, maxWait)
 	return &grant{target: target}, err
 }
 
+// needsPlacer reports whether the targets of a service are picked by its placer: in a
+// large fleet, under pressure, and while a target names a rate that all VMs share.
 func (s *Server) needsPlacer(service structs.ServiceID) bool {
 	if s.opts.Peers.PeerCount() >= maxUncoordinatedVMs {
 		return true
@@ -73,20 +80,20 @@
 	now := structs.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.targets.HasNamedRate(service) {
+		return true
+	}
 	running, slots := s.targets.Load(now, service)
 	return s.pressure.Update(now, service, running, slots)
 }
 
 // acquireFromPlacer asks the placer for a slot, again and again while all targets
-// are full or the placer grants one that this VM knows to be leaving. It returns
-// neither a grant nor an error if this VM has to pick the target itself.
-func (s *Server) acquireFromPlacer(ctx context.Context, query placement.Query, request admission.Request, maxWait, timeLeft time.Duration) (*grant, error) {
+// are full or the placer grants one that it should not by what this VM knows. It
+// returns neither a grant nor an error if this VM has to pick the target itself.
+func (s *Server) acquireFromPlacer(ctx context.Context, vm structs.VMID, query placement.Query, request admission.Request, maxWait, timeLeft time.Duration) (*grant, error) {
 	start := structs.Now()
+	var rates map[structs.TargetID]targetrate.Observation
 	for {
-		vm, self := s.opts.Peers.Placer(query.Service)
-		if self {
-			return nil, nil
-		}
 		now := structs.Now()
 		wait := min(placerQueueWait, maxWait-now.Sub(start))
 		if wait <= 0 {
@@ -95,6 +102,7 @@
 		reply, err := s.callPlacer(ctx, vm, fleet.PlacementRequest{
 			Service: query.Service, Cached: query.CacheTarget, Exclude: query.Exclude, Domain: s.opts.Domain,
 			Priority: request.Priority, DueIn: request.ProgramDeadline.Sub(now), Wait: wait, TimeLeft: timeLeft,
+			Patience: maxWait - now.Sub(start), Rates: rates,
 		})
 		switch {
 		case ctx.Err() != nil:
@@ -104,13 +112,31 @@
 			return nil, nil
 		case reply.HasNoTarget:
 			return nil, &NoTargetError{Service: query.Service}
+		case reply.RateWait > 0:
+			return nil, &RateLimitedError{Service: query.Service, Wait: reply.RateWait}
 		case reply.Target != "":
 			g := s.newPlacerGrant(vm, reply)
-			if g == nil || !g.target.IsDraining {
+			if g == nil {
+				return nil, nil
+			}
+			rate, isMissed := s.rateMissedBy(reply)
+			_, isSent := rates[reply.Target]
+			switch {
+			case g.target.IsDraining:
+				query.Exclude = append(slices.Clone(query.Exclude), reply.Target)
+			case isMissed && !isSent:
+				if rates == nil {
+					rates = make(map[structs.TargetID]targetrate.Observation)
+				}
+				rates[reply.Target] = rate
+			default:
 				return g, nil
 			}
 			s.releaseGrant(g)
-			query.Exclude = append(slices.Clone(query.Exclude), g.target.ID)
+		}
+		var self bool
+		if vm, self = s.opts.Peers.Placer(query.Service); self {
+			return nil, nil
 		}
 	}
 }
@@ -135,6 +161,21 @@
 	return g
 }
 
+// rateMissedBy applies what a placer's reply says of the target's named rate, and
+// returns the rate if this VM knows one and the placer does not.
+func (s *Server) rateMissedBy(reply fleet.PlacementReply) (targetrate.Observation, bool) {
+	now := structs.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if reply.Rate != nil {
+		s.observeRate(now, reply.Target, *reply.Rate, "placer")
+	}
+	if _, isNamed := s.targets.Rates.Rate(reply.Target); !isNamed || reply.Rate != nil && reply.Rate.Rate >= 0 {
+		return targetrate.Observation{}, false
+	}
+	return s.targets.Rates.Get(now, reply.Target)
+}
+
 // releaseGrant ends a grant and records the outcome of the request at the target.
 func (s *Server) releaseGrant(g *grant) {
 	if g.placer == "" {
@@ -168,12 +209,16 @@
 	query := placement.Query{Service: p.Service, CacheTarget: p.Cached, Exclude: p.Exclude, Domain: p.Domain}
 	now := structs.Now()
 	request := admission.Request{Priority: p.Priority, ProgramDeadline: now.Add(p.DueIn)}
-	target, err := s.acquireTarget(ctx, query, request, p.Wait)
+	s.observeRates(now, p.Rates)
+	target, err := s.acquireTarget(ctx, query, request, p.Wait, max(p.Wait, p.Patience))
 	var noTarget *NoTargetError
-	if errors.As(err, &noTarget) {
+	var limited *RateLimitedError
+	switch {
+	case errors.As(err, &noTarget):
 		return fleet.PlacementReply{HasNoTarget: true}
-	}
-	if err != nil {
+	case errors.As(err, &limited):
+		return fleet.PlacementReply{RateWait: limited.Wait}
+	case err != nil:
 		return fleet.PlacementReply{}
 	}
 	s.mu.Lock()
@@ -184,7 +229,11 @@
 	}
 	s.lastGrantID++
 	s.peerGrants[s.lastGrantID] = peerGrant{target: target.ID, until: now.Add(p.TimeLeft + grantGrace)}
-	return fleet.PlacementReply{Target: target.ID, GrantID: s.lastGrantID}
+	reply := fleet.PlacementReply{Target: target.ID, GrantID: s.lastGrantID}
+	if rate, isKnown := s.targets.Rates.Get(structs.Now(), target.ID); isKnown {
+		reply.Rate = &rate
+	}
+	return reply
 }
 
 // ReleaseForPeer ends a grant that this VM gave a peer.
--- a/edge/placement_test.go
+++ b/edge/placement_test.go
@@ -27,6 +27,7 @@
 	isMembershipUnknown bool // no member list has been read yet
 	placer              *int // index of the placer, -1 for none
 	isSilent            *bool
+	staysPlacer         bool // also after it did not answer
 }
 
 func (p *fakePeers) IsMembershipKnown() bool { return !p.isMembershipUnknown }
@@ -57,6 +58,9 @@
 func (p *fakePeers) RequestPlacement(ctx context.Context, _ structs.VMID, q fleet.PlacementRequest) (fleet.PlacementReply, error) {
 	if *p.isSilent {
 		<-ctx.Done()
+		if p.staysPlacer {
+			return fleet.PlacementReply{}, ctx.Err()
+		}
 		*p.placer = -1 // a VM that failed a call is not a placer for a while
 		return fleet.PlacementReply{}, ctx.Err()
 	}
--- a/edge/rates.go
+++ b/edge/rates.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/endivecourse/endivecourse/fleet"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/targetrate"
 )
@@ -39,6 +40,27 @@
 	}
 }
 
+func (s *Server) observeRates(now structs.Instant, rates map[structs.TargetID]targetrate.Observation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, o := range rates {
+		s.observeRate(now, id, o, "peer")
+	}
+}
+
+// applyRateReport records the rates that a peer's digest reports. The caller holds the
+// lock.
+func (s *Server) applyRateReport(now structs.Instant, d fleet.Digest) {
+	for id := range d.Rates {
+		if _, isListed := s.targets.Get(id); !isListed {
+			delete(d.Rates, id)
+		}
+	}
+	for _, id := range s.targets.Rates.ApplyReport(now, d.From.VM, d.Rates) {
+		s.logRateSwitch(now, id, "peer")
+	}
+}
+
 func (s *Server) logRateSwitch(now structs.Instant, id structs.TargetID, source string) {
 	rate, isNamed := s.targets.Rates.Rate(id)
 	if !isNamed {
--- a/edge/server.go
+++ b/edge/server.go
@@ -161,6 +161,7 @@
 		Spare:            s.limiter.SpareTokens(now),
 		Loads:            s.targets.LoadReport(),
 		Failing:          s.targets.FailureReport(now),
+		Rates:            s.targets.Rates.Report(now),
 		Crashes:          s.quarantine.Export(now),
 	}
 }
@@ -174,6 +175,7 @@
 	s.limiter.Report(now, d.From.VM, d.From.Region == s.opts.Region, d.Demand, d.Spare)
 	s.targets.Report(now, d.From.VM, d.Loads)
 	s.targets.ApplyFailureReport(now, d.From.VM, d.Failing)
+	s.applyRateReport(now, d)
 	s.quarantine.Import(now, d.Crashes)
 	if d.IsStoreReachable && d.Config == s.opts.Config.Version() {
 		s.configConfirmedAt = now
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -10,6 +10,7 @@
 	"github.com/endivecourse/endivecourse/quarantine"
 	"github.com/endivecourse/endivecourse/share"
 	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/targetrate"
 )
 
 // Member identifies the process of one VM.
@@ -35,7 +36,9 @@
 	Loads            map[structs.TargetID]int `msgpack:"l,omitempty"`
 	// Failing holds the targets that failed the sender's requests recently.
 	Failing map[structs.TargetID]placement.OutcomeCounts `msgpack:"o,omitempty"`
-	Crashes []quarantine.Report                          `msgpack:"x,omitempty"`
+	// Rates holds the rates that targets have named.
+	Rates   map[structs.TargetID]targetrate.Report `msgpack:"n,omitempty"`
+	Crashes []quarantine.Report                    `msgpack:"x,omitempty"`
 	// MembersHash is a hash of the members that the sender knows, including
 	// itself.
 	MembersHash uint64 `msgpack:"k"`
@@ -102,14 +105,23 @@
 	DueIn    time.Duration      `msgpack:"u"` // until the program should have ended
 	Wait     time.Duration      `msgpack:"w"` // in the queue, at most
 	TimeLeft time.Duration      `msgpack:"l"` // until the request's deadline
+	// Patience is how long the request may wait in all.
+	Patience time.Duration `msgpack:"t,omitempty"`
+	// Rates holds named rates that the asking VM knows and the placer may not.
+	Rates map[structs.TargetID]targetrate.Observation `msgpack:"n,omitempty"`
 }
 
 // PlacementReply answers a PlacementRequest. If it has neither a target nor
-// HasNoTarget, the slots of all targets are in use.
+// HasNoTarget nor RateWait, the slots of all targets are in use.
 type PlacementReply struct {
 	Target      structs.TargetID `msgpack:"t,omitempty"`
 	GrantID     uint64           `msgpack:"g,omitempty"` // for its Release
 	HasNoTarget bool             `msgpack:"n,omitempty"`
+	// RateWait is the time until the targets' named rates leave a slot, if that is longer
+	// than the request may wait.
+	RateWait time.Duration `msgpack:"w,omitempty"`
+	// Rate is what the placer knows of the target's rate, nil for nothing.
+	Rate *targetrate.Observation `msgpack:"r,omitempty"`
 }
 
 // Release ends a grant.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,7 +1,7 @@
 // Package placement chooses the target of a request among the targets of a service.
 //
-// It handles targets that are slow, refuse connections, are full or are in another
-// region, and prefers the target that has a conversation's prompt in its cache. It is a
+// It handles targets that are slow, refuse connections, are full, have named a rate or are
+// in another region, and prefers the target that has a conversation's prompt in its cache. It is a
 // deterministic state machine without clock, goroutine or I/O.
 package placement
 
@@ -156,6 +156,9 @@
 	Exclude []structs.TargetID
 	// Domain is the failure domain of the request if it differs from that of the set.
 	Domain structs.DomainID
+	// RateFraction is the part of a target's named rate that may be used, 0 for the share
+	// of a placer, which follows demand.
+	RateFraction float64
 }
 
 // Choice is the chosen target.
@@ -183,7 +186,7 @@
 			}
 			continue
 		}
-		hasFreeSlot := st.load(now) < st.Slots && now >= st.fullUntil
+		hasFreeSlot := st.load(now) < st.Slots && now >= st.fullUntil && s.hasRateToken(now, st.ID, q)
 		if bestHasSlot && !hasFreeSlot {
 			continue
 		}
@@ -201,7 +204,8 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	return Choice{Target: best.Target, HasFreeSlot: bestHasSlot || best == backingOff}, true
+	isRetry := best == backingOff && s.hasRateToken(now, best.ID, q)
+	return Choice{Target: best.Target, HasFreeSlot: bestHasSlot || isRetry}, true
 }
 
 func (s *TargetSet) cost(now structs.Instant, st *targetState, q Query, lowest float64) float64 {
