rowstore: a follower ignores a full read that is older than what it knows

The follower reported it, so a target that was known to be leaving was in use again. The class is that of the other causes: an older view replaces a newer one.

A scan older than the last update holds nothing that was not reported.

TestFollowIgnoresScanOlderThanLastUpdate failed before (ready for draining).

--- a/rowstore/errors.go
+++ b/rowstore/errors.go
@@ -66,6 +66,17 @@
 	return fmt.Sprintf("store no longer has the changes after version %d", e.After)
 }
 
+// StaleReadError reports that a read returned a state older than one that is known.
+type StaleReadError struct {
+	Table          string
+	Version, Known uint64 // of the store
+}
+
+// Error includes both versions.
+func (e *StaleReadError) Error() string {
+	return fmt.Sprintf("store returned version %d of table %s, version %d is known", e.Version, e.Table, e.Known)
+}
+
 // RejectedError reports that the store will never accept the call as it is.
 type RejectedError struct {
 	Status int // HTTP status
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -59,6 +59,9 @@
 func fetchNext(ctx context.Context, s Store, opts FollowOptions, isSynced bool, after uint64) (TableUpdate, error) {
 	if !isSynced {
 		rows, version, err := ScanAll(ctx, s, Range{Table: opts.Table})
+		if err == nil && version < after {
+			err = &StaleReadError{Table: opts.Table, Version: version, Known: after}
+		}
 		return TableUpdate{Rows: rows, IsFull: true, Version: version}, err
 	}
 	page, err := s.Watch(ctx, opts.Table, after, opts.Wait)
--- a/rowstore/follow_test.go
+++ b/rowstore/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,3 +84,49 @@
 	assert.Equal(t, len(all), 1201)
 	assert.Equal(t, version, uint64(1201))
 }
+
+// staleStore returns scans of an earlier state while isStale is set.
+type staleStore struct {
+	rowstore.Store
+	earlier rowstore.Page
+	isStale atomic.Bool
+}
+
+func (s *staleStore) Scan(ctx context.Context, r rowstore.Range) (rowstore.Page, error) {
+	if s.isStale.Load() {
+		return s.earlier, nil
+	}
+	return s.Store.Scan(ctx, r)
+}
+
+// A follower that knows a newer state must not go back to the one that a stale read
+// returns after the store has dropped its history.
+func TestFollowIgnoresScanOlderThanLastUpdate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		key := rowstore.Key{Table: "t", Key: "1"}
+		store.Put(key, []byte("ready"))
+		earlier, err := store.Scan(t.Context(), rowstore.Range{Table: "t"})
+		assert.NilError(t, err)
+		stale := &staleStore{Store: store, earlier: earlier}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		seen, fullUpdates := make(map[string]string), 0
+		follow(ctx, stale, seen, &fullUpdates)
+		time.Sleep(200 * time.Millisecond)
+		store.Put(key, []byte("draining"))
+		time.Sleep(200 * time.Millisecond)
+		stale.isStale.Store(true)
+		store.Put(rowstore.Key{Table: "t", Key: "2"}, nil)
+		store.DropHistory()
+		for range 15 {
+			time.Sleep(200 * time.Millisecond)
+			synctest.Wait()
+			assert.Equal(t, seen["1"], "draining")
+		}
+		stale.isStale.Store(false)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.DeepEqual(t, seen, map[string]string{"1": "draining", "2": ""})
+	})
+}
