--- a/edge/placement_test.go
+++ b/edge/placement_test.go
@@ -27,7 +27,8 @@
 	isMembershipUnknown bool // no member list has been read yet
 	placer              *int // index of the placer, -1 for none
 	isSilent            *bool
-	staysPlacer         bool // also after it did not answer
+	staysPlacer         bool         // also after it did not answer
+	holder              structs.VMID // of all accounts, empty for this VM
 }
 
 func (p *fakePeers) IsMembershipKnown() bool { return !p.isMembershipUnknown }
@@ -38,7 +39,7 @@
 
 func (p *fakePeers) OtherHolders(string) []structs.VMID { return nil }
 
-func (p *fakePeers) Holder(string) (structs.VMID, bool) { return "", true }
+func (p *fakePeers) Holder(string) (structs.VMID, bool) { return p.holder, p.holder == "" }
 
 func (p *fakePeers) Placer(structs.ServiceID) (structs.VMID, bool) {
 	if *p.placer < 0 {
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -85,6 +85,32 @@
 // holderName is the name by which an account's quota holder is picked.
 func holderName(account structs.AccountID) string { return "account/" + string(account) }
 
+// holdsQuota reports whether this VM counts the quota of an account.
+func (s *Server) holdsQuota(account structs.AccountID) bool {
+	if s.opts.Peers.PeerCount() < maxUncoordinatedVMs {
+		return true
+	}
+	_, self := s.opts.Peers.Holder(holderName(account))
+	return self
+}
+
+// dropUnheldQuota drops the buckets of accounts that other VMs hold now. Their tokens
+// would be lent beside those of the present holders.
+func (s *Server) dropUnheldQuota() {
+	s.mu.Lock()
+	accounts := s.limiter.Accounts()
+	s.mu.Unlock()
+	for _, account := range accounts {
+		if s.holdsQuota(account) {
+			continue
+		}
+		s.mu.Lock()
+		s.limiter.Drop(account)
+		s.mu.Unlock()
+		s.log.Info("quota is held by another VM now", "account", string(account))
+	}
+}
+
 // returnToken gives back the token of a request that reached no target.
 func (s *Server) returnToken(account structs.AccountID) {
 	if s.opts.Peers.PeerCount() >= maxUncoordinatedVMs {
--- a/edge/server.go
+++ b/edge/server.go
@@ -123,6 +123,7 @@
 func (s *Server) sweep(_ context.Context, now time.Time) {
 	s.pool.Sweep(now)
 	s.opts.Local.Ledger.Sweep(now)
+	s.dropUnheldQuota()
 	s.mu.Lock()
 	s.limiter.Sweep(structs.Now())
 	s.expireGrants(structs.Now())
@@ -198,6 +199,9 @@
 
 // Lend gives a peer quota tokens of an account and returns their number.
 func (s *Server) Lend(account structs.AccountID) int {
+	if !s.holdsQuota(account) {
+		return 0
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	table := s.opts.Config.Current()
--- a/share/share.go
+++ b/share/share.go
@@ -7,7 +7,9 @@
 package share
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/endivecourse/endivecourse/structs"
@@ -348,6 +350,14 @@
 	a.tokens = math.Min(a.tokens+a.share*a.limit.Rate*elapsed, capacity)
 }
 
+// Accounts returns the accounts of which this VM has a bucket.
+func (s *Limiter) Accounts() []structs.AccountID {
+	return slices.Collect(maps.Keys(s.accounts))
+}
+
+// Drop removes the bucket of an account that another VM holds. Its tokens are lost.
+func (s *Limiter) Drop(id structs.AccountID) { delete(s.accounts, id) }
+
 // Sweep drops accounts without demand whose buckets are full.
 func (s *Limiter) Sweep(now structs.Instant) {
 	for id, a := range s.accounts {
