targetrate: a change of a rate is reported by the VM that saw it

Now only VMs whose own response showed the change report it; placers report theirs while they place requests. The VM that asks a placer tells it what it does not know, as before.

TestChangeIsReportedOnlyByTheVMThatSawIt failed before (reported by the second VM). The placers of a rate have the name that they have elsewhere.

--- a/edge/placement.go
+++ b/edge/placement.go
@@ -168,7 +168,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if reply.Rate != nil {
-		s.observeRate(now, reply.Target, *reply.Rate, "placer")
+		s.learnRate(now, reply.Target, *reply.Rate, "placer")
 	}
 	if _, isNamed := s.targets.Rates.Rate(reply.Target); !isNamed || reply.Rate != nil && reply.Rate.Rate >= 0 {
 		return targetrate.Observation{}, false
@@ -209,7 +209,7 @@
 	query := placement.Query{Service: p.Service, CacheTarget: p.Cached, Exclude: p.Exclude, Domain: p.Domain}
 	now := structs.Now()
 	request := admission.Request{Priority: p.Priority, ProgramDeadline: now.Add(p.DueIn)}
-	s.observeRates(now, p.Rates)
+	s.learnRates(now, p.Rates)
 	target, err := s.acquireTarget(ctx, query, request, p.Wait, max(p.Wait, p.Patience))
 	var noTarget *NoTargetError
 	var limited *RateLimitedError
--- a/edge/rates.go
+++ b/edge/rates.go
@@ -27,24 +27,25 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.observeRate(structs.Now(), id, o, "response")
+	now := structs.Now()
+	if _, isListed := s.targets.Get(id); isListed && s.targets.Rates.Observe(now, id, o) {
+		s.logRateSwitch(now, id, "response")
+	}
 }
 
-// observeRate records an observation of a target's named rate. The caller holds the lock.
-func (s *Server) observeRate(now structs.Instant, id structs.TargetID, o targetrate.Observation, source string) {
-	if _, isListed := s.targets.Get(id); !isListed {
-		return
-	}
-	if s.targets.Rates.Observe(now, id, o) {
+// learnRate records what another VM says of a target's named rate. The caller holds the
+// lock.
+func (s *Server) learnRate(now structs.Instant, id structs.TargetID, o targetrate.Observation, source string) {
+	if _, isListed := s.targets.Get(id); isListed && s.targets.Rates.Learn(now, id, o) {
 		s.logRateSwitch(now, id, source)
 	}
 }
 
-func (s *Server) observeRates(now structs.Instant, rates map[structs.TargetID]targetrate.Observation) {
+func (s *Server) learnRates(now structs.Instant, rates map[structs.TargetID]targetrate.Observation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, o := range rates {
-		s.observeRate(now, id, o, "peer")
+		s.learnRate(now, id, o, "peer")
 	}
 }
 
--- a/edge/rates_test.go
+++ b/edge/rates_test.go
@@ -18,7 +18,7 @@
 func nameRate(s *Server, id structs.TargetID, rate float32) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.observeRate(structs.Now(), id, targetrate.Observation{Rate: rate}, "test")
+	s.learnRate(structs.Now(), id, targetrate.Observation{Rate: rate}, "test")
 }
 
 // grantedIn sends requests to a server, one each 10 ms, and returns how many were granted
--- a/targetrate/limiter.go
+++ b/targetrate/limiter.go
@@ -3,7 +3,7 @@
 //
 // A target may name the number of requests per second that it takes from all VMs together,
 // for as long as its responses name it. The VMs that choose targets for others, the
-// holders, divide that rate among themselves by demand; each keeps to its share with a
+// placers, divide that rate among themselves by demand; each keeps to its share with a
 // token bucket. It answers targets that slow down under a load that other targets could
 // take. The package is a deterministic state machine without clock, goroutine or I/O.
 package targetrate
@@ -16,25 +16,25 @@
 )
 
 const (
-	// evenPart is the part of a rate that is divided evenly among the holders, so that a
-	// holder whose demand begins has tokens before the others know of it.
+	// evenPart is the part of a rate that is divided evenly among the placers, so that a
+	// placer whose demand begins has tokens before the others know of it.
 	evenPart = 0.2
 	// takenTau is the time constant of the measured demand.
 	takenTau = 2 * time.Second
 	// burstTime is the time for which an unused share is saved up, at least to minBurst
-	// tokens by a holder and to one by another VM. With a single token, the share is lost
+	// tokens by a placer and to one by another VM. With a single token, the share is lost
 	// while that token waits for a request.
 	burstTime = 250 * time.Millisecond
 	minBurst  = 2
 	// minRate is the lowest rate that is used. A target that gets no requests could not
 	// say that it takes more again.
 	minRate = 0.2
-	// peerFreshTime is how long a holder's reported demand counts in full, peerTTL how
+	// peerFreshTime is how long a placer's reported demand counts in full, peerTTL how
 	// long it counts at all.
 	peerFreshTime = 1500 * time.Millisecond
 	peerTTL       = 4 * time.Second
-	// changeTTL is how long a change is reported to the peers, and how long a target that
-	// names no rate any more is remembered.
+	// changeTTL is how long a change is reported to the peers, and how long after its last
+	// response a target that names no rate any more is remembered.
 	changeTTL = 5 * time.Second
 	// minReportedDemand is the demand in requests per second below which it is not
 	// reported.
@@ -67,7 +67,7 @@
 type targetState struct {
 	rate       float64 // requests per second of all VMs, None if the target names none
 	observedAt structs.Instant
-	changedAt  structs.Instant
+	changedAt  structs.Instant // by a response to this VM, 0 for never
 	tokens     float64
 	refilledAt structs.Instant
 	lastShare  float64 // holds since the last refill
@@ -85,9 +85,20 @@
 // New returns a limiter that knows no rates.
 func New() *Limiter { return &Limiter{targets: make(map[structs.TargetID]*targetState)} }
 
-// Observe records an observation of a target and reports whether the target begins or
-// ceases to name a rate. An observation that is older than the known one is ignored.
+// Observe records what a response to this VM says. It reports whether the target begins or
+// ceases to name a rate. A change is reported to the peers for changeTTL.
 func (l *Limiter) Observe(now structs.Instant, id structs.TargetID, o Observation) bool {
+	before, _ := l.Rate(id)
+	isSwitch := l.Learn(now, id, o)
+	if after, _ := l.Rate(id); isSwitch || after != before {
+		l.targets[id].changedAt = now
+	}
+	return isSwitch
+}
+
+// Learn records an observation that another VM reports, which is not passed on. An
+// observation that is older than the known one is ignored.
+func (l *Limiter) Learn(now structs.Instant, id structs.TargetID, o Observation) bool {
 	st := l.targets[id]
 	if st == nil && o.Rate < 0 {
 		return false // the usual case
@@ -110,7 +121,7 @@
 	}
 	st.refill(now, st.lastShare)
 	isSwitch := (rate < 0) != (st.rate < 0)
-	st.rate, st.changedAt = rate, now
+	st.rate = rate
 	return isSwitch
 }
 
@@ -148,7 +159,7 @@
 }
 
 // Share returns the part of a target's named rate that this VM may use, in requests per
-// second. fraction is the fixed part of a VM that is no holder, 0 for a holder. It returns
+// second. fraction is the fixed part of a VM that is no placer, 0 for a placer. It returns
 // false if the target names no rate.
 func (l *Limiter) Share(now structs.Instant, id structs.TargetID, fraction float64) (float64, bool) {
 	st := l.targets[id]
@@ -190,8 +201,8 @@
 	var reports map[structs.TargetID]Report
 	for id, st := range l.targets {
 		st.decay(now)
-		isChanged := now.Sub(st.changedAt) < changeTTL
-		if st.rate < 0 && !isChanged {
+		isChanged := st.changedAt != 0 && now.Sub(st.changedAt) < changeTTL
+		if st.rate < 0 && now.Sub(st.observedAt) >= changeTTL {
 			delete(l.targets, id)
 			continue
 		}
@@ -212,7 +223,7 @@
 func (l *Limiter) ApplyReport(now structs.Instant, vm structs.VMID, reports map[structs.TargetID]Report) []structs.TargetID {
 	var changed []structs.TargetID
 	for id, report := range reports {
-		if l.Observe(now, id, report.Observation) {
+		if l.Learn(now, id, report.Observation) {
 			changed = append(changed, id)
 		}
 		if st := l.targets[id]; st != nil && report.Taken >= minReportedDemand {
@@ -227,7 +238,7 @@
 	return changed
 }
 
-// share returns this VM's part of the rate. Invariant: while all holders know one
+// share returns this VM's part of the rate. Invariant: while all placers know one
 // another's demand, their shares sum to the rate.
 func (st *targetState) share(now structs.Instant, fraction float64) float64 {
 	if st.rate < 0 {
@@ -237,7 +248,7 @@
 		return st.rate * fraction
 	}
 	st.decay(now)
-	total, holders := st.taken, 1.0
+	total, placers := st.taken, 1.0
 	for vm, peer := range st.peers {
 		weight := peerWeight(now.Sub(peer.reportedAt))
 		if weight == 0 {
@@ -245,16 +256,16 @@
 			continue
 		}
 		total += weight * peer.taken
-		holders += weight
+		placers += weight
 	}
-	if total == 0 || holders == 1 {
-		return st.rate / holders
+	if total == 0 || placers == 1 {
+		return st.rate / placers
 	}
-	return st.rate * ((1-evenPart)*st.taken/total + evenPart/holders)
+	return st.rate * ((1-evenPart)*st.taken/total + evenPart/placers)
 }
 
 // peerWeight returns the weight of a demand that was reported the given time ago. The
-// share of a holder that is gone passes to the others gradually.
+// share of a placer that is gone passes to the others gradually.
 func peerWeight(age time.Duration) float64 {
 	fading := float64(peerTTL-age) / float64(peerTTL-peerFreshTime)
 	return math.Min(math.Max(fading, 0), 1)
--- a/targetrate/limiter_test.go
+++ b/targetrate/limiter_test.go
@@ -55,44 +55,57 @@
 	assert.Assert(t, sent >= 3 && sent <= 5, "%d requests in 20 s", sent)
 }
 
-// holderSim plays holders that send as many requests to a target as they may, and
+// At 195 VMs, reports that every VM passes on would cost more than the rate saves.
+func TestChangeIsReportedOnlyByTheVMThatSawIt(t *testing.T) {
+	first, other := New(), New()
+	first.Observe(at(1), target, Observation{Rate: 8})
+	other.ApplyReport(at(1.1), "first", first.Report(at(1.1)))
+	rate, isNamed := other.Rate(target)
+	assert.Assert(t, isNamed && rate == 8)
+	other.Observe(at(1.2), target, Observation{Rate: 8})
+	assert.Equal(t, len(other.Report(at(1.3))), 0)
+	other.Take(at(1.3), target)
+	assert.Equal(t, len(other.Report(at(1.4))), 1, "a VM that places requests reports its demand")
+}
+
+// placerSim plays placers that send as many requests to a target as they may, and
 // exchange reports.
-type holderSim struct {
+type placerSim struct {
 	t       *testing.T
 	rate    float64
-	holders map[structs.VMID]*Limiter
-	order   []structs.VMID           // of all VMs that ever were holders
+	placers map[structs.VMID]*Limiter
+	order   []structs.VMID           // of all VMs that ever were placers
 	demand  map[structs.VMID]float64 // requests per second
 	lost    func(now float64, from, to structs.VMID) bool
 	sent    []float64 // times of all requests
 	rng     *rand.Rand
 }
 
-func newHolderSim(t *testing.T, rate float64, demand map[structs.VMID]float64) *holderSim {
-	s := &holderSim{t: t, rate: rate, holders: make(map[structs.VMID]*Limiter), demand: demand, rng: rand.New(rand.NewPCG(1, 2))}
+func newPlacerSim(t *testing.T, rate float64, demand map[structs.VMID]float64) *placerSim {
+	s := &placerSim{t: t, rate: rate, placers: make(map[structs.VMID]*Limiter), demand: demand, rng: rand.New(rand.NewPCG(1, 2))}
 	for _, vm := range slices.Sorted(maps.Keys(demand)) {
 		s.start(vm, 0)
 	}
 	return s
 }
 
-// start starts a holder that learns of the rate from its first response.
-func (s *holderSim) start(vm structs.VMID, now float64) {
+// start starts a placer that learns of the rate from its first response.
+func (s *placerSim) start(vm structs.VMID, now float64) {
 	if !slices.Contains(s.order, vm) {
 		s.order = append(s.order, vm)
 	}
-	s.holders[vm] = New()
-	s.holders[vm].Observe(at(now), target, Observation{Rate: float32(s.rate)})
+	s.placers[vm] = New()
+	s.placers[vm].Observe(at(now), target, Observation{Rate: float32(s.rate)})
 }
 
-// run plays the time between two instants in steps of 10 ms, with a report of each holder
+// run plays the time between two instants in steps of 10 ms, with a report of each placer
 // to each other every reportPeriod seconds.
-func (s *holderSim) run(from, to, reportPeriod float64) {
+func (s *placerSim) run(from, to, reportPeriod float64) {
 	const step = 0.01
 	reportAt := from
 	for now := from; now < to; now += step {
 		for _, vm := range s.order {
-			l, isUp := s.holders[vm]
+			l, isUp := s.placers[vm]
 			if !isUp {
 				continue
 			}
@@ -108,10 +121,10 @@
 	}
 }
 
-func (s *holderSim) exchangeReports(now float64) {
-	for from, l := range s.holders {
+func (s *placerSim) exchangeReports(now float64) {
+	for from, l := range s.placers {
 		report := l.Report(at(now))
-		for to, peer := range s.holders {
+		for to, peer := range s.placers {
 			if from != to && (s.lost == nil || !s.lost(now, from, to)) {
 				peer.ApplyReport(at(now), from, report)
 			}
@@ -120,7 +133,7 @@
 }
 
 // mostIn4s returns the largest number of requests in 4 s.
-func (s *holderSim) mostIn4s() int {
+func (s *placerSim) mostIn4s() int {
 	most := 0
 	for i := range s.sent {
 		n := 0
@@ -135,17 +148,17 @@
 }
 
 // assertWithinRule checks the users' bound: one and a half times the rate, and five.
-func (s *holderSim) assertWithinRule(what string) {
+func (s *placerSim) assertWithinRule(what string) {
 	s.t.Helper()
 	allowed := int(1.5*4*s.rate) + 5
 	assert.Assert(s.t, s.mostIn4s() <= allowed, "%s: %d requests in 4 s, %d are allowed", what, s.mostIn4s(), allowed)
 }
 
-func TestHoldersShareTheRateByDemand(t *testing.T) {
+func TestPlacersShareTheRateByDemand(t *testing.T) {
 	const seconds = 200
 	for _, reportPeriod := range []float64{0.3, 1.2} {
 		for _, rate := range []float64{0.5, 2, 8, 40} {
-			s := newHolderSim(t, rate, map[structs.VMID]float64{"a": 3 * rate, "b": 0.2 * rate, "c": 0.02 * rate})
+			s := newPlacerSim(t, rate, map[structs.VMID]float64{"a": 3 * rate, "b": 0.2 * rate, "c": 0.02 * rate})
 			s.run(0, seconds, reportPeriod)
 			s.assertWithinRule(fmt.Sprint("rate ", rate))
 			used := float64(len(s.sent)) / seconds / rate
@@ -155,15 +168,15 @@
 	}
 }
 
-func TestRateHoldsThroughRestartsAndCutsOfHolders(t *testing.T) {
+func TestRateHoldsThroughRestartsAndCutsOfPlacers(t *testing.T) {
 	for _, rate := range []float64{1, 8, 40} {
-		s := newHolderSim(t, rate, map[structs.VMID]float64{"a": 3 * rate, "b": 3 * rate})
+		s := newPlacerSim(t, rate, map[structs.VMID]float64{"a": 3 * rate, "b": 3 * rate})
 		s.run(0, 10, 0.6)
 		s.start("a", 10)
 		s.run(10, 15, 0.6)
 		s.lost = func(now float64, _, _ structs.VMID) bool { return now < 17 }
 		s.run(15, 22, 0.6)
-		delete(s.holders, "b")
+		delete(s.placers, "b")
 		s.run(22, 28, 0.6)
 		s.demand["c"] = 3 * rate
 		s.start("c", 28)
@@ -172,10 +185,10 @@
 	}
 }
 
-func TestShareOfLostHolderPassesToOthers(t *testing.T) {
-	s := newHolderSim(t, 20, map[structs.VMID]float64{"a": 60, "b": 60})
+func TestShareOfLostPlacerPassesToOthers(t *testing.T) {
+	s := newPlacerSim(t, 20, map[structs.VMID]float64{"a": 60, "b": 60})
 	s.run(0, 10, 0.3)
-	delete(s.holders, "b")
+	delete(s.placers, "b")
 	s.run(10, 15, 0.3)
 	s.sent = nil
 	s.run(15, 20, 0.3)
