--- a/targetrate/limiter.go
+++ b/targetrate/limiter.go
@@ -112,7 +112,7 @@
 		return false
 	}
 	st.observedAt = at
-	rate := None * 1.0
+	rate := float64(None)
 	if o.Rate >= 0 {
 		rate = math.Max(float64(o.Rate), minRate)
 	}
