edge: tell whose failures take a target out of use, and when targets last answered

Change: own_failures and reporters on 'target out of use', last_answer_ms on 'target is unreachable', endive_target_answer_age_seconds.

--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -182,7 +182,9 @@
 		x.recordIncompleteResponse(ctx, target, err)
 		return attemptResult{isRunUnknown: true, cause: err}
 	}
-	g.result, g.latency = placement.ResultAnswered, structs.Now().Sub(x.sentAt)
+	now := structs.Now()
+	x.server.recordAnswer(now)
+	g.result, g.latency = placement.ResultAnswered, now.Sub(x.sentAt)
 	result := x.relay(ctx, target, conn, resp)
 	if !stop() || !result.isAnswered || result.cause != nil {
 		conn.Close()
@@ -217,10 +219,25 @@
 	if !errors.As(err, &dial) {
 		return false // the request ended, which says nothing about the target
 	}
-	s.log.Warn("target is unreachable", "target", string(target.ID), "address", target.Address, "cause", err.Error())
+	s.log.Warn("target is unreachable", "target", string(target.ID), "address", target.Address, "cause", err.Error(),
+		"last_answer_ms", s.answerAge(structs.Now()).Milliseconds())
 	return true
 }
 
+// recordAnswer records that a target has answered this VM.
+func (s *Server) recordAnswer(now structs.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastAnswer = now
+}
+
+// answerAge returns the time since any target answered this VM.
+func (s *Server) answerAge(now structs.Instant) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.lastAnswer)
+}
+
 // recordIncompleteResponse records an incomplete response and starts a check for
 // whether the target has crashed.
 func (x *exchange) recordIncompleteResponse(ctx context.Context, target placement.Target, err error) {
--- a/edge/server.go
+++ b/edge/server.go
@@ -73,6 +73,7 @@
 	peerGrants        map[uint64]peerGrant
 	lastGrantID       uint64
 	configConfirmedAt structs.Instant // last confirmation by the store or a peer
+	lastAnswer        structs.Instant // last response of any target to this VM
 }
 
 // New returns a server that has no targets yet.
@@ -135,7 +136,8 @@
 func (s *Server) logEjectionChanges(changes []placement.EjectionChange) {
 	for _, change := range changes {
 		if change.IsEjected {
-			s.log.Warn("target out of use for failed requests", "target", string(change.Target), "failing", change.FailureRate)
+			s.log.Warn("target out of use for failed requests", "target", string(change.Target), "failing", change.FailureRate,
+				"own_failures", change.OwnFailures, "reporters", change.Reporters)
 		} else {
 			s.log.Info("target back in use", "target", string(change.Target), "failing", change.FailureRate)
 		}
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -44,6 +44,7 @@
 		defer s.mu.Unlock()
 		return float64(s.targets.Rates.Count())
 	})
+	set.NewGauge("endive_target_answer_age_seconds", func() float64 { return s.answerAge(structs.Now()).Seconds() })
 	set.NewGauge("endive_targets_age_seconds", func() float64 { return s.targetsAge(structs.Now()).Seconds() })
 	return &stats{
 		set:       set,
--- a/placement/outcomes.go
+++ b/placement/outcomes.go
@@ -151,6 +151,10 @@
 	Target      structs.TargetID
 	IsEjected   bool
 	FailureRate float64 // estimated fraction of failed requests
+	// OwnFailures is this VM's decayed count of failures; Reporters is the number of
+	// peers that report failures.
+	OwnFailures float64
+	Reporters   int
 }
 
 // EjectionChanges returns the targets that were ejected or restored since the last call.
@@ -160,7 +164,10 @@
 		isEjected := st.outcomes.updateEjected(now)
 		if isEjected != st.outcomes.isReportedEjected {
 			st.outcomes.isReportedEjected = isEjected
-			changes = append(changes, EjectionChange{Target: id, IsEjected: isEjected, FailureRate: st.outcomes.failureRate(now)})
+			changes = append(changes, EjectionChange{
+				Target: id, IsEjected: isEjected, FailureRate: st.outcomes.failureRate(now),
+				OwnFailures: st.outcomes.failures, Reporters: len(st.outcomes.remote),
+			})
 		}
 	}
 	return changes
