--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -20,6 +20,7 @@
 	"github.com/endivecourse/endivecourse/conversation"
 	"github.com/endivecourse/endivecourse/edge"
 	"github.com/endivecourse/endivecourse/fleet"
+	"github.com/endivecourse/endivecourse/hop"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/ledger"
 	"github.com/endivecourse/endivecourse/logline"
@@ -92,7 +93,7 @@
 	log := logline.New(logWriter, slog.LevelInfo).With("vm", string(loaded.VM))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	e, err := newEndived(loaded, path, log)
+	e, err := newEndived(loaded, path, nil, log)
 	if err != nil {
 		return err
 	}
@@ -125,7 +126,9 @@
 	self   fleet.Member
 }
 
-func newEndived(loaded platform.Settings, path string, log *slog.Logger) (*endived, error) {
+// newEndived connects the components of a process. dialTarget opens the connections to
+// targets; nil means TCP.
+func newEndived(loaded platform.Settings, path string, dialTarget hop.DialFunc, log *slog.Logger) (*endived, error) {
 	self := fleet.Member{
 		VM:          loaded.VM,
 		Incarnation: newIncarnation(loaded.VM),
@@ -180,6 +183,7 @@
 		Peers:         mesh,
 		Regions:       regionCount(loaded),
 		QuotaSlack:    loaded.QuotaSlack,
+		DialTarget:    dialTarget,
 		Log:           log,
 	})
 	follower := &platform.Follower{
--- a/daemon/endived_targets_test.go
+++ b/daemon/endived_targets_test.go
@@ -206,7 +206,7 @@
 	b.vms = []*platformtest.VM{vm}
 	loaded, err := platform.LoadSettings(vm.SettingsPath)
 	assert.NilError(t, err)
-	e, err := newEndived(loaded, vm.SettingsPath, slog.New(slog.NewJSONHandler(b.logs, nil)))
+	e, err := newEndived(loaded, vm.SettingsPath, nil, slog.New(slog.NewJSONHandler(b.logs, nil)))
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/daemon/testsite_test.go
+++ b/daemon/testsite_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/hop"
 	"github.com/endivecourse/endivecourse/platform"
 	"github.com/endivecourse/endivecourse/platform/platformtest"
 )
@@ -60,11 +61,12 @@
 	vms          []*platformtest.VM
 	logs         *logBuffer
 	client       *http.Client
+	paths        map[*platformtest.VM]*targetPaths // of VMs whose paths a test cuts
 	requestCount int
 }
 
 func newTestSite(t *testing.T, domains ...string) *testSite {
-	b := &testSite{t: t, site: platformtest.NewSite(t), logs: &logBuffer{}}
+	b := &testSite{t: t, site: platformtest.NewSite(t), logs: &logBuffer{}, paths: make(map[*platformtest.VM]*targetPaths)}
 	b.client = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 16}}
 	t.Cleanup(b.client.CloseIdleConnections)
 	b.site.PutConfig(platformtest.BasicConfig())
@@ -100,7 +102,11 @@
 func (b *testSite) startWithDrain(vm *platformtest.VM, drain time.Duration) (stop func()) {
 	loaded, err := platform.LoadSettings(vm.SettingsPath)
 	assert.NilError(b.t, err)
-	e, err := newEndived(loaded, vm.SettingsPath, slog.New(slog.NewJSONHandler(b.logs, nil)).With("vm", vm.Name))
+	var dialTarget hop.DialFunc
+	if b.paths[vm] != nil {
+		dialTarget = b.paths[vm].dial
+	}
+	e, err := newEndived(loaded, vm.SettingsPath, dialTarget, slog.New(slog.NewJSONHandler(b.logs, nil)).With("vm", vm.Name))
 	assert.NilError(b.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/edge/server.go
+++ b/edge/server.go
@@ -51,6 +51,8 @@
 	// QuotaSlack is the number of requests by which all VMs together may exceed an
 	// account's limit.
 	QuotaSlack float64
+	// DialTarget opens the connections to targets; nil means TCP.
+	DialTarget hop.DialFunc
 	Log        *slog.Logger
 }
 
@@ -81,7 +83,7 @@
 	s := &Server{
 		opts:       opts,
 		log:        opts.Log,
-		pool:       hop.NewPool(),
+		pool:       hop.NewPool(opts.DialTarget),
 		targets:    placement.New(opts.Domain, opts.Region),
 		queues:     make(map[structs.ServiceID]*admission.Queue),
 		peerGrants: make(map[uint64]peerGrant),
--- a/hop/conn_test.go
+++ b/hop/conn_test.go
@@ -91,7 +91,7 @@
 		previous = id
 		return late + response(id, "answer to "+id)
 	})
-	pool := NewPool()
+	pool := NewPool(nil)
 	for _, id := range []string{"a", "b", "c", "d"} {
 		body, err := roundTrip(t, pool, address, id)
 		assert.NilError(t, err)
@@ -110,7 +110,7 @@
 		}
 		return response(id, "answer to "+id)
 	})
-	pool := NewPool()
+	pool := NewPool(nil)
 	for _, id := range []string{"a", "b"} {
 		body, err := roundTrip(t, pool, address, id)
 		assert.NilError(t, err)
@@ -121,7 +121,7 @@
 // A response without an ID on a new connection is the response to its only request.
 func TestResponseWithoutIDOnNewConnection(t *testing.T) {
 	address := startTarget(t, func(int, string) string { return response("", "plain") })
-	body, err := roundTrip(t, NewPool(), address, "a")
+	body, err := roundTrip(t, NewPool(nil), address, "a")
 	assert.NilError(t, err)
 	assert.Equal(t, body, "plain")
 }
@@ -131,7 +131,7 @@
 	address := startTarget(t, func(int, string) string {
 		return "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 2*maxHeadBytes)
 	})
-	_, err := roundTrip(t, NewPool(), address, "a")
+	_, err := roundTrip(t, NewPool(nil), address, "a")
 	var tooLarge *ResponseTooLargeError
 	assert.Assert(t, errors.As(err, &tooLarge), "%v", err)
 	assert.Equal(t, tooLarge.Part, "head")
--- a/hop/pool.go
+++ b/hop/pool.go
@@ -45,26 +45,32 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Cause }
 
+// DialFunc opens a connection to a target.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Pool keeps idle connections by address.
 type Pool struct {
-	dialer *net.Dialer
+	dial DialFunc
 
 	mu    sync.Mutex
 	idle  map[string][]*Conn // the most recently used one is last
 	dials uint64
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{
-		dialer: &net.Dialer{
-			Timeout: dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
-			},
-			Control: sockopt.UserTimeout(userTimeout),
+// NewPool returns an empty pool whose connections dial opens; nil means TCP.
+func NewPool(dial DialFunc) *Pool {
+	if dial == nil {
+		dial = newDialer().DialContext
+	}
+	return &Pool{dial: dial, idle: make(map[string][]*Conn)}
+}
+
+func newDialer() *net.Dialer {
+	return &net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 		},
-		idle: make(map[string][]*Conn),
+		Control: sockopt.UserTimeout(userTimeout),
 	}
 }
 
@@ -82,7 +88,9 @@
 		}
 		c.Close()
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := p.dial(dialCtx, "tcp", address)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
