hop, platform: connections outlive a target or store that is silent for a second

What callers saw: the requests on all connections to a target that falls silent for half a second or more could end with 'connection timed out', and the target was then checked for a crash.

TCP_USER_TIMEOUT was 1.5 s with the first keep-alive probe after 1 s. Where it is set, Linux closes an idle connection by it, whatever the count of probes says, so one unanswered probe was enough.

Change: sockopt.Probes derives the user timeout from the probes (idle + count x interval), so that the two can't disagree; targets and store use probes after 1 s, each second, two of them: 3 s. Dialers that set no user timeout (wire, outbound) are checked too.

Measured: before, TestConnectionsSurviveSilentTarget and TestStoreConnectionsSurviveSilence fail ('closes 1.5s after the last data, first probe after 1s'); the tests of wire and outbound passed before.

--- a/hop/pool.go
+++ b/hop/pool.go
@@ -15,13 +15,6 @@
 const (
 	// dialTimeout leaves time for ten round trips between regions.
 	dialTimeout = 350 * time.Millisecond
-	// userTimeout closes a connection whose data is not acknowledged, as happens
-	// when a target loses power.
-	userTimeout = 1500 * time.Millisecond
-	// Keep-alive probes of an idle connection; three unanswered probes close it.
-	probeIdle     = time.Second
-	probeInterval = 500 * time.Millisecond
-	probeCount    = 3
 	// defaultIdleTimeout is how long a connection stays pooled if the target
 	// states no idle timeout.
 	defaultIdleTimeout = 8 * time.Second
@@ -32,6 +25,10 @@
 	maxPooled = 16
 )
 
+// probes close the connections to a target that has lost power. A target that is silent
+// for a second or two keeps them.
+var probes = sockopt.Probes{Idle: time.Second, Interval: time.Second, Count: 2}
+
 // DialError reports that no connection was made, so that no byte of the request was
 // sent.
 type DialError struct {
@@ -60,20 +57,11 @@
 // NewPool returns an empty pool whose connections dial opens; nil means TCP.
 func NewPool(dial DialFunc) *Pool {
 	if dial == nil {
-		dial = newDialer().DialContext
+		dial = sockopt.Dialer(probes).DialContext
 	}
 	return &Pool{dial: dial, idle: make(map[string][]*Conn)}
 }
 
-func newDialer() *net.Dialer {
-	return &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
-		},
-		Control: sockopt.UserTimeout(userTimeout),
-	}
-}
-
 // Get returns a pooled connection that is still open, or a new one. Its error is a
 // *DialError or that of ctx.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
--- /dev/null
+++ b/hop/pool_test.go
@@ -0,0 +1,19 @@
+package hop
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/internal/sockopt/sockopttest"
+)
+
+// Guards against targets that are silent for a second and lose their connections.
+func TestConnectionsSurviveSilentTarget(t *testing.T) {
+	address := startTarget(t, func(_ int, id string) string { return response(id, "done") })
+	conn, err := NewPool(nil).Get(context.Background(), address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	sockopttest.AssertSurvivesSilence(t, conn.net)
+}
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -2,16 +2,36 @@
 package sockopt
 
 import (
+	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// UserTimeout returns a Control function for net.Dialer that sets TCP_USER_TIMEOUT. The
-// kernel then closes a connection whose data is not acknowledged for d, for example
-// because the peer has lost power.
-func UserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
+// Probes are the keep-alive probes of a connection.
+type Probes struct {
+	Idle     time.Duration // without data, until the first probe
+	Interval time.Duration // between two probes
+	Count    int           // unanswered probes that close the connection
+}
+
+// UserTimeout returns the TCP user timeout that agrees with the probes. Where a user
+// timeout is set, Linux closes an idle connection by it and ignores the count of probes.
+func (p Probes) UserTimeout() time.Duration {
+	return p.Idle + time.Duration(p.Count)*p.Interval
+}
+
+// Dialer returns a dialer whose connections close when their probes or their data have not
+// been acknowledged for p.UserTimeout(), for example because the peer has lost power.
+func Dialer(p Probes) *net.Dialer {
+	return &net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: p.Idle, Interval: p.Interval, Count: p.Count},
+		Control:         setUserTimeout(p.UserTimeout()),
+	}
+}
+
+func setUserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		var optErr error
 		err := raw.Control(func(fd uintptr) {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/internal/sockopt/sockopttest"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -174,3 +175,15 @@
 		assert.DeepEqual(t, second.body, first.body)
 	})
 }
+
+// Guards against peers that are silent for a second and lose their connections.
+func TestConnectionsSurviveSilentPeer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	client := NewClient(Options{})
+	defer client.Close()
+	peer, err := client.dial(listener.Addr().String())
+	assert.NilError(t, err)
+	sockopttest.AssertSurvivesSilence(t, peer.conn.netConn)
+}
