--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -161,8 +161,13 @@
 			Place: func(ctx context.Context, p fleet.PlacementRequest) fleet.PlacementReply {
 				return server.PlaceForPeer(ctx, p)
 			},
-			Release:  func(r fleet.Release) { server.ReleaseForPeer(r) },
-			ForgetVM: func(vm structs.VMID) { server.ForgetVM(vm) },
+			Release: func(r fleet.Release) { server.ReleaseForPeer(r) },
+			Forward: func(ctx context.Context, req fleet.ForwardRequest, send func(fleet.ForwardReply) error) error {
+				return server.ForwardForPeer(ctx, req, send)
+			},
+			ReachesTargets: func() bool { return server.ReachesTargets() },
+			ReportReach:    func(vm fleet.Member, reachesTargets bool) { server.ReportReach(vm, reachesTargets) },
+			ForgetVM:       func(vm structs.VMID) { server.ForgetVM(vm) },
 		},
 	})
 	router = storepath.NewRouter(direct, mesh, log)
--- a/daemon/endived_paths_test.go
+++ b/daemon/endived_paths_test.go
@@ -15,14 +15,15 @@
 // contactTime is the users' bound for a VM that loses its paths to targets (contactMs).
 const contactTime = 4 * time.Second
 
-// newPathSite returns a site of four VMs in two regions with two targets of each service.
-func newPathSite(t *testing.T) *testSite {
-	b := newTestSite(t)
+// newPathSite returns a site of four VMs in two regions with two targets of each service,
+// and the functions that stop the VMs; a stopped one drains for at most the given time.
+func newPathSite(t *testing.T, drain time.Duration) (b *testSite, stops []func()) {
+	b = newTestSite(t)
 	for _, domain := range []string{"near-a", "near-a", "near-b", "far-a"} {
 		vm := b.site.AddVM(domain)
 		b.vms = append(b.vms, vm)
 		b.paths[vm] = newTargetPaths()
-		b.start(vm)
+		stops = append(stops, b.startWithDrain(vm, drain))
 	}
 	for _, vm := range b.vms {
 		b.waitReady(vm)
@@ -31,7 +32,7 @@
 		b.addTarget(fmt.Sprintf("engine-%d", n), "engine", domain).Set(platformtest.Behaviour{Events: 3, Duration: 5 * time.Millisecond})
 		b.addTarget(fmt.Sprintf("app-%d", n), "app", domain)
 	}
-	return b
+	return b, stops
 }
 
 // sendFor sends requests of each kind to a VM, one after the other, and returns the number
@@ -76,7 +77,7 @@
 	for _, mode := range []pathMode{pathsSilent, pathsReset, pathsRefuse} {
 		t.Run(string(mode), func(t *testing.T) {
 			t.Parallel()
-			b := newPathSite(t)
+			b, _ := newPathSite(t, time.Millisecond)
 			vm := b.vms[0]
 			_, failed := b.sendFor(vm, "before", 0, 500*time.Millisecond)
 			assert.Equal(t, failed, 0)
@@ -90,7 +91,7 @@
 
 // Guards against targets in use elsewhere that are judged by VMs which reach no target.
 func TestLossOfPathsTakesNoTargetOutOfUse(t *testing.T) {
-	b := newPathSite(t)
+	b, _ := newPathSite(t, time.Millisecond)
 	var wait sync.WaitGroup
 	for n, vm := range b.vms {
 		for worker := range 4 {
--- a/edge/affinity.go
+++ b/edge/affinity.go
@@ -42,6 +42,9 @@
 // cachedTarget returns the target that probably has the request's prompt in its
 // cache, or an empty ID.
 func (x *exchange) cachedTarget() structs.TargetID {
+	if x.forwardedFor != "" {
+		return x.cached
+	}
 	if x.turn == nil || x.route.StoresTurns {
 		return x.previousTarget()
 	}
--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/endivecourse/endivecourse/placement"
 	"github.com/endivecourse/endivecourse/routing"
 	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/targetpath"
 )
 
 const (
@@ -55,10 +56,16 @@
 // dispatch sends the request to targets until one has answered it or no further
 // attempt is allowed. It returns nil once the caller has been answered.
 func (x *exchange) dispatch(ctx context.Context, body []byte) *structs.Refusal {
-	var tried []structs.TargetID
+	tried := x.exclude
 	var lastErr error
 	connectFailures := 0
-	for x.sends < x.maxSends() && connectFailures < maxConnectFailures {
+	for x.sends < x.maxSends() && connectFailures < x.maxConnectFailures() {
+		if x.server.paths.isLost() {
+			refusal, isForwarded := x.forward(ctx, body, tried)
+			if isForwarded {
+				return refusal
+			}
+		}
 		query := placement.Query{Service: x.service.ID, CacheTarget: x.cachedTarget(), Exclude: tried}
 		g, err := x.acquireSlot(ctx, query)
 		if err != nil {
@@ -96,6 +103,15 @@
 	return err.Error()
 }
 
+// maxConnectFailures returns the number of attempts that may fail before the request is
+// sent. While this VM reaches no target, one has to do.
+func (x *exchange) maxConnectFailures() int {
+	if x.server.paths.isLost() {
+		return 1
+	}
+	return maxConnectFailures
+}
+
 func (x *exchange) maxSends() int {
 	if x.route.MaxAttempts > 0 {
 		return x.route.MaxAttempts
@@ -163,29 +179,35 @@
 
 // attempt sends the request to one target.
 func (x *exchange) attempt(ctx context.Context, g *grant, body []byte) attemptResult {
-	x.grant = g
+	x.grant, x.forwardedBy = g, ""
 	target := g.target
-	conn, err := x.server.pool.Get(ctx, target.Address)
+	conn, err := x.connect(ctx, g)
 	if err != nil {
-		if x.server.isUnreachable(target, err) {
-			g.result = placement.ResultUnreachable
-		}
 		return attemptResult{cause: err}
 	}
+	sendCtx, abandon := context.WithCancel(ctx)
+	defer abandon()
+	answered, end := x.server.paths.begin(x.abandonIfRepeatable(abandon))
+	defer end()
 	x.sends++
 	x.target = target.ID
 	x.sentAt = structs.Now()
 	x.grantedBy, x.targetsAge = g.placer, x.server.targetsAge(x.sentAt)
-	resp, stop, err := conn.RoundTrip(ctx, x.targetRequest(target), body, string(x.ID), x.server.opts.Dialect.IDHeader())
+	resp, stop, err := conn.RoundTrip(sendCtx, x.targetRequest(target), body, string(x.ID), x.server.opts.Dialect.IDHeader())
+	answered()
 	if err != nil {
 		conn.Close()
+		if ctx.Err() == nil && sendCtx.Err() != nil {
+			return attemptResult{isRunUnknown: true, cause: &PathLostError{Target: target.ID}}
+		}
 		x.recordIncompleteResponse(ctx, target, err)
 		return attemptResult{isRunUnknown: true, cause: err}
 	}
+	resp.Body = &heardBody{ReadCloser: resp.Body, paths: x.server.paths}
 	now := structs.Now()
 	x.server.recordAnswer(now)
 	g.result, g.latency = placement.ResultAnswered, now.Sub(x.sentAt)
-	result := x.relay(ctx, target, conn, resp)
+	result := x.relay(ctx, target, resp)
 	if !stop() || !result.isAnswered || result.cause != nil {
 		conn.Close()
 		return result
@@ -194,6 +216,38 @@
 	return result
 }
 
+// connect returns a connection to a grant's target.
+func (x *exchange) connect(ctx context.Context, g *grant) (*hop.Conn, error) {
+	s := x.server
+	conn, err := s.pool.Get(ctx, g.target.Address)
+	if err == nil {
+		if !conn.IsReused() {
+			s.paths.connected()
+		}
+		return conn, nil
+	}
+	if s.isUnreachable(g.target, err) {
+		g.result, g.failedAt = placement.ResultUnreachable, structs.Now()
+		s.recordPathFailure(g.failedAt)
+	}
+	return nil, err
+}
+
+// abandonIfRepeatable returns abandon if the request may be sent again, else nil.
+func (x *exchange) abandonIfRepeatable(abandon context.CancelFunc) context.CancelFunc {
+	if x.route.IsRepeatable() {
+		return abandon
+	}
+	return nil
+}
+
+// PathLostError reports that a request was given up because this VM's paths to all targets
+// are lost.
+type PathLostError struct{ Target structs.TargetID }
+
+// Error names the target.
+func (e *PathLostError) Error() string { return "path to target " + string(e.Target) + " is lost" }
+
 func (x *exchange) targetRequest(target placement.Target) *http.Request {
 	header := x.server.opts.Dialect.RequestHeader(x.Request, ForwardInfo{
 		Target:         target.ID,
@@ -241,29 +295,45 @@
 // recordIncompleteResponse records an incomplete response and starts a check for
 // whether the target has crashed.
 func (x *exchange) recordIncompleteResponse(ctx context.Context, target placement.Target, err error) {
+	if x.forwardedBy != "" {
+		x.server.log.Warn("forwarded answer broke off", "request", string(x.ID), "target", string(target.ID),
+			"forwarded_by", string(x.forwardedBy), "cause", err.Error())
+		return
+	}
 	if ctx.Err() != nil { // ended by this side
 		if x.timeLeft() <= 0 && structs.Now().Sub(x.sentAt) > minUnansweredTime {
-			x.grant.result = placement.ResultFailed
+			x.recordTargetFailure()
 		}
 		return
 	}
-	x.grant.result = placement.ResultFailed
+	x.recordTargetFailure()
 	x.server.log.Warn("answer broke off", "request", string(x.ID), "target", string(target.ID), "cause", err.Error())
 	go x.server.checkCrash(x.fingerprint, x.ID, target)
 }
 
+// recordTargetFailure records that the response of the request's target is incomplete.
+func (x *exchange) recordTargetFailure() {
+	x.grant.result, x.grant.failedAt = placement.ResultFailed, structs.Now()
+	x.server.recordPathFailure(x.grant.failedAt)
+}
+
 // checkCrash connects to a target whose response was incomplete. If that fails, the
 // request is counted as one that may have crashed the target.
 func (s *Server) checkCrash(fingerprint uint64, id structs.RequestID, target placement.Target) {
 	s.pool.CloseIdle(target.Address)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	conn, err := s.pool.Get(ctx, target.Address)
+	err := s.pool.Probe(ctx, target.Address)
 	if err == nil {
-		conn.Close()
+		s.paths.connected()
 		return
 	}
 	s.isUnreachable(target, err)
+	failedAt := structs.Now()
+	s.recordPathFailure(failedAt)
+	if s.paths.awaitVerdict(failedAt) == targetpath.PathLost {
+		return
+	}
 	s.mu.Lock()
 	s.targets.RecordUnreachable(structs.Now(), target.ID)
 	quarantined := s.quarantine.RecordCrash(structs.Now(), fingerprint, target.ID)
--- /dev/null
+++ b/edge/forward.go
@@ -0,0 +1,280 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/fleet"
+	"github.com/endivecourse/endivecourse/placement"
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/wire"
+)
+
+// A VM that has lost its paths to all targets stays reachable for its callers, the store and
+// its peers. It admits requests and keeps their turns as before, and lets another VM send
+// them: that VM picks the target, sends the request as one of its own, and passes the
+// response back.
+
+// maxRelays bounds the VMs that are asked in turn to forward one request.
+const maxRelays = 4
+
+// forward lets other VMs send the request to a target. It reports false if none does and
+// the request was not sent.
+func (x *exchange) forward(ctx context.Context, body []byte, tried []structs.TargetID) (*structs.Refusal, bool) {
+	if x.forwardedFor != "" {
+		return nil, false
+	}
+	var asked []structs.VMID
+	for len(asked) < maxRelays && x.sends < x.maxSends() && ctx.Err() == nil {
+		vm, isFound := x.server.paths.pickRelay(asked)
+		if !isFound {
+			break
+		}
+		asked = append(asked, vm)
+		result, refusal := x.forwardThrough(ctx, vm, body, tried)
+		var unavailable *RelayUnavailableError
+		isUnavailable := errors.As(result.cause, &unavailable)
+		x.server.paths.endRelay(vm, isUnavailable || result.isRunUnknown)
+		switch {
+		case refusal != nil:
+			return x.mergeRefusal(refusal), true
+		case result.isAnswered:
+			if result.cause != nil {
+				x.out.Abort()
+			}
+			return nil, true
+		case ctx.Err() != nil:
+			x.mayHaveRun = x.mayHaveRun || result.isRunUnknown
+			return x.refuseTimedOut(result.cause), true
+		}
+		x.server.log.Warn("request not forwarded", "request", string(x.ID), "through", string(vm), "cause", errorText(result.cause))
+		x.mayHaveRun = x.mayHaveRun || result.isRunUnknown
+		if result.isRunUnknown {
+			x.sends++
+			if !x.route.IsRepeatable() {
+				return x.refuseFailed(result.cause), true
+			}
+		}
+	}
+	return nil, false
+}
+
+// RelayUnavailableError reports that a VM does not forward requests and has not sent this
+// one to any target.
+type RelayUnavailableError struct {
+	VM    structs.VMID
+	Cause error // nil if the VM said so
+}
+
+// Error names the VM.
+func (e *RelayUnavailableError) Error() string {
+	return "VM " + string(e.VM) + " does not forward: " + errorText(e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *RelayUnavailableError) Unwrap() error { return e.Cause }
+
+// forwardThrough lets one VM send the request. The refusal is that VM's.
+func (x *exchange) forwardThrough(ctx context.Context, vm structs.VMID, body []byte, tried []structs.TargetID) (attemptResult, *structs.Refusal) {
+	stream, err := x.server.opts.Peers.Forward(ctx, vm, x.forwardRequest(body, tried))
+	var notSent *wire.NotSentError
+	if errors.As(err, &notSent) {
+		return attemptResult{cause: &RelayUnavailableError{VM: vm, Cause: err}}, nil
+	}
+	if err != nil {
+		return attemptResult{isRunUnknown: true, cause: err}, nil
+	}
+	defer stream.Close()
+	x.sentAt, x.forwardedBy, x.grantedBy = structs.Now(), vm, ""
+	var first fleet.ForwardReply
+	if err := stream.Recv(&first); err != nil {
+		return attemptResult{isRunUnknown: true, cause: errors.Wrap(err, "read forwarded answer")}, nil
+	}
+	x.sends += first.Sends
+	switch {
+	case first.IsUnavailable:
+		return attemptResult{cause: &RelayUnavailableError{VM: vm}}, nil
+	case first.Refusal != nil:
+		return attemptResult{}, first.Refusal
+	case first.Head == nil:
+		return attemptResult{isRunUnknown: true, cause: &HeadlessReplyError{VM: vm}}, nil
+	}
+	return x.relayForwarded(ctx, stream, first.Head), nil
+}
+
+// HeadlessReplyError reports that a VM forwarded a response without its head.
+type HeadlessReplyError struct{ VM structs.VMID }
+
+// Error names the VM.
+func (e *HeadlessReplyError) Error() string {
+	return "VM " + string(e.VM) + " forwarded a response without its head"
+}
+
+// relayForwarded passes a response that another VM forwards to the caller.
+func (x *exchange) relayForwarded(ctx context.Context, stream fleet.ForwardStream, head *fleet.ForwardHead) attemptResult {
+	target := placement.Target{ID: head.Target}
+	g := &grant{target: target}
+	x.grant, x.target = g, head.Target
+	resp := &http.Response{StatusCode: head.Status, Header: head.Header, Body: &forwardedBody{stream: stream}}
+	return x.relay(ctx, target, resp)
+}
+
+func (x *exchange) forwardRequest(body []byte, tried []structs.TargetID) fleet.ForwardRequest {
+	dueIn := x.timeLeft()
+	if x.ProgramDeadline != 0 {
+		dueIn = x.ProgramDeadline.Sub(structs.Now())
+	}
+	return fleet.ForwardRequest{
+		From: x.server.opts.VM, ID: x.ID, Method: x.Method, Host: x.Host, URI: x.URI, Header: x.Header, Body: body,
+		Account: x.accountID(), Route: x.route.Name, Service: x.service.ID, Kind: x.route.Kind,
+		MaxSends: x.maxSends() - x.sends, Priority: x.priority(), Fingerprint: x.fingerprint, Program: x.Program,
+		Cached: x.cachedTarget(), Exclude: tried, TimeLeft: x.timeLeft(), DueIn: dueIn,
+	}
+}
+
+// mergeRefusal returns a forwarding VM's refusal. The request may have run if an earlier
+// send of this VM may have.
+func (x *exchange) mergeRefusal(r *structs.Refusal) *structs.Refusal {
+	if r.Run == structs.RunNo && x.mayHaveRun {
+		return structs.Refuse(structs.RefusedTargetFailed, structs.RunUnknown, "%s", r.Message)
+	}
+	x.mayHaveRun = x.mayHaveRun || r.Run != structs.RunNo
+	return r
+}
+
+func (p *targetPaths) pickRelay(exclude []structs.VMID) (structs.VMID, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.relays.Pick(structs.Now(), exclude)
+}
+
+func (p *targetPaths) endRelay(vm structs.VMID, hasFailed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.relays.End(structs.Now(), vm, hasFailed)
+}
+
+// forwardedBody reads the body of a response that another VM forwards. It ends with io.EOF
+// only if the response is complete.
+type forwardedBody struct {
+	stream fleet.ForwardStream
+	rest   []byte
+	err    error
+}
+
+// Read implements io.Reader.
+func (b *forwardedBody) Read(p []byte) (int, error) {
+	for len(b.rest) == 0 {
+		if b.err != nil {
+			return 0, b.err
+		}
+		var reply fleet.ForwardReply
+		if err := b.stream.Recv(&reply); err != nil {
+			b.err = &IncompleteForwardError{Cause: err}
+			continue
+		}
+		b.rest = reply.Data
+		if reply.IsEnd {
+			b.err = io.EOF
+		}
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (b *forwardedBody) Close() error { return b.stream.Close() }
+
+// IncompleteForwardError reports that a forwarded response ended before it was complete.
+type IncompleteForwardError struct{ Cause error }
+
+// Error names the cause.
+func (e *IncompleteForwardError) Error() string {
+	if e.Cause == io.EOF {
+		return "forwarded response is incomplete"
+	}
+	return "forwarded response is incomplete: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause; the end of the stream is not that of a response.
+func (e *IncompleteForwardError) Unwrap() error {
+	if e.Cause == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return e.Cause
+}
+
+// forwardPieceBytes bounds the data in one reply.
+const forwardPieceBytes = 64 << 10
+
+// maxForwarding bounds the requests of peers that a VM forwards at a time.
+const maxForwarding = 256
+
+// ForwardForPeer sends a peer's request to a target and passes the response to send.
+func (s *Server) ForwardForPeer(ctx context.Context, req fleet.ForwardRequest, send func(fleet.ForwardReply) error) error {
+	if !s.paths.beginForwarding() {
+		return send(fleet.ForwardReply{IsUnavailable: true})
+	}
+	defer s.paths.endForwarding()
+	out := &forwardResponder{send: send}
+	x := s.newForwardedExchange(req, out)
+	out.exchange = x
+	ctx, cancel := context.WithTimeout(ctx, req.TimeLeft)
+	defer cancel()
+	refusal := x.dispatch(ctx, req.Body)
+	if refusal == nil {
+		return out.err
+	}
+	s.recordOutcome(x, refusal)
+	isUnavailable := x.sends == 0 && s.paths.isLost()
+	return send(fleet.ForwardReply{Refusal: refusal, IsUnavailable: isUnavailable, Sends: x.sends})
+}
+
+func (p *targetPaths) beginForwarding() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.health.IsLost() || p.isDraining || p.forwarding >= maxForwarding {
+		return false
+	}
+	p.forwarding++
+	return true
+}
+
+func (p *targetPaths) endForwarding() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forwarding--
+}
+
+// StopForwarding makes this VM take no more requests of peers.
+func (s *Server) StopForwarding() {
+	s.paths.mu.Lock()
+	defer s.paths.mu.Unlock()
+	s.paths.isDraining = true
+}
+
+// AwaitForwarded waits until the requests of peers that are in progress have ended, or ctx
+// has.
+func (s *Server) AwaitForwarded(ctx context.Context) error {
+	for {
+		s.paths.mu.Lock()
+		forwarding := s.paths.forwarding
+		s.paths.mu.Unlock()
+		if forwarding == 0 {
+			return nil
+		}
+		select {
+		case <-time.After(forwardedPollPeriod):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// forwardedPollPeriod is how often AwaitForwarded looks.
+const forwardedPollPeriod = 20 * time.Millisecond
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -46,6 +46,8 @@
 	// result and latency are the outcome of the request at the target.
 	result  placement.Result
 	latency time.Duration
+	// failedAt is when the connection to the target failed or broke, 0 if it did not.
+	failedAt structs.Instant
 }
 
 // peerGrant is a grant that this VM counts for a peer.
@@ -179,15 +181,19 @@
 // releaseGrant ends a grant and records the outcome of the request at the target.
 func (s *Server) releaseGrant(g *grant) {
 	if g.placer == "" {
+		result := g.result
+		if g.failedAt != 0 && s.paths.lostSince(g.failedAt) {
+			result = placement.ResultNone
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.recordEnd(g.target.ID, g.result, g.latency)
+		s.recordEnd(g.target.ID, result, g.latency)
 		return
 	}
 	go func() {
+		r := fleet.Release{GrantID: g.id, Result: s.resultOf(g), Latency: g.latency}
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		r := fleet.Release{GrantID: g.id, Result: g.result, Latency: g.latency}
 		if err := s.opts.Peers.Release(ctx, g.placer, r); err != nil {
 			s.log.Info("slot not given back, it expires at the placer", "placer", string(g.placer),
 				"target", string(g.target.ID), "cause", err.Error())
--- a/edge/placement_test.go
+++ b/edge/placement_test.go
@@ -17,6 +17,7 @@
 	"github.com/endivecourse/endivecourse/placement"
 	"github.com/endivecourse/endivecourse/routing"
 	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/wire"
 )
 
 // fakePeers connects servers in memory. While isSilent is set, the placer does not
@@ -75,6 +76,10 @@
 	return nil
 }
 
+func (p *fakePeers) Forward(context.Context, structs.VMID, fleet.ForwardRequest) (fleet.ForwardStream, error) {
+	return nil, &wire.NotSentError{}
+}
+
 const slotsPerTarget = 6
 
 // advanceClock moves the test's virtual time past the start of the process, since
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -52,6 +52,9 @@
 	// grant.
 	RequestPlacement(ctx context.Context, vm structs.VMID, p fleet.PlacementRequest) (fleet.PlacementReply, error)
 	Release(ctx context.Context, vm structs.VMID, r fleet.Release) error
+	// Forward asks a VM to send a request to a target. Its error is a
+	// *wire.NotSentError if the VM has not received it.
+	Forward(ctx context.Context, vm structs.VMID, req fleet.ForwardRequest) (fleet.ForwardStream, error)
 }
 
 // admitAccount takes a quota token from this VM's bucket or from the account's
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -9,7 +9,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/endivecourse/endivecourse/hop"
 	"github.com/endivecourse/endivecourse/placement"
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -53,7 +52,7 @@
 func (e *IncompleteEventError) Error() string { return "stream ended within an event" }
 
 // relay passes a target's response back to the caller.
-func (x *exchange) relay(ctx context.Context, target placement.Target, conn *hop.Conn, resp *http.Response) attemptResult {
+func (x *exchange) relay(ctx context.Context, target placement.Target, resp *http.Response) attemptResult {
 	head := x.server.opts.Dialect.ParseResponseHead(resp.StatusCode, resp.Header)
 	x.server.recordNamedRate(target.ID, resp, head)
 	if head.NotRun || head.WrongTarget {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -53,8 +53,14 @@
 	tokenWait     time.Duration    // time spent waiting for a quota token
 	firstByte     time.Duration    // from arrival to the first byte of the response
 	hasQuotaToken bool             // a quota token was taken for the request
-	tokens        int64
-	events        int
+	forwardedBy   structs.VMID     // VM that sent the request to its target, empty for this VM
+	// forwardedFor is the VM whose request this is, empty for this VM; exclude and
+	// cached are what it says of the targets.
+	forwardedFor structs.VMID
+	exclude      []structs.TargetID
+	cached       structs.TargetID
+	tokens       int64
+	events       int
 }
 
 // Serve answers one request.
--- a/edge/server.go
+++ b/edge/server.go
@@ -62,6 +62,7 @@
 	log   *slog.Logger
 	pool  *hop.Pool
 	stats *stats
+	paths *targetPaths
 
 	mu                sync.Mutex
 	targets           *placement.TargetSet
@@ -83,6 +84,7 @@
 	s := &Server{
 		opts:       opts,
 		log:        opts.Log,
+		paths:      newTargetPaths(),
 		pool:       hop.NewPool(opts.DialTarget),
 		targets:    placement.New(opts.Domain, opts.Region),
 		queues:     make(map[structs.ServiceID]*admission.Queue),
@@ -103,6 +105,7 @@
 func (s *Server) Start(_ context.Context, k *kernel.Kernel) error {
 	k.Every("edge.sweep", sweepPeriod, s.sweep)
 	k.Every("edge.wake", retryPeriod, s.retryWaiting)
+	k.Every("edge.paths", pathCheckPeriod, s.checkPaths)
 	return nil
 }
 
@@ -158,17 +161,21 @@
 // Digest returns this VM's state that its peers need, for example demand and load.
 func (s *Server) Digest() fleet.Digest {
 	now := structs.Now()
+	isInDoubt := s.paths.isInDoubt()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return fleet.Digest{
+	digest := fleet.Digest{
 		IsStoreReachable: s.opts.Store.IsDirectUp(),
 		Demand:           s.limiter.Demand(now),
 		Spare:            s.limiter.SpareTokens(now),
 		Loads:            s.targets.LoadReport(),
-		Failing:          s.targets.FailureReport(now),
 		Rates:            s.targets.Rates.Report(now),
 		Crashes:          s.quarantine.Export(now),
 	}
+	if !isInDoubt {
+		digest.Failing = s.targets.FailureReport(now)
+	}
+	return digest
 }
 
 // ApplyDigest records the state that a peer reports.
@@ -215,9 +222,19 @@
 	return s.limiter.Lend(structs.Now(), account, limitOf(table.Accounts[account]))
 }
 
+// ReportReach records whether a peer takes requests that this VM can't send itself.
+func (s *Server) ReportReach(peer fleet.Member, reachesTargets bool) {
+	s.paths.mu.Lock()
+	defer s.paths.mu.Unlock()
+	s.paths.relays.Report(structs.Now(), peer.VM, peer.Region == s.opts.Region, reachesTargets)
+}
+
 // ForgetVM removes the state that a VM has reported.
 func (s *Server) ForgetVM(vm structs.VMID) {
 	s.opts.Store.Forget(vm)
+	s.paths.mu.Lock()
+	s.paths.relays.Forget(vm)
+	s.paths.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limiter.Forget(vm)
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -20,6 +20,7 @@
 	firstByte *metrics.Histogram
 	latency   *metrics.Histogram
 	slotWait  *metrics.Histogram
+	pathsLost *metrics.Counter
 }
 
 func newStats(s *Server) *stats {
@@ -45,6 +46,12 @@
 		return float64(s.targets.Rates.Count())
 	})
 	set.NewGauge("endive_target_answer_age_seconds", func() float64 { return s.answerAge(structs.Now()).Seconds() })
+	set.NewGauge("endive_reaches_targets", func() float64 {
+		if s.paths.isLost() {
+			return 0
+		}
+		return 1
+	})
 	set.NewGauge("endive_targets_age_seconds", func() float64 { return s.targetsAge(structs.Now()).Seconds() })
 	return &stats{
 		set:       set,
@@ -52,6 +59,7 @@
 		firstByte: set.NewHistogram("endive_first_byte_seconds"),
 		latency:   set.NewHistogram("endive_request_seconds"),
 		slotWait:  set.NewHistogram("endive_slot_wait_seconds"),
+		pathsLost: set.NewCounter("endive_target_paths_lost_total"),
 	}
 }
 
@@ -91,12 +99,13 @@
 	if refusal != nil {
 		outcome = string(refusal.Kind)
 	}
-	s.stats.set.GetOrCreateCounter(`endive_request_outcomes_total{outcome="` + outcome + `"}`).Inc()
 	took := structs.Now().Sub(x.Arrived)
-	s.stats.latency.Update(took.Seconds())
-	s.stats.slotWait.Update(x.slotWait.Seconds())
-	if x.firstByte > 0 {
-		s.stats.firstByte.Update(x.firstByte.Seconds())
+	message := "request"
+	if x.forwardedFor == "" {
+		s.stats.countOutcome(x, outcome, took)
+	} else {
+		message = "forwarded request"
+		s.stats.set.GetOrCreateCounter(`endive_forwarded_outcomes_total{outcome="` + outcome + `"}`).Inc()
 	}
 	level := slog.LevelInfo
 	if refusal != nil {
@@ -105,11 +114,20 @@
 	if !s.log.Enabled(context.Background(), level) {
 		return
 	}
-	s.log.LogAttrs(context.Background(), level, "request", x.logAttrs(outcome, took, refusal)...)
+	s.log.LogAttrs(context.Background(), level, message, x.logAttrs(outcome, took, refusal)...)
+}
+
+func (st *stats) countOutcome(x *exchange, outcome string, took time.Duration) {
+	st.set.GetOrCreateCounter(`endive_request_outcomes_total{outcome="` + outcome + `"}`).Inc()
+	st.latency.Update(took.Seconds())
+	st.slotWait.Update(x.slotWait.Seconds())
+	if x.firstByte > 0 {
+		st.firstByte.Update(x.firstByte.Seconds())
+	}
 }
 
 func (x *exchange) logAttrs(outcome string, took time.Duration, refusal *structs.Refusal) []slog.Attr {
-	attrs := make([]slog.Attr, 0, 21)
+	attrs := make([]slog.Attr, 0, 23)
 	attrs = append(attrs,
 		slog.String("request", string(x.ID)),
 		slog.String("outcome", outcome),
@@ -142,6 +160,12 @@
 			slog.Int64("first_byte_ms", x.firstByte.Milliseconds()),
 		)
 	}
+	if x.forwardedBy != "" {
+		attrs = append(attrs, slog.String("forwarded_by", string(x.forwardedBy)))
+	}
+	if x.forwardedFor != "" {
+		attrs = append(attrs, slog.String("forwarded_for", string(x.forwardedFor)))
+	}
 	if x.grantedBy != "" {
 		attrs = append(attrs, slog.String("granted_by", string(x.grantedBy)))
 	}
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -70,6 +70,12 @@
 	// Place picks a target for a peer's request, Release ends its grant.
 	Place   func(ctx context.Context, p PlacementRequest) PlacementReply
 	Release func(r Release)
+	// Forward sends a peer's request to a target and passes the response to send.
+	Forward func(ctx context.Context, req ForwardRequest, send func(ForwardReply) error) error
+	// ReachesTargets reports whether peers may forward requests through this VM;
+	// ReportReach records what a peer says of itself.
+	ReachesTargets func() bool
+	ReportReach    func(vm Member, reachesTargets bool)
 	// ForgetVM is called when a VM has been forgotten.
 	ForgetVM func(vm structs.VMID)
 }
@@ -152,6 +158,7 @@
 		m.opts.Hooks.Release(r)
 		return struct{}{}, nil
 	})
+	m.server.Handle(MethodForward, m.handleForward)
 	if opts.Serve != nil {
 		opts.Serve(m.server)
 	}
@@ -245,7 +252,8 @@
 	m.recordStoreReachable(d.From.VM, d.IsStoreReachable)
 	m.opts.Hooks.ApplyDigest(d)
 	m.noteNewerConfig(d.Config, d.From)
-	reply := DigestReply{Config: m.opts.Config.Version(), Crashes: m.opts.Hooks.Crashes()}
+	m.opts.Hooks.ReportReach(d.From, d.ReachesTargets)
+	reply := DigestReply{Config: m.opts.Config.Version(), Crashes: m.opts.Hooks.Crashes(), ReachesTargets: m.opts.Hooks.ReachesTargets()}
 	if m.membersHash() != d.MembersHash {
 		reply.Members = m.recentMembers(time.Now())
 	}
@@ -328,6 +336,7 @@
 	d.From = m.opts.Self
 	d.Config = m.opts.Config.Version()
 	d.MembersHash = m.membersHash()
+	d.ReachesTargets = m.opts.Hooks.ReachesTargets()
 	return d
 }
 
@@ -388,6 +397,7 @@
 		return // expirePeers removes a peer that sends nothing for memberTimeout
 	}
 	m.recordAlive(peer)
+	m.opts.Hooks.ReportReach(peer, reply.ReachesTargets)
 	m.addMembers(reply.Members)
 	m.opts.Hooks.ApplyCrashes(reply.Crashes)
 	m.noteNewerConfig(reply.Config, peer)
--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -109,11 +109,13 @@
 				defer n.mu.Unlock()
 				n.senders[d.From.VM]++
 			},
-			Crashes:      func() []quarantine.Report { return nil },
-			ApplyCrashes: func([]quarantine.Report) {},
-			Lend:         func(structs.AccountID) int { return 7 },
-			Admit:        func(AdmissionRequest) AdmissionReply { return AdmissionReply{} },
-			ForgetVM:     func(structs.VMID) {},
+			Crashes:        func() []quarantine.Report { return nil },
+			ApplyCrashes:   func([]quarantine.Report) {},
+			Lend:           func(structs.AccountID) int { return 7 },
+			Admit:          func(AdmissionRequest) AdmissionReply { return AdmissionReply{} },
+			ReachesTargets: func() bool { return true },
+			ReportReach:    func(Member, bool) {},
+			ForgetVM:       func(structs.VMID) {},
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -30,10 +30,12 @@
 	// Config is the version of the configuration in force at the sender.
 	Config uint64 `msgpack:"c"`
 	// IsStoreReachable reports whether the sender reaches the store directly.
-	IsStoreReachable bool                     `msgpack:"s"`
-	Demand           share.Demand             `msgpack:"q,omitempty"`
-	Spare            share.SpareTokens        `msgpack:"p,omitempty"`
-	Loads            map[structs.TargetID]int `msgpack:"l,omitempty"`
+	IsStoreReachable bool `msgpack:"s"`
+	// ReachesTargets reports whether the sender takes requests that others forward.
+	ReachesTargets bool                     `msgpack:"t,omitempty"`
+	Demand         share.Demand             `msgpack:"q,omitempty"`
+	Spare          share.SpareTokens        `msgpack:"p,omitempty"`
+	Loads          map[structs.TargetID]int `msgpack:"l,omitempty"`
 	// Failing holds the targets that failed the sender's requests recently.
 	Failing map[structs.TargetID]placement.OutcomeCounts `msgpack:"o,omitempty"`
 	// Rates holds the rates that targets have named.
@@ -47,6 +49,8 @@
 // DigestReply answers a Digest.
 type DigestReply struct {
 	Config uint64 `msgpack:"c"`
+	// ReachesTargets is the same as in a Digest.
+	ReachesTargets bool `msgpack:"t,omitempty"`
 	// Members is sent if the two VMs know different members.
 	Members []Member `msgpack:"m,omitempty"`
 	// Crashes are the requests that the replying VM suspects to crash targets.
@@ -61,6 +65,7 @@
 	MethodAdmit   = "fleet.admit"
 	MethodPlace   = "fleet.place"
 	MethodRelease = "fleet.release"
+	MethodForward = "fleet.forward"
 )
 
 // LoanRequest asks a VM for quota tokens of an account.
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -95,6 +95,9 @@
 // Close closes the connection, which makes the target abandon its request.
 func (c *Conn) Close() { c.net.Close() }
 
+// IsReused reports whether the connection has carried another request before.
+func (c *Conn) IsReused() bool { return c.isReused }
+
 // isUsable reports whether another request can be sent on an idle connection: it
 // has not expired, is not closed and holds no unread data.
 func (c *Conn) isUsable(now time.Time) bool {
--- a/hop/pool.go
+++ b/hop/pool.go
@@ -76,6 +76,14 @@
 		}
 		c.Close()
 	}
+	nc, err := p.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(nc, address), nil
+}
+
+func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	nc, err := p.dial(dialCtx, "tcp", address)
@@ -88,7 +96,17 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	return newConn(nc, address), nil
+	return nc, nil
+}
+
+// Probe makes a new connection and closes it. Its error is that of Get.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	nc, err := p.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	nc.Close()
+	return nil
 }
 
 func (p *Pool) takeIdle(address string) *Conn {
--- a/placement/outcomes.go
+++ b/placement/outcomes.go
@@ -119,6 +119,15 @@
 	}
 }
 
+// ForgetOwnFailures drops the failures that this VM has recorded, since they say nothing
+// about the targets.
+func (s *TargetSet) ForgetOwnFailures() {
+	for _, st := range s.targets {
+		st.connectFailures, st.backoffUntil = 0, 0
+		st.outcomes.failures = 0
+	}
+}
+
 // FailureReport returns the counts of the targets that recently failed requests of this
 // VM, to be reported to the peers.
 func (s *TargetSet) FailureReport(now structs.Instant) map[structs.TargetID]OutcomeCounts {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -318,6 +318,12 @@
 	st.backoffUntil = now.Add(min(backoff, maxBackoff))
 }
 
+// IsBackingOff reports whether a target is not used because connections to it failed.
+func (s *TargetSet) IsBackingOff(now structs.Instant, id structs.TargetID) bool {
+	st := s.targets[id]
+	return st != nil && now < st.backoffUntil
+}
+
 // RecordFailure records that a target failed a request: its response was incomplete,
 // never arrived, or was an error.
 func (s *TargetSet) RecordFailure(now structs.Instant, id structs.TargetID) {
