edge: a request waits for the verdict on a failed connection before its next attempt

What callers saw: 503 'no usable target' at a VM whose paths are refused, from the first refused connections until the verdict that all paths are lost, and 503 'no target took the request' for a request whose first connection failed just before it.

Cause: the loop over targets ran out of targets, or of the one attempt that is allowed while the paths are lost, before the way through other VMs was looked at.

Change: after a failed or broken connection the request waits for the verdict, one round trip if any target is reached; the limit of one attempt holds only if no VM forwards.

--- a/daemon/endived_forward_test.go
+++ b/daemon/endived_forward_test.go
@@ -211,3 +211,15 @@
 		assert.Assert(t, time.Since(sent) < 500*time.Millisecond, "%s", time.Since(sent))
 	}
 }
+
+// Guards against requests that are refused between the first refused connections and the
+// verdict that the paths are lost.
+func TestFirstRequestsAfterLossOfPathsAreForwarded(t *testing.T) {
+	b, _ := newPathSite(t, time.Millisecond)
+	vm := b.vms[0] // has no open connections yet
+	b.paths[vm].set(pathsRefuse)
+	for _, path := range []string{"/order/1", "/draft/1", "/read/1"} {
+		r := b.send(request{vm: vm, path: path})
+		assert.Equal(t, r.status, http.StatusOK, r.body)
+	}
+}
--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -59,12 +59,15 @@
 	tried := x.exclude
 	var lastErr error
 	connectFailures := 0
-	for x.sends < x.maxSends() && connectFailures < x.maxConnectFailures() {
+	for x.sends < x.maxSends() && connectFailures < maxConnectFailures {
 		if x.server.paths.isLost() {
 			refusal, isForwarded := x.forward(ctx, body, tried)
 			if isForwarded {
 				return refusal
 			}
+			if connectFailures > 0 {
+				return x.refuseUnserved(structs.RefusedNoTarget, noTargetRetryAfter, "this VM reaches no target and no VM forwards: "+errorText(lastErr))
+			}
 		}
 		query := placement.Query{Service: x.service.ID, CacheTarget: x.cachedTarget(), Exclude: tried}
 		g, err := x.acquireSlot(ctx, query)
@@ -92,6 +95,9 @@
 		if result.isRunUnknown && !x.route.IsRepeatable() {
 			return x.refuseFailed(result.cause)
 		}
+		if g.failedAt != 0 {
+			x.server.paths.awaitVerdict(ctx, g.failedAt) // the next attempt takes the way that is left
+		}
 	}
 	return x.refuseUnserved(structs.RefusedQueueFull, noFreeSlotRetryAfter, "no target took the request: "+errorText(lastErr))
 }
@@ -103,15 +109,6 @@
 	return err.Error()
 }
 
-// maxConnectFailures returns the number of attempts that may fail before the request is
-// sent. While this VM reaches no target, one has to do.
-func (x *exchange) maxConnectFailures() int {
-	if x.server.paths.isLost() {
-		return 1
-	}
-	return maxConnectFailures
-}
-
 func (x *exchange) maxSends() int {
 	if x.route.MaxAttempts > 0 {
 		return x.route.MaxAttempts
@@ -331,7 +328,7 @@
 	s.isUnreachable(target, err)
 	failedAt := structs.Now()
 	s.recordPathFailure(failedAt)
-	if s.paths.awaitVerdict(failedAt) == targetpath.PathLost {
+	if s.paths.awaitVerdict(context.Background(), failedAt) == targetpath.PathLost {
 		return
 	}
 	s.mu.Lock()
--- a/edge/paths.go
+++ b/edge/paths.go
@@ -99,7 +99,7 @@
 
 // awaitVerdict returns what a failure was due to, once that is known. While it stays open,
 // the target counts as failed.
-func (p *targetPaths) awaitVerdict(failedAt structs.Instant) targetpath.Verdict {
+func (p *targetPaths) awaitVerdict(ctx context.Context, failedAt structs.Instant) targetpath.Verdict {
 	timer := time.NewTimer(verdictTimeout)
 	defer timer.Stop()
 	for {
@@ -113,6 +113,8 @@
 		case <-decided:
 		case <-timer.C:
 			return targetpath.TargetFailed
+		case <-ctx.Done():
+			return targetpath.Undecided
 		}
 	}
 }
@@ -226,7 +228,7 @@
 // resultOf returns what a grant's outcome says of the target: nothing if this VM's paths
 // were lost.
 func (s *Server) resultOf(g *grant) placement.Result {
-	if g.failedAt != 0 && s.paths.awaitVerdict(g.failedAt) == targetpath.PathLost {
+	if g.failedAt != 0 && s.paths.awaitVerdict(context.Background(), g.failedAt) == targetpath.PathLost {
 		return placement.ResultNone
 	}
 	return g.result
