placement: one VM's report alone takes no target out of use

Change: a target is ejected only after this VM, or two others, have seen it fail.

Measured: TestOneVMsReportEjectsNoTarget fails before; the test of targets that fail half of their requests at several VMs passes unchanged.

--- a/placement/outcomes.go
+++ b/placement/outcomes.go
@@ -77,12 +77,18 @@
 	return failures / (successes + failures + priorSuccesses)
 }
 
+// isCorroborated reports whether this VM or two others have seen the target fail. One other
+// VM may have lost its path to the target.
+func (o *outcomeHistory) isCorroborated() bool {
+	return o.failures >= minReportedFailures || len(o.remote) > 1
+}
+
 // updateEjected updates and reports whether the target is ejected. The two thresholds
 // keep it from changing with every answer.
 func (o *outcomeHistory) updateEjected(now structs.Instant) bool {
 	rate := o.failureRate(now)
 	switch {
-	case rate >= ejectThreshold:
+	case rate >= ejectThreshold && (o.isEjected || o.isCorroborated()):
 		o.isEjected = true
 	case rate <= restoreThreshold:
 		o.isEjected = false
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -206,3 +206,36 @@
 	_, ok := s.Choose(at(8*time.Second), Query{Service: service})
 	assert.Assert(t, ok)
 }
+
+// Guards against a target that one VM takes out of use for all because of its own path.
+func TestOneVMsReportEjectsNoTarget(t *testing.T) {
+	s := New("near-a", "near")
+	for _, id := range []structs.TargetID{"a", "b", "c"} {
+		s.Put(Target{ID: id, Service: "app", Domain: "near-a", Region: "near", Slots: 4})
+	}
+	report := map[structs.TargetID]OutcomeCounts{"a": {Failures: 20}}
+	s.ApplyFailureReport(at(0), "vm-2", report)
+	assert.Equal(t, len(s.EjectionChanges(at(0))), 0)
+	s.ApplyFailureReport(at(0), "vm-3", report)
+	changes := s.EjectionChanges(at(0))
+	assert.Equal(t, len(changes), 1)
+	assert.Assert(t, changes[0].IsEjected && changes[0].Reporters == 2)
+}
+
+func TestForgottenOwnFailuresBringTargetsBack(t *testing.T) {
+	s := New("near-a", "near")
+	for _, id := range []structs.TargetID{"a", "b", "c"} {
+		s.Put(Target{ID: id, Service: "app", Domain: "near-a", Region: "near", Slots: 4})
+	}
+	for range 10 {
+		s.RecordFailure(at(0), "a")
+	}
+	s.RecordUnreachable(at(0), "b")
+	assert.Equal(t, len(s.EjectionChanges(at(0))), 1)
+	assert.Assert(t, s.IsBackingOff(at(0), "b"))
+	s.ForgetOwnFailures()
+	assert.Assert(t, !s.IsBackingOff(at(0), "b"))
+	changes := s.EjectionChanges(at(0))
+	assert.Assert(t, len(changes) == 1 && !changes[0].IsEjected)
+	assert.Equal(t, len(s.FailureReport(at(0))), 0)
+}
