edge: list the targets for a check of the paths only when one is due

Cause: each VM listed all targets ten times a second to decide that nothing had to be checked.

Change: the state machine is asked first.

Measured: tests of edge and of paths in daemon pass; not measured alone.

--- a/edge/paths.go
+++ b/edge/paths.go
@@ -145,23 +145,16 @@
 
 // checkPaths connects to some targets if it is open whether this VM reaches any.
 func (s *Server) checkPaths(ctx context.Context, _ time.Time) {
-	candidates := s.pathCandidates()
 	p := s.paths
-	p.mu.Lock()
-	now := structs.Now()
-	if !p.health.IsCheckDue(now) {
-		p.mu.Unlock()
+	check, isDue := p.beginCheck()
+	if !isDue {
 		return
 	}
-	p.checks++
-	candidates = targetpath.PickCandidates(p.checks, candidates)
-	p.health.BeginCheck(now)
-	p.mu.Unlock()
-
+	candidates := targetpath.PickCandidates(check, s.pathCandidates())
 	isConnected := s.connectsToAny(ctx, candidates)
 
 	p.mu.Lock()
-	now = structs.Now()
+	now := structs.Now()
 	transition := p.health.EndCheck(now, isConnected, len(candidates))
 	var abandoned []context.CancelFunc
 	if transition == targetpath.Lost && p.health.AreConnectionsSilent(now) {
@@ -176,6 +169,19 @@
 	s.applyPathTransition(transition, candidates, abandoned)
 }
 
+// beginCheck begins a check if one is due, and returns its number.
+func (p *targetPaths) beginCheck() (int, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := structs.Now()
+	if !p.health.IsCheckDue(now) {
+		return 0, false
+	}
+	p.checks++
+	p.health.BeginCheck(now)
+	return p.checks, true
+}
+
 func (s *Server) applyPathTransition(transition targetpath.Transition, tried []targetpath.Candidate, abandoned []context.CancelFunc) {
 	switch transition {
 	case targetpath.Lost:
