edge, placement: log that a target says in its answers that it leaves (DRAIN)

Cause: the logs could not tell whether a VM had heard of a target's departure when it sent a request there.

Change: the adapter decodes the header; placement remembers which incarnation said so; the lines 'target leaves' and target_leaves_for_ms on requests. No choice depends on it yet.

--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -189,6 +189,7 @@
 	x.target = target.ID
 	x.sentAt = structs.Now()
 	x.grantedBy, x.targetsAge = g.placer, x.server.targetsAge(x.sentAt)
+	x.departedFor = x.server.departureAge(x.sentAt, target.ID)
 	resp, stop, err := conn.RoundTrip(sendCtx, x.targetRequest(target), body, string(x.ID), x.server.opts.Dialect.IDHeader())
 	if err != nil {
 		conn.Close()
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -55,6 +55,9 @@
 func (x *exchange) relay(ctx context.Context, target placement.Target, resp *http.Response) attemptResult {
 	head := x.server.opts.Dialect.ParseResponseHead(resp.StatusCode, resp.Header)
 	x.server.recordNamedRate(target.ID, resp, head)
+	if head.IsLeaving {
+		x.server.recordDeparture(target)
+	}
 	if head.NotRun || head.WrongTarget {
 		return x.recordNotRun(target, resp, head)
 	}
--- a/edge/request.go
+++ b/edge/request.go
@@ -58,6 +58,8 @@
 	NotRun bool
 	// WrongTarget reports that another target now uses the address.
 	WrongTarget bool
+	// IsLeaving reports that the target takes no new requests any more.
+	IsLeaving bool
 	// Rate is the number of requests per second that the target takes from all VMs
 	// together, if NamesRate is set. InvalidRate is the text of a rate that is no number.
 	NamesRate   bool
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -48,6 +48,7 @@
 	grant         *grant           // of the last attempt
 	grantedBy     structs.VMID     // placer that picked the target of the last send, empty for this VM
 	targetsAge    time.Duration    // age of the list of targets at the last send
+	departedFor   time.Duration    // time since the target of the last send has said that it leaves, 0 if it has not
 	mayHaveRun    bool             // it is unknown whether an earlier send ran
 	slotWait      time.Duration    // time spent waiting for a slot
 	tokenWait     time.Duration    // time spent waiting for a quota token
--- a/edge/server.go
+++ b/edge/server.go
@@ -132,6 +132,7 @@
 	s.mu.Lock()
 	s.limiter.Sweep(structs.Now())
 	s.expireGrants(structs.Now())
+	s.targets.SweepDepartures(structs.Now())
 	changes := s.targets.EjectionChanges(structs.Now())
 	s.mu.Unlock()
 	s.logEjectionChanges(changes)
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -127,7 +127,7 @@
 }
 
 func (x *exchange) logAttrs(outcome string, took time.Duration, refusal *structs.Refusal) []slog.Attr {
-	attrs := make([]slog.Attr, 0, 23)
+	attrs := make([]slog.Attr, 0, 24)
 	attrs = append(attrs,
 		slog.String("request", string(x.ID)),
 		slog.String("outcome", outcome),
@@ -160,6 +160,9 @@
 			slog.Int64("first_byte_ms", x.firstByte.Milliseconds()),
 		)
 	}
+	if x.departedFor > 0 {
+		attrs = append(attrs, slog.Int64("target_leaves_for_ms", x.departedFor.Milliseconds()))
+	}
 	if x.forwardedBy != "" {
 		attrs = append(attrs, slog.String("forwarded_by", string(x.forwardedBy)))
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -83,10 +83,11 @@
 	// Rates holds the rates that targets have named.
 	Rates *targetrate.Limiter
 
-	domain   structs.DomainID
-	region   string
-	targets  map[structs.TargetID]*targetState
-	services map[structs.ServiceID]map[structs.TargetID]*targetState
+	domain     structs.DomainID
+	region     string
+	departures departures
+	targets    map[structs.TargetID]*targetState
+	services   map[structs.ServiceID]map[structs.TargetID]*targetState
 }
 
 // New returns an empty set for a VM in the given failure domain and region.
