placement, edge: what a target says in its answers counts as its departure (DRAIN)

What callers saw: requests went on to a target that had said in its answers that it leaves, for as long as the store did not say so too, and were cut off when it was gone.

The header was read nowhere, and the store's entry was the only source of a departure.

Change: placement remembers the incarnation (start and address) of a target that has said that it leaves. Its entry, whatever it says, and a lapse and return of the entry do not undo it; a later start of the same target, or another target at its address, is not leaving. As it is one more reason for IsDraining, it holds for choices, queues, retries and grants alike. Digests tell all VMs, also one that has just started; a VM that gives a grant back, or lets another VM send a request, tells that VM.

--- a/daemon/endived_leaving_test.go
+++ b/daemon/endived_leaving_test.go
@@ -70,3 +70,18 @@
 	}
 	assert.Equal(t, len(leaving.Runs()), before)
 }
+
+func TestForwardedRequestsReachNoLeavingTarget(t *testing.T) {
+	f := newForwardingSite(t, 3, time.Millisecond)
+	f.addTarget("app-2", "app", "near-a")
+	for _, vm := range f.vms {
+		vm.StoreServer.Set(platformtest.StoreSilent)
+	}
+	f.app.Set(platformtest.Behaviour{IsLeaving: true})
+	f.sendReads("notice", noticeTime)
+	late := time.Now()
+	f.sendReads("late", time.Second)
+	for _, run := range f.app.Runs() {
+		assert.Assert(t, run.StartedAt.Before(late), run.ID)
+	}
+}
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -115,7 +115,7 @@
 
 // relayForwarded passes a response that another VM forwards to the caller.
 func (x *exchange) relayForwarded(ctx context.Context, stream fleet.ForwardStream, head *fleet.ForwardHead) attemptResult {
-	target := placement.Target{ID: head.Target}
+	target := placement.Target{ID: head.Target, Started: head.Incarnation.Started, Address: head.Incarnation.Address}
 	g := &grant{target: target}
 	x.grant, x.target = g, head.Target
 	resp := &http.Response{StatusCode: head.Status, Header: head.Header, Body: &forwardedBody{stream: stream}}
@@ -131,7 +131,7 @@
 		From: x.server.opts.VM, ID: x.ID, Method: x.Method, Host: x.Host, URI: x.URI, Header: x.Header, Body: body,
 		Account: x.accountID(), Route: x.route.Name, Service: x.service.ID, Kind: x.route.Kind,
 		MaxSends: x.maxSends() - x.sends, Priority: x.priority(), Fingerprint: x.fingerprint, Program: x.Program,
-		Cached: x.cachedTarget(), Exclude: tried, TimeLeft: x.timeLeft(), DueIn: dueIn,
+		Cached: x.cachedTarget(), Exclude: tried, Departures: x.server.knownDepartures(), TimeLeft: x.timeLeft(), DueIn: dueIn,
 	}
 }
 
--- a/edge/forward_serve.go
+++ b/edge/forward_serve.go
@@ -25,6 +25,9 @@
 		return send(fleet.ForwardReply{IsUnavailable: true})
 	}
 	defer s.paths.endForwarding()
+	s.mu.Lock()
+	s.learnDepartures(structs.Now(), req.Departures, "request of a peer")
+	s.mu.Unlock()
 	out := &forwardResponder{send: send}
 	x := s.newForwardedExchange(req, out)
 	out.exchange = x
@@ -126,7 +129,8 @@
 
 // BeginStream implements Responder.
 func (r *forwardResponder) BeginStream(status int, header http.Header) {
-	head := &fleet.ForwardHead{Target: r.exchange.target, Status: status, Header: header}
+	target := r.exchange.grant.target
+	head := &fleet.ForwardHead{Target: target.ID, Incarnation: target.Incarnation(), Status: status, Header: header}
 	// A failure shows in the next part.
 	_ = r.pass(fleet.ForwardReply{Head: head, Sends: r.exchange.sends})
 }
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -41,6 +41,50 @@
 	})
 }
 
+// Guards against a placer that has not heard what a target says in its answers.
+func TestPlacerIsToldOfDepartureByTheVMThatAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		advanceClock()
+		placer, isSilent := 0, false
+		servers := newServers(20, 2, &placer, &isSilent)
+		departed, _ := servers[1].targets.Get("t0")
+		servers[1].recordDeparture(departed)
+		for range slotsPerTarget {
+			ticket := admission.Request{ProgramDeadline: structs.Now().Add(time.Second)}
+			g, err := servers[1].acquireGrant(t.Context(), placement.Query{Service: "s"}, ticket, time.Second, 2*time.Second)
+			assert.NilError(t, err)
+			assert.Equal(t, g.target.ID, structs.TargetID("t1"))
+		}
+		target, _ := servers[0].targets.Get("t0")
+		assert.Assert(t, target.IsDraining)
+	})
+}
+
+func TestWaitingRequestIsNotGrantedDepartedTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		advanceClock()
+		placer, isSilent := -1, false
+		s := newServers(1, 1, &placer, &isSilent)[0]
+		query := placement.Query{Service: "s"}
+		for range slotsPerTarget {
+			_, err := s.acquireTarget(t.Context(), query, admission.Request{}, time.Second, time.Second)
+			assert.NilError(t, err)
+		}
+		waited := make(chan error, 1)
+		go func() {
+			_, err := s.acquireTarget(t.Context(), query, admission.Request{}, time.Second, time.Second)
+			waited <- err
+		}()
+		synctest.Wait()
+		departed, _ := s.targets.Get("t0")
+		s.recordDeparture(departed)
+		s.mu.Lock()
+		s.recordEnd("t0", placement.ResultAnswered, time.Millisecond)
+		s.mu.Unlock()
+		assert.ErrorType(t, <-waited, &NoFreeSlotError{})
+	})
+}
+
 func TestWaitingRequestIsNotGrantedLeavingTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		advanceClock()
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -95,6 +95,7 @@
 func (s *Server) acquireFromPlacer(ctx context.Context, vm structs.VMID, query placement.Query, request admission.Request, maxWait, timeLeft time.Duration) (*grant, error) {
 	start := structs.Now()
 	var rates map[structs.TargetID]targetrate.Observation
+	var departures map[structs.TargetID]placement.Incarnation
 	for {
 		now := structs.Now()
 		wait := min(placerQueueWait, maxWait-now.Sub(start))
@@ -104,7 +105,7 @@
 		reply, err := s.callPlacer(ctx, vm, fleet.PlacementRequest{
 			Service: query.Service, Cached: query.CacheTarget, Exclude: query.Exclude, Domain: s.opts.Domain,
 			Priority: request.Priority, DueIn: request.ProgramDeadline.Sub(now), Wait: wait, TimeLeft: timeLeft,
-			Patience: maxWait - now.Sub(start), Rates: rates,
+			Patience: maxWait - now.Sub(start), Rates: rates, Departures: departures,
 		})
 		switch {
 		case ctx.Err() != nil:
@@ -126,6 +127,7 @@
 			switch {
 			case g.target.IsDraining:
 				query.Exclude = append(slices.Clone(query.Exclude), reply.Target)
+				departures = s.knownDepartures()
 			case isMissed && !isSent:
 				if rates == nil {
 					rates = make(map[structs.TargetID]targetrate.Observation)
@@ -216,6 +218,9 @@
 	now := structs.Now()
 	request := admission.Request{Priority: p.Priority, ProgramDeadline: now.Add(p.DueIn)}
 	s.learnRates(now, p.Rates)
+	s.mu.Lock()
+	s.learnDepartures(now, p.Departures, "request of a peer")
+	s.mu.Unlock()
 	target, err := s.acquireTarget(ctx, query, request, p.Wait, max(p.Wait, p.Patience))
 	var noTarget *NoTargetError
 	var limited *RateLimitedError
--- a/edge/server.go
+++ b/edge/server.go
@@ -171,6 +171,7 @@
 		Loads:            s.targets.LoadReport(),
 		Rates:            s.targets.Rates.Report(now),
 		Crashes:          s.quarantine.Export(now),
+		Departures:       s.targets.Departures(now),
 	}
 	if !isInDoubt {
 		digest.Failing = s.targets.FailureReport(now)
@@ -188,6 +189,7 @@
 	s.targets.Report(now, d.From.VM, d.Loads)
 	s.targets.ApplyFailureReport(now, d.From.VM, d.Failing)
 	s.applyRateReport(now, d)
+	s.learnDepartures(now, d.Departures, "digest")
 	s.quarantine.Import(now, d.Crashes)
 	if d.IsStoreReachable && d.Config == s.opts.Config.Version() {
 		s.configConfirmedAt = now
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/endivecourse/endivecourse/placement"
 	"github.com/endivecourse/endivecourse/routing"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
@@ -32,6 +33,8 @@
 
 	Cached  structs.TargetID   `msgpack:"c,omitempty"` // has the prompt in its cache
 	Exclude []structs.TargetID `msgpack:"x,omitempty"`
+	// Departures holds the departures that the asking VM knows.
+	Departures map[structs.TargetID]placement.Incarnation `msgpack:"y,omitempty"`
 	// TimeLeft is the time until the request's deadline, DueIn until that of its program.
 	TimeLeft time.Duration `msgpack:"l"`
 	DueIn    time.Duration `msgpack:"d"`
@@ -56,8 +59,10 @@
 // ForwardHead is the head of a target's response.
 type ForwardHead struct {
 	Target structs.TargetID `msgpack:"t"`
-	Status int              `msgpack:"s"`
-	Header http.Header      `msgpack:"h"`
+	// Incarnation is that of the target.
+	Incarnation placement.Incarnation `msgpack:"n"`
+	Status      int                   `msgpack:"s"`
+	Header      http.Header           `msgpack:"h"`
 }
 
 // ForwardStream receives the replies to a ForwardRequest. Recv returns io.EOF after the
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -41,6 +41,8 @@
 	// Rates holds the rates that targets have named.
 	Rates   map[structs.TargetID]targetrate.Report `msgpack:"n,omitempty"`
 	Crashes []quarantine.Report                    `msgpack:"x,omitempty"`
+	// Departures holds the targets that have said in a response that they leave.
+	Departures map[structs.TargetID]placement.Incarnation `msgpack:"y,omitempty"`
 	// MembersHash is a hash of the members that the sender knows, including
 	// itself.
 	MembersHash uint64 `msgpack:"k"`
@@ -114,6 +116,8 @@
 	Patience time.Duration `msgpack:"t,omitempty"`
 	// Rates holds named rates that the asking VM knows and the placer may not.
 	Rates map[structs.TargetID]targetrate.Observation `msgpack:"n,omitempty"`
+	// Departures holds the departures that the asking VM knows.
+	Departures map[structs.TargetID]placement.Incarnation `msgpack:"y,omitempty"`
 }
 
 // PlacementReply answers a PlacementRequest. If it has neither a target nor
--- a/placement/departures.go
+++ b/placement/departures.go
@@ -11,6 +11,10 @@
 // entry may come back after an outage of the store.
 const departureTTL = 2 * time.Minute
 
+// departureReportTTL is how long peers are told of a departure that the list of targets
+// confirms: one of them may be cut off from the store.
+const departureReportTTL = 5 * time.Second
+
 // Incarnation identifies one start of a target.
 type Incarnation struct {
 	Started int64  `msgpack:"s"` // Unix milliseconds
@@ -46,6 +50,9 @@
 		s.departures = make(departures)
 	}
 	s.departures[id] = departure{Incarnation: i, saidAt: now, listedAt: now}
+	if st != nil && st.Incarnation() == i {
+		st.IsDraining = true
+	}
 	return true
 }
 
@@ -58,6 +65,30 @@
 	return known.saidAt, true
 }
 
+// Departures returns the departures that peers may not know: those that the list of targets
+// does not confirm, and recent ones.
+func (s *TargetSet) Departures(now structs.Instant) map[structs.TargetID]Incarnation {
+	var report map[structs.TargetID]Incarnation
+	for id, known := range s.departures {
+		st := s.targets[id]
+		isUnconfirmed := st != nil && !st.isListedDraining && st.Incarnation() == known.Incarnation
+		if !isUnconfirmed && now.Sub(known.saidAt) > departureReportTTL {
+			continue
+		}
+		if report == nil {
+			report = make(map[structs.TargetID]Incarnation)
+		}
+		report[id] = known.Incarnation
+	}
+	return report
+}
+
+// hasDeparted reports whether an incarnation of a target has said that it leaves.
+func (s *TargetSet) hasDeparted(id structs.TargetID, i Incarnation) bool {
+	known, isKnown := s.departures[id]
+	return isKnown && known.Incarnation == i
+}
+
 // SweepDepartures forgets the departures of targets that have not been listed for
 // departureTTL.
 func (s *TargetSet) SweepDepartures(now structs.Instant) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -21,7 +21,8 @@
 	Domain  structs.DomainID
 	Region  string
 	Slots   int
-	// IsDraining means that the target gets no new requests.
+	// IsDraining means that the target gets no new requests: its entry or one of its
+	// responses says that it leaves.
 	IsDraining bool
 	// Started is the start time of the target's process in Unix milliseconds. It tells a
 	// restarted target from an earlier one with the same ID.
@@ -63,14 +64,15 @@
 
 type targetState struct {
 	Target
-	running         int
-	remote          map[structs.VMID]remoteLoad
-	connectFailures int
-	backoffUntil    structs.Instant
-	fullUntil       structs.Instant
-	latency         float64 // weighted average in ms; 0 while unknown
-	measuredAt      structs.Instant
-	outcomes        outcomeHistory
+	isListedDraining bool // IsDraining as listed, without what the target's responses say
+	running          int
+	remote           map[structs.VMID]remoteLoad
+	connectFailures  int
+	backoffUntil     structs.Instant
+	fullUntil        structs.Instant
+	latency          float64 // weighted average in ms; 0 while unknown
+	measuredAt       structs.Instant
+	outcomes         outcomeHistory
 }
 
 type remoteLoad struct {
@@ -108,11 +110,13 @@
 		s.Remove(t.ID)
 		old = nil
 	}
+	isListedDraining := t.IsDraining
+	t.IsDraining = t.IsDraining || s.hasDeparted(t.ID, t.Incarnation())
 	if old != nil {
-		old.Target = t
+		old.Target, old.isListedDraining = t, isListedDraining
 		return
 	}
-	st := &targetState{Target: t, remote: make(map[structs.VMID]remoteLoad)}
+	st := &targetState{Target: t, isListedDraining: isListedDraining, remote: make(map[structs.VMID]remoteLoad)}
 	s.targets[t.ID] = st
 	group := s.services[t.Service]
 	if group == nil {
