edge: a request that a stopping VM turns away is forwarded through another

Cause: any error in place of the first reply counted as a request that may have run, also the refusal with which a stopping process turns requests away.

Change: such a refusal is 'unavailable', and the next VM is asked.

--- a/edge/failures.go
+++ b/edge/failures.go
@@ -12,6 +12,16 @@
 	"github.com/endivecourse/endivecourse/targetpath"
 )
 
+const (
+	// minUnansweredTime is how long a target must have had a request for a missing
+	// response at the deadline to count as a failure of the target; all calls of the
+	// users end sooner.
+	minUnansweredTime = 800 * time.Millisecond
+	// crashCheckTimeout bounds the connection attempt that distinguishes a crashed
+	// target from an incomplete response.
+	crashCheckTimeout = 500 * time.Millisecond
+)
+
 // isUnreachable reports whether err means that no connection to the target could be
 // made, and logs it in that case.
 func (s *Server) isUnreachable(target placement.Target, err error) bool {
@@ -80,12 +90,3 @@
 	s.mu.Unlock()
 	s.log.Warn("target crashed while it ran a request", "request", string(id), "target", string(target.ID), "quarantined", quarantined)
 }
-
-// minUnansweredTime is how long a target must have had a request for a missing
-// response at the deadline to count as a failure of the target; all calls of the
-// users end sooner.
-const minUnansweredTime = 800 * time.Millisecond
-
-// crashCheckTimeout bounds the connection attempt that distinguishes a crashed
-// target from an incomplete response.
-const crashCheckTimeout = 500 * time.Millisecond
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -21,8 +21,8 @@
 // maxRelays bounds the VMs that are asked in turn to forward one request.
 const maxRelays = 4
 
-// forward lets other VMs send the request to a target. It reports false if none does and
-// the request was not sent.
+// forward lets other VMs send the request to a target. It reports false if none does, and
+// the request was not sent or may be sent again.
 func (x *exchange) forward(ctx context.Context, body []byte, tried []structs.TargetID) (*structs.Refusal, bool) {
 	if x.forwardedFor != "" {
 		return nil, false
@@ -91,7 +91,7 @@
 	x.sentAt, x.forwardedBy, x.grantedBy = structs.Now(), vm, ""
 	var first fleet.ForwardReply
 	if err := stream.Recv(&first); err != nil {
-		return attemptResult{isRunUnknown: true, cause: errors.Wrap(err, "read forwarded answer")}, nil
+		return failedForward(vm, err), nil
 	}
 	x.sends += first.Sends
 	switch {
@@ -105,6 +105,15 @@
 	return x.relayForwarded(ctx, stream, first.Head), nil
 }
 
+// failedForward returns the result of a request to which a VM sent no reply.
+func failedForward(vm structs.VMID, err error) attemptResult {
+	var refusal *structs.Refusal
+	if errors.As(err, &refusal) && refusal.Run == structs.RunNo { // the process is stopping
+		return attemptResult{cause: &RelayUnavailableError{VM: vm, Cause: err}}
+	}
+	return attemptResult{isRunUnknown: true, cause: errors.Wrap(err, "read forwarded answer")}
+}
+
 // HeadlessReplyError reports that a VM forwarded a response without its head.
 type HeadlessReplyError struct{ VM structs.VMID }
 
