edge: a stream whose reservation was refused is not sent again (BUDGET)

Cause: a turn may run while its tokens are being reserved. When the reservation is refused meanwhile, nothing of the run may reach the caller. On a resumable route the request was sent to a second target then, and as the refusal had been read once and forgotten, its stream began without any reservation. By reading, a VM's own way had the same fault; it needs a refusal after the forecast of a grant, on a route that may be resumed.

Change: the refusal is kept, and such a request is not sent again.

--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -91,7 +91,7 @@
 		if ctx.Err() != nil {
 			return x.refuseTimedOut(result.cause)
 		}
-		if result.isRunUnknown && !x.route.IsRepeatable() {
+		if result.isRunUnknown && !x.maySendAgain() {
 			return x.refuseFailed(result.cause)
 		}
 		if g.failedAt != 0 {
@@ -101,6 +101,11 @@
 	return x.refuseUnserved(structs.RefusedQueueFull, noFreeSlotRetryAfter, "no target took the request: "+errorText(lastErr))
 }
 
+// maySendAgain reports whether a request that may have run may be sent to another target.
+func (x *exchange) maySendAgain() bool {
+	return x.route.IsRepeatable() && x.refusedReservation() == nil
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return "none was tried"
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -54,7 +54,7 @@
 		x.mayHaveRun = x.mayHaveRun || result.isRunUnknown
 		if result.isRunUnknown {
 			x.sends++
-			if !x.route.IsRepeatable() {
+			if !x.maySendAgain() {
 				return x.refuseFailed(result.cause), true
 			}
 		}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -42,7 +42,9 @@
 	chain    *turnlog.Chain  // nil for a first turn and for turns that are not stored
 	record   *turnlog.Record // nil for turns that are not stored
 	program  ledger.Program
-	reserved <-chan error // nil without a budget
+	reserved <-chan error // nil without a budget, and once its result was read
+	// refused is set when the reservation was refused: nothing may be sent then.
+	refused *structs.Refusal
 	// likelyGranted is closed when the forecast says that the reservation will be
 	// granted.
 	likelyGranted <-chan struct{}
@@ -188,14 +190,14 @@
 // has returned no refusal.
 func (x *exchange) awaitReservation(ctx context.Context, likelyGranted <-chan struct{}) *structs.Refusal {
 	if x.turn == nil || x.turn.reserved == nil {
-		return nil
+		return x.refusedReservation()
 	}
 	timer := time.NewTimer(reservationTimeout)
 	defer timer.Stop()
 	var err error
 	select {
 	case err = <-x.turn.reserved:
-		x.turn.reserved = nil
+		x.turn.reserved, x.turn.refused = nil, reservationRefusal(err)
 	case <-likelyGranted:
 	case <-timer.C:
 		err = context.DeadlineExceeded
@@ -205,6 +207,14 @@
 	return reservationRefusal(err)
 }
 
+// refusedReservation returns the refusal of the turn's reservation, nil if there is none.
+func (x *exchange) refusedReservation() *structs.Refusal {
+	if x.turn == nil {
+		return nil
+	}
+	return x.turn.refused
+}
+
 func reservationRefusal(err error) *structs.Refusal {
 	var spent *ledger.BudgetSpentError
 	var busy *ledger.BudgetReservedError
