daemon: a test waits for the version of the configuration that it stores

The log has one line, 'configuration in force' with version 7: the test had stored its second version before the VM had read the first one, so the VM never had a first one and the test's count of two lines could not be met. The test waited for a count of lines, not for its version.

Change: it waits for exactly the version that it stored.

--- a/daemon/endived_targets_test.go
+++ b/daemon/endived_targets_test.go
@@ -215,8 +215,10 @@
 	app.Set(platformtest.Behaviour{Duration: 3500 * time.Millisecond})
 	config := platformtest.BasicConfig()
 	config.Routes[2].TimeoutMs = 6000
-	b.site.PutConfig(config)
-	b.waitUntil("second version in force", func() bool { return len(b.logs.lines("configuration in force")) >= 2 })
+	version := b.site.PutConfig(config)
+	b.waitUntil("second version in force", func() bool {
+		return len(b.logs.lines("configuration in force", fmt.Sprintf(`"version":%d`, version))) == 1
+	})
 	got := make(chan response, 1)
 	go func() {
 		got <- b.send(request{path: "/order/1", header: map[string]string{platformtest.HeaderDeadline: "6000"}})
