hop: the kernel buffers at most 256 KB of a response that is not read

Cause: the receive buffer of a connection to a target is left to the kernel, which lets it grow to 32 MB while an endless response is read. A VM that has read its 16 MB and closes leaves up to 19 MB more in the socket: TestEndlessResponsesAreCutOff/body saw 35,094,528 bytes against 25,165,824 allowed, in 4 of 36 runs beside load.

Change: the buffer has a fixed size, set before the connection is made, since the window scale follows from it.

--- a/hop/pool.go
+++ b/hop/pool.go
@@ -23,6 +23,9 @@
 	idleMargin = 700 * time.Millisecond
 	// maxPooled bounds the idle connections to one target.
 	maxPooled = 16
+	// receiveBufferBytes bounds what the kernel holds of a response that is read slowly.
+	// Left to itself it grows to 32 MB a connection, which counts against the VM's memory.
+	receiveBufferBytes = 256 << 10
 )
 
 // probes close the connections to a target that has lost power. A target that is silent
@@ -57,7 +60,7 @@
 // NewPool returns an empty pool whose connections dial opens; nil means TCP.
 func NewPool(dial DialFunc) *Pool {
 	if dial == nil {
-		dial = sockopt.Dialer(probes).DialContext
+		dial = sockopt.DialerWithReceiveBuffer(probes, receiveBufferBytes).DialContext
 	}
 	return &Pool{dial: dial, idle: make(map[string][]*Conn)}
 }
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -24,22 +24,31 @@
 
 // Dialer returns a dialer whose connections close when their probes or their data have not
 // been acknowledged for p.UserTimeout(), for example because the peer has lost power.
-func Dialer(p Probes) *net.Dialer {
+func Dialer(p Probes) *net.Dialer { return DialerWithReceiveBuffer(p, 0) }
+
+// DialerWithReceiveBuffer returns a dialer like Dialer. receiveBytes bounds the data that
+// the kernel holds for a connection until it is read, 0 leaves the size to the kernel.
+func DialerWithReceiveBuffer(p Probes, receiveBytes int) *net.Dialer {
 	return &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: p.Idle, Interval: p.Interval, Count: p.Count},
-		Control:         setUserTimeout(p.UserTimeout()),
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var optErr error
+			err := raw.Control(func(fd uintptr) { optErr = setOptions(int(fd), p.UserTimeout(), receiveBytes) })
+			if err != nil {
+				return err
+			}
+			return optErr
+		},
 	}
 }
 
-func setUserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var optErr error
-		err := raw.Control(func(fd uintptr) {
-			optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-		})
-		if err != nil {
+// setOptions must run before the connection is made: the TCP window scale follows from
+// the size of the receive buffer at that time.
+func setOptions(fd int, userTimeout time.Duration, receiveBytes int) error {
+	if receiveBytes > 0 {
+		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes); err != nil {
 			return err
 		}
-		return optErr
 	}
+	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 }
--- a/internal/sockopt/sockopttest/sockopttest.go
+++ b/internal/sockopt/sockopttest/sockopttest.go
@@ -3,6 +3,9 @@
 
 import (
 	"net"
+	"os"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -31,6 +34,18 @@
 	assert.Assert(t, limit-idle >= MinSilence, "closes %s after the last data, first probe after %s", limit, idle)
 }
 
+// AssertReceiveBuffer checks that the receive buffer of a connection has a fixed size of
+// the given number of bytes, or of the most that the kernel allows.
+func AssertReceiveBuffer(t testing.TB, conn net.Conn, bytes int) {
+	t.Helper()
+	raw, err := os.ReadFile("/proc/sys/net/core/rmem_max")
+	assert.NilError(t, err)
+	most, err := strconv.Atoi(strings.TrimSpace(string(raw)))
+	assert.NilError(t, err)
+	const overheadFactor = 2 // the kernel doubles the size for its bookkeeping
+	assert.Equal(t, option(t, conn, unix.SOL_SOCKET, unix.SO_RCVBUF), overheadFactor*min(bytes, most))
+}
+
 func option(t testing.TB, conn net.Conn, level, name int) int {
 	t.Helper()
 	raw, err := conn.(syscall.Conn).SyscallConn()
