placement: targets with an idle connection are preferred where connections are not reused

Cause: the choice of a target ignored whether the requesting VM has a connection to it, so that each of 38 VMs of a region connected to each of 44 targets and a connection expired before its next request. A target in another failure domain cost 1 ms whatever the delay.

- A VM that sends fewer requests to each target than one per idle timeout tells the choice its idle connections, over the placer too (keys e and g of the placement request).
A new connection costs its round trip and the target's setup, and goes to a group of targets that a rendezvous hash assigns to the VM.
Free slots still come first.
- The cost of another failure domain is the measured additional round trip (key j), at least 1 ms and at most the cost of another region.
- Such VMs judge a target slow against the lower quartile of the average latencies, less the error of the average.

--- /dev/null
+++ b/edge/connections.go
@@ -0,0 +1,149 @@
+package edge
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/endivecourse/endivecourse/hop"
+	"github.com/endivecourse/endivecourse/placement"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// maxReportedConnections bounds the connected targets in a request to a placer. A VM whose
+// connections expire has fewer.
+const maxReportedConnections = 64
+
+// connections holds what this VM knows of its connections to targets. The server's lock
+// guards it.
+type connections struct {
+	reuse placement.Reuse
+	times placement.ConnectTimes
+	// idle is the idle timeout that targets of each service stated last.
+	idle map[structs.ServiceID]time.Duration
+}
+
+// describeConnections adds to a query what the choice of its target needs to know of this
+// VM's connections, and counts the request.
+func (s *Server) describeConnections(query *placement.Query) {
+	now := structs.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	query.DomainDelay = s.connections.times.DomainDelay(s.opts.Domain, s.targets.DomainsInRegion())
+	idle, isKnown := s.connections.idle[query.Service]
+	if !isKnown {
+		idle = hop.DefaultIdleTimeout
+	}
+	targets := s.targets.TargetsInReach(query.Service)
+	isLarge := s.opts.Peers.PeerCount() >= maxUncoordinatedVMs
+	change := s.connections.reuse.Update(now, query.Service, targets, idle, isLarge)
+	if change.IsChanged {
+		s.log.Info("reuse of connections changed", "service", string(query.Service), "connected_targets_preferred", change.IsSparse,
+			"requests_per_idle_timeout", change.PerIdleTimeout, "requests_per_second", change.Rate, "targets", targets, "idle_timeout_ms", idle.Milliseconds())
+	}
+	if change.IsSparse {
+		query.Group = s.opts.VM
+		query.Connected = s.connectedTargets(query.Service)
+	}
+}
+
+// connectedTargets returns the targets of a service to which this VM has an idle
+// connection. The caller holds the lock.
+func (s *Server) connectedTargets(service structs.ServiceID) map[structs.TargetID]bool {
+	now := time.Now()
+	return s.targets.Connected(service, func(address string) bool { return s.pool.HasIdle(now, address) })
+}
+
+// refreshConnections updates the connected targets of a query that has waited.
+func (s *Server) refreshConnections(query *placement.Query) {
+	if query.Group == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	query.Connected = s.connectedTargets(query.Service)
+}
+
+// reportedConnections returns the connected targets of a query for a placer.
+func reportedConnections(query placement.Query) []structs.TargetID {
+	ids := slices.Sorted(maps.Keys(query.Connected))
+	return ids[:min(len(ids), maxReportedConnections)]
+}
+
+func connectedSet(ids []structs.TargetID) map[structs.TargetID]bool {
+	if len(ids) == 0 {
+		return nil
+	}
+	set := make(map[structs.TargetID]bool, len(ids))
+	for _, id := range ids {
+		set[id] = true
+	}
+	return set
+}
+
+// recordConnection records that a request uses a connection.
+func (s *Server) recordConnection(target placement.Target, conn *hop.Conn) {
+	if conn.IsReused() {
+		s.stats.connectionsReused.Inc()
+		return
+	}
+	s.paths.connected()
+	s.stats.connectionsNew.Inc()
+	s.stats.connectTime(target.Domain).Update(conn.ConnectTime().Seconds())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.connections.times.Record(structs.Now(), target.Domain, conn.ConnectTime())
+}
+
+// keepConnection returns a connection to the pool after its response was read completely.
+func (s *Server) keepConnection(target placement.Target, conn *hop.Conn) {
+	idle := conn.IdleTimeout()
+	s.pool.Put(conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.connections.idle == nil {
+		s.connections.idle = make(map[structs.ServiceID]time.Duration)
+	}
+	s.connections.idle[target.Service] = idle
+}
+
+// dumpConnections returns the state of this VM's connections for the state dump. The caller
+// holds the lock.
+func (s *Server) dumpConnections() map[string]any {
+	idle, dials := s.pool.Stats()
+	preferred := make(map[structs.ServiceID]bool)
+	timeouts := make(map[structs.ServiceID]string)
+	for service, timeout := range s.connections.idle {
+		preferred[service] = s.connections.reuse.IsSparse(service)
+		timeouts[service] = timeout.String()
+	}
+	times := make(map[structs.DomainID]string)
+	for domain, took := range s.connections.times.ByDomain() {
+		times[domain] = took.String()
+	}
+	return map[string]any{
+		"idle": idle, "opened": dials, "idle_by_address": s.pool.IdleByAddress(time.Now()), "idle_timeouts": timeouts,
+		"connected_targets_preferred": preferred, "connect_times": times,
+		"domain_delay": s.connections.times.DomainDelay(s.opts.Domain, s.targets.DomainsInRegion()).String(),
+	}
+}
+
+func (st *stats) connectTime(domain structs.DomainID) *metrics.Histogram {
+	return st.set.GetOrCreateHistogram(`endive_target_connect_seconds{domain="` + string(domain) + `"}`)
+}
+
+// addConnectionGauges adds the gauges of this VM's connections to targets.
+func addConnectionGauges(set *metrics.Set, s *Server) {
+	set.NewGauge("endive_services_preferring_connected_targets", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return float64(s.connections.reuse.SparseCount())
+	})
+	set.NewGauge("endive_target_domain_delay_seconds", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.connections.times.DomainDelay(s.opts.Domain, s.targets.DomainsInRegion()).Seconds()
+	})
+}
--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -212,7 +212,7 @@
 		conn.Close()
 		return result
 	}
-	x.server.pool.Put(conn)
+	x.server.keepConnection(target, conn)
 	return result
 }
 
@@ -221,9 +221,7 @@
 	s := x.server
 	conn, err := s.pool.Get(ctx, g.target.Address)
 	if err == nil {
-		if !conn.IsReused() {
-			s.paths.connected()
-		}
+		s.recordConnection(g.target, conn)
 		return conn, nil
 	}
 	if s.isUnreachable(g.target, err) {
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -59,6 +59,7 @@
 // acquireGrant returns a slot, from the service's placer or from this VM's own
 // view. It waits for at most maxWait.
 func (s *Server) acquireGrant(ctx context.Context, query placement.Query, request admission.Request, maxWait, timeLeft time.Duration) (*grant, error) {
+	s.describeConnections(&query)
 	if s.needsPlacer(query.Service) {
 		if vm, self := s.opts.Peers.Placer(query.Service); !self {
 			g, err := s.acquireFromPlacer(ctx, vm, query, request, maxWait, timeLeft)
@@ -106,6 +107,7 @@
 			Service: query.Service, Cached: query.CacheTarget, Exclude: query.Exclude, Domain: s.opts.Domain,
 			Priority: request.Priority, DueIn: request.ProgramDeadline.Sub(now), Wait: wait, TimeLeft: timeLeft,
 			Patience: maxWait - now.Sub(start), Rates: rates, Departures: departures,
+			VM: query.Group, Connected: reportedConnections(query), DomainDelay: query.DomainDelay,
 		})
 		switch {
 		case ctx.Err() != nil:
@@ -138,6 +140,7 @@
 			}
 			s.releaseGrant(g)
 		}
+		s.refreshConnections(&query)
 		var self bool
 		if vm, self = s.opts.Peers.Placer(query.Service); self {
 			return nil, nil
@@ -214,7 +217,10 @@
 
 // PlaceForPeer picks a target for a peer's request.
 func (s *Server) PlaceForPeer(ctx context.Context, p fleet.PlacementRequest) fleet.PlacementReply {
-	query := placement.Query{Service: p.Service, CacheTarget: p.Cached, Exclude: p.Exclude, Domain: p.Domain}
+	query := placement.Query{
+		Service: p.Service, CacheTarget: p.Cached, Exclude: p.Exclude, Domain: p.Domain,
+		Group: p.VM, Connected: connectedSet(p.Connected), DomainDelay: p.DomainDelay,
+	}
 	now := structs.Now()
 	request := admission.Request{Priority: p.Priority, ProgramDeadline: now.Add(p.DueIn)}
 	s.learnRates(now, p.Rates)
--- a/edge/server.go
+++ b/edge/server.go
@@ -67,6 +67,7 @@
 	mu                sync.Mutex
 	targets           *placement.TargetSet
 	listing           listing
+	connections       connections
 	queues            map[structs.ServiceID]*admission.Queue
 	waiters           map[*admission.Request]*waiter
 	recent            recentTargets
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -21,6 +21,8 @@
 	latency   *metrics.Histogram
 	slotWait  *metrics.Histogram
 	pathsLost *metrics.Counter
+	// connectionsNew and connectionsReused count the requests sent over each kind.
+	connectionsNew, connectionsReused *metrics.Counter
 }
 
 func newStats(s *Server) *stats {
@@ -53,6 +55,7 @@
 		return 1
 	})
 	set.NewGauge("endive_targets_age_seconds", func() float64 { return s.targetsAge(structs.Now()).Seconds() })
+	addConnectionGauges(set, s)
 	return &stats{
 		set:       set,
 		requests:  set.NewCounter("endive_requests_total"),
@@ -60,6 +63,9 @@
 		latency:   set.NewHistogram("endive_request_seconds"),
 		slotWait:  set.NewHistogram("endive_slot_wait_seconds"),
 		pathsLost: set.NewCounter("endive_target_paths_lost_total"),
+
+		connectionsNew:    set.NewCounter("endive_target_connections_new_total"),
+		connectionsReused: set.NewCounter("endive_target_connections_reused_total"),
 	}
 }
 
@@ -71,7 +77,6 @@
 // DumpState implements kernel.Dumper.
 func (s *Server) DumpState() any {
 	records, bytes := s.opts.Local.Turns.CacheStats()
-	idle, dials := s.pool.Stats()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	targets := make(map[structs.TargetID]string)
@@ -88,7 +93,7 @@
 		"turn_bytes":     bytes,
 		"budgets":        s.opts.Local.Ledger.CachedBalances(),
 		"quarantine":     s.quarantine.Len(),
-		"connections":    map[string]any{"idle": idle, "opened": dials},
+		"connections":    s.dumpConnections(),
 	}
 }
 
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -118,6 +118,13 @@
 	Rates map[structs.TargetID]targetrate.Observation `msgpack:"n,omitempty"`
 	// Departures holds the departures that the asking VM knows.
 	Departures map[structs.TargetID]placement.Incarnation `msgpack:"y,omitempty"`
+	// VM is the asking VM if its connections count. Connected holds the targets to which it
+	// has an idle connection.
+	VM        structs.VMID       `msgpack:"g,omitempty"`
+	Connected []structs.TargetID `msgpack:"e,omitempty"`
+	// DomainDelay is the additional round trip to another failure domain that the asking VM
+	// has measured.
+	DomainDelay time.Duration `msgpack:"j,omitempty"`
 }
 
 // PlacementReply answers a PlacementRequest. If it has neither a target nor
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -84,6 +84,8 @@
 	closesAfterResponse bool          // the target closes the connection after this response
 	hasStrayBytes       bool          // data that belongs to no request has arrived
 	isReused            bool          // it has carried another request before
+	connectTime         time.Duration // from the attempt to connect until the target accepted
+	idleTimeout         time.Duration // stated by the target, less idleMargin
 	writeDone           chan error
 }
 
@@ -98,6 +100,13 @@
 // IsReused reports whether the connection has carried another request before.
 func (c *Conn) IsReused() bool { return c.isReused }
 
+// ConnectTime returns how long it took to connect.
+func (c *Conn) ConnectTime() time.Duration { return c.connectTime }
+
+// IdleTimeout returns how long the connection may stay idle in the pool after the last
+// response, 0 before the first.
+func (c *Conn) IdleTimeout() time.Duration { return c.idleTimeout }
+
 // isUsable reports whether another request can be sent on an idle connection: it
 // has not expired, is not closed and holds no unread data.
 func (c *Conn) isUsable(now time.Time) bool {
@@ -206,7 +215,8 @@
 
 func (c *Conn) recordExpiry(resp *http.Response) {
 	c.closesAfterResponse = c.closesAfterResponse || resp.Close
-	c.expires = time.Now().Add(idleTimeout(resp.Header))
+	c.idleTimeout = idleTimeout(resp.Header)
+	c.expires = time.Now().Add(c.idleTimeout)
 }
 
 // idleTimeout returns how long a connection may stay idle in the pool.
@@ -217,7 +227,7 @@
 			return time.Duration(seconds)*time.Second - idleMargin
 		}
 	}
-	return defaultIdleTimeout
+	return DefaultIdleTimeout
 }
 
 // isReusable reports whether another request may be sent after the response was
--- a/hop/pool.go
+++ b/hop/pool.go
@@ -15,9 +15,9 @@
 const (
 	// dialTimeout leaves time for ten round trips between regions.
 	dialTimeout = 350 * time.Millisecond
-	// defaultIdleTimeout is how long a connection stays pooled if the target
+	// DefaultIdleTimeout is how long a connection stays pooled if the target
 	// states no idle timeout.
-	defaultIdleTimeout = 8 * time.Second
+	DefaultIdleTimeout = 8 * time.Second
 	// idleMargin is subtracted from the idle timeout that a target states, so that
 	// no request is sent while the target closes the connection.
 	idleMargin = 700 * time.Millisecond
@@ -79,11 +79,14 @@
 		}
 		c.Close()
 	}
+	start := time.Now()
 	nc, err := p.connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc, address), nil
+	c := newConn(nc, address)
+	c.connectTime = time.Since(start)
+	return c, nil
 }
 
 func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
@@ -124,6 +127,36 @@
 	return c
 }
 
+// HasIdle reports whether an idle connection to an address has not expired.
+func (p *Pool) HasIdle(now time.Time, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return unexpired(now, p.idle[address]) > 0
+}
+
+// IdleByAddress returns the number of idle connections that have not expired.
+func (p *Pool) IdleByAddress(now time.Time) map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := make(map[string]int, len(p.idle))
+	for address, idle := range p.idle {
+		if count := unexpired(now, idle); count > 0 {
+			counts[address] = count
+		}
+	}
+	return counts
+}
+
+func unexpired(now time.Time, idle []*Conn) int {
+	count := 0
+	for _, c := range idle {
+		if now.Before(c.expires) {
+			count++
+		}
+	}
+	return count
+}
+
 // Put returns a connection to the pool after its response was read completely. It
 // closes a connection that can't carry another request.
 func (p *Pool) Put(c *Conn) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -9,6 +9,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/targetrate"
 )
@@ -31,7 +33,8 @@
 
 // Costs of a choice, in milliseconds of a caller's time.
 const (
-	domainCost = 1.0 // a round trip to another failure domain, and its price
+	// domainCost is the least cost of another failure domain: a round trip, and its price.
+	domainCost = 1.0
 	// regionCost covers two round trips between regions and the price of the traffic.
 	regionCost = 70.0
 	// cacheCost is the time to process a conversation's prompt again at a target that
@@ -71,8 +74,10 @@
 	backoffUntil     structs.Instant
 	fullUntil        structs.Instant
 	latency          float64 // weighted average in ms; 0 while unknown
+	latencyVariance  float64 // in ms squared
 	measuredAt       structs.Instant
 	outcomes         outcomeHistory
+	hash             uint64 // of the ID
 }
 
 type remoteLoad struct {
@@ -116,7 +121,7 @@
 		old.Target, old.isListedDraining = t, isListedDraining
 		return
 	}
-	st := &targetState{Target: t, isListedDraining: isListedDraining, remote: make(map[structs.VMID]remoteLoad)}
+	st := &targetState{Target: t, isListedDraining: isListedDraining, remote: make(map[structs.VMID]remoteLoad), hash: xxhash.Sum64String(string(t.ID))}
 	s.targets[t.ID] = st
 	group := s.services[t.Service]
 	if group == nil {
@@ -164,6 +169,13 @@
 	// RateFraction is the part of a target's named rate that may be used, 0 for the share
 	// of a placer, which follows demand.
 	RateFraction float64
+	// Group is the VM whose connections count, empty if they don't. Connected holds the
+	// targets to which it has an idle connection.
+	Group     structs.VMID
+	Connected map[structs.TargetID]bool
+	// DomainDelay is the additional round trip to another failure domain of the region, as
+	// measured by the requesting VM; 0 while it is not known.
+	DomainDelay time.Duration
 }
 
 // Choice is the chosen target.
@@ -176,8 +188,9 @@
 // reports false if the service has no usable target.
 func (s *TargetSet) Choose(now structs.Instant, q Query) (Choice, bool) {
 	group := s.services[q.Service]
-	lowest := lowestLatency(now, group)
+	lowest := referenceLatency(now, q, group)
 	ejected := ejectedTargets(now, group)
+	preferred := s.newGroup(q, group)
 	var best, backingOff *targetState
 	bestCost, soonest := math.Inf(1), structs.Instant(math.MaxInt64)
 	bestHasSlot := false
@@ -195,7 +208,7 @@
 		if bestHasSlot && !hasFreeSlot {
 			continue
 		}
-		cost := s.cost(now, st, q, lowest)
+		cost := s.cost(now, st, q, lowest, &preferred)
 		better := cost < bestCost || cost == bestCost && st.ID < best.ID
 		if better || hasFreeSlot && !bestHasSlot {
 			best, bestCost, bestHasSlot = st, cost, hasFreeSlot
@@ -213,14 +226,9 @@
 	return Choice{Target: best.Target, HasFreeSlot: bestHasSlot || isRetry}, true
 }
 
-func (s *TargetSet) cost(now structs.Instant, st *targetState, q Query, lowest float64) float64 {
-	cost := 0.0
-	switch {
-	case st.Region != s.region:
-		cost += regionCost
-	case st.Domain != requestDomain(q.Domain, s.domain):
-		cost += domainCost
-	}
+func (s *TargetSet) cost(now structs.Instant, st *targetState, q Query, lowest float64, preferred *group) float64 {
+	cost := s.distanceCost(st, q)
+	cost += s.connectCost(st, q, preferred, cost)
 	if q.CacheTarget != "" && q.CacheTarget != st.ID {
 		cost += cacheCost
 	}
@@ -232,7 +240,7 @@
 	if now < st.fullUntil {
 		cost += fullCost
 	}
-	if latency := st.currentLatency(now); latency > 1.5*lowest && lowest > 0 {
+	if latency := st.latencyFor(now, q); latency > 1.5*lowest && lowest > 0 {
 		cost += slowCost * (latency/lowest - 1)
 	}
 	rate := st.outcomes.failureRate(now)
@@ -304,8 +312,9 @@
 	st.outcomes.successes++
 	ms := float64(latency) / float64(time.Millisecond)
 	if st.currentLatency(now) == 0 {
-		st.latency = ms
+		st.latency, st.latencyVariance = ms, 0
 	} else {
+		st.recordSpread(ms)
 		st.latency += latencyWeight * (ms - st.latency)
 	}
 	st.measuredAt = now
