placement: the connection simulation draws durations on arrival and queues by service

Cause: durations were drawn when a request was sent, so that the runs that are compared did not have the same work, and one queue for both services blocked the other service's requests. Near capacity the figures of two runs differed by chance.

--- a/placement/connections_test.go
+++ b/placement/connections_test.go
@@ -24,9 +24,8 @@
 	sets    []*TargetSet // one for the placer, or one for each VM
 	vms     []*simVM
 	targets map[structs.TargetID]*simTarget
-	waiting []func() bool // requests at the placer that found no free slot
+	waiting map[structs.ServiceID][]func() bool // requests at the placer that found no free slot
 	simResult
-	lastChange time.Duration
 }
 
 type connSimOptions struct {
@@ -102,7 +101,7 @@
 func simDomain(n int) structs.DomainID { return structs.DomainID(fmt.Sprint("d", n)) }
 
 func runConnSim(o connSimOptions) simResult {
-	s := &connSim{connSimOptions: o, rng: rand.New(rand.NewPCG(7, 7)), targets: make(map[structs.TargetID]*simTarget)}
+	s := &connSim{connSimOptions: o, rng: rand.New(rand.NewPCG(7, 7)), targets: make(map[structs.TargetID]*simTarget), waiting: make(map[structs.ServiceID][]func() bool)}
 	for d, n := range o.vmsByDomain {
 		for i := range n {
 			s.vms = append(s.vms, &simVM{id: structs.VMID(fmt.Sprint("vm-", d, "-", i)), domain: simDomain(d), idle: make(map[structs.TargetID][]time.Duration)})
@@ -155,11 +154,12 @@
 func (s *connSim) arrive() {
 	s.after(time.Duration(s.rng.ExpFloat64()/s.rate*float64(time.Second)), s.arrive)
 	n := s.rng.IntN(len(s.vms))
-	s.begin(n, []structs.ServiceID{"engine", "plain"}[s.rng.IntN(2)], s.now)
+	run := s.minRun + time.Duration(s.rng.Int64N(int64(s.maxRun-s.minRun)))
+	s.begin(n, []structs.ServiceID{"engine", "plain"}[s.rng.IntN(2)], run)
 }
 
-func (s *connSim) begin(n int, service structs.ServiceID, start time.Duration) {
-	vm, set, delay := s.vms[n], s.sets[0], 2*s.domainDelay/3 // a third of the VMs are near the placer
+func (s *connSim) begin(n int, service structs.ServiceID, run time.Duration) {
+	start, vm, set, delay := s.now, s.vms[n], s.sets[0], 2*s.domainDelay/3 // a third of the VMs are near the placer
 	if s.isAlone {
 		set, delay = s.sets[n], 0
 	}
@@ -177,13 +177,13 @@
 			return false
 		}
 		set.BeginRequest(choice.Target.ID)
-		s.after(delay, func() { s.send(vm, set, choice.Target, service, start, delay) })
+		s.after(delay, func() { s.send(vm, set, choice.Target, run, start, delay) })
 		return true
 	}
 	s.after(delay, func() {
-		if len(s.waiting) > 0 || !try() {
-			s.waiting = append(s.waiting, try)
-			s.maxQueue = max(s.maxQueue, len(s.waiting))
+		if len(s.waiting[service]) > 0 || !try() {
+			s.waiting[service] = append(s.waiting[service], try)
+			s.maxQueue = max(s.maxQueue, len(s.waiting[service]))
 		}
 	})
 }
@@ -199,7 +199,7 @@
 }
 
 // send sends a request over an idle connection, or over a new one.
-func (s *connSim) send(vm *simVM, set *TargetSet, chosen Target, service structs.ServiceID, start, delay time.Duration) {
+func (s *connSim) send(vm *simVM, set *TargetSet, chosen Target, run, start, delay time.Duration) {
 	trip := time.Millisecond
 	if chosen.Domain != vm.domain {
 		trip = 2 * s.domainDelay
@@ -215,7 +215,6 @@
 	}
 	s.requests++
 	target := s.targets[chosen.ID]
-	run := s.minRun + time.Duration(s.rng.Int64N(int64(s.maxRun-s.minRun)))
 	serve := func() {
 		s.after(run, func() {
 			target.running--
@@ -232,9 +231,11 @@
 				vm.idle[chosen.ID] = append(vm.idle[chosen.ID], s.now+s.idle)
 				s.after(delay, func() {
 					set.RecordResult(at(s.now), chosen.ID, ResultAnswered, run)
-					for len(s.waiting) > 0 && s.waiting[0]() {
-						s.waiting = s.waiting[1:]
+					waiting := s.waiting[chosen.Service]
+					for len(waiting) > 0 && waiting[0]() {
+						waiting = waiting[1:]
 					}
+					s.waiting[chosen.Service] = waiting
 				})
 			})
 		})
@@ -252,7 +253,7 @@
 
 func (s *connSim) hasQueueBesideFreeSlot() bool {
 	for _, service := range []structs.ServiceID{"engine", "plain"} {
-		hasQueue, hasFree := len(s.waiting) > 0, false
+		hasQueue, hasFree := len(s.waiting[service]) > 0, false
 		for _, t := range s.targets {
 			if t.Service == service {
 				hasQueue = hasQueue || len(t.waiting) > 0
@@ -315,6 +316,7 @@
 	o := quoteDesk()
 	o.vmsByDomain, o.targetsByDomain, o.rate = []int{3, 3, 3}, []int{6, 5, 5}, 9*33
 	o.minRun, o.maxRun, o.domainDelay, o.isAlone = 50*time.Millisecond, 250*time.Millisecond, 250*time.Microsecond, true
+	o.duration = 20 * time.Second
 	without, with := compareConnections(t, o)
 	assert.DeepEqual(t, with.slowest, without.slowest)
 	assert.Equal(t, with.opened, without.opened)
@@ -324,7 +326,7 @@
 // did for choosing by old loads.
 func TestLostPlacerDoesNotAddQueues(t *testing.T) {
 	o := quoteDesk()
-	o.isAlone = true
+	o.isAlone, o.duration = true, 30*time.Second
 	without, with := compareConnections(t, o)
 	assert.Assert(t, with.openedShare() <= without.openedShare()/5)
 	assert.Assert(t, with.maxQueue <= without.maxQueue)
