hop, edge: idle connections that expire first are used first where connections are scarce

Cause: the pool used the newest idle connection of a target, so that the others expired and the next peak of a VM opened them again. When a target's idle connections were too many, the pool closed the one just used and kept those that expire sooner.

- For services whose connections are not reused by chance, the connection that expires first is used; other services keep their order.
- Of too many idle connections, those that expire first are closed.
For such services, a VM keeps its part of the service's maxConnections, and at least one, to each target.
- A stated idle timeout is bounded to 0 to 10 minutes; a large one overflowed.

--- a/edge/connections.go
+++ b/edge/connections.go
@@ -100,7 +100,7 @@
 // keepConnection returns a connection to the pool after its response was read completely.
 func (s *Server) keepConnection(target placement.Target, conn *hop.Conn) {
 	idle := conn.IdleTimeout()
-	s.pool.Put(conn)
+	s.pool.PutWithin(conn, s.maxIdleConnections(target.Service))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.connections.idle == nil {
@@ -109,6 +109,37 @@
 	s.connections.idle[target.Service] = idle
 }
 
+// maxIdleConnections returns how many idle connections this VM keeps to a target of a
+// service. Where VMs send few requests to each target, that is its part of the connections
+// that the target takes from all VMs, and at least one. Only the VMs of the target's region
+// count, since groups keep the others away.
+func (s *Server) maxIdleConnections(service structs.ServiceID) int {
+	table := s.opts.Config.Current()
+	if table == nil || table.Services[service] == nil || table.Services[service].MaxConnections <= 0 {
+		return hop.MaxPooled
+	}
+	s.mu.Lock()
+	isSparse := s.connections.reuse.IsSparse(service)
+	s.mu.Unlock()
+	if !isSparse {
+		return hop.MaxPooled
+	}
+	regions := max(s.opts.Regions, 1)
+	vms := (s.opts.Peers.PeerCount() + regions) / regions // with this one, rounded up
+	return max(table.Services[service].MaxConnections/max(vms, 1), 1)
+}
+
+// connectionOrder returns the order in which idle connections to a service's targets are
+// used.
+func (s *Server) connectionOrder(service structs.ServiceID) hop.Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.connections.reuse.IsSparse(service) {
+		return hop.SoonestFirst
+	}
+	return hop.LatestFirst
+}
+
 // dumpConnections returns the state of this VM's connections for the state dump. The caller
 // holds the lock.
 func (s *Server) dumpConnections() map[string]any {
--- a/edge/connections_test.go
+++ b/edge/connections_test.go
@@ -12,7 +12,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/endivecourse/endivecourse/admission"
+	"github.com/endivecourse/endivecourse/hop"
 	"github.com/endivecourse/endivecourse/placement"
+	"github.com/endivecourse/endivecourse/routing"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -45,6 +47,7 @@
 	placer, isSilent := 0, false
 	servers := newServers(20, 8, &placer, &isSilent)
 	s := servers[1]
+	s.opts.Config = routing.NewConfig(nil)
 	connected := placement.Target{ID: "t6", Service: "s", Domain: "d", Region: "r", Slots: slotsPerTarget, Address: startKeepAliveTarget(t)}
 	s.targets.Put(connected)
 	conn, err := s.pool.Get(t.Context(), connected.Address)
@@ -68,3 +71,19 @@
 	conn.Close()
 	assert.Assert(t, s.connections.times.ByDomain()["d"] > 0)
 }
+
+// The idle connections of all VMs to a target must stay within its limit where groups are
+// used, and be as before elsewhere.
+func TestIdleConnectionsStayWithinTheLimitOfAllVMs(t *testing.T) {
+	placer, isSilent := 0, false
+	for vms, want := range map[int]int{9: hop.MaxPooled, 40: 60 / 40, 100: 1} {
+		s := newServers(vms, 8, &placer, &isSilent)[1]
+		s.opts.Config = routing.NewConfig(func([]byte) (*routing.Table, error) {
+			return routing.NewTable(routing.TableContents{Version: 1, Services: []*routing.Service{{ID: "s", MaxConnections: 60}}}), nil
+		})
+		_, err := s.opts.Config.UpdateIfNewer(nil)
+		assert.NilError(t, err)
+		s.describeConnections(&placement.Query{Service: "s"})
+		assert.Equal(t, s.maxIdleConnections("s"), want)
+	}
+}
--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -219,7 +219,7 @@
 // connect returns a connection to a grant's target.
 func (x *exchange) connect(ctx context.Context, g *grant) (*hop.Conn, error) {
 	s := x.server
-	conn, err := s.pool.Get(ctx, g.target.Address)
+	conn, err := s.pool.GetInOrder(ctx, g.target.Address, s.connectionOrder(g.target.Service))
 	if err == nil {
 		s.recordConnection(g.target, conn)
 		return conn, nil
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -224,6 +224,7 @@
 	for _, parameter := range strings.Split(header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
 		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			seconds = min(max(seconds, 0), int(maxIdleTimeout/time.Second))
 			return time.Duration(seconds)*time.Second - idleMargin
 		}
 	}
--- a/hop/pool.go
+++ b/hop/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,8 +22,10 @@
 	// idleMargin is subtracted from the idle timeout that a target states, so that
 	// no request is sent while the target closes the connection.
 	idleMargin = 700 * time.Millisecond
-	// maxPooled bounds the idle connections to one target.
-	maxPooled = 16
+	// maxIdleTimeout bounds the idle timeout that a target states.
+	maxIdleTimeout = 10 * time.Minute
+	// MaxPooled bounds the idle connections to one target.
+	MaxPooled = 16
 	// receiveBufferBytes bounds what the kernel holds of a response that is read slowly.
 	// Left to itself it grows to 32 MB a connection, which counts against the VM's memory.
 	receiveBufferBytes = 256 << 10
@@ -53,7 +56,7 @@
 	dial DialFunc
 
 	mu    sync.Mutex
-	idle  map[string][]*Conn // the most recently used one is last
+	idle  map[string][]*Conn // the one that expires last is last
 	dials uint64
 }
 
@@ -65,11 +68,28 @@
 	return &Pool{dial: dial, idle: make(map[string][]*Conn)}
 }
 
+// Order says which of the idle connections to a target is used.
+type Order uint8
+
+const (
+	// LatestFirst uses the connection that expires last, so that those beyond what is
+	// needed expire.
+	LatestFirst Order = iota
+	// SoonestFirst uses the connection that expires first, so that all of them stay open
+	// for a later peak.
+	SoonestFirst
+)
+
 // Get returns a pooled connection that is still open, or a new one. Its error is a
 // *DialError or that of ctx.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+	return p.GetInOrder(ctx, address, LatestFirst)
+}
+
+// GetInOrder is like Get with the given order of idle connections.
+func (p *Pool) GetInOrder(ctx context.Context, address string, order Order) (*Conn, error) {
 	for {
-		c := p.takeIdle(address)
+		c := p.takeIdle(address, order)
 		if c == nil {
 			break
 		}
@@ -115,15 +135,19 @@
 	return nil
 }
 
-func (p *Pool) takeIdle(address string) *Conn {
+func (p *Pool) takeIdle(address string, order Order) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
 	if len(idle) == 0 {
 		return nil
 	}
-	c := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
+	n := len(idle) - 1
+	if order == SoonestFirst {
+		n = 0
+	}
+	c := idle[n]
+	p.idle[address] = slices.Delete(idle, n, n+1)
 	return c
 }
 
@@ -159,18 +183,25 @@
 
 // Put returns a connection to the pool after its response was read completely. It
 // closes a connection that can't carry another request.
-func (p *Pool) Put(c *Conn) {
+func (p *Pool) Put(c *Conn) { p.PutWithin(c, MaxPooled) }
+
+// PutWithin is like Put with a lower bound on the idle connections to the target. Of those
+// beyond it, the ones that expire first are closed.
+func (p *Pool) PutWithin(c *Conn, maxIdle int) {
 	if !c.isReusable() {
 		c.Close()
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= maxPooled {
-		c.Close()
-		return
+	idle := p.idle[c.address]
+	n, _ := slices.BinarySearchFunc(idle, c, func(a, b *Conn) int { return a.expires.Compare(b.expires) })
+	idle = slices.Insert(idle, n, c)
+	for len(idle) > max(min(maxIdle, MaxPooled), 1) {
+		idle[0].Close()
+		idle = slices.Delete(idle, 0, 1)
 	}
-	p.idle[c.address] = append(p.idle[c.address], c)
+	p.idle[c.address] = idle
 }
 
 // Sweep closes connections whose idle timeout has expired.
--- a/placement/connections_test.go
+++ b/placement/connections_test.go
@@ -34,6 +34,7 @@
 	minRun, maxRun               time.Duration
 	domainDelay                  time.Duration // one way
 	idle                         time.Duration // for which connections stay open
+	maxIdle                      int           // idle connections of a VM to a target
 	isEnabled                    bool
 	isAlone                      bool // VMs choose by their own state
 	reportPeriod                 time.Duration
@@ -205,11 +206,13 @@
 		trip = 2 * s.domainDelay
 	}
 	wait := trip / 2
-	idle := vm.idle[chosen.ID]
-	if len(idle) > 0 && idle[len(idle)-1] > s.now {
+	idle := slices.DeleteFunc(vm.idle[chosen.ID], func(expiry time.Duration) bool { return expiry <= s.now })
+	switch {
+	case len(idle) > 0 && s.isEnabled && vm.reuse.IsSparse(chosen.Service):
+		vm.idle[chosen.ID] = idle[1:]
+	case len(idle) > 0:
 		vm.idle[chosen.ID] = idle[:len(idle)-1]
-	} else {
-		vm.idle[chosen.ID] = nil
+	default:
 		s.opened++
 		wait += trip
 	}
@@ -228,7 +231,8 @@
 				took := s.now - start
 				s.latency += took
 				s.slowest = append(s.slowest, took)
-				vm.idle[chosen.ID] = append(vm.idle[chosen.ID], s.now+s.idle)
+				idle := append(vm.idle[chosen.ID], s.now+s.idle)
+				vm.idle[chosen.ID] = idle[max(len(idle)-s.maxIdle, 0):]
 				s.after(delay, func() {
 					set.RecordResult(at(s.now), chosen.ID, ResultAnswered, run)
 					waiting := s.waiting[chosen.Service]
@@ -285,7 +289,7 @@
 	return connSimOptions{
 		vmsByDomain: []int{13, 13, 12}, targetsByDomain: []int{15, 15, 14}, rate: 450,
 		minRun: 100 * time.Millisecond, maxRun: 500 * time.Millisecond, domainDelay: 5400 * time.Microsecond,
-		idle: 3300 * time.Millisecond, duration: time.Minute, reportPeriod: 500 * time.Millisecond,
+		idle: 3300 * time.Millisecond, maxIdle: 2, duration: time.Minute, reportPeriod: 500 * time.Millisecond,
 	}
 }
 
@@ -316,7 +320,7 @@
 	o := quoteDesk()
 	o.vmsByDomain, o.targetsByDomain, o.rate = []int{3, 3, 3}, []int{6, 5, 5}, 9*33
 	o.minRun, o.maxRun, o.domainDelay, o.isAlone = 50*time.Millisecond, 250*time.Millisecond, 250*time.Microsecond, true
-	o.duration = 20 * time.Second
+	o.maxIdle, o.duration = 16, 20*time.Second
 	without, with := compareConnections(t, o)
 	assert.DeepEqual(t, with.slowest, without.slowest)
 	assert.Equal(t, with.opened, without.opened)
--- a/placement/reuse.go
+++ b/placement/reuse.go
@@ -60,7 +60,7 @@
 	change := ReuseChange{Rate: rate, PerIdleTimeout: rate * idle.Seconds() / float64(max(targets, 1))}
 	was := st.isSparse
 	switch {
-	case change.PerIdleTimeout > denseAbove:
+	case change.PerIdleTimeout > denseAbove || idle <= 0: // no connection stays open
 		st.isSparse = false
 	case change.PerIdleTimeout < sparseBelow && now.Sub(st.firstAt) >= 2*reuseTau:
 		st.isSparse = true // before, the count does not cover the time constant
