--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -222,6 +222,10 @@
 	conn, err := s.pool.GetInOrder(ctx, g.target.Address, s.connectionOrder(g.target.Service))
 	if err == nil {
 		s.recordConnection(g.target, conn)
+		x.connectTime = 0
+		if !conn.IsReused() {
+			x.connectTime = conn.ConnectTime()
+		}
 		return conn, nil
 	}
 	if s.isUnreachable(g.target, err) {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -51,6 +51,7 @@
 	departedFor   time.Duration    // time since the target of the last send has said that it leaves, 0 if it has not
 	mayHaveRun    bool             // it is unknown whether an earlier send ran
 	slotWait      time.Duration    // time spent waiting for a slot
+	connectTime   time.Duration    // of the last send, 0 if its connection was reused
 	tokenWait     time.Duration    // time spent waiting for a quota token
 	firstByte     time.Duration    // from arrival to the first byte of the response
 	hasQuotaToken bool             // a quota token was taken for the request
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -165,6 +165,9 @@
 			slog.Int64("first_byte_ms", x.firstByte.Milliseconds()),
 		)
 	}
+	if x.connectTime > 0 {
+		attrs = append(attrs, slog.Float64("connect_ms", float64(x.connectTime.Microseconds())/1000))
+	}
 	if x.departedFor > 0 {
 		attrs = append(attrs, slog.Int64("target_leaves_for_ms", x.departedFor.Milliseconds()))
 	}
--- a/placement/connections.go
+++ b/placement/connections.go
@@ -100,7 +100,7 @@
 		distance /= 2 // regionCost is two round trips
 	}
 	cost := connectSetupCost + distance
-	if !g.contains(st) {
+	if st.ID != q.CacheTarget && !g.contains(st) { // a conversation comes back
 		cost += outsideGroupCost
 	}
 	return cost
--- a/placement/connections_test.go
+++ b/placement/connections_test.go
@@ -390,6 +390,11 @@
 	s := newSet()
 	q := Query{Group: "vm", Connected: map[structs.TargetID]bool{"b": true}}
 	assert.Equal(t, choose(t, s, 0, q), structs.TargetID("b"))
+	for range 3 { // b has a free slot; a conversation returns over a new connection
+		s.BeginRequest("b")
+	}
+	cached := Query{Group: "vm", Connected: map[structs.TargetID]bool{"a": true}, CacheTarget: "b", DomainDelay: 10800 * time.Microsecond}
+	assert.Equal(t, choose(t, s, 0, cached), structs.TargetID("b"))
 	s.Report(0, "peer", map[structs.TargetID]int{"b": 9})
 	assert.Equal(t, choose(t, s, 0, q), structs.TargetID("a"))
 	s.Report(0, "peer", nil)
