--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -219,9 +219,13 @@
 // connect returns a connection to a grant's target.
 func (x *exchange) connect(ctx context.Context, g *grant) (*hop.Conn, error) {
 	s := x.server
-	conn, err := s.pool.Get(ctx, g.target.Address)
+	conn, err := s.pool.GetInOrder(ctx, g.target.Address, s.connectionOrder(g.target.Service))
 	if err == nil {
 		s.recordConnection(g.target, conn)
+		x.connectTime = 0
+		if !conn.IsReused() {
+			x.connectTime = conn.ConnectTime()
+		}
 		return conn, nil
 	}
 	if s.isUnreachable(g.target, err) {
