daemon: tests of allowed regions and of evacuations, which fail

Routes and accounts may name the regions whose targets serve them, and an operator may evacuate a failure domain.

--- /dev/null
+++ b/daemon/endived_regions_test.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/platform/platformtest"
+)
+
+const (
+	// evacuateBound is the time after an operator's write from which no request reaches a
+	// target of the evacuated failure domain.
+	evacuateBound = 5 * time.Second
+	// immediateBound is how soon a request that no target may serve is rejected.
+	immediateBound = 500 * time.Millisecond
+)
+
+// waitConfig waits until every VM has applied a version of the configuration.
+func (b *testSite) waitConfig(version uint64) {
+	b.t.Helper()
+	b.waitUntil("configuration", func() bool {
+		return len(b.logs.lines(`"configuration in force"`, fmt.Sprintf(`"version":%d`, version))) >= len(b.vms)
+	})
+}
+
+// Guards against requests that leave the regions which their route or account allows.
+func TestRequestsReachOnlyTargetsInAllowedRegions(t *testing.T) {
+	b := newTestSite(t, "near-a", "far-a")
+	near, far := b.addTarget("app-near", "app", "near-a"), b.addTarget("app-far", "app", "far-a")
+	sendAll := func(key string) {
+		t.Helper()
+		for n := range 10 {
+			for _, vm := range b.vms {
+				r := b.send(request{vm: vm, path: fmt.Sprintf("/read/%d", n), key: key})
+				assert.Equal(t, r.status, http.StatusOK, r.body)
+			}
+		}
+	}
+	config := platformtest.BasicConfig()
+	config.Tenants[0].AllowedRegions = []string{"near"}
+	b.waitConfig(b.site.PutConfig(config))
+	sendAll("key-one")
+	assert.Equal(t, len(far.Runs()), 0, "requests of the account at targets of the other region")
+	sendAll("key-two")
+	assert.Assert(t, len(far.Runs()) > 0, "an account without a list uses all regions")
+
+	config.Routes[1].AllowedRegions = []string{"far", "nowhere"}
+	config.Tenants[0].AllowedRegions = nil
+	b.waitConfig(b.site.PutConfig(config))
+	before := len(near.Runs())
+	sendAll("key-one")
+	assert.Equal(t, len(near.Runs()), before, "requests of the route at targets of the other region")
+}
+
+// Guards against requests that wait, or run anyway, when their route and account leave no
+// region.
+func TestRequestWithoutAllowedRegionIsRejected(t *testing.T) {
+	b := newTestSite(t, "near-a", "far-a")
+	app := b.addTarget("app-near", "app", "near-a")
+	config := platformtest.BasicConfig()
+	config.Routes[1].AllowedRegions = []string{"near"}
+	config.Routes[2].AllowedRegions = []string{"nowhere"}
+	config.Tenants[0].AllowedRegions = []string{"far"}
+	b.waitConfig(b.site.PutConfig(config))
+	for _, path := range []string{"/read/1", "/order/1"} {
+		start := time.Now()
+		r := b.send(request{path: path})
+		assert.Equal(t, r.status, http.StatusServiceUnavailable, r.body)
+		assert.Assert(t, time.Since(start) < immediateBound)
+		wait, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, wait >= 1, "retried after %g s, although only a change of the configuration helps", wait)
+	}
+	assert.Equal(t, len(app.Runs()), 0)
+	b.waitUntil("unknown region is logged", func() bool { return len(b.logs.lines("unknown region", "nowhere")) >= len(b.vms) })
+}
+
+// Guards against requests at targets of an evacuated failure domain, requests that wait when
+// all are evacuated, and evacuations that outlast their row.
+func TestEvacuatedDomainGetsNoRequests(t *testing.T) {
+	b := newTestSite(t, "near-a", "near-b")
+	kept, evacuated := b.addTarget("app-kept", "app", "near-a"), b.addTarget("app-evacuated", "app", "near-b")
+	for n := range 10 { // a VM prefers the targets of its own failure domain
+		assert.Equal(t, b.send(request{vm: b.vms[1], path: fmt.Sprintf("/read/%d", n)}).status, http.StatusOK)
+	}
+	assert.Assert(t, len(evacuated.Runs()) > 0)
+	b.site.Evacuate("no-such-domain")
+	written := time.Now()
+	b.site.Evacuate("near-b")
+	for n := 0; time.Since(written) < evacuateBound+time.Second; n++ {
+		r := b.send(request{vm: b.vms[n%2], path: fmt.Sprintf("/read/%d", n)})
+		assert.Equal(t, r.status, http.StatusOK, r.body)
+		time.Sleep(10 * time.Millisecond)
+	}
+	runs := evacuated.Runs()
+	last := runs[len(runs)-1].StartedAt.Sub(written)
+	t.Logf("last request %s after the write", last)
+	assert.Assert(t, last < evacuateBound)
+
+	b.site.Evacuate("near-a")
+	b.waitUntil("all are evacuated", func() bool { return b.send(request{path: "/read/1"}).status == http.StatusServiceUnavailable })
+	before := len(kept.Runs())
+	start := time.Now()
+	r := b.send(request{path: "/read/1"})
+	assert.Equal(t, r.status, http.StatusServiceUnavailable, r.body)
+	assert.Assert(t, r.header.Get("Retry-After") != "" && time.Since(start) < immediateBound)
+	assert.Equal(t, len(kept.Runs()), before)
+
+	b.site.EndEvacuation("near-b")
+	b.waitUntil("evacuation has ended", func() bool { return b.send(request{path: "/read/1"}).status == http.StatusOK })
+	assert.Equal(t, len(kept.Runs()), before)
+	assert.Assert(t, len(b.logs.lines("unknown failure domain", "no-such-domain")) >= len(b.vms))
+}
