edge, placement, fleet: allowed regions of routes and accounts, evacuated failure domains

Cause: a request could reach any target of its service, and there was no way to take a failure domain out of use.

Change: the configuration's allowedRegions and the rows evacuate/DOMAIN restrict the targets of each choice: a VM's own, a placer's, and that of a VM which forwards. The VM that sends checks each grant when it arrives and again just before it sends, so a placer of the previous build, or one that is behind, is harmless. Waiting requests ask again when the allowed regions change, and are refused at once when no target is left. A request in front of the queue whose regions are full no longer holds up others. Bodies are forwarded, and rows of turns relayed, only through VMs of the caller's region or an allowed one. A VM serves nothing before it has read the operators' table.

--- a/conversation/home_calls.go
+++ b/conversation/home_calls.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/ledger"
+	"github.com/endivecourse/endivecourse/rowstore"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/turnlog"
 	"github.com/endivecourse/endivecourse/wire"
@@ -40,6 +41,9 @@
 	// CallHome calls a VM. After a failed call the VM is not used as a home VM for a
 	// while.
 	CallHome(ctx context.Context, vm structs.VMID, method string, in, out any) error
+	// RegionSupport returns a VM's region, and whether the VM applies the regions of a
+	// request.
+	RegionSupport(vm structs.VMID) (region string, honorsRegions bool)
 }
 
 // Keeper sends each operation on a program to the program's home VM and performs it on
@@ -65,7 +69,7 @@
 	wire.HandleUnary(server, MethodFinish, func(ctx context.Context, req FinishRequest) (Reply, error) {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		return errorReply(local.Finish(ctx, req)), nil
+		return errorReply(local.Finish(rowstore.WithRelayRegions(ctx, req.Regions), req)), nil
 	})
 	wire.HandleUnary(server, MethodSettle, func(_ context.Context, req SettleRequest) (Reply, error) {
 		local.Settle(req)
@@ -74,7 +78,7 @@
 	wire.HandleUnary(server, MethodFind, func(ctx context.Context, req FindRequest) (Reply, error) {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		records, err := local.Find(ctx, req)
+		records, err := local.Find(rowstore.WithRelayRegions(ctx, req.Regions), req)
 		reply := errorReply(err)
 		reply.Records = records
 		return reply, nil
@@ -85,7 +89,7 @@
 // the call itself.
 func (k *Keeper) callHome(ctx context.Context, p ledger.Program, method string, in any, reply *Reply) (handled bool, err error) {
 	vm, isSelf := k.peers.Home(k.local.Partition(p.Key()))
-	if isSelf {
+	if isSelf || !k.mayCallHome(ctx, vm) {
 		return false, nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, homeCallTimeout)
@@ -100,6 +104,16 @@
 	return reply.isFinal(), reply.err()
 }
 
+// mayCallHome reports whether a call may go to a program's home VM. While regions limit the
+// relaying of the program's turns, a home VM of a build that ignores them is not called.
+func (k *Keeper) mayCallHome(ctx context.Context, vm structs.VMID) bool {
+	if rowstore.RelayRegions(ctx) == nil {
+		return true
+	}
+	_, honorsRegions := k.peers.RegionSupport(vm)
+	return honorsRegions
+}
+
 // Reserve reserves a turn's tokens, on the home VM or on this one. With AllowsPending
 // it may return *PendingError.
 func (k *Keeper) Reserve(ctx context.Context, req ReserveRequest) error {
@@ -114,6 +128,7 @@
 // already; the retry on this VM detects that from the turn's rows.
 func (k *Keeper) Finish(ctx context.Context, req FinishRequest) error {
 	var slow *SlowStoreError
+	req.Regions = rowstore.RelayRegions(ctx)
 	handled, err := k.callHome(ctx, req.Program, MethodFinish, req, &Reply{})
 	for handled && errors.As(err, &slow) && ctx.Err() == nil {
 		handled, err = k.callHome(ctx, req.Program, MethodFinish, req, &Reply{})
@@ -142,7 +157,7 @@
 // in this VM's cache are requested from the home VM.
 func (k *Keeper) Chain(ctx context.Context, p ledger.Program, id structs.RequestID) (*turnlog.Chain, error) {
 	return k.local.Turns.Chain(ctx, p.Account, id, func(ctx context.Context, ids []structs.RequestID) ([]*turnlog.Record, error) {
-		req := FindRequest{Program: p, Turns: ids}
+		req := FindRequest{Program: p, Turns: ids, Regions: rowstore.RelayRegions(ctx)}
 		var reply Reply
 		handled, err := k.callHome(ctx, p, MethodFind, req, &reply)
 		if !handled {
--- a/conversation/home_calls_test.go
+++ b/conversation/home_calls_test.go
@@ -39,11 +39,15 @@
 	t        *testing.T
 	local    *Local
 	isSilent bool
-	calls    map[string]int
+	// ignoresRegions is set for a VM of an earlier build.
+	ignoresRegions bool
+	calls          map[string]int
 }
 
 func (h *homePeer) Home(string) (structs.VMID, bool) { return "home", false }
 
+func (h *homePeer) RegionSupport(structs.VMID) (string, bool) { return "r", !h.ignoresRegions }
+
 func (h *homePeer) CallHome(ctx context.Context, _ structs.VMID, method string, in, out any) error {
 	h.calls[method]++
 	if h.isSilent {
--- a/conversation/local.go
+++ b/conversation/local.go
@@ -22,6 +22,8 @@
 	Budget      int64              `msgpack:"b"`
 	Tokens      int64              `msgpack:"n"` // delivered to the caller
 	Record      *turnlog.Record    `msgpack:"t"`
+	// Regions are the regions through whose VMs the turn may be relayed, empty for all.
+	Regions []string `msgpack:"g,omitempty"`
 }
 
 // ReserveRequest asks to reserve the tokens of a turn that is about to run.
@@ -57,6 +59,8 @@
 type FindRequest struct {
 	Program ledger.Program      `msgpack:"p"`
 	Turns   []structs.RequestID `msgpack:"t"`
+	// Regions are the regions through whose VMs the turns may be relayed, empty for all.
+	Regions []string `msgpack:"g,omitempty"`
 }
 
 // Local performs the operations on this VM, over its own path to the store.
--- a/edge/acquire.go
+++ b/edge/acquire.go
@@ -14,6 +14,7 @@
 	request admission.Request
 	query   placement.Query
 	granted chan placement.Choice // has capacity 1
+	refused chan error            // has capacity 1; the request leaves the queue itself
 }
 
 // NoTargetError reports that a service has no target that may be used.
@@ -66,7 +67,8 @@
 		s.mu.Unlock()
 		return choice.Target, nil
 	}
-	w := &waiter{request: request, query: query, granted: make(chan placement.Choice, 1)}
+	w := &waiter{request: request, query: query, granted: make(chan placement.Choice, 1), refused: make(chan error, 1)}
+	s.noteRestricted(now, query, maxWait)
 	queue.Add(&w.request)
 	s.waiters[&w.request] = w
 	s.grantFreeSlots(query.Service)
@@ -105,6 +107,7 @@
 	select {
 	case choice := <-w.granted:
 		return choice.Target, nil
+	case err = <-w.refused:
 	case <-timer.C:
 		err = &NoFreeSlotError{Service: w.query.Service, Waited: maxWait}
 	case <-ctx.Done():
@@ -138,15 +141,17 @@
 func (s *Server) grantFreeSlots(service structs.ServiceID) {
 	queue := s.queue(service)
 	now := structs.Now()
+	var blocked blockedQueries
 	for {
-		first := queue.First()
+		first := s.nextWaiting(now, queue, blocked)
 		if first == nil {
 			return
 		}
 		w := s.waiters[first]
 		choice, ok := s.targets.Choose(now, w.query)
 		if !ok || !choice.HasFreeSlot {
-			return
+			blocked.add(w.query)
+			continue
 		}
 		queue.Remove(first)
 		delete(s.waiters, first)
--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -68,8 +68,7 @@
 				return x.refuseUnserved(structs.RefusedNoTarget, noTargetRetryAfter, "this VM reaches no target and no VM forwards: "+errorText(lastErr))
 			}
 		}
-		query := placement.Query{Service: x.service.ID, CacheTarget: x.cachedTarget(), Exclude: tried}
-		g, err := x.acquireSlot(ctx, query)
+		g, err := x.acquireSlot(ctx, x.query(tried))
 		if err != nil {
 			return x.refuseWithoutSlot(ctx, err, lastErr)
 		}
@@ -127,7 +126,7 @@
 	}
 	maxWait := time.Duration(float64(x.timeLeft()) * maxSlotWaitFraction)
 	start := structs.Now()
-	g, err := x.server.acquireGrant(ctx, query, request, maxWait, x.timeLeft())
+	g, err := x.acquirePermitted(ctx, query, request, maxWait)
 	x.slotWait += structs.Now().Sub(start)
 	return g, err
 }
@@ -146,7 +145,7 @@
 	case ctx.Err() != nil:
 		return x.refuseTimedOut(err)
 	case errors.As(err, &noTarget):
-		return x.refuseUnserved(structs.RefusedNoTarget, noTargetRetryAfter, reason)
+		return x.refuseUnserved(structs.RefusedNoTarget, x.noTargetRetryAfter(), reason)
 	case errors.As(err, &limited):
 		return x.refuseUnserved(structs.RefusedQueueFull, limited.Wait, reason)
 	case errors.As(err, &noFreeSlot):
@@ -186,6 +185,10 @@
 	if err != nil {
 		return attemptResult{cause: err}
 	}
+	if err := x.checkPermitted(target); err != nil {
+		x.server.pool.Put(conn)
+		return attemptResult{cause: err}
+	}
 	sendCtx, abandon := context.WithCancel(ctx)
 	defer abandon()
 	answered, end := x.server.paths.begin(x.abandonIfRepeatable(abandon))
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -29,7 +29,7 @@
 	}
 	var asked []structs.VMID
 	for len(asked) < maxRelays && x.sends < x.maxSends() && ctx.Err() == nil {
-		vm, isFound := x.server.paths.pickRelay(asked)
+		vm, isFound := x.pickRelay(asked)
 		if !isFound {
 			break
 		}
@@ -141,6 +141,7 @@
 		Account: x.accountID(), Route: x.route.Name, Service: x.service.ID, Kind: x.route.Kind,
 		MaxSends: x.maxSends() - x.sends, Priority: x.priority(), Fingerprint: x.fingerprint, Program: x.Program,
 		Cached: x.cachedTarget(), Exclude: tried, Departures: x.server.knownDepartures(), TimeLeft: x.timeLeft(), DueIn: dueIn,
+		Regions: x.allowedRegions(), Evacuated: x.server.knownEvacuations(),
 	}
 }
 
@@ -154,12 +155,6 @@
 	return r
 }
 
-func (p *targetPaths) pickRelay(exclude []structs.VMID) (structs.VMID, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.relays.Pick(structs.Now(), exclude)
-}
-
 func (p *targetPaths) endRelay(vm structs.VMID, hasFailed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/edge/forward_serve.go
+++ b/edge/forward_serve.go
@@ -21,7 +21,7 @@
 
 // ForwardForPeer sends a peer's request to a target and passes the response to send.
 func (s *Server) ForwardForPeer(ctx context.Context, req fleet.ForwardRequest, send func(fleet.ForwardReply) error) error {
-	if !s.paths.beginForwarding() {
+	if !s.knowsEvacuations() || !s.paths.beginForwarding() {
 		return send(fleet.ForwardReply{IsUnavailable: true})
 	}
 	defer s.paths.endForwarding()
@@ -98,6 +98,7 @@
 		deadline:     now.Add(req.TimeLeft),
 		fingerprint:  req.Fingerprint,
 		forwardedFor: req.From, exclude: req.Exclude, cached: req.Cached,
+		forwardRegions: req.Regions, forwardEvacuated: req.Evacuated,
 	}
 	if req.Account != "" {
 		x.account = &routing.Account{ID: req.Account}
--- a/edge/paths.go
+++ b/edge/paths.go
@@ -207,6 +207,9 @@
 	var candidates []targetpath.Candidate
 	for _, id := range s.targets.IDs() {
 		target, _ := s.targets.Get(id)
+		if !s.targets.IsPermitted(target, placement.Query{}) {
+			continue // an evacuated failure domain gets no checks either
+		}
 		candidates = append(candidates, targetpath.Candidate{
 			Target: id, Service: target.Service, Domain: target.Domain, Address: target.Address,
 			IsFailing: s.targets.IsBackingOff(now, id),
@@ -242,6 +245,9 @@
 
 // ReachesTargets reports whether peers may forward requests through this VM.
 func (s *Server) ReachesTargets() bool {
+	if !s.knowsEvacuations() {
+		return false
+	}
 	s.paths.mu.Lock()
 	defer s.paths.mu.Unlock()
 	return !s.paths.health.IsLost() && !s.paths.isDraining
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -96,7 +96,11 @@
 	start := structs.Now()
 	var rates map[structs.TargetID]targetrate.Observation
 	var departures map[structs.TargetID]placement.Incarnation
+	limits := s.regionLimits()
 	for {
+		if s.regionLimits() != limits {
+			return nil, &RegionsChangedError{Service: query.Service}
+		}
 		now := structs.Now()
 		wait := min(placerQueueWait, maxWait-now.Sub(start))
 		if wait <= 0 {
@@ -106,6 +110,7 @@
 			Service: query.Service, Cached: query.CacheTarget, Exclude: query.Exclude, Domain: s.opts.Domain,
 			Priority: request.Priority, DueIn: request.ProgramDeadline.Sub(now), Wait: wait, TimeLeft: timeLeft,
 			Patience: maxWait - now.Sub(start), Rates: rates, Departures: departures,
+			Regions: query.Regions, Evacuated: append(s.knownEvacuations(), query.Evacuated...),
 		})
 		switch {
 		case ctx.Err() != nil:
@@ -125,6 +130,8 @@
 			rate, isMissed := s.rateMissedBy(reply)
 			_, isSent := rates[reply.Target]
 			switch {
+			case !s.isPermitted(g.target, query):
+				s.excludeForbidden(&query, vm, reply.Target)
 			case g.target.IsDraining:
 				query.Exclude = append(slices.Clone(query.Exclude), reply.Target)
 				departures = s.knownDepartures()
@@ -214,7 +221,7 @@
 
 // PlaceForPeer picks a target for a peer's request.
 func (s *Server) PlaceForPeer(ctx context.Context, p fleet.PlacementRequest) fleet.PlacementReply {
-	query := placement.Query{Service: p.Service, CacheTarget: p.Cached, Exclude: p.Exclude, Domain: p.Domain}
+	query := placement.Query{Service: p.Service, CacheTarget: p.Cached, Exclude: p.Exclude, Domain: p.Domain, Regions: p.Regions, Evacuated: p.Evacuated}
 	now := structs.Now()
 	request := admission.Request{Priority: p.Priority, ProgramDeadline: now.Add(p.DueIn)}
 	s.learnRates(now, p.Rates)
--- a/edge/placement_test.go
+++ b/edge/placement_test.go
@@ -76,6 +76,8 @@
 	return nil
 }
 
+func (p *fakePeers) RegionSupport(structs.VMID) (string, bool) { return "r", true }
+
 func (p *fakePeers) Forward(context.Context, structs.VMID, fleet.ForwardRequest) (fleet.ForwardStream, error) {
 	return nil, &wire.NotSentError{}
 }
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -52,6 +52,9 @@
 	// grant.
 	RequestPlacement(ctx context.Context, vm structs.VMID, p fleet.PlacementRequest) (fleet.PlacementReply, error)
 	Release(ctx context.Context, vm structs.VMID, r fleet.Release) error
+	// RegionSupport returns a VM's region, and whether the VM applies allowed regions and
+	// evacuations to requests of peers.
+	RegionSupport(vm structs.VMID) (region string, honorsRegions bool)
 	// Forward asks a VM to send a request to a target. Its error is a
 	// *wire.NotSentError if the VM has not received it.
 	Forward(ctx context.Context, vm structs.VMID, req fleet.ForwardRequest) (fleet.ForwardStream, error)
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -60,8 +60,12 @@
 	forwardedFor structs.VMID
 	exclude      []structs.TargetID
 	cached       structs.TargetID
-	tokens       int64
-	events       int
+	// forwardRegions and forwardEvacuated are its allowed regions and the evacuated failure
+	// domains that it knows.
+	forwardRegions   []string
+	forwardEvacuated []structs.DomainID
+	tokens           int64
+	events           int
 }
 
 // Serve answers one request.
@@ -91,6 +95,9 @@
 	if x.table == nil {
 		return retryableRefusal(structs.RefusedNotReady, noConfigRetryAfter, "no configuration has arrived yet")
 	}
+	if !x.server.knowsEvacuations() {
+		return retryableRefusal(structs.RefusedNotReady, noConfigRetryAfter, "the operators' table has not been read yet")
+	}
 	if x.ID == "" {
 		return structs.Refuse(structs.RefusedBadRequest, structs.RunNo, "the request has no ID")
 	}
@@ -107,6 +114,9 @@
 		return retryableRefusal(structs.RefusedNoTarget, noConfigRetryAfter, "the route has no service")
 	}
 	x.setDeadline()
+	if refusal := x.refuseRestricted(); refusal != nil {
+		return refusal
+	}
 	x.fingerprint = x.computeFingerprint()
 	return x.admit(ctx)
 }
@@ -231,6 +241,7 @@
 func (x *exchange) run(ctx context.Context) *structs.Refusal {
 	ctx, cancel := x.withDeadline(ctx)
 	defer cancel()
+	ctx = x.limitRelays(ctx)
 	if x.isTurn() {
 		return x.runTurn(ctx)
 	}
--- a/edge/server.go
+++ b/edge/server.go
@@ -46,6 +46,8 @@
 	Conversations *conversation.Keeper
 	Local         *conversation.Local
 	Peers         Peers
+	// Domains maps the failure domains of the deployment to their regions.
+	Domains map[structs.DomainID]string
 	// Regions is the number of regions of the deployment.
 	Regions int
 	// QuotaSlack is the number of requests by which all VMs together may exceed an
@@ -75,6 +77,9 @@
 	quarantine        *quarantine.List
 	peerGrants        map[uint64]peerGrant
 	lastGrantID       uint64
+	evacuations       evacuations
+	appliedLimits     uint64          // hash of the allowed regions that waiting requests know
+	restrictedUntil   structs.Instant // no request with restrictions waits after it
 	configConfirmedAt structs.Instant // last confirmation by the store or a peer
 }
 
@@ -116,6 +121,9 @@
 	if s.opts.Config.Current() == nil {
 		return &NoConfigError{}
 	}
+	if !s.knowsEvacuations() {
+		return &EvacuationsUnknownError{}
+	}
 	return nil
 }
 
@@ -125,6 +133,12 @@
 // Error implements error.
 func (e *NoConfigError) Error() string { return "no configuration has arrived yet" }
 
+// EvacuationsUnknownError reports that the operators' table has not been read yet.
+type EvacuationsUnknownError struct{}
+
+// Error implements error.
+func (e *EvacuationsUnknownError) Error() string { return "the operators' table has not been read yet" }
+
 func (s *Server) sweep(_ context.Context, now time.Time) {
 	s.pool.Sweep(now)
 	s.opts.Local.Ledger.Sweep(now)
@@ -155,6 +169,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dropUnlisted(structs.Now())
+	s.applyRegionLimits()
 	s.grantAllFreeSlots()
 }
 
@@ -182,6 +197,7 @@
 // ApplyDigest records the state that a peer reports.
 func (s *Server) ApplyDigest(d fleet.Digest) {
 	now := structs.Now()
+	s.opts.Store.ReportRegion(d.From.VM, d.From.Region)
 	s.opts.Store.Report(d.From.VM, d.From.Region == s.opts.Region, d.IsStoreReachable)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -21,6 +21,10 @@
 	latency   *metrics.Histogram
 	slotWait  *metrics.Histogram
 	pathsLost *metrics.Counter
+	// notPermitted counts grants that were not used because the target's region is not
+	// allowed or its failure domain is evacuated.
+	notPermitted      *metrics.Counter
+	evacuationChanges *metrics.Counter
 }
 
 func newStats(s *Server) *stats {
@@ -53,6 +57,7 @@
 		return 1
 	})
 	set.NewGauge("endive_targets_age_seconds", func() float64 { return s.targetsAge(structs.Now()).Seconds() })
+	registerEvacuationGauges(s, func(name string, value func() float64) { set.NewGauge(name, value) })
 	return &stats{
 		set:       set,
 		requests:  set.NewCounter("endive_requests_total"),
@@ -60,6 +65,9 @@
 		latency:   set.NewHistogram("endive_request_seconds"),
 		slotWait:  set.NewHistogram("endive_slot_wait_seconds"),
 		pathsLost: set.NewCounter("endive_target_paths_lost_total"),
+
+		notPermitted:      set.NewCounter("endive_grants_not_permitted_total"),
+		evacuationChanges: set.NewCounter("endive_evacuation_changes_total"),
 	}
 }
 
@@ -83,6 +91,7 @@
 		"config_version": s.opts.Config.Version(),
 		"store_away":     s.opts.Store.UnreachableFor().String(),
 		"targets":        targets,
+		"evacuations":    s.dumpEvacuations(structs.Now()),
 		"waiting":        len(s.waiters),
 		"turns_cached":   records,
 		"turn_bytes":     bytes,
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -100,7 +100,7 @@
 func (x *exchange) awaitStore(ctx context.Context) *structs.Refusal {
 	deadline := x.Arrived.Add(storeWait)
 	for {
-		away := x.server.opts.Store.UnreachableFor()
+		away := x.storeAwayFor()
 		if away == 0 {
 			return nil
 		}
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -38,6 +38,10 @@
 	// TimeLeft is the time until the request's deadline, DueIn until that of its program.
 	TimeLeft time.Duration `msgpack:"l"`
 	DueIn    time.Duration `msgpack:"d"`
+	// Regions are the regions whose targets may be used, empty for all.
+	Regions []string `msgpack:"w,omitempty"`
+	// Evacuated are failure domains that the asking VM knows to be evacuated.
+	Evacuated []structs.DomainID `msgpack:"v,omitempty"`
 }
 
 // ForwardReply is a part of the reply to a ForwardRequest: the head of the target's
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -130,6 +130,7 @@
 	// last digest.
 	isStoreReachable bool
 	lastFailure      time.Time // of a call to the VM
+	honorsRegions    bool      // as of its last digest or reply to one
 }
 
 // New returns a mesh without members.
@@ -250,10 +251,12 @@
 func (m *Mesh) handleDigest(_ context.Context, d Digest) (DigestReply, error) {
 	m.recordAlive(d.From)
 	m.recordStoreReachable(d.From.VM, d.IsStoreReachable)
+	m.recordRegionSupport(d.From.VM, d.HonorsRegions)
 	m.opts.Hooks.ApplyDigest(d)
 	m.noteNewerConfig(d.Config, d.From)
 	m.opts.Hooks.ReportReach(d.From, d.ReachesTargets)
 	reply := DigestReply{Config: m.opts.Config.Version(), Crashes: m.opts.Hooks.Crashes(), ReachesTargets: m.opts.Hooks.ReachesTargets()}
+	reply.HonorsRegions = true
 	if m.membersHash() != d.MembersHash {
 		reply.Members = m.recentMembers(time.Now())
 	}
@@ -337,6 +340,7 @@
 	d.Config = m.opts.Config.Version()
 	d.MembersHash = m.membersHash()
 	d.ReachesTargets = m.opts.Hooks.ReachesTargets()
+	d.HonorsRegions = true
 	return d
 }
 
@@ -397,6 +401,7 @@
 		return // expirePeers removes a peer that sends nothing for memberTimeout
 	}
 	m.recordAlive(peer)
+	m.recordRegionSupport(peer.VM, reply.HonorsRegions)
 	m.opts.Hooks.ReportReach(peer, reply.ReachesTargets)
 	m.addMembers(reply.Members)
 	m.opts.Hooks.ApplyCrashes(reply.Crashes)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -43,6 +43,9 @@
 	Crashes []quarantine.Report                    `msgpack:"x,omitempty"`
 	// Departures holds the targets that have said in a response that they leave.
 	Departures map[structs.TargetID]placement.Incarnation `msgpack:"y,omitempty"`
+	// HonorsRegions reports whether the sender applies allowed regions and evacuations to
+	// requests of peers.
+	HonorsRegions bool `msgpack:"a,omitempty"`
 	// MembersHash is a hash of the members that the sender knows, including
 	// itself.
 	MembersHash uint64 `msgpack:"k"`
@@ -53,6 +56,8 @@
 	Config uint64 `msgpack:"c"`
 	// ReachesTargets is the same as in a Digest.
 	ReachesTargets bool `msgpack:"t,omitempty"`
+	// HonorsRegions is the same as in a Digest.
+	HonorsRegions bool `msgpack:"a,omitempty"`
 	// Members is sent if the two VMs know different members.
 	Members []Member `msgpack:"m,omitempty"`
 	// Crashes are the requests that the replying VM suspects to crash targets.
@@ -118,6 +123,10 @@
 	Rates map[structs.TargetID]targetrate.Observation `msgpack:"n,omitempty"`
 	// Departures holds the departures that the asking VM knows.
 	Departures map[structs.TargetID]placement.Incarnation `msgpack:"y,omitempty"`
+	// Regions are the regions whose targets may be used, empty for all.
+	Regions []string `msgpack:"h,omitempty"`
+	// Evacuated are failure domains that the asking VM knows to be evacuated.
+	Evacuated []structs.DomainID `msgpack:"v,omitempty"`
 }
 
 // PlacementReply answers a PlacementRequest. If it has neither a target nor
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -43,6 +43,8 @@
 	tokens       int64 // delivered to the caller; settlements only
 	// rows are written in the same transaction.
 	rows rowstore.Tx
+	// relayRegions are the regions through whose VMs the rows may be relayed, nil for all.
+	relayRegions []string
 	// advance is reserved for the next turn if its Turn is not empty. The next turn asks
 	// for it by advanceKey.
 	advance    Reservation
--- a/ledger/group_commit.go
+++ b/ledger/group_commit.go
@@ -94,6 +94,13 @@
 			q.entries, e.isQueued = q.entries[1:], false
 			continue
 		}
+		if len(batch) > 0 && !hasSameRelayRegions(batch[0].changes, e.waiting) {
+			if q.writers < maxWriters {
+				q.writers++
+				go k.commitQueued(q)
+			}
+			break
+		}
 		changes := capacity.takeFitting(e.waiting, len(batch) == 0)
 		if len(changes) == 0 {
 			break
@@ -221,7 +228,7 @@
 			tx.Put = append(tx.Put, c.rows.Put...)
 		}
 	}
-	return k.opts.Store.Commit(ctx, tx)
+	return k.opts.Store.Commit(rowstore.WithRelayRegions(ctx, batchRelayRegions(batch)), tx)
 }
 
 // resolveConflict loads the rows that differ from those expected, and returns the items
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -174,6 +174,7 @@
 // seen it fail. The channel receives nil once the transaction is stored.
 func (k *Keeper) FinishTurn(ctx context.Context, p Program, end TurnEnd) <-chan error {
 	c := end.change()
+	c.relayRegions = rowstore.RelayRegions(ctx)
 	c.done = make(chan error, 1)
 	deadline, hasDeadline := ctx.Deadline()
 	if !hasDeadline {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -88,6 +88,8 @@
 	domain     structs.DomainID
 	region     string
 	departures departures
+	evacuated  map[structs.DomainID]bool
+	permitted  permittedTargets
 	targets    map[structs.TargetID]*targetState
 	services   map[structs.ServiceID]map[structs.TargetID]*targetState
 }
@@ -105,6 +107,7 @@
 
 // Put adds or updates a target. The history of a target that has restarted is dropped.
 func (s *TargetSet) Put(t Target) {
+	s.permitted = nil
 	old := s.targets[t.ID]
 	if old != nil && (old.Started != t.Started || old.Address != t.Address || old.Service != t.Service) {
 		s.Remove(t.ID)
@@ -129,6 +132,7 @@
 // Remove removes a target.
 func (s *TargetSet) Remove(id structs.TargetID) {
 	if st := s.targets[id]; st != nil {
+		s.permitted = nil
 		delete(s.targets, id)
 		delete(s.services[st.Service], id)
 		s.Rates.Remove(id)
@@ -164,6 +168,11 @@
 	// RateFraction is the part of a target's named rate that may be used, 0 for the share
 	// of a placer, which follows demand.
 	RateFraction float64
+	// Regions are the regions whose targets may be used, nil for all.
+	Regions []string
+	// Evacuated are failure domains whose targets may not be used, in addition to those of
+	// SetEvacuated.
+	Evacuated []structs.DomainID
 }
 
 // Choice is the chosen target.
@@ -175,7 +184,7 @@
 // Choose returns the target with the lowest cost; targets with a free slot come first. It
 // reports false if the service has no usable target.
 func (s *TargetSet) Choose(now structs.Instant, q Query) (Choice, bool) {
-	group := s.services[q.Service]
+	group := s.permittedGroup(q)
 	lowest := lowestLatency(now, group)
 	ejected := ejectedTargets(now, group)
 	var best, backingOff *targetState
--- a/placement/pressure.go
+++ b/placement/pressure.go
@@ -34,9 +34,9 @@
 }
 
 // Load returns the number of requests that are known to run at a service's targets, and
-// the number of their slots. Draining targets don't count.
+// the number of their slots. Draining targets and those of evacuated failure domains don't count.
 func (s *TargetSet) Load(now structs.Instant, service structs.ServiceID) (running, slots int) {
-	for _, st := range s.services[service] {
+	for _, st := range s.permittedGroup(Query{Service: service}) {
 		if !st.IsDraining {
 			running += st.load(now)
 			slots += st.Slots
--- a/placement/rates.go
+++ b/placement/rates.go
@@ -26,7 +26,7 @@
 // requests before it in the queue. It reports false unless the named rates of the targets
 // bind: while a target that may be used names none, a slot can become free at any time.
 func (s *TargetSet) RateWait(now structs.Instant, q Query, ahead int) (time.Duration, bool) {
-	group := s.services[q.Service]
+	group := s.permittedGroup(q)
 	ejected := ejectedTargets(now, group)
 	rate, tokens := 0.0, 0.0
 	for _, st := range group {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -67,6 +67,8 @@
 	// IsResumable means that a stream that broke off may go on at another target after
 	// the last event that was received.
 	IsResumable bool
+	// AllowedRegions are the regions whose targets may serve the route, empty for all.
+	AllowedRegions []string
 }
 
 // IsRepeatable reports whether a request may run more than once.
@@ -115,6 +117,8 @@
 	// Priority replaces the priority of the route if HasPriority is set; 0 goes first.
 	Priority    int
 	HasPriority bool
+	// AllowedRegions are the regions whose targets may serve the account, empty for all.
+	AllowedRegions []string
 }
 
 // Limits limits what a caller may send.
@@ -131,8 +135,10 @@
 	Services map[structs.ServiceID]*Service
 	Accounts map[structs.AccountID]*Account
 	Limits   Limits
-	routes   map[string][]*Route // by host, longest prefix first
-	keys     map[string]*Account
+	// RegionLimits is a hash of all AllowedRegions, 0 if there are none.
+	RegionLimits uint64
+	routes       map[string][]*Route // by host, longest prefix first
+	keys         map[string]*Account
 }
 
 // TableContents is the input of NewTable.
@@ -165,6 +171,7 @@
 		host := strings.ToLower(route.Host)
 		t.routes[host] = insertByPrefixLength(t.routes[host], route)
 	}
+	t.RegionLimits = hashRegionLimits(c)
 	return t
 }
 
--- a/rowstore/storepath/health.go
+++ b/rowstore/storepath/health.go
@@ -37,6 +37,7 @@
 type peerRecord struct {
 	pathRecord
 	inSameRegion bool
+	region       string
 	reportedUpAt structs.Instant // 0 if the peer's last report said that its path is down
 }
 
@@ -147,6 +148,16 @@
 	}
 }
 
+// RecordPeerRegion records a peer's region.
+func (h *Health) RecordPeerRegion(vm structs.VMID, region string) {
+	peer := h.peers[vm]
+	if peer == nil {
+		peer = &peerRecord{}
+		h.peers[vm] = peer
+	}
+	peer.region = region
+}
+
 // RemovePeer removes a VM that has left.
 func (h *Health) RemovePeer(vm structs.VMID) { delete(h.peers, vm) }
 
@@ -176,7 +187,13 @@
 // UnreachableFor returns the time since the last answer if no path is usable, otherwise
 // 0.
 func (h *Health) UnreachableFor(now structs.Instant) time.Duration {
-	if h.IsDirectUp() || len(h.PeerPaths(now)) > 0 {
+	return h.UnreachableWithin(now, nil)
+}
+
+// UnreachableWithin is like UnreachableFor for calls that may be relayed only through VMs of
+// this region and of the given regions; nil allows all.
+func (h *Health) UnreachableWithin(now structs.Instant, regions []string) time.Duration {
+	if h.IsDirectUp() || len(h.peerPathsWithin(now, regions)) > 0 {
 		return 0
 	}
 	return max(now.Sub(h.lastAnswer), 1)
@@ -184,8 +201,12 @@
 
 // Paths returns the paths to try, best first. The direct path is always among them, so
 // that its recovery is noticed.
-func (h *Health) Paths(now structs.Instant) []Path {
-	peers := h.PeerPaths(now)
+func (h *Health) Paths(now structs.Instant) []Path { return h.PathsWithin(now, nil) }
+
+// PathsWithin is like Paths for calls that may be relayed only through VMs of this region and
+// of the given regions; nil allows all.
+func (h *Health) PathsWithin(now structs.Instant, regions []string) []Path {
+	peers := h.peerPathsWithin(now, regions)
 	if h.IsDirectUp() {
 		return append([]Path{{}}, peers...)
 	}
@@ -194,12 +215,15 @@
 
 // PeerPaths returns the best paths through peers that have recently reported that
 // they reach the store and that have not just failed a call.
-func (h *Health) PeerPaths(now structs.Instant) []Path {
+func (h *Health) PeerPaths(now structs.Instant) []Path { return h.peerPathsWithin(now, nil) }
+
+func (h *Health) peerPathsWithin(now structs.Instant, regions []string) []Path {
 	var vms []structs.VMID
 	for vm, peer := range h.peers {
 		isReportedUp := peer.reportedUpAt != 0 && now.Sub(peer.reportedUpAt) < reportTTL
 		isPaused := peer.failedAt != 0 && now.Sub(peer.failedAt) < peerRetryDelay
-		if isReportedUp && !isPaused {
+		isAllowed := regions == nil || peer.inSameRegion || slices.Contains(regions, peer.region)
+		if isReportedUp && !isPaused && isAllowed {
 			vms = append(vms, vm)
 		}
 	}
--- a/rowstore/storepath/router.go
+++ b/rowstore/storepath/router.go
@@ -65,6 +65,21 @@
 	r.health.RecordPeerReport(structs.Now(), vm, inSameRegion, isUp)
 }
 
+// ReportRegion records a peer's region.
+func (r *Router) ReportRegion(vm structs.VMID, region string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.health.RecordPeerRegion(vm, region)
+}
+
+// UnreachableWithin is like UnreachableFor for calls that may be relayed only through VMs of
+// this region and of the given regions; nil allows all.
+func (r *Router) UnreachableWithin(regions []string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.health.UnreachableWithin(structs.Now(), regions)
+}
+
 // Forget removes a VM that has left.
 func (r *Router) Forget(vm structs.VMID) {
 	r.mu.Lock()
@@ -183,10 +198,11 @@
 	return r.relay.StoreVia(p.VM)
 }
 
-func (r *Router) paths() []Path {
+// paths returns the paths that a call may take: see rowstore.WithRelayRegions.
+func (r *Router) paths(ctx context.Context) []Path {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.health.Paths(structs.Now())
+	return r.health.PathsWithin(structs.Now(), rowstore.RelayRegions(ctx))
 }
 
 func (r *Router) peerPaths() []Path {
@@ -257,7 +273,7 @@
 		if err := r.waitForBreaker(ctx, partition); err != nil {
 			return zero, err
 		}
-		result, done := tryPaths(ctx, r, r.paths(), call)
+		result, done := tryPaths(ctx, r, r.paths(ctx), call)
 		r.recordPartitionResult(partition, result.err)
 		if done || ctx.Err() != nil {
 			return result.value, result.err
--- a/targetpath/relays.go
+++ b/targetpath/relays.go
@@ -56,10 +56,15 @@
 // Pick returns the VM for one request: of those of this region that reach targets, the one
 // with the fewest requests of this VM. It reports false if no VM can be used.
 func (r *Relays) Pick(now structs.Instant, exclude []structs.VMID) (structs.VMID, bool) {
+	return r.PickWhere(now, func(vm structs.VMID) bool { return !slices.Contains(exclude, vm) })
+}
+
+// PickWhere is like Pick, among the VMs for which isEligible reports true.
+func (r *Relays) PickWhere(now structs.Instant, isEligible func(structs.VMID) bool) (structs.VMID, bool) {
 	var best structs.VMID
 	var bestRelay *relay
 	for vm, v := range r.relays {
-		if !v.isUsable(now) || slices.Contains(exclude, vm) {
+		if !v.isUsable(now) || !isEligible(vm) {
 			continue
 		}
 		if bestRelay == nil || cmp.Or(cmp.Compare(v.cost(), bestRelay.cost()), cmp.Compare(v.pickedAt, bestRelay.pickedAt), cmp.Compare(vm, best)) < 0 {
