--- a/conversation/home_calls_test.go
+++ b/conversation/home_calls_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/endivecourse/endivecourse/internal/standin/rows"
 	"github.com/endivecourse/endivecourse/ledger"
+	"github.com/endivecourse/endivecourse/rowstore"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/turnlog"
 )
@@ -41,6 +42,7 @@
 	isSilent bool
 	// ignoresRegions is set for a VM of an earlier build.
 	ignoresRegions bool
+	finishRegions  []string // of the last FinishRequest
 	calls          map[string]int
 }
 
@@ -67,6 +69,7 @@
 	case MethodFinish:
 		var req FinishRequest
 		assert.NilError(h.t, msgpack.Unmarshal(encodedRequest, &req))
+		h.finishRegions = req.Regions
 		reply = errorReply(h.local.Finish(ctx, req))
 	case MethodFind:
 		var req FindRequest
@@ -168,3 +171,22 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against turns with allowed regions at a home VM of an earlier build, which would
+// relay their rows through any region.
+func TestRestrictedTurnIsKeptFromHomeOfEarlierBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, ignoresRegions := range []bool{true, false} {
+			f := newFixture(t)
+			f.home.ignoresRegions = ignoresRegions
+			ctx := rowstore.WithRelayRegions(t.Context(), []string{"near"})
+			assert.NilError(t, f.keeper.Reserve(ctx, reserveRequest("1")))
+			assert.NilError(t, f.keeper.Finish(ctx, finishRequest("1")))
+			assert.Equal(t, f.home.calls[MethodFinish] == 0, ignoresRegions)
+			if !ignoresRegions {
+				assert.DeepEqual(t, f.home.finishRegions, []string{"near"})
+			}
+			time.Sleep(time.Minute)
+		}
+	})
+}
--- a/edge/evacuation.go
+++ b/edge/evacuation.go
@@ -118,8 +118,8 @@
 	return domains
 }
 
-// knownEvacuations returns the evacuated failure domains that another VM may not know.
-func (s *Server) knownEvacuations() []structs.DomainID {
+// Evacuated returns the evacuated failure domains, sorted.
+func (s *Server) Evacuated() []structs.DomainID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.evacuatedDomains()
@@ -159,11 +159,11 @@
 
 // registerEvacuationGauges adds the gauges of the evacuations to the metrics.
 func registerEvacuationGauges(s *Server, newGauge func(name string, value func() float64)) {
-	newGauge("endive_domains_evacuated", func() float64 { return float64(len(s.knownEvacuations())) })
+	newGauge("endive_domains_evacuated", func() float64 { return float64(len(s.Evacuated())) })
 	newGauge("endive_evacuations_age_seconds", func() float64 { return s.evacuationsAge(structs.Now()).Seconds() })
 	for domain := range s.opts.Domains {
 		newGauge(`endive_domain_evacuated{domain="`+string(domain)+`"}`, func() float64 {
-			if slices.Contains(s.knownEvacuations(), domain) {
+			if slices.Contains(s.Evacuated(), domain) {
 				return 1
 			}
 			return 0
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -141,7 +141,7 @@
 		Account: x.accountID(), Route: x.route.Name, Service: x.service.ID, Kind: x.route.Kind,
 		MaxSends: x.maxSends() - x.sends, Priority: x.priority(), Fingerprint: x.fingerprint, Program: x.Program,
 		Cached: x.cachedTarget(), Exclude: tried, Departures: x.server.knownDepartures(), TimeLeft: x.timeLeft(), DueIn: dueIn,
-		Regions: x.allowedRegions(), Evacuated: x.server.knownEvacuations(),
+		Regions: x.allowedRegions(), Evacuated: x.server.Evacuated(),
 	}
 }
 
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -110,7 +110,7 @@
 			Service: query.Service, Cached: query.CacheTarget, Exclude: query.Exclude, Domain: s.opts.Domain,
 			Priority: request.Priority, DueIn: request.ProgramDeadline.Sub(now), Wait: wait, TimeLeft: timeLeft,
 			Patience: maxWait - now.Sub(start), Rates: rates, Departures: departures,
-			Regions: query.Regions, Evacuated: append(s.knownEvacuations(), query.Evacuated...),
+			Regions: query.Regions, Evacuated: append(s.Evacuated(), query.Evacuated...),
 		})
 		switch {
 		case ctx.Err() != nil:
--- a/edge/regions.go
+++ b/edge/regions.go
@@ -158,7 +158,7 @@
 func (x *exchange) pickRelay(asked []structs.VMID) (structs.VMID, bool) {
 	s := x.server
 	regions := x.allowedRegions()
-	isRestricted := regions != nil || len(s.knownEvacuations()) > 0
+	isRestricted := regions != nil || len(s.Evacuated()) > 0
 	s.paths.mu.Lock()
 	defer s.paths.mu.Unlock()
 	return s.paths.relays.PickWhere(structs.Now(), func(vm structs.VMID) bool {
--- a/rowstore/storepath/storepath_test.go
+++ b/rowstore/storepath/storepath_test.go
@@ -289,3 +289,36 @@
 	h.RecordAnswer(at(2500), direct)
 	assert.Equal(t, h.LastOutage(at(9000)), at(2500))
 }
+
+// Guards against rows of turns that are relayed through a region which may not hold them, and
+// against an outage that is not seen as one because only such a region reaches the store.
+func TestRestrictedCallsAreRelayedOnlyThroughAllowedRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		time.Sleep(time.Hour) // instants count from the start of the process
+		store := rows.New()
+		far, near := &faultyStore{Store: store}, &faultyStore{Store: store}
+		r := newRouter(&faultyStore{Store: store, fault: failUnavailable}, peerStores{"far": far, "near": near})
+		report := func(isNearUp bool) {
+			r.ReportRegion("far", "far")
+			r.ReportRegion("near", "near")
+			r.Report("far", false, true)
+			r.Report("near", false, isNearUp)
+		}
+		ctx, cancel := context.WithTimeout(rowstore.WithRelayRegions(t.Context(), []string{"near"}), time.Second)
+		defer cancel()
+		report(true)
+		for n := range uint64(2) {
+			_, err := r.Commit(ctx, putTx(fmt.Sprint(n), n))
+			assert.NilError(t, err)
+		}
+		report(false)
+		_, err := r.Commit(ctx, putTx("2", 2))
+		assert.Assert(t, err != nil, "the row went through a region that may not hold it")
+		report(false)
+		assert.Equal(t, r.UnreachableFor(), time.Duration(0))
+		assert.Assert(t, r.UnreachableWithin([]string{"near"}) > 0)
+		_, err = r.Commit(t.Context(), putTx("2", 2))
+		assert.NilError(t, err, "calls without restrictions use any region")
+		time.Sleep(attemptTimeout)
+	})
+}
