--- a/daemon/endived_regions_test.go
+++ b/daemon/endived_regions_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,3 +118,87 @@
 	assert.Equal(t, len(kept.Runs()), before)
 	assert.Assert(t, len(b.logs.lines("unknown failure domain", "no-such-domain")) >= len(b.vms))
 }
+
+// Guards against requests at evacuated targets while callers send many at a time, some turns
+// run, one VM reaches the store only through peers, and one VM starts after the write.
+func TestEvacuationUnderLoadReachesEveryVM(t *testing.T) {
+	b := newTestSite(t, "near-a", "near-b", "far-a")
+	late := b.site.AddVM("near-b")
+	kept := b.addTarget("app-kept", "app", "near-a")
+	evacuated := []*platformtest.Target{b.addTarget("app-b", "app", "near-b"), b.addTarget("app-far", "app", "far-a")}
+	engine := b.addTarget("engine-b", "engine", "near-b")
+	engine.Set(platformtest.Behaviour{Events: 30, Duration: 100 * time.Millisecond})
+	kept.Set(platformtest.Behaviour{Duration: 5 * time.Millisecond})
+	stream := make(chan response, 1)
+	go func() { stream <- b.sendAs("running-stream", request{path: "/draft/1"}) }()
+	b.waitUntil("running", func() bool { return engine.Running() > 0 })
+	b.vms[1].StoreServer.Set(platformtest.StoreSilent)
+
+	done := make(chan struct{})
+	var load sync.WaitGroup
+	var failed atomic.Int64
+	for n, vm := range append([]*platformtest.VM{late}, b.vms...) {
+		for caller := range 4 {
+			load.Go(func() {
+				for i := 0; ; i++ {
+					select {
+					case <-done:
+						return
+					case <-time.After(10 * time.Millisecond):
+					}
+					r := b.sendAs(fmt.Sprintf("load-%d-%d-%d", n, caller, i), request{vm: vm, path: "/read/1"})
+					if r.status != http.StatusOK && vm != late {
+						failed.Add(1)
+					}
+				}
+			})
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	written := time.Now()
+	b.site.Evacuate("near-b")
+	b.site.Evacuate("far-a")
+	b.start(late)
+	b.waitReady(late)
+	time.Sleep(time.Until(written.Add(evacuateBound + 2*time.Second)))
+	close(done)
+	load.Wait()
+	for _, target := range evacuated {
+		runs := target.Runs()
+		assert.Assert(t, len(runs) > 0)
+		last := runs[len(runs)-1].StartedAt.Sub(written)
+		t.Logf("last request of %d at %s %s after the write", len(runs), target.ID, last)
+		assert.Assert(t, last < evacuateBound)
+	}
+	r := <-stream
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusOK, "a running stream ends normally")
+	assert.Equal(t, failed.Load(), int64(0), "requests that other targets could serve failed")
+}
+
+// Guards against bodies that a VM without paths to targets forwards through a VM of a region
+// that is not allowed.
+func TestRequestIsNotForwardedThroughOtherRegion(t *testing.T) {
+	b := newTestSite(t)
+	for _, domain := range []string{"near-a", "far-a"} {
+		vm := b.site.AddVM(domain)
+		b.vms = append(b.vms, vm)
+		b.paths[vm] = newTargetPaths()
+		b.start(vm)
+	}
+	for _, vm := range b.vms {
+		b.waitReady(vm)
+	}
+	near := b.addTarget("app-near", "app", "near-a")
+	config := platformtest.BasicConfig()
+	config.Tenants[0].AllowedRegions = []string{"near"}
+	b.waitConfig(b.site.PutConfig(config))
+	b.paths[b.vms[0]].set(pathsReset)
+	b.waitUntil("forwarded", func() bool { return b.send(request{path: "/read/1", key: "key-two"}).status == http.StatusOK })
+	before := len(near.Runs())
+	r := b.send(request{path: "/read/1"})
+	assert.Equal(t, r.status, http.StatusServiceUnavailable, r.body)
+	assert.Assert(t, r.header.Get("Retry-After") != "")
+	assert.Equal(t, len(near.Runs()), before)
+	assert.Equal(t, len(b.logs.lines(`"forwarded request"`, r.id)), 0, "the other VM got the request")
+}
