--- a/edge/regions.go
+++ b/edge/regions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -78,9 +79,11 @@
 func (x *exchange) refuseRestricted() *structs.Refusal {
 	switch x.restriction() {
 	case placement.OutsideRegions:
-		return retryableRefusal(structs.RefusedNoTarget, regionRetryAfter, "route and account allow no region with a target of the service")
+		reason := fmt.Sprintf("route and account allow no region with a target of service %s, allowed are %q", x.service.ID, x.allowedRegions())
+		return retryableRefusal(structs.RefusedNoTarget, regionRetryAfter, reason)
 	case placement.AllEvacuated:
-		return retryableRefusal(structs.RefusedNoTarget, evacuatedRetryAfter, "all targets of the service in the allowed regions are evacuated")
+		reason := fmt.Sprintf("all targets of service %s in the allowed regions are evacuated, domains %q", x.service.ID, x.server.Evacuated())
+		return retryableRefusal(structs.RefusedNoTarget, evacuatedRetryAfter, reason)
 	}
 	return nil
 }
