daemon: test that turns with allowed regions are not relayed through others

A VM that the store refuses has the turns of an account without restrictions relayed through the other region, and rejects those of an account that does not allow it as not run.

--- a/daemon/endived_regions_test.go
+++ b/daemon/endived_regions_test.go
@@ -202,3 +202,30 @@
 	assert.Equal(t, len(near.Runs()), before)
 	assert.Equal(t, len(b.logs.lines(`"forwarded request"`, r.id)), 0, "the other VM got the request")
 }
+
+// Guards against turns whose rows another region relays to the store although their account
+// does not allow that region.
+func TestTurnIsNotRelayedThroughOtherRegion(t *testing.T) {
+	b := newTestSite(t, "near-a", "far-a")
+	engine := b.addTarget("engine-near", "engine", "near-a")
+	config := platformtest.BasicConfig()
+	config.Tenants[0].AllowedRegions = []string{"near"}
+	b.waitConfig(b.site.PutConfig(config))
+	turn := func(key string) response {
+		return b.send(request{path: "/chat/1", key: key, body: "turn ", header: map[string]string{
+			platformtest.HeaderProgram: "program-" + key, platformtest.HeaderBudget: "1000", platformtest.HeaderUsage: "100,30",
+		}})
+	}
+	assert.Equal(t, turn("key-one").status, http.StatusOK)
+	b.vms[0].StoreServer.Set(platformtest.StoreUnavailable)
+	b.waitUntil("relayed", func() bool {
+		return len(b.logs.lines("lost the direct path to the store")) > 0 && turn("key-two").status == http.StatusOK
+	})
+	before := len(engine.Runs())
+	r := turn("key-one")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable, r.body)
+	assert.Assert(t, r.header.Get("Retry-After") != "")
+	assert.Equal(t, len(engine.Runs()), before, "rejected as not run")
+	b.vms[0].StoreServer.Set(platformtest.StoreNormal)
+	b.waitUntil("direct path", func() bool { return turn("key-one").status == http.StatusOK })
+}
