--- a/edge/placement.go
+++ b/edge/placement.go
@@ -97,7 +97,11 @@
 	start := structs.Now()
 	var rates map[structs.TargetID]targetrate.Observation
 	var departures map[structs.TargetID]placement.Incarnation
+	limits := s.regionLimits()
 	for {
+		if s.regionLimits() != limits {
+			return nil, &RegionsChangedError{Service: query.Service}
+		}
 		now := structs.Now()
 		wait := min(placerQueueWait, maxWait-now.Sub(start))
 		if wait <= 0 {
@@ -108,6 +112,7 @@
 			Priority: request.Priority, DueIn: request.ProgramDeadline.Sub(now), Wait: wait, TimeLeft: timeLeft,
 			Patience: maxWait - now.Sub(start), Rates: rates, Departures: departures,
 			VM: query.Group, Connected: reportedConnections(query), DomainDelay: query.DomainDelay,
+			Regions: query.Regions, Evacuated: append(s.Evacuated(), query.Evacuated...),
 		})
 		switch {
 		case ctx.Err() != nil:
@@ -127,6 +132,8 @@
 			rate, isMissed := s.rateMissedBy(reply)
 			_, isSent := rates[reply.Target]
 			switch {
+			case !s.isPermitted(g.target, query):
+				s.excludeForbidden(&query, vm, reply.Target)
 			case g.target.IsDraining:
 				query.Exclude = append(slices.Clone(query.Exclude), reply.Target)
 				departures = s.knownDepartures()
@@ -220,6 +227,7 @@
 	query := placement.Query{
 		Service: p.Service, CacheTarget: p.Cached, Exclude: p.Exclude, Domain: p.Domain,
 		Group: p.VM, Connected: connectedSet(p.Connected), DomainDelay: p.DomainDelay,
+		Regions: p.Regions, Evacuated: p.Evacuated,
 	}
 	now := structs.Now()
 	request := admission.Request{Priority: p.Priority, ProgramDeadline: now.Add(p.DueIn)}
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -23,6 +23,10 @@
 	pathsLost *metrics.Counter
 	// connectionsNew and connectionsReused count the requests sent over each kind.
 	connectionsNew, connectionsReused *metrics.Counter
+	// notPermitted counts grants that were not used because the target's region is not
+	// allowed or its failure domain is evacuated.
+	notPermitted      *metrics.Counter
+	evacuationChanges *metrics.Counter
 }
 
 func newStats(s *Server) *stats {
@@ -56,6 +60,7 @@
 	})
 	set.NewGauge("endive_targets_age_seconds", func() float64 { return s.targetsAge(structs.Now()).Seconds() })
 	addConnectionGauges(set, s)
+	registerEvacuationGauges(s, func(name string, value func() float64) { set.NewGauge(name, value) })
 	return &stats{
 		set:       set,
 		requests:  set.NewCounter("endive_requests_total"),
@@ -66,6 +71,8 @@
 
 		connectionsNew:    set.NewCounter("endive_target_connections_new_total"),
 		connectionsReused: set.NewCounter("endive_target_connections_reused_total"),
+		notPermitted:      set.NewCounter("endive_grants_not_permitted_total"),
+		evacuationChanges: set.NewCounter("endive_evacuation_changes_total"),
 	}
 }
 
@@ -88,6 +95,7 @@
 		"config_version": s.opts.Config.Version(),
 		"store_away":     s.opts.Store.UnreachableFor().String(),
 		"targets":        targets,
+		"evacuations":    s.dumpEvacuations(structs.Now()),
 		"waiting":        len(s.waiters),
 		"turns_cached":   records,
 		"turn_bytes":     bytes,
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -93,6 +93,8 @@
 	domain     structs.DomainID
 	region     string
 	departures departures
+	evacuated  map[structs.DomainID]bool
+	permitted  permittedTargets
 	targets    map[structs.TargetID]*targetState
 	services   map[structs.ServiceID]map[structs.TargetID]*targetState
 }
@@ -110,6 +112,7 @@
 
 // Put adds or updates a target. The history of a target that has restarted is dropped.
 func (s *TargetSet) Put(t Target) {
+	s.permitted = nil
 	old := s.targets[t.ID]
 	if old != nil && (old.Started != t.Started || old.Address != t.Address || old.Service != t.Service) {
 		s.Remove(t.ID)
@@ -134,6 +137,7 @@
 // Remove removes a target.
 func (s *TargetSet) Remove(id structs.TargetID) {
 	if st := s.targets[id]; st != nil {
+		s.permitted = nil
 		delete(s.targets, id)
 		delete(s.services[st.Service], id)
 		s.Rates.Remove(id)
@@ -176,6 +180,11 @@
 	// DomainDelay is the additional round trip to another failure domain of the region, as
 	// measured by the requesting VM; 0 while it is not known.
 	DomainDelay time.Duration
+	// Regions are the regions whose targets may be used, nil for all.
+	Regions []string
+	// Evacuated are failure domains whose targets may not be used, in addition to those of
+	// SetEvacuated.
+	Evacuated []structs.DomainID
 }
 
 // Choice is the chosen target.
@@ -187,7 +196,7 @@
 // Choose returns the target with the lowest cost; targets with a free slot come first. It
 // reports false if the service has no usable target.
 func (s *TargetSet) Choose(now structs.Instant, q Query) (Choice, bool) {
-	group := s.services[q.Service]
+	group := s.permittedGroup(q)
 	lowest := referenceLatency(now, q, group)
 	ejected := ejectedTargets(now, group)
 	preferred := s.newGroup(q, group)
