targetrate, edge, platform: cold targets get their rate from all VMs together

Cause: coldPerS, coldStartS and coldRemainingMs were not read. On the code before, a target that joined under 200 requests/s through 4 VMs got 55 requests in a second, 165 in its cold period of 4 s; 41 in a second are allowed at 24/s.

Change: a rate with an expiry in targetrate, divided among the placers by demand as named rates are. A placer uses at most the part of the rate that its reach allows: the possible placers that it hears from, of those known in the last ten minutes. A VM that picks targets itself uses a fifth of the rate divided by the number of VMs. Grants of placers that don't know that a target is cold are given back, or used within that small share.

--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -30,6 +30,7 @@
 	"github.com/endivecourse/endivecourse/rowstore"
 	"github.com/endivecourse/endivecourse/rowstore/storepath"
 	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/targetrate"
 	"github.com/endivecourse/endivecourse/turnlog"
 	"github.com/endivecourse/endivecourse/wire"
 )
@@ -188,6 +189,7 @@
 		Peers:         mesh,
 		Regions:       regionCount(loaded),
 		QuotaSlack:    loaded.QuotaSlack,
+		ColdBounds:    targetrate.ColdBounds{Overage: loaded.ColdOverage, Slack: loaded.ColdSlack},
 		DialTarget:    dialTarget,
 		Log:           log,
 	})
--- a/edge/acquire.go
+++ b/edge/acquire.go
@@ -35,8 +35,8 @@
 	return "no slot of service " + string(e.Service) + " became free within " + e.Waited.Round(time.Millisecond).String()
 }
 
-// RateLimitedError reports that the rates which the targets of a service have named leave
-// no slot for a request in time.
+// RateLimitedError reports that the rates which the targets of a service have named, or
+// take while they are cold, leave no slot for a request in time.
 type RateLimitedError struct {
 	Service structs.ServiceID
 	Wait    time.Duration // until a slot is expected
@@ -45,7 +45,7 @@
 // Error names the service and the time until a slot is expected.
 func (e *RateLimitedError) Error() string {
 	return "targets of service " + string(e.Service) + " take no request for " + e.Wait.Round(time.Millisecond).String() +
-		" by the rates that they have named"
+		" by the rates that they have named or take while they are cold"
 }
 
 // acquireTarget returns a target and adds one request to its load; recordEnd
@@ -55,6 +55,7 @@
 func (s *Server) acquireTarget(ctx context.Context, query placement.Query, request admission.Request, maxWait, patience time.Duration) (placement.Target, error) {
 	now := structs.Now()
 	s.mu.Lock()
+	s.applyColdRates(now)
 	queue := s.queue(query.Service)
 	choice, ok := s.targets.Choose(now, query)
 	if !ok {
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -74,7 +74,8 @@
 }
 
 // needsPlacer reports whether the targets of a service are picked by its placer: in a
-// large fleet, under pressure, and while a target names a rate that all VMs share.
+// large fleet, under pressure, and while a target names a rate that all VMs share or is
+// cold.
 func (s *Server) needsPlacer(service structs.ServiceID) bool {
 	if s.opts.Peers.PeerCount() >= maxUncoordinatedVMs {
 		return true
@@ -82,7 +83,7 @@
 	now := structs.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.targets.HasNamedRate(service) {
+	if s.targets.HasRate(now, service) {
 		return true
 	}
 	running, slots := s.targets.Load(now, service)
@@ -96,6 +97,7 @@
 	start := structs.Now()
 	var rates map[structs.TargetID]targetrate.Observation
 	var departures map[structs.TargetID]placement.Incarnation
+	var cold coldGrants
 	for {
 		now := structs.Now()
 		wait := min(placerQueueWait, maxWait-now.Sub(start))
@@ -114,7 +116,7 @@
 			s.log.Warn("placer does not answer", "service", string(query.Service), "placer", string(vm), "cause", err.Error())
 			return nil, nil
 		case reply.HasNoTarget:
-			return nil, &NoTargetError{Service: query.Service}
+			return nil, cold.noTarget(s, query.Service)
 		case reply.RateWait > 0:
 			return nil, &RateLimitedError{Service: query.Service, Wait: reply.RateWait}
 		case reply.Target != "":
@@ -133,6 +135,8 @@
 					rates = make(map[structs.TargetID]targetrate.Observation)
 				}
 				rates[reply.Target] = rate
+			case isMissed && !cold.mayUse(s, reply.Target):
+				query.Exclude = append(slices.Clone(query.Exclude), reply.Target)
 			default:
 				return g, nil
 			}
@@ -165,8 +169,8 @@
 	return g
 }
 
-// rateMissedBy applies what a placer's reply says of the target's named rate, and
-// returns the rate if this VM knows one and the placer does not.
+// rateMissedBy applies what a placer's reply says of the target's named rate and cold
+// period, and returns what this VM knows of them if the placer does not.
 func (s *Server) rateMissedBy(reply fleet.PlacementReply) (targetrate.Observation, bool) {
 	now := structs.Now()
 	s.mu.Lock()
@@ -174,10 +178,8 @@
 	if reply.Rate != nil {
 		s.learnRate(now, reply.Target, *reply.Rate, "placer")
 	}
-	if _, isNamed := s.targets.Rates.Rate(reply.Target); !isNamed || reply.Rate != nil && reply.Rate.Rate >= 0 {
-		return targetrate.Observation{}, false
-	}
-	return s.targets.Rates.Get(now, reply.Target)
+	known, _ := s.targets.Rates.Get(now, reply.Target)
+	return known, missesRate(known, reply)
 }
 
 // releaseGrant ends a grant and records the outcome of the request at the target.
--- a/edge/placement_test.go
+++ b/edge/placement_test.go
@@ -17,6 +17,7 @@
 	"github.com/endivecourse/endivecourse/placement"
 	"github.com/endivecourse/endivecourse/routing"
 	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/targetrate"
 	"github.com/endivecourse/endivecourse/wire"
 )
 
@@ -30,6 +31,7 @@
 	isSilent            *bool
 	staysPlacer         bool         // also after it did not answer
 	holder              structs.VMID // of all accounts, empty for this VM
+	reach               *targetrate.Reach
 }
 
 func (p *fakePeers) IsMembershipKnown() bool { return !p.isMembershipUnknown }
@@ -49,6 +51,13 @@
 	return structs.VMID(fmt.Sprint(*p.placer)), *p.placer == p.self
 }
 
+func (p *fakePeers) PlacerReach() targetrate.Reach {
+	if p.reach != nil {
+		return *p.reach
+	}
+	return targetrate.Reach{Placers: 1, KnownPlacers: 1, Regions: 1, KnownRegions: 1, VMs: len(p.servers)}
+}
+
 func (p *fakePeers) BorrowTokens(context.Context, structs.VMID, structs.AccountID) (int, error) {
 	return 0, nil
 }
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -8,6 +8,7 @@
 	"github.com/endivecourse/endivecourse/routing"
 	"github.com/endivecourse/endivecourse/share"
 	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/targetrate"
 )
 
 const (
@@ -48,6 +49,8 @@
 	RequestAdmission(ctx context.Context, vm structs.VMID, req fleet.AdmissionRequest) (fleet.AdmissionReply, error)
 	// Placer returns the VM of this region that places a service's requests.
 	Placer(service structs.ServiceID) (vm structs.VMID, self bool)
+	// PlacerReach returns from how many possible placers this VM has heard recently.
+	PlacerReach() targetrate.Reach
 	// RequestPlacement asks a service's placer for a target; Release ends the
 	// grant.
 	RequestPlacement(ctx context.Context, vm structs.VMID, p fleet.PlacementRequest) (fleet.PlacementReply, error)
--- a/edge/server.go
+++ b/edge/server.go
@@ -17,6 +17,7 @@
 	"github.com/endivecourse/endivecourse/rowstore/storepath"
 	"github.com/endivecourse/endivecourse/share"
 	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/targetrate"
 )
 
 const (
@@ -51,6 +52,9 @@
 	// QuotaSlack is the number of requests by which all VMs together may exceed an
 	// account's limit.
 	QuotaSlack float64
+	// ColdBounds bounds what all VMs together send a cold target; the zero value means the
+	// default.
+	ColdBounds targetrate.ColdBounds
 	// DialTarget opens the connections to targets; nil means TCP.
 	DialTarget hop.DialFunc
 	Log        *slog.Logger
@@ -71,6 +75,7 @@
 	waiters           map[*admission.Request]*waiter
 	recent            recentTargets
 	pressure          placement.Pressure
+	cold              coldTargets
 	limiter           *share.Limiter
 	quarantine        *quarantine.List
 	peerGrants        map[uint64]peerGrant
@@ -93,6 +98,7 @@
 		quarantine: quarantine.New(quarantine.Options{Targets: quarantineTargets, SuspectPeriod: crashTTL}),
 	}
 	s.listing.unlisted = make(map[structs.TargetID]structs.Instant)
+	s.initColdTargets()
 	s.stats = newStats(s)
 	return s
 }
@@ -129,6 +135,7 @@
 	s.pool.Sweep(now)
 	s.opts.Local.Ledger.Sweep(now)
 	s.dropUnheldQuota()
+	s.updateReach()
 	s.mu.Lock()
 	s.limiter.Sweep(structs.Now())
 	s.expireGrants(structs.Now())
@@ -152,6 +159,7 @@
 // retryWaiting drops the targets whose time is over, and grants free slots to waiting
 // requests without being notified of a free slot.
 func (s *Server) retryWaiting(context.Context, time.Time) {
+	s.followColdTargets()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dropUnlisted(structs.Now())
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -21,6 +21,9 @@
 	latency   *metrics.Histogram
 	slotWait  *metrics.Histogram
 	pathsLost *metrics.Counter
+	// coldGrantsRefused counts the grants of cold targets by placers that did not know that
+	// they are cold.
+	coldGrantsRefused *metrics.Counter
 }
 
 func newStats(s *Server) *stats {
@@ -45,6 +48,16 @@
 		defer s.mu.Unlock()
 		return float64(s.targets.Rates.Count())
 	})
+	set.NewGauge("endive_targets_cold", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return float64(len(s.targets.Rates.ColdTargets(structs.Now())))
+	})
+	set.NewGauge("endive_cold_rate_part", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.targets.Rates.ReachPart()
+	})
 	set.NewGauge("endive_target_answer_age_seconds", func() float64 { return s.answerAge(structs.Now()).Seconds() })
 	set.NewGauge("endive_reaches_targets", func() float64 {
 		if s.paths.isLost() {
@@ -60,6 +73,8 @@
 		latency:   set.NewHistogram("endive_request_seconds"),
 		slotWait:  set.NewHistogram("endive_slot_wait_seconds"),
 		pathsLost: set.NewCounter("endive_target_paths_lost_total"),
+
+		coldGrantsRefused: set.NewCounter("endive_cold_grants_refused_total"),
 	}
 }
 
@@ -83,6 +98,7 @@
 		"config_version": s.opts.Config.Version(),
 		"store_away":     s.opts.Store.UnreachableFor().String(),
 		"targets":        targets,
+		"cold":           s.coldState(structs.Now()),
 		"waiting":        len(s.waiters),
 		"turns_cached":   records,
 		"turn_bytes":     bytes,
--- a/edge/targets.go
+++ b/edge/targets.go
@@ -71,6 +71,7 @@
 	}
 	old, known := s.targets.Get(t.ID)
 	s.targets.Put(t)
+	s.learnColdEntry(structs.Now(), t)
 	switch {
 	case !known:
 		s.log.Info("target listed", "target", string(t.ID), "service", string(t.Service), "address", t.Address, "domain", string(t.Domain), "draining", t.IsDraining)
--- a/fleet/vm_roles.go
+++ b/fleet/vm_roles.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/targetrate"
 )
 
 const (
@@ -121,3 +122,38 @@
 		peer.isStoreReachable = isReachable
 	}
 }
+
+// PlacerReach returns from how many of the VMs that may be placers this VM has heard
+// recently, in its region and over all regions.
+func (m *Mesh) PlacerReach() targetrate.Reach {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	groups := m.currentGroups()
+	reach := targetrate.Reach{VMs: len(m.members) + 1}
+	if groups.mayHaveRole(m.opts.Self.VM) {
+		reach.Placers, reach.KnownPlacers = 1, 1
+	}
+	isHeard := map[string]bool{m.opts.Self.Region: true} // by region
+	for id, peer := range m.members {
+		if !groups.mayHaveRole(id) {
+			continue
+		}
+		isRecent := now.Sub(peer.lastSeen) < maxSilence
+		isHeard[peer.Region] = isHeard[peer.Region] || isRecent
+		if peer.Region != m.opts.Self.Region {
+			continue
+		}
+		reach.KnownPlacers++
+		if isRecent {
+			reach.Placers++
+		}
+	}
+	reach.KnownRegions = len(isHeard)
+	for _, heard := range isHeard {
+		if heard {
+			reach.Regions++
+		}
+	}
+	return reach
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -27,6 +27,8 @@
 	// Started is the start time of the target's process in Unix milliseconds. It tells a
 	// restarted target from an earlier one with the same ID.
 	Started int64
+	// ColdFor is the time for which the target stays cold, from when its entry was read.
+	ColdFor time.Duration
 }
 
 // Costs of a choice, in milliseconds of a caller's time.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -104,6 +104,11 @@
 	// TokensPerEvent is the number of tokens in one stream event of a model engine, 0 for
 	// a service that is no model engine.
 	TokensPerEvent int
+	// ColdRate is the number of requests per second that a target takes from all VMs while
+	// it is cold, 0 if targets are never cold. ColdStart is how long a target is cold after
+	// its start.
+	ColdRate  float64
+	ColdStart time.Duration
 }
 
 // Account is a client account.
--- a/targetrate/limiter.go
+++ b/targetrate/limiter.go
@@ -1,11 +1,12 @@
 // Package targetrate keeps the VMs of a fleet together within the request rate that a
-// target in need names in its responses.
+// target in need names in its responses, and within the rate of a target that is cold.
 //
 // A target may name the number of requests per second that it takes from all VMs together,
 // for as long as its responses name it. The VMs that choose targets for others, the
 // placers, divide that rate among themselves by demand; each keeps to its share with a
 // token bucket. It answers targets that slow down under a load that other targets could
-// take. The package is a deterministic state machine without clock, goroutine or I/O.
+// take. A target that has just started takes a rate that its service's configuration states,
+// until its cold period ends; if both rates apply, the lower one binds. The package is a deterministic state machine without clock, goroutine or I/O.
 package targetrate
 
 import (
@@ -47,6 +48,13 @@
 	Rate float32 `msgpack:"r"`
 	// Age is the time since the response.
 	Age time.Duration `msgpack:"a"`
+	// ColdFor is the time for which the target stays cold, ColdRate the requests per second
+	// that it takes from all VMs meanwhile. ColdAge is the time since its entry was read
+	// that says so, or that it is not cold any more; 0 if nothing is known of that. VMs of
+	// releases before these fields ignore them.
+	ColdFor  time.Duration `msgpack:"c,omitempty"`
+	ColdRate float32       `msgpack:"k,omitempty"`
+	ColdAge  time.Duration `msgpack:"g,omitempty"`
 }
 
 // None is the rate of a target that names none.
@@ -61,7 +69,14 @@
 
 // Limiter holds the named rates of targets and this VM's shares of them.
 type Limiter struct {
+	// ColdBounds bounds the requests that cold targets get in a second.
+	ColdBounds ColdBounds
+	// Phase, from 0 to 1, differs between the VMs. It spreads over time the requests that
+	// VMs with small shares send to cold targets.
+	Phase float64
+
 	targets map[structs.TargetID]*targetState
+	reach   reachState
 }
 
 type targetState struct {
@@ -75,6 +90,7 @@
 	taken      float64 // weighted average of this VM's requests per second
 	decayedAt  structs.Instant
 	peers      map[structs.VMID]peerDemand
+	cold       *coldState // nil if the target was not cold recently
 }
 
 type peerDemand struct {
@@ -83,7 +99,12 @@
 }
 
 // New returns a limiter that knows no rates.
-func New() *Limiter { return &Limiter{targets: make(map[structs.TargetID]*targetState)} }
+func New() *Limiter {
+	return &Limiter{
+		ColdBounds: ColdBounds{Overage: DefaultColdOverage, Slack: DefaultColdSlack},
+		targets:    make(map[structs.TargetID]*targetState),
+	}
+}
 
 // Observe records what a response to this VM says. It reports whether the target begins or
 // ceases to name a rate. A change is reported to the peers for changeTTL.
@@ -99,6 +120,9 @@
 // Learn records an observation that another VM reports, which is not passed on. An
 // observation that is older than the known one is ignored.
 func (l *Limiter) Learn(now structs.Instant, id structs.TargetID, o Observation) bool {
+	if o.ColdFor > 0 || o.ColdAge > 0 {
+		l.learnCold(now, id, o, "peer")
+	}
 	st := l.targets[id]
 	if st == nil && o.Rate < 0 {
 		return false // the usual case
@@ -128,14 +152,16 @@
 // Remove forgets a target.
 func (l *Limiter) Remove(id structs.TargetID) { delete(l.targets, id) }
 
-// Get returns the newest observation of a target. It reports false if no response that
-// named a rate is known.
+// Get returns the newest observation of a target. It reports false if neither a response
+// that named a rate nor a cold period is known.
 func (l *Limiter) Get(now structs.Instant, id structs.TargetID) (Observation, bool) {
 	st := l.targets[id]
 	if st == nil {
 		return Observation{Rate: None}, false
 	}
-	return Observation{Rate: float32(st.rate), Age: now.Sub(st.observedAt)}, true
+	o := Observation{Rate: float32(st.rate), Age: now.Sub(st.observedAt)}
+	st.coldObservation(now, &o)
+	return o, true
 }
 
 // Rate returns a target's named rate in requests per second, and false if it names none.
@@ -158,24 +184,47 @@
 	return count
 }
 
-// Share returns the part of a target's named rate that this VM may use, in requests per
-// second. fraction is the fixed part of a VM that is no placer, 0 for a placer. It returns
-// false if the target names no rate.
+// Share returns the part of a target's rate that this VM may use, in requests per second.
+// fraction is the fixed part of a VM that is no placer, 0 for a placer. It returns false if
+// the target names no rate and is not cold.
 func (l *Limiter) Share(now structs.Instant, id structs.TargetID, fraction float64) (float64, bool) {
 	st := l.targets[id]
-	if st == nil || st.rate < 0 {
+	if !st.isLimited(now) {
 		return 0, false
 	}
-	return st.share(now, fraction), true
+	share := math.Inf(1)
+	if st.rate >= 0 {
+		share = st.share(now, fraction)
+	}
+	if st.cold.isCold(now) {
+		share = math.Min(share, l.coldShare(now, st, fraction))
+	}
+	return share, true
+}
+
+// isLimited reports whether the target names a rate or is cold.
+func (st *targetState) isLimited(now structs.Instant) bool {
+	return st != nil && (st.rate >= 0 || st.cold.isCold(now))
 }
 
 // Tokens returns the number of requests that may be sent to a target now, +Inf if it names
-// no rate.
+// no rate and is not cold.
 func (l *Limiter) Tokens(now structs.Instant, id structs.TargetID, fraction float64) float64 {
 	st := l.targets[id]
-	if st == nil || st.rate < 0 {
+	if !st.isLimited(now) {
 		return math.Inf(1)
 	}
+	tokens := math.Inf(1)
+	if st.rate >= 0 {
+		tokens = st.namedTokens(now, fraction)
+	}
+	if st.cold.isCold(now) {
+		tokens = math.Min(tokens, l.coldTokens(now, st, fraction))
+	}
+	return tokens
+}
+
+func (st *targetState) namedTokens(now structs.Instant, fraction float64) float64 {
 	st.maxTokens = minBurst
 	if fraction > 0 {
 		st.maxTokens = 1
@@ -187,10 +236,15 @@
 // Take counts a request that is sent to a target.
 func (l *Limiter) Take(now structs.Instant, id structs.TargetID) {
 	st := l.targets[id]
-	if st == nil || st.rate < 0 {
+	if !st.isLimited(now) {
 		return
 	}
-	st.tokens--
+	if st.rate >= 0 {
+		st.tokens--
+	}
+	if st.cold.isCold(now) {
+		st.cold.take()
+	}
 	st.decay(now)
 	st.taken += 1 / takenTau.Seconds()
 }
@@ -202,7 +256,8 @@
 	for id, st := range l.targets {
 		st.decay(now)
 		isChanged := st.changedAt != 0 && now.Sub(st.changedAt) < changeTTL
-		if st.rate < 0 && now.Sub(st.observedAt) >= changeTTL {
+		isRecentlyCold := st.cold != nil && now.Sub(st.cold.until) < coldMemory
+		if st.rate < 0 && now.Sub(st.observedAt) >= changeTTL && !isRecentlyCold {
 			delete(l.targets, id)
 			continue
 		}
@@ -247,6 +302,13 @@
 	if fraction > 0 {
 		return st.rate * fraction
 	}
+	part, _ := st.demandPart(now)
+	return st.rate * part
+}
+
+// demandPart returns this VM's part of the target's rate as a placer, and whether other
+// placers have reported demand.
+func (st *targetState) demandPart(now structs.Instant) (part float64, hasPeers bool) {
 	st.decay(now)
 	total, placers := st.taken, 1.0
 	for vm, peer := range st.peers {
@@ -258,10 +320,11 @@
 		total += weight * peer.taken
 		placers += weight
 	}
-	if total == 0 || placers == 1 {
-		return st.rate / placers
+	hasPeers = placers > 1
+	if total == 0 || !hasPeers {
+		return 1 / placers, hasPeers
 	}
-	return st.rate * ((1-evenPart)*st.taken/total + evenPart/placers)
+	return (1-evenPart)*st.taken/total + evenPart/placers, true
 }
 
 // peerWeight returns the weight of a demand that was reported the given time ago. The
