--- a/edge/acquire.go
+++ b/edge/acquire.go
@@ -84,6 +84,7 @@
 func (s *Server) refuseHopeless(now structs.Instant, w *waiter, patience time.Duration) error {
 	queue := s.queue(w.query.Service)
 	wait, isBound := s.targets.RateWait(now, w.query, queue.Ahead(&w.request))
+	wait += retryPeriod // the next retryWaiting notices the token
 	if !isBound || wait <= patience || !queue.Remove(&w.request) {
 		return nil
 	}
--- a/placement/rates.go
+++ b/placement/rates.go
@@ -36,7 +36,7 @@
 func (s *TargetSet) RateWait(now structs.Instant, q Query, ahead int) (time.Duration, bool) {
 	group := s.services[q.Service]
 	ejected := ejectedTargets(now, group)
-	rate, tokens := 0.0, 0.0
+	var supplies []tokenSupply
 	firstWarm := time.Duration(math.MaxInt64)
 	for _, st := range group {
 		if st.IsDraining || ejected[st.ID] || contains(q.Exclude, st.ID) {
@@ -50,13 +50,50 @@
 			cold, _ := s.Rates.Cold(now, st.ID)
 			firstWarm = min(firstWarm, cold.Left)
 		}
-		rate += share
-		tokens += math.Max(s.Rates.Tokens(now, st.ID, q.RateFraction), 0)
+		if share > 0 {
+			supplies = append(supplies, tokenSupply{math.Max(s.Rates.Tokens(now, st.ID, q.RateFraction), 0), share})
+		}
 	}
-	missing := float64(ahead+1) - tokens
-	if rate == 0 || missing <= 0 {
+	seconds := timeUntilTokens(supplies, ahead+1)
+	if len(supplies) == 0 || seconds <= 0 {
 		return 0, false
 	}
-	seconds := math.Min(missing/rate, maxRateWait.Seconds())
+	seconds = math.Min(seconds, maxRateWait.Seconds())
 	return min(time.Duration(seconds*float64(time.Second)), firstWarm), true
 }
+
+// tokenSupply is a target's tokens and how many it gets per second.
+type tokenSupply struct{ tokens, perSecond float64 }
+
+// wholeAfter returns the number of whole tokens after a time in seconds.
+func (s tokenSupply) wholeAfter(seconds float64) float64 {
+	const rounding = 1e-9
+	return math.Floor(s.tokens + s.perSecond*seconds + rounding)
+}
+
+// timeUntilTokens returns the least time in seconds until the targets together have count
+// whole tokens, 0 if they have. Parts of a token at different targets serve no request.
+func timeUntilTokens(supplies []tokenSupply, count int) float64 {
+	rate, tokens := 0.0, 0.0
+	for _, s := range supplies {
+		rate += s.perSecond
+		tokens += s.tokens
+	}
+	seconds := 0.0
+	if rate > 0 {
+		seconds = math.Max((float64(count)-tokens)/rate, 0)
+	}
+	for range supplies { // each step completes a token of at least one target
+		whole, next := 0.0, math.Inf(1)
+		for _, s := range supplies {
+			n := s.wholeAfter(seconds)
+			whole += n
+			next = math.Min(next, (n+1-s.tokens)/s.perSecond)
+		}
+		if whole >= float64(count) {
+			break
+		}
+		seconds = next
+	}
+	return seconds
+}
