--- a/edge/cold_test.go
+++ b/edge/cold_test.go
@@ -205,7 +205,12 @@
 	s := New(Options{Peers: &fakePeers{isMembershipUnknown: true}})
 	s.updateReach()
 	assert.Equal(t, s.targets.Rates.ReachPart(), 0.0)
-	s.opts.Peers = &fakePeers{reach: &targetrate.Reach{Placers: 1, KnownPlacers: 12, Regions: 1, KnownRegions: 2, VMs: 76}}
+	s.targets.Rates.SetCold(structs.Now(), "t0", testColdRate, testColdPeriod)
+	for _, fraction := range []float64{0, 0.5} {
+		share, isLimited := s.targets.Rates.Share(structs.Now(), "t0", fraction)
+		assert.Assert(t, isLimited && share == 0)
+	}
+	s.opts.Peers = &fakePeers{reach: &targetrate.Reach{Placers: 1, KnownPlacers: 12, Regions: 1, KnownRegions: 2, VMs: 76, MayPlace: true}}
 	s.updateReach()
 	assert.Equal(t, s.targets.Rates.ReachPart(), 1.0/24)
 }
--- a/edge/placement_test.go
+++ b/edge/placement_test.go
@@ -55,7 +55,7 @@
 	if p.reach != nil {
 		return *p.reach
 	}
-	return targetrate.Reach{Placers: 1, KnownPlacers: 1, Regions: 1, KnownRegions: 1, VMs: len(p.servers)}
+	return targetrate.Reach{Placers: 1, KnownPlacers: 1, Regions: 1, KnownRegions: 1, VMs: len(p.servers), MayPlace: true}
 }
 
 func (p *fakePeers) BorrowTokens(context.Context, structs.VMID, structs.AccountID) (int, error) {
--- a/fleet/reach_test.go
+++ b/fleet/reach_test.go
@@ -17,8 +17,9 @@
 	for _, member := range members[1:] {
 		m.members[member.VM] = &peerState{Member: member, lastSeen: time.Now()}
 	}
+	mayPlace := m.currentGroups().mayHaveRole(members[0].VM)
 	whole := m.PlacerReach()
-	assert.DeepEqual(t, whole, targetrate.Reach{Placers: coordinatorsPerRegion, KnownPlacers: coordinatorsPerRegion, Regions: 2, KnownRegions: 2, VMs: 76})
+	assert.DeepEqual(t, whole, targetrate.Reach{Placers: coordinatorsPerRegion, KnownPlacers: coordinatorsPerRegion, Regions: 2, KnownRegions: 2, VMs: 76, MayPlace: mayPlace})
 	for _, peer := range m.members {
 		if peer.Region != members[0].Region {
 			peer.lastSeen = time.Now().Add(-maxSilence)
@@ -29,8 +30,8 @@
 		peer.lastSeen = time.Now().Add(-maxSilence)
 	}
 	own := 0
-	if m.currentGroups().mayHaveRole(members[0].VM) {
+	if mayPlace {
 		own = 1
 	}
-	assert.DeepEqual(t, m.PlacerReach(), targetrate.Reach{Placers: own, KnownPlacers: coordinatorsPerRegion, Regions: 1, KnownRegions: 2, VMs: 76})
+	assert.DeepEqual(t, m.PlacerReach(), targetrate.Reach{Placers: own, KnownPlacers: coordinatorsPerRegion, Regions: 1, KnownRegions: 2, VMs: 76, MayPlace: mayPlace})
 }
--- a/fleet/vm_roles.go
+++ b/fleet/vm_roles.go
@@ -123,8 +123,8 @@
 	}
 }
 
-// PlacerReach returns from how many of the VMs that may be placers this VM has heard
-// recently, in its region and over all regions.
+// PlacerReach returns how many of the VMs that may be placers of this region are available
+// to this VM, and from how many regions it has heard recently.
 func (m *Mesh) PlacerReach() targetrate.Reach {
 	now := time.Now()
 	m.mu.Lock()
@@ -132,7 +132,7 @@
 	groups := m.currentGroups()
 	reach := targetrate.Reach{VMs: len(m.members) + 1}
 	if groups.mayHaveRole(m.opts.Self.VM) {
-		reach.Placers, reach.KnownPlacers = 1, 1
+		reach.Placers, reach.KnownPlacers, reach.MayPlace = 1, 1, true
 	}
 	isHeard := map[string]bool{m.opts.Self.Region: true} // by region
 	for id, peer := range m.members {
@@ -145,7 +145,7 @@
 			continue
 		}
 		reach.KnownPlacers++
-		if isRecent {
+		if peer.isAvailable(now) {
 			reach.Placers++
 		}
 	}
--- a/targetrate/cold.go
+++ b/targetrate/cold.go
@@ -131,8 +131,11 @@
 // of a fleet that has come apart too.
 func (l *Limiter) coldShare(now structs.Instant, st *targetState, fraction float64) float64 {
 	rate := st.cold.rate
-	if fraction > 0 || l.reach.current.Placers == 0 {
-		return rate * alonePart / float64(max(l.reach.vms.value, 1))
+	switch {
+	case l.reach.current.VMs == 0:
+		return 0
+	case fraction > 0 || !l.reach.current.MayPlace:
+		return rate * alonePart / float64(l.reach.vms.value)
 	}
 	part, hasPeers := st.demandPart(now)
 	bound := l.reach.part()
--- a/targetrate/cold_test.go
+++ b/targetrate/cold_test.go
@@ -42,7 +42,7 @@
 func (s *coldSim) add(region int, demand float64, alone bool) *coldVM {
 	vm := &coldVM{
 		l: New(), name: structs.VMID(fmt.Sprint(len(s.vms))), region: region, demand: demand, alone: alone,
-		reach: Reach{Placers: coldPlacers, KnownPlacers: coldPlacers, Regions: 2, KnownRegions: 2, VMs: coldVMs},
+		reach: Reach{Placers: coldPlacers, KnownPlacers: coldPlacers, Regions: 2, KnownRegions: 2, VMs: coldVMs, MayPlace: true},
 	}
 	vm.l.Phase = s.rng.Float64()
 	s.vms = append(s.vms, vm)
@@ -150,7 +150,7 @@
 		}
 		s.run(7.5, 20)
 		for _, vm := range s.vms {
-			vm.reach = Reach{Placers: coldPlacers, KnownPlacers: coldPlacers, Regions: 1, KnownRegions: 1, VMs: coldVMs / 2} // forgotten
+			vm.reach = Reach{Placers: coldPlacers, KnownPlacers: coldPlacers, Regions: 1, KnownRegions: 1, VMs: coldVMs / 2, MayPlace: true} // forgotten
 		}
 		s.run(20, 30)
 		s.assertWithinBound(t, "regions apart")
@@ -167,7 +167,7 @@
 			vm.l.SetReach(at(0), vm.reach)
 			vm.reach = Reach{KnownPlacers: 1, Regions: 1, KnownRegions: 1, VMs: 1}
 			if n < 2*coldPlacers {
-				vm.reach.Placers = 1
+				vm.reach.Placers, vm.reach.MayPlace = 1, true
 			}
 		}
 		s.run(0, 10)
@@ -177,7 +177,7 @@
 
 func TestColdPeriodEndsByItsTimeOrByTheEntry(t *testing.T) {
 	l := New()
-	l.SetReach(at(0), Reach{Placers: 1, KnownPlacers: 1, Regions: 1, KnownRegions: 1, VMs: 1})
+	l.SetReach(at(0), Reach{Placers: 1, KnownPlacers: 1, Regions: 1, KnownRegions: 1, VMs: 1, MayPlace: true})
 	l.SetCold(at(0), target, 24, 3*time.Second)
 	assert.Assert(t, l.Tokens(at(2.9), target, 0) < 25)
 	assert.Assert(t, math.IsInf(l.Tokens(at(3), target, 0), 1))
@@ -203,7 +203,7 @@
 
 func TestLowerOfNamedAndColdRateBinds(t *testing.T) {
 	l := New()
-	l.SetReach(at(0), Reach{Placers: 1, KnownPlacers: 1, Regions: 1, KnownRegions: 1, VMs: 1})
+	l.SetReach(at(0), Reach{Placers: 1, KnownPlacers: 1, Regions: 1, KnownRegions: 1, VMs: 1, MayPlace: true})
 	l.SetCold(at(0), target, 24, time.Minute)
 	l.Observe(at(0), target, Observation{Rate: 4})
 	share, _ := l.Share(at(2), target, 0)
--- a/targetrate/reach.go
+++ b/targetrate/reach.go
@@ -18,6 +18,9 @@
 	// Regions of KnownRegions, its own included.
 	Regions, KnownRegions int
 	VMs                   int // of the fleet, as known
+	// MayPlace means that this VM may be a placer. One that may not takes itself for the
+	// placer if it reaches no other.
+	MayPlace bool
 }
 
 // reachState is the newest reach and the largest numbers within reachMemory.
@@ -29,7 +32,7 @@
 // part returns the largest part of a cold rate that this VM may use as a placer. The parts
 // of a fleet that has come apart sum to at most 1, by region and by the placers of a region.
 func (r *reachState) part() float64 {
-	if r.placers.value == 0 || r.regions.value == 0 {
+	if r.placers.value == 0 || r.regions.value == 0 || !r.current.MayPlace {
 		return 0
 	}
 	return float64(r.current.Placers) / float64(r.placers.value) * float64(r.current.Regions) / float64(r.regions.value)
