--- a/edge/placement.go
+++ b/edge/placement.go
@@ -75,7 +75,8 @@
 }
 
 // needsPlacer reports whether the targets of a service are picked by its placer: in a
-// large fleet, under pressure, and while a target names a rate that all VMs share.
+// large fleet, under pressure, and while a target names a rate that all VMs share or is
+// cold.
 func (s *Server) needsPlacer(service structs.ServiceID) bool {
 	if s.opts.Peers.PeerCount() >= maxUncoordinatedVMs {
 		return true
@@ -83,7 +84,7 @@
 	now := structs.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.targets.HasNamedRate(service) {
+	if s.targets.HasRate(now, service) {
 		return true
 	}
 	running, slots := s.targets.Load(now, service)
@@ -98,6 +99,7 @@
 	var rates map[structs.TargetID]targetrate.Observation
 	var departures map[structs.TargetID]placement.Incarnation
 	limits := s.regionLimits()
+	var cold coldGrants
 	for {
 		if s.regionLimits() != limits {
 			return nil, &RegionsChangedError{Service: query.Service}
@@ -121,7 +123,7 @@
 			s.log.Warn("placer does not answer", "service", string(query.Service), "placer", string(vm), "cause", err.Error())
 			return nil, nil
 		case reply.HasNoTarget:
-			return nil, &NoTargetError{Service: query.Service}
+			return nil, cold.noTarget(s, query.Service)
 		case reply.RateWait > 0:
 			return nil, &RateLimitedError{Service: query.Service, Wait: reply.RateWait}
 		case reply.Target != "":
@@ -142,6 +144,8 @@
 					rates = make(map[structs.TargetID]targetrate.Observation)
 				}
 				rates[reply.Target] = rate
+			case isMissed && !cold.mayUse(s, reply.Target):
+				query.Exclude = append(slices.Clone(query.Exclude), reply.Target)
 			default:
 				return g, nil
 			}
@@ -175,8 +179,8 @@
 	return g
 }
 
-// rateMissedBy applies what a placer's reply says of the target's named rate, and
-// returns the rate if this VM knows one and the placer does not.
+// rateMissedBy applies what a placer's reply says of the target's named rate and cold
+// period, and returns what this VM knows of them if the placer does not.
 func (s *Server) rateMissedBy(reply fleet.PlacementReply) (targetrate.Observation, bool) {
 	now := structs.Now()
 	s.mu.Lock()
@@ -184,10 +188,8 @@
 	if reply.Rate != nil {
 		s.learnRate(now, reply.Target, *reply.Rate, "placer")
 	}
-	if _, isNamed := s.targets.Rates.Rate(reply.Target); !isNamed || reply.Rate != nil && reply.Rate.Rate >= 0 {
-		return targetrate.Observation{}, false
-	}
-	return s.targets.Rates.Get(now, reply.Target)
+	known, _ := s.targets.Rates.Get(now, reply.Target)
+	return known, missesRate(known, reply)
 }
 
 // releaseGrant ends a grant and records the outcome of the request at the target.
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -27,6 +27,9 @@
 	// allowed or its failure domain is evacuated.
 	notPermitted      *metrics.Counter
 	evacuationChanges *metrics.Counter
+	// coldGrantsRefused counts the grants of cold targets by placers that did not know that
+	// they are cold.
+	coldGrantsRefused *metrics.Counter
 }
 
 func newStats(s *Server) *stats {
@@ -51,6 +54,16 @@
 		defer s.mu.Unlock()
 		return float64(s.targets.Rates.Count())
 	})
+	set.NewGauge("endive_targets_cold", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return float64(len(s.targets.Rates.ColdTargets(structs.Now())))
+	})
+	set.NewGauge("endive_cold_rate_part", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.targets.Rates.ReachPart()
+	})
 	set.NewGauge("endive_target_answer_age_seconds", func() float64 { return s.answerAge(structs.Now()).Seconds() })
 	set.NewGauge("endive_reaches_targets", func() float64 {
 		if s.paths.isLost() {
@@ -73,6 +86,7 @@
 		connectionsReused: set.NewCounter("endive_target_connections_reused_total"),
 		notPermitted:      set.NewCounter("endive_grants_not_permitted_total"),
 		evacuationChanges: set.NewCounter("endive_evacuation_changes_total"),
+		coldGrantsRefused: set.NewCounter("endive_cold_grants_refused_total"),
 	}
 }
 
@@ -96,6 +110,7 @@
 		"store_away":     s.opts.Store.UnreachableFor().String(),
 		"targets":        targets,
 		"evacuations":    s.dumpEvacuations(structs.Now()),
+		"cold":           s.coldState(structs.Now()),
 		"waiting":        len(s.waiters),
 		"turns_cached":   records,
 		"turn_bytes":     bytes,
