--- a/admission/queue.go
+++ b/admission/queue.go
@@ -19,6 +19,8 @@
 	// ProgramDeadline is when the request's program should have ended. Among requests of
 	// equal priority the earliest deadline goes first.
 	ProgramDeadline structs.Instant
+	// Account is the client account of the request, empty if it has none.
+	Account structs.AccountID
 
 	arrival uint64
 	index   int // index in the heap, -1 if not in it
