admission, edge: waiting accounts share the free slots; requests without a chance are refused at once

Cause: the queue of a service orders by rank and by the program's deadline only. An account with several times its usual load takes all slots of its rank, a request waits for its whole time although the queue ahead is longer, and the constant Retry-After of 250 ms brings all refused requests back together.

Change: start-time fair queueing by account within a rank; a request that the queue ahead and the rate of free slots leave no chance is refused when it arrives; the retry delay follows the queue. A request that a VM asks for again keeps its place by a ticket.

Measured: TestWaitingAccountsShareFreeSlots passes, 20 of 40 slots each.

--- a/admission/fair_test.go
+++ b/admission/fair_test.go
@@ -17,13 +17,13 @@
 		if i >= 80 {
 			account = "small"
 		}
-		q.Add(&Request{Account: account, ProgramDeadline: structs.Instant(i)})
+		q.Add(0, &Request{Account: account, ProgramDeadline: structs.Instant(i)})
 	}
 	granted := make(map[structs.AccountID]int)
 	for range 40 {
-		first := q.First()
+		first := q.First(0)
 		granted[first.Account]++
-		q.Remove(first)
+		q.Grant(0, first)
 	}
 	assert.DeepEqual(t, granted, map[structs.AccountID]int{"large": 20, "small": 20})
 }
--- a/edge/acquire.go
+++ b/edge/acquire.go
@@ -11,7 +11,7 @@
 
 // waiter is a request that waits for a slot.
 type waiter struct {
-	request admission.Request
+	request *admission.Request
 	query   placement.Query
 	granted chan placement.Choice // has capacity 1
 }
@@ -28,6 +28,8 @@
 type NoFreeSlotError struct {
 	Service structs.ServiceID
 	Waited  time.Duration
+	// RetryAfter is the retry delay by the queue ahead, 0 if it is not known.
+	RetryAfter time.Duration
 }
 
 // Error names the service and the time waited.
@@ -48,11 +50,12 @@
 		" by the rates that they have named"
 }
 
-// acquireTarget returns a target and adds one request to its load; recordEnd
-// subtracts it again. While all targets are full, it waits for at most maxWait. It
-// refuses at once if the targets' named rates leave no slot within patience, which is at
-// least maxWait.
-func (s *Server) acquireTarget(ctx context.Context, query placement.Query, request admission.Request, maxWait, patience time.Duration) (placement.Target, error) {
+// acquireTarget returns a target and adds one request to its load; endSlot and recordEnd
+// subtract it again. While all targets are full, it waits for at most maxWait. It
+// refuses at once if the targets' named rates, or the queue ahead, leave no slot within
+// patience, which is at least maxWait. A request with a ticket and more patience than
+// maxWait keeps its place in the queue for a moment, since its VM asks again.
+func (s *Server) acquireTarget(ctx context.Context, query placement.Query, request *admission.Request, maxWait, patience time.Duration) (placement.Target, error) {
 	now := structs.Now()
 	s.mu.Lock()
 	queue := s.queue(query.Service)
@@ -62,31 +65,38 @@
 		return placement.Target{}, &NoTargetError{Service: query.Service}
 	}
 	if choice.HasFreeSlot && queue.Len() == 0 {
+		queue.Grant(now, request)
 		s.beginRequest(now, choice.Target.ID)
 		s.mu.Unlock()
 		return choice.Target, nil
 	}
 	w := &waiter{request: request, query: query, granted: make(chan placement.Choice, 1)}
-	queue.Add(&w.request)
-	s.waiters[&w.request] = w
+	queue.Add(now, request)
+	s.waiters[request] = w
 	s.grantFreeSlots(query.Service)
 	err := s.refuseHopeless(now, w, patience)
+	if err == nil {
+		err = s.refuseOverloaded(now, w, patience)
+	}
 	s.mu.Unlock()
 	if err != nil {
 		return placement.Target{}, err
 	}
-	return s.waitForSlot(ctx, w, maxWait)
+	return s.waitForSlot(ctx, w, maxWait, patience)
 }
 
 // refuseHopeless removes a waiting request from its queue if it gets no slot within
 // patience. The caller holds the lock.
 func (s *Server) refuseHopeless(now structs.Instant, w *waiter, patience time.Duration) error {
 	queue := s.queue(w.query.Service)
-	wait, isBound := s.targets.RateWait(now, w.query, queue.Ahead(&w.request))
-	if !isBound || wait <= patience || !queue.Remove(&w.request) {
+	if !queue.IsWaiting(w.request) {
+		return nil
+	}
+	wait, isBound := s.targets.RateWait(now, w.query, queue.Ahead(now, w.request))
+	if !isBound || wait <= patience || !queue.Remove(w.request) {
 		return nil
 	}
-	delete(s.waiters, &w.request)
+	delete(s.waiters, w.request)
 	return &RateLimitedError{Service: w.query.Service, Wait: wait}
 }
 
@@ -98,28 +108,36 @@
 
 // waitForSlot waits until a slot is granted to w, for at most maxWait. A slot that
 // is granted after ctx has ended is freed again.
-func (s *Server) waitForSlot(ctx context.Context, w *waiter, maxWait time.Duration) (placement.Target, error) {
-	timer := time.NewTimer(maxWait)
+func (s *Server) waitForSlot(ctx context.Context, w *waiter, maxWait, patience time.Duration) (placement.Target, error) {
+	start := structs.Now()
+	timer, review := time.NewTimer(maxWait), time.NewTicker(reviewPeriod)
 	defer timer.Stop()
+	defer review.Stop()
 	var err error
-	select {
-	case choice := <-w.granted:
-		return choice.Target, nil
-	case <-timer.C:
-		err = &NoFreeSlotError{Service: w.query.Service, Waited: maxWait}
-	case <-ctx.Done():
-		err = ctx.Err()
+	for err == nil {
+		select {
+		case choice := <-w.granted:
+			return choice.Target, nil
+		case <-review.C:
+			if err := s.reviewWaiting(w, patience-structs.Now().Sub(start)); err != nil {
+				return placement.Target{}, err
+			}
+		case <-timer.C:
+			err = &NoFreeSlotError{Service: w.query.Service, Waited: maxWait}
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.queue(w.query.Service).Remove(&w.request) {
-		delete(s.waiters, &w.request)
+	if s.leaveQueue(w, err, patience > maxWait) {
 		return placement.Target{}, err
 	}
 	choice := <-w.granted // granted after the timer or the context ended
 	if ctx.Err() == nil {
 		return choice.Target, nil
 	}
+	s.endSlot(w.query.Service, w.request)
 	s.recordEnd(choice.Target.ID, placement.ResultNone, 0)
 	return placement.Target{}, err
 }
@@ -139,7 +157,7 @@
 	queue := s.queue(service)
 	now := structs.Now()
 	for {
-		first := queue.First()
+		first := queue.First(now)
 		if first == nil {
 			return
 		}
@@ -148,7 +166,7 @@
 		if !ok || !choice.HasFreeSlot {
 			return
 		}
-		queue.Remove(first)
+		queue.Grant(now, first)
 		delete(s.waiters, first)
 		s.beginRequest(now, choice.Target.ID)
 		w.granted <- choice
--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/url"
@@ -9,7 +10,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/endivecourse/endivecourse/admission"
 	"github.com/endivecourse/endivecourse/hop"
 	"github.com/endivecourse/endivecourse/placement"
 	"github.com/endivecourse/endivecourse/routing"
@@ -24,7 +24,7 @@
 	// wait for a slot; it needs the remainder to run.
 	maxSlotWaitFraction = 0.5
 	// noFreeSlotRetryAfter is the retry delay when all slots of a service are in
-	// use.
+	// use and nothing is known of its queue.
 	noFreeSlotRetryAfter = 250 * time.Millisecond
 	// noTargetRetryAfter is the retry delay when a service has no targets.
 	noTargetRetryAfter = 700 * time.Millisecond
@@ -121,12 +121,11 @@
 }
 
 func (x *exchange) acquireSlot(ctx context.Context, query placement.Query) (*grant, error) {
-	request := admission.Request{Priority: x.priority(), ProgramDeadline: x.ProgramDeadline}
-	if request.ProgramDeadline == 0 {
-		request.ProgramDeadline = x.deadline
-	}
+	request := x.admissionRequest()
 	maxWait := time.Duration(float64(x.timeLeft()) * maxSlotWaitFraction)
 	start := structs.Now()
+	ctx, cancel := x.untilAbandoned(ctx)
+	defer cancel()
 	g, err := x.server.acquireGrant(ctx, query, request, maxWait, x.timeLeft())
 	x.slotWait += structs.Now().Sub(start)
 	return g, err
@@ -138,6 +137,7 @@
 	var noTarget *NoTargetError
 	var noFreeSlot *NoFreeSlotError
 	var limited *RateLimitedError
+	var overloaded *OverloadedError
 	reason := err.Error()
 	if lastErr != nil {
 		reason += " after " + lastErr.Error()
@@ -149,8 +149,10 @@
 		return x.refuseUnserved(structs.RefusedNoTarget, noTargetRetryAfter, reason)
 	case errors.As(err, &limited):
 		return x.refuseUnserved(structs.RefusedQueueFull, limited.Wait, reason)
+	case errors.As(err, &overloaded):
+		return x.refuseUnserved(structs.RefusedQueueFull, overloaded.RetryAfter, reason)
 	case errors.As(err, &noFreeSlot):
-		return x.refuseUnserved(structs.RefusedQueueFull, noFreeSlotRetryAfter, reason)
+		return x.refuseUnserved(structs.RefusedQueueFull, cmp.Or(noFreeSlot.RetryAfter, noFreeSlotRetryAfter), reason)
 	}
 	return x.refuseTimedOut(err)
 }
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -67,12 +67,12 @@
 		s := newServers(1, 1, &placer, &isSilent)[0]
 		query := placement.Query{Service: "s"}
 		for range slotsPerTarget {
-			_, err := s.acquireTarget(t.Context(), query, admission.Request{}, time.Second, time.Second)
+			_, err := s.acquireTarget(t.Context(), query, &admission.Request{}, time.Second, time.Second)
 			assert.NilError(t, err)
 		}
 		waited := make(chan error, 1)
 		go func() {
-			_, err := s.acquireTarget(t.Context(), query, admission.Request{}, time.Second, time.Second)
+			_, err := s.acquireTarget(t.Context(), query, &admission.Request{}, time.Second, time.Second)
 			waited <- err
 		}()
 		synctest.Wait()
@@ -92,12 +92,12 @@
 		s := newServers(1, 1, &placer, &isSilent)[0]
 		query := placement.Query{Service: "s"}
 		for range slotsPerTarget {
-			_, err := s.acquireTarget(t.Context(), query, admission.Request{}, time.Second, time.Second)
+			_, err := s.acquireTarget(t.Context(), query, &admission.Request{}, time.Second, time.Second)
 			assert.NilError(t, err)
 		}
 		waited := make(chan error, 1)
 		go func() {
-			_, err := s.acquireTarget(t.Context(), query, admission.Request{}, time.Second, time.Second)
+			_, err := s.acquireTarget(t.Context(), query, &admission.Request{}, time.Second, time.Second)
 			waited <- err
 		}()
 		synctest.Wait()
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -43,6 +43,8 @@
 	// grant at the placer.
 	placer structs.VMID
 	id     uint64
+	// request is the request that holds the slot if this VM counts it.
+	request *admission.Request
 	// result and latency are the outcome of the request at the target.
 	result  placement.Result
 	latency time.Duration
@@ -52,13 +54,17 @@
 
 // peerGrant is a grant that this VM counts for a peer.
 type peerGrant struct {
-	target structs.TargetID
-	until  structs.Instant
+	target  structs.TargetID
+	until   structs.Instant
+	service structs.ServiceID
+	request *admission.Request
 }
 
 // acquireGrant returns a slot, from the service's placer or from this VM's own
 // view. It waits for at most maxWait.
 func (s *Server) acquireGrant(ctx context.Context, query placement.Query, request admission.Request, maxWait, timeLeft time.Duration) (*grant, error) {
+	start := structs.Now()
+	request.Arrived, request.Ticket = start, newTicket()
 	if s.needsPlacer(query.Service) {
 		if vm, self := s.opts.Peers.Placer(query.Service); !self {
 			g, err := s.acquireFromPlacer(ctx, vm, query, request, maxWait, timeLeft)
@@ -67,10 +73,11 @@
 			}
 			// The placer's share of the named rates is not this VM's to use.
 			query.RateFraction = 1 / float64(s.opts.Peers.PeerCount()+1)
+			maxWait -= structs.Now().Sub(start)
 		}
 	}
-	target, err := s.acquireTarget(ctx, query, request, maxWait, maxWait)
-	return &grant{target: target}, err
+	target, err := s.acquireTarget(ctx, query, &request, maxWait, maxWait)
+	return &grant{target: target, request: &request}, err
 }
 
 // needsPlacer reports whether the targets of a service are picked by its placer: in a
@@ -104,8 +111,10 @@
 		}
 		reply, err := s.callPlacer(ctx, vm, fleet.PlacementRequest{
 			Service: query.Service, Cached: query.CacheTarget, Exclude: query.Exclude, Domain: s.opts.Domain,
-			Priority: request.Priority, DueIn: request.ProgramDeadline.Sub(now), Wait: wait, TimeLeft: timeLeft,
+			Priority: request.Priority, DueIn: request.ProgramDeadline.Sub(now), Wait: wait, TimeLeft: timeLeft - now.Sub(start),
 			Patience: maxWait - now.Sub(start), Rates: rates, Departures: departures,
+			Account: request.Account, StartsProgram: request.StartsProgram, Weight: request.Weight,
+			Ticket: request.Ticket, Waited: now.Sub(request.Arrived), WorthlessIn: worthlessIn(now, request),
 		})
 		switch {
 		case ctx.Err() != nil:
@@ -117,6 +126,8 @@
 			return nil, &NoTargetError{Service: query.Service}
 		case reply.RateWait > 0:
 			return nil, &RateLimitedError{Service: query.Service, Wait: reply.RateWait}
+		case reply.RetryAfter > 0:
+			return nil, placerRefusal(query.Service, now.Sub(start), maxWait, reply.RetryAfter)
 		case reply.Target != "":
 			g := s.newPlacerGrant(vm, reply)
 			if g == nil {
@@ -189,6 +200,7 @@
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		s.endSlot(g.target.Service, g.request)
 		s.recordEnd(g.target.ID, result, g.latency)
 		return
 	}
@@ -216,7 +228,7 @@
 func (s *Server) PlaceForPeer(ctx context.Context, p fleet.PlacementRequest) fleet.PlacementReply {
 	query := placement.Query{Service: p.Service, CacheTarget: p.Cached, Exclude: p.Exclude, Domain: p.Domain}
 	now := structs.Now()
-	request := admission.Request{Priority: p.Priority, ProgramDeadline: now.Add(p.DueIn)}
+	request := peerRequest(now, p)
 	s.learnRates(now, p.Rates)
 	s.mu.Lock()
 	s.learnDepartures(now, p.Departures, "request of a peer")
@@ -224,22 +236,31 @@
 	target, err := s.acquireTarget(ctx, query, request, p.Wait, max(p.Wait, p.Patience))
 	var noTarget *NoTargetError
 	var limited *RateLimitedError
+	var noFreeSlot *NoFreeSlotError
+	var overloaded *OverloadedError
 	switch {
 	case errors.As(err, &noTarget):
 		return fleet.PlacementReply{HasNoTarget: true}
 	case errors.As(err, &limited):
 		return fleet.PlacementReply{RateWait: limited.Wait}
+	case errors.As(err, &overloaded):
+		return fleet.PlacementReply{RetryAfter: overloaded.RetryAfter}
+	case errors.As(err, &noFreeSlot):
+		return fleet.PlacementReply{RetryAfter: noFreeSlot.RetryAfter}
 	case err != nil:
 		return fleet.PlacementReply{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx.Err() != nil { // the peer no longer waits for the grant
+		s.endSlot(p.Service, request)
 		s.recordEnd(target.ID, placement.ResultNone, 0)
 		return fleet.PlacementReply{}
 	}
 	s.lastGrantID++
-	s.peerGrants[s.lastGrantID] = peerGrant{target: target.ID, until: now.Add(p.TimeLeft + grantGrace)}
+	s.peerGrants[s.lastGrantID] = peerGrant{
+		target: target.ID, until: now.Add(p.TimeLeft + grantGrace), service: p.Service, request: request,
+	}
 	reply := fleet.PlacementReply{Target: target.ID, GrantID: s.lastGrantID}
 	if rate, isKnown := s.targets.Rates.Get(structs.Now(), target.ID); isKnown {
 		reply.Rate = &rate
@@ -253,6 +274,7 @@
 	defer s.mu.Unlock()
 	if g, isOpen := s.peerGrants[r.GrantID]; isOpen {
 		delete(s.peerGrants, r.GrantID)
+		s.endSlot(g.service, g.request)
 		s.recordEnd(g.target, r.Result, r.Latency)
 	}
 }
@@ -263,6 +285,7 @@
 	for id, g := range s.peerGrants {
 		if now > g.until {
 			delete(s.peerGrants, id)
+			s.endSlot(g.service, g.request)
 			s.recordEnd(g.target, placement.ResultNone, 0)
 		}
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -58,10 +58,12 @@
 	// forwardedFor is the VM whose request this is, empty for this VM; exclude and
 	// cached are what it says of the targets.
 	forwardedFor structs.VMID
-	exclude      []structs.TargetID
-	cached       structs.TargetID
-	tokens       int64
-	events       int
+	// caller ends when the caller disconnects, also if the request continues then.
+	caller  context.Context
+	exclude []structs.TargetID
+	cached  structs.TargetID
+	tokens  int64
+	events  int
 }
 
 // Serve answers one request.
@@ -229,6 +231,7 @@
 func (x *exchange) timeLeft() time.Duration { return x.deadline.Sub(structs.Now()) }
 
 func (x *exchange) run(ctx context.Context) *structs.Refusal {
+	x.caller = ctx
 	ctx, cancel := x.withDeadline(ctx)
 	defer cancel()
 	if x.isTurn() {
--- a/edge/server.go
+++ b/edge/server.go
@@ -71,6 +71,7 @@
 	waiters           map[*admission.Request]*waiter
 	recent            recentTargets
 	pressure          placement.Pressure
+	spans             programSpans
 	limiter           *share.Limiter
 	quarantine        *quarantine.List
 	peerGrants        map[uint64]peerGrant
@@ -154,7 +155,11 @@
 func (s *Server) retryWaiting(context.Context, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dropUnlisted(structs.Now())
+	now := structs.Now()
+	s.dropUnlisted(now)
+	for _, queue := range s.queues {
+		queue.Expire(now)
+	}
 	s.grantAllFreeSlots()
 }
 
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -30,6 +30,7 @@
 		defer s.mu.Unlock()
 		return float64(len(s.waiters))
 	})
+	set.NewGauge("endive_largest_account_share", s.largestAccountShare)
 	set.NewGauge("endive_target_connections_idle", func() float64 {
 		idle, _ := s.pool.Stats()
 		return float64(idle)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -118,10 +118,23 @@
 	Rates map[structs.TargetID]targetrate.Observation `msgpack:"n,omitempty"`
 	// Departures holds the departures that the asking VM knows.
 	Departures map[structs.TargetID]placement.Incarnation `msgpack:"y,omitempty"`
+	// Account is the client account of the request, empty if it has none; Weight is the
+	// account's rate. StartsProgram means that the request begins a program.
+	Account       structs.AccountID `msgpack:"a,omitempty"`
+	StartsProgram bool              `msgpack:"b,omitempty"`
+	Weight        float64           `msgpack:"o,omitempty"`
+	// Ticket identifies the request when it is asked for again. A VM that sends one
+	// understands RetryAfter in the reply.
+	Ticket uint64 `msgpack:"k,omitempty"`
+	// Waited is how long the request has waited before.
+	Waited time.Duration `msgpack:"m,omitempty"`
+	// WorthlessIn is the time until the request's program can no longer earn anything,
+	// negative if that has passed, 0 if it is unknown.
+	WorthlessIn time.Duration `msgpack:"z,omitempty"`
 }
 
 // PlacementReply answers a PlacementRequest. If it has neither a target nor
-// HasNoTarget nor RateWait, the slots of all targets are in use.
+// HasNoTarget nor RateWait nor RetryAfter, the slots of all targets are in use.
 type PlacementReply struct {
 	Target      structs.TargetID `msgpack:"t,omitempty"`
 	GrantID     uint64           `msgpack:"g,omitempty"` // for its Release
@@ -129,6 +142,9 @@
 	// RateWait is the time until the targets' named rates leave a slot, if that is longer
 	// than the request may wait.
 	RateWait time.Duration `msgpack:"w,omitempty"`
+	// RetryAfter means that the request gets no slot in the time that it may wait; its
+	// caller should try again after that time.
+	RetryAfter time.Duration `msgpack:"q,omitempty"`
 	// Rate is what the placer knows of the target's rate, nil for nothing.
 	Rate *targetrate.Observation `msgpack:"r,omitempty"`
 }
