--- a/edge/acquire.go
+++ b/edge/acquire.go
@@ -73,6 +73,7 @@
 	w := &waiter{request: request, query: query, granted: make(chan placement.Choice, 1)}
 	queue.Add(now, request)
 	s.waiters[request] = w
+	s.stats.addQueueGauge(s, request.Priority)
 	s.grantFreeSlots(query.Service)
 	err := s.refuseHopeless(now, w, patience)
 	if err == nil {
--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"net/url"
@@ -152,7 +151,7 @@
 	case errors.As(err, &overloaded):
 		return x.refuseUnserved(structs.RefusedQueueFull, overloaded.RetryAfter, reason)
 	case errors.As(err, &noFreeSlot):
-		return x.refuseUnserved(structs.RefusedQueueFull, cmp.Or(noFreeSlot.RetryAfter, noFreeSlotRetryAfter), reason)
+		return x.refuseUnserved(structs.RefusedQueueFull, x.retryAfterNoSlot(noFreeSlot), reason)
 	}
 	return x.refuseTimedOut(err)
 }
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -24,6 +24,8 @@
 	// spanGeneration is how long the longest program of a route is remembered at least, and
 	// half of the longest time.
 	spanGeneration = time.Minute
+	// maxRetryDivisor divides the time that the caller has left: the longest retry delay.
+	maxRetryDivisor = 3
 	// maxRankLabel is the largest rank with a metric of its own.
 	maxRankLabel = 15
 )
@@ -130,9 +132,17 @@
 	return r
 }
 
+// retryAfterNoSlot returns the retry delay of a request that has waited in vain.
+func (x *exchange) retryAfterNoSlot(e *NoFreeSlotError) time.Duration {
+	if e.RetryAfter > 0 {
+		return e.RetryAfter
+	}
+	return max(min(noFreeSlotRetryAfter, x.timeLeft()/maxRetryDivisor), time.Millisecond)
+}
+
 // placerRefusal returns the error of a request that its placer refused.
 func placerRefusal(service structs.ServiceID, waited, maxWait, retryAfter time.Duration) error {
-	if waited+placerQueueWait < maxWait {
+	if waited+placerQueueWait+minPlacerWait < maxWait {
 		return &OverloadedError{Service: service, RetryAfter: retryAfter}
 	}
 	return &NoFreeSlotError{Service: service, Waited: maxWait, RetryAfter: retryAfter}
@@ -196,7 +206,6 @@
 	}
 	if used := s.queue(service).End(structs.Now(), r); used > 0 {
 		s.stats.set.GetOrCreateFloatCounter(`endive_slot_seconds_total{rank="` + rankLabel(r.Priority) + `"}`).Add(used.Seconds())
-		s.stats.addQueueGauge(s, r.Priority)
 	}
 }
 
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -26,6 +26,9 @@
 	// is short so that a VM notices when the placer has failed together with its
 	// queue.
 	placerQueueWait = 100 * time.Millisecond
+	// minPlacerWait is the shortest wait for which the placer is asked again. With the last
+	// reply comes the retry delay, so that the last wait must not be used up on the way.
+	minPlacerWait = 20 * time.Millisecond
 	// placeTimeout is how long the placer's reply may take beyond the wait in its
 	// queue; a round trip within a region takes 2 ms.
 	placeTimeout = 120 * time.Millisecond
@@ -105,7 +108,7 @@
 	var departures map[structs.TargetID]placement.Incarnation
 	for {
 		now := structs.Now()
-		wait := min(placerQueueWait, maxWait-now.Sub(start))
+		wait := placerWait(maxWait - now.Sub(start))
 		if wait <= 0 {
 			return nil, &NoFreeSlotError{Service: query.Service, Waited: maxWait}
 		}
@@ -156,6 +159,14 @@
 	}
 }
 
+// placerWait returns how long the next request to the placer waits in its queue.
+func placerWait(left time.Duration) time.Duration {
+	if left < placerQueueWait+minPlacerWait {
+		return left
+	}
+	return placerQueueWait
+}
+
 func (s *Server) callPlacer(ctx context.Context, vm structs.VMID, p fleet.PlacementRequest) (fleet.PlacementReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.Wait+placeTimeout)
 	defer cancel()
