--- a/admission/fair.go
+++ b/admission/fair.go
@@ -43,7 +43,6 @@
 	running  int
 	slotTime time.Duration // smoothed, of its requests; 0 while unknown
 	idleAt   structs.Instant
-	served   slotRate // slots that the waiting requests of the account got
 }
 
 func (k *rank) flow(account structs.AccountID) *flow {
@@ -55,12 +54,11 @@
 	return f
 }
 
-func (k *rank) add(now structs.Instant, r *Request) {
+func (k *rank) add(r *Request) {
 	f := k.flow(r.Account)
 	f.weight = validWeight(r.Weight)
 	if len(f.requests) == 0 {
 		f.tag = math.Max(f.tag, k.virtual)
-		f.served.begin(now)
 	}
 	f.requests = append(f.requests, r)
 	k.waiting++
@@ -203,9 +201,7 @@
 	k.virtual = f.tag
 	r.charged, r.chargeScale = k.expectedSlotTime(f), k.scale(f)
 	f.tag += r.charged * r.chargeScale
-	if q.Remove(r) {
-		f.served.add(now)
-	}
+	q.Remove(r)
 	f.running++
 	q.running++
 	r.grantedAt = now
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -40,7 +40,6 @@
 	number    int
 	attempts  int
 	slotTime  time.Duration
-	waitUntil structs.Instant
 	isServed  bool
 	isRefused bool // early, at least once
 	endedAt   structs.Instant
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -75,17 +75,17 @@
 	r.added = q.added
 	if old := q.tickets[r.Ticket]; old != nil && old.askAgainBy != 0 {
 		r.Arrived, r.added = old.Arrived, old.added
-		q.insert(now, r) // before old is removed, so that its account stays in the queue
+		q.insert(r) // before old is removed, so that its account stays in the queue
 		q.Remove(old)
 	} else {
-		q.insert(now, r)
+		q.insert(r)
 	}
 	if r.Ticket != 0 {
 		q.tickets[r.Ticket] = r
 	}
 }
 
-func (q *Queue) insert(now structs.Instant, r *Request) {
+func (q *Queue) insert(r *Request) {
 	if q.accounts == nil {
 		q.accounts = make(map[structs.AccountID]int)
 		q.tickets = make(map[uint64]*Request)
@@ -93,7 +93,7 @@
 	r.isWaiting, r.askAgainBy = true, 0
 	q.waiting++
 	q.accounts[r.Account]++
-	q.rank(r.Priority).add(now, r)
+	q.rank(r.Priority).add(r)
 }
 
 // Remove removes a request and reports whether it was in the queue.
--- a/edge/acquire.go
+++ b/edge/acquire.go
@@ -90,7 +90,7 @@
 // patience. The caller holds the lock.
 func (s *Server) refuseHopeless(now structs.Instant, w *waiter, patience time.Duration) error {
 	queue := s.queue(w.query.Service)
-	if !queue.IsWaiting(w.request) {
+	if !queue.IsWaiting(w.request) || !s.targets.HasNamedRate(w.query.Service) {
 		return nil
 	}
 	wait, isBound := s.targets.RateWait(now, w.query, queue.Ahead(now, w.request))
--- a/edge/overload_test.go
+++ b/edge/overload_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,6 +73,22 @@
 	}
 }
 
+// movingPeers is fakePeers with a placer that changes while requests wait.
+type movingPeers struct {
+	*fakePeers
+	placerNow *atomic.Int32
+}
+
+func (p *movingPeers) Placer(structs.ServiceID) (structs.VMID, bool) {
+	now := int(p.placerNow.Load())
+	return structs.VMID(fmt.Sprint(now)), now == p.self
+}
+
+func (p *movingPeers) RequestPlacement(ctx context.Context, _ structs.VMID, q fleet.PlacementRequest) (fleet.PlacementReply, error) {
+	time.Sleep(2 * time.Millisecond)
+	return p.servers[p.placerNow.Load()].PlaceForPeer(ctx, q), nil
+}
+
 // Guards against an order that is lost with the placer: the VM that takes over learns how
 // long each request has waited, whichever asks first.
 func TestQueueIsRebuiltAtAnotherPlacer(t *testing.T) {
@@ -79,12 +96,16 @@
 		advanceClock()
 		placer, isSilent := 0, false
 		servers := newServers(20, 1, &placer, &isSilent)
+		var placerNow atomic.Int32
+		for _, s := range servers {
+			s.opts.Peers = &movingPeers{fakePeers: s.opts.Peers.(*fakePeers), placerNow: &placerNow}
+		}
 		occupy(servers[0])
 		free := occupy(servers[1])
 		assert.Equal(t, firstOfTwo(t, servers, func() {
 			time.Sleep(520 * time.Millisecond)
-			placer = 1 // the second request is asked for there first
-			time.Sleep(180 * time.Millisecond)
+			placerNow.Store(1) // the second request is asked for there first
+			time.Sleep(120 * time.Millisecond)
 			free()
 		}), 0)
 	})
@@ -166,9 +187,9 @@
 func TestOverloadThroughThePlacer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		advanceClock()
-		const accounts, slotTime, seconds, perSecond = 12, 0.2, 10, 240.0
+		const targets, accounts, slotTime, seconds, perSecond = 5, 12, 0.2, 10, 240.0
 		placer, isSilent := 0, false
-		servers := newServers(20, 5, &placer, &isSilent)
+		servers := newServers(20, targets, &placer, &isSilent)
 		ctx, stop := context.WithCancel(t.Context())
 		go func() {
 			for ctx.Err() == nil {
@@ -222,15 +243,10 @@
 		wg.Wait()
 		stop()
 		t.Logf("offered %v served %v refused early %v", offered, served, refused)
-		share := float64(servers[0].targetSlots()) / slotTime * seconds / accounts
+		share := float64(targets*slotsPerTarget) / slotTime * seconds / accounts
 		for a := 1; a < accounts; a++ {
 			assert.Check(t, float64(served[a]) >= 0.95*min(float64(offered[a]), share), "account %d: %d of %d", a, served[a], offered[a])
 		}
 		time.Sleep(15 * time.Second)
 	})
 }
-
-func (s *Server) targetSlots() int {
-	_, slots := s.targets.Load(structs.Now(), "s")
-	return slots
-}
