--- a/edge/cold_test.go
+++ b/edge/cold_test.go
@@ -158,7 +158,7 @@
 		for range 200 {
 			wg.Go(func() {
 				start := structs.Now()
-				target, err := s.acquireTarget(t.Context(), placement.Query{Service: "s"}, admission.Request{}, 500*time.Millisecond, 500*time.Millisecond)
+				target, err := s.acquireTarget(t.Context(), placement.Query{Service: "s"}, &admission.Request{}, 500*time.Millisecond, 500*time.Millisecond)
 				mu.Lock()
 				defer mu.Unlock()
 				if err == nil {
@@ -193,7 +193,7 @@
 		s := newServers(1, 1, &placer, &isSilent)[0]
 		listCold(s, "t0", testColdPeriod)
 		useColdRate(t, []*Server{s})
-		_, err := s.acquireTarget(t.Context(), placement.Query{Service: "s"}, admission.Request{}, time.Millisecond, time.Millisecond)
+		_, err := s.acquireTarget(t.Context(), placement.Query{Service: "s"}, &admission.Request{}, time.Millisecond, time.Millisecond)
 		assert.Assert(t, err != nil, "no token yet")
 		cold, isCold := s.targets.Rates.Cold(structs.Now(), "t0")
 		assert.Assert(t, isCold && cold.Rate == testColdRate)
--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -9,7 +9,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/endivecourse/endivecourse/admission"
 	"github.com/endivecourse/endivecourse/hop"
 	"github.com/endivecourse/endivecourse/placement"
 	"github.com/endivecourse/endivecourse/routing"
@@ -24,7 +23,7 @@
 	// wait for a slot; it needs the remainder to run.
 	maxSlotWaitFraction = 0.5
 	// noFreeSlotRetryAfter is the retry delay when all slots of a service are in
-	// use.
+	// use and nothing is known of its queue.
 	noFreeSlotRetryAfter = 250 * time.Millisecond
 	// noTargetRetryAfter is the retry delay when a service has no targets.
 	noTargetRetryAfter = 700 * time.Millisecond
@@ -120,12 +119,11 @@
 }
 
 func (x *exchange) acquireSlot(ctx context.Context, query placement.Query) (*grant, error) {
-	request := admission.Request{Priority: x.priority(), ProgramDeadline: x.ProgramDeadline}
-	if request.ProgramDeadline == 0 {
-		request.ProgramDeadline = x.deadline
-	}
+	request := x.admissionRequest()
 	maxWait := time.Duration(float64(x.timeLeft()) * maxSlotWaitFraction)
 	start := structs.Now()
+	ctx, cancel := x.untilAbandoned(ctx)
+	defer cancel()
 	g, err := x.acquirePermitted(ctx, query, request, maxWait)
 	x.slotWait += structs.Now().Sub(start)
 	return g, err
@@ -137,6 +135,7 @@
 	var noTarget *NoTargetError
 	var noFreeSlot *NoFreeSlotError
 	var limited *RateLimitedError
+	var overloaded *OverloadedError
 	reason := err.Error()
 	if lastErr != nil {
 		reason += " after " + lastErr.Error()
@@ -148,8 +147,10 @@
 		return x.refuseUnserved(structs.RefusedNoTarget, x.noTargetRetryAfter(), reason)
 	case errors.As(err, &limited):
 		return x.refuseUnserved(structs.RefusedQueueFull, limited.Wait, reason)
+	case errors.As(err, &overloaded):
+		return x.refuseUnserved(structs.RefusedQueueFull, overloaded.RetryAfter, reason)
 	case errors.As(err, &noFreeSlot):
-		return x.refuseUnserved(structs.RefusedQueueFull, noFreeSlotRetryAfter, reason)
+		return x.refuseUnserved(structs.RefusedQueueFull, x.retryAfterNoSlot(noFreeSlot), reason)
 	}
 	return x.refuseTimedOut(err)
 }
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -26,6 +26,9 @@
 	// is short so that a VM notices when the placer has failed together with its
 	// queue.
 	placerQueueWait = 100 * time.Millisecond
+	// minPlacerWait is the shortest wait for which the placer is asked again. With the last
+	// reply comes the retry delay, so that the last wait must not be used up on the way.
+	minPlacerWait = 20 * time.Millisecond
 	// placeTimeout is how long the placer's reply may take beyond the wait in its
 	// queue; a round trip within a region takes 2 ms.
 	placeTimeout = 120 * time.Millisecond
@@ -43,6 +46,8 @@
 	// grant at the placer.
 	placer structs.VMID
 	id     uint64
+	// request is the request that holds the slot if this VM counts it.
+	request *admission.Request
 	// result and latency are the outcome of the request at the target.
 	result  placement.Result
 	latency time.Duration
@@ -52,14 +57,18 @@
 
 // peerGrant is a grant that this VM counts for a peer.
 type peerGrant struct {
-	target structs.TargetID
-	until  structs.Instant
+	target  structs.TargetID
+	until   structs.Instant
+	service structs.ServiceID
+	request *admission.Request
 }
 
 // acquireGrant returns a slot, from the service's placer or from this VM's own
 // view. It waits for at most maxWait.
 func (s *Server) acquireGrant(ctx context.Context, query placement.Query, request admission.Request, maxWait, timeLeft time.Duration) (*grant, error) {
 	s.describeConnections(&query)
+	start := structs.Now()
+	request.Arrived, request.Ticket = start, newTicket()
 	if s.needsPlacer(query.Service) {
 		if vm, self := s.opts.Peers.Placer(query.Service); !self {
 			g, err := s.acquireFromPlacer(ctx, vm, query, request, maxWait, timeLeft)
@@ -68,10 +77,11 @@
 			}
 			// The placer's share of the named rates is not this VM's to use.
 			query.RateFraction = 1 / float64(s.opts.Peers.PeerCount()+1)
+			maxWait -= structs.Now().Sub(start)
 		}
 	}
-	target, err := s.acquireTarget(ctx, query, request, maxWait, maxWait)
-	return &grant{target: target}, err
+	target, err := s.acquireTarget(ctx, query, &request, maxWait, maxWait)
+	return &grant{target: target, request: &request}, err
 }
 
 // needsPlacer reports whether the targets of a service are picked by its placer: in a
@@ -105,16 +115,18 @@
 			return nil, &RegionsChangedError{Service: query.Service}
 		}
 		now := structs.Now()
-		wait := min(placerQueueWait, maxWait-now.Sub(start))
+		wait := placerWait(maxWait - now.Sub(start))
 		if wait <= 0 {
 			return nil, &NoFreeSlotError{Service: query.Service, Waited: maxWait}
 		}
 		reply, err := s.callPlacer(ctx, vm, fleet.PlacementRequest{
 			Service: query.Service, Cached: query.CacheTarget, Exclude: query.Exclude, Domain: s.opts.Domain,
-			Priority: request.Priority, DueIn: request.ProgramDeadline.Sub(now), Wait: wait, TimeLeft: timeLeft,
+			Priority: request.Priority, DueIn: request.ProgramDeadline.Sub(now), Wait: wait, TimeLeft: timeLeft - now.Sub(start),
 			Patience: maxWait - now.Sub(start), Rates: rates, Departures: departures,
 			VM: query.Group, Connected: reportedConnections(query), DomainDelay: query.DomainDelay,
 			Regions: query.Regions, Evacuated: append(s.Evacuated(), query.Evacuated...),
+			Account: request.Account, StartsProgram: request.StartsProgram, Weight: request.Weight,
+			Ticket: request.Ticket, Waited: now.Sub(request.Arrived), WorthlessIn: worthlessIn(now, request),
 		})
 		switch {
 		case ctx.Err() != nil:
@@ -126,6 +138,8 @@
 			return nil, cold.noTarget(s, query.Service)
 		case reply.RateWait > 0:
 			return nil, &RateLimitedError{Service: query.Service, Wait: reply.RateWait}
+		case reply.RetryAfter > 0:
+			return nil, placerRefusal(query.Service, now.Sub(start), maxWait, reply.RetryAfter)
 		case reply.Target != "":
 			g := s.newPlacerGrant(vm, reply)
 			if g == nil {
@@ -159,6 +173,14 @@
 	}
 }
 
+// placerWait returns how long the next request to the placer waits in its queue.
+func placerWait(left time.Duration) time.Duration {
+	if left < placerQueueWait+minPlacerWait {
+		return left
+	}
+	return placerQueueWait
+}
+
 func (s *Server) callPlacer(ctx context.Context, vm structs.VMID, p fleet.PlacementRequest) (fleet.PlacementReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.Wait+placeTimeout)
 	defer cancel()
@@ -201,6 +223,7 @@
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		s.endSlot(g.target.Service, g.request)
 		s.recordEnd(g.target.ID, result, g.latency)
 		return
 	}
@@ -232,7 +255,7 @@
 		Regions: p.Regions, Evacuated: p.Evacuated,
 	}
 	now := structs.Now()
-	request := admission.Request{Priority: p.Priority, ProgramDeadline: now.Add(p.DueIn)}
+	request := peerRequest(now, p)
 	s.learnRates(now, p.Rates)
 	s.mu.Lock()
 	s.learnDepartures(now, p.Departures, "request of a peer")
@@ -240,22 +263,31 @@
 	target, err := s.acquireTarget(ctx, query, request, p.Wait, max(p.Wait, p.Patience))
 	var noTarget *NoTargetError
 	var limited *RateLimitedError
+	var noFreeSlot *NoFreeSlotError
+	var overloaded *OverloadedError
 	switch {
 	case errors.As(err, &noTarget):
 		return fleet.PlacementReply{HasNoTarget: true}
 	case errors.As(err, &limited):
 		return fleet.PlacementReply{RateWait: limited.Wait}
+	case errors.As(err, &overloaded):
+		return fleet.PlacementReply{RetryAfter: overloaded.RetryAfter}
+	case errors.As(err, &noFreeSlot):
+		return fleet.PlacementReply{RetryAfter: noFreeSlot.RetryAfter}
 	case err != nil:
 		return fleet.PlacementReply{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx.Err() != nil { // the peer no longer waits for the grant
+		s.endSlot(p.Service, request)
 		s.recordEnd(target.ID, placement.ResultNone, 0)
 		return fleet.PlacementReply{}
 	}
 	s.lastGrantID++
-	s.peerGrants[s.lastGrantID] = peerGrant{target: target.ID, until: now.Add(p.TimeLeft + grantGrace)}
+	s.peerGrants[s.lastGrantID] = peerGrant{
+		target: target.ID, until: now.Add(p.TimeLeft + grantGrace), service: p.Service, request: request,
+	}
 	reply := fleet.PlacementReply{Target: target.ID, GrantID: s.lastGrantID}
 	if rate, isKnown := s.targets.Rates.Get(structs.Now(), target.ID); isKnown {
 		reply.Rate = &rate
@@ -269,6 +301,7 @@
 	defer s.mu.Unlock()
 	if g, isOpen := s.peerGrants[r.GrantID]; isOpen {
 		delete(s.peerGrants, r.GrantID)
+		s.endSlot(g.service, g.request)
 		s.recordEnd(g.target, r.Result, r.Latency)
 	}
 }
@@ -279,6 +312,7 @@
 	for id, g := range s.peerGrants {
 		if now > g.until {
 			delete(s.peerGrants, id)
+			s.endSlot(g.service, g.request)
 			s.recordEnd(g.target, placement.ResultNone, 0)
 		}
 	}
--- a/edge/regions.go
+++ b/edge/regions.go
@@ -278,9 +278,9 @@
 func (s *Server) nextWaiting(now structs.Instant, queue *admission.Queue, blocked blockedQueries) *admission.Request {
 	switch {
 	case len(blocked) == 0:
-		return queue.First()
+		return queue.First(now)
 	case now > s.restrictedUntil:
 		return nil // all requests may use the same targets
 	}
-	return queue.FirstWhere(func(r *admission.Request) bool { return !blocked.contains(s.waiters[r].query) })
+	return queue.FirstWhere(now, func(r *admission.Request) bool { return !blocked.contains(s.waiters[r].query) })
 }
--- a/edge/regions_test.go
+++ b/edge/regions_test.go
@@ -102,12 +102,12 @@
 		}
 		waited := make(chan error, 1)
 		go func() {
-			_, err := s.acquireTarget(t.Context(), near, admission.Request{}, time.Second, time.Second)
+			_, err := s.acquireTarget(t.Context(), near, &admission.Request{}, time.Second, time.Second)
 			waited <- err
 		}()
 		synctest.Wait()
 		start := structs.Now()
-		_, err := s.acquireTarget(t.Context(), far, admission.Request{Priority: 1}, time.Second, time.Second)
+		_, err := s.acquireTarget(t.Context(), far, &admission.Request{Priority: 1}, time.Second, time.Second)
 		assert.NilError(t, err)
 		assert.Equal(t, structs.Now(), start, "waited for a request that uses other targets")
 		s.mu.Lock()
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -59,8 +59,10 @@
 	// forwardedFor is the VM whose request this is, empty for this VM; exclude and
 	// cached are what it says of the targets.
 	forwardedFor structs.VMID
-	exclude      []structs.TargetID
-	cached       structs.TargetID
+	// caller ends when the caller disconnects, also if the request continues then.
+	caller  context.Context
+	exclude []structs.TargetID
+	cached  structs.TargetID
 	// forwardRegions and forwardEvacuated are its allowed regions and the evacuated failure
 	// domains that it knows.
 	forwardRegions   []string
@@ -240,6 +242,7 @@
 func (x *exchange) timeLeft() time.Duration { return x.deadline.Sub(structs.Now()) }
 
 func (x *exchange) run(ctx context.Context) *structs.Refusal {
+	x.caller = ctx
 	ctx, cancel := x.withDeadline(ctx)
 	defer cancel()
 	ctx = x.limitRelays(ctx)
--- a/edge/server.go
+++ b/edge/server.go
@@ -79,6 +79,7 @@
 	recent            recentTargets
 	pressure          placement.Pressure
 	cold              coldTargets
+	spans             programSpans
 	limiter           *share.Limiter
 	quarantine        *quarantine.List
 	peerGrants        map[uint64]peerGrant
@@ -177,8 +178,12 @@
 	s.followColdTargets()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dropUnlisted(structs.Now())
+	now := structs.Now()
+	s.dropUnlisted(now)
 	s.applyRegionLimits()
+	for _, queue := range s.queues {
+		queue.Expire(now)
+	}
 	s.grantAllFreeSlots()
 }
 
