daemon: requests refused under load after an evacuation are a test of their own, known red

Seen: with one target of 4 slots left for 16 callers, the VM of the other region gets no slot for up to 7 s while the VMs of the target's region are served: 3 to 28 requests are refused in at least 4 of 10 runs with -race. Cause not shown; the choice between regions that share a full target is older than evacuations. The check stays as it was, in a test apart from the bound on evacuation.

--- a/daemon/endived_regions_test.go
+++ b/daemon/endived_regions_test.go
@@ -119,9 +119,17 @@
 	assert.Assert(t, len(b.logs.lines("unknown failure domain", "no-such-domain")) >= len(b.vms))
 }
 
-// Guards against requests at evacuated targets while callers send many at a time, some turns
-// run, one VM reaches the store only through peers, and one VM starts after the write.
-func TestEvacuationUnderLoadReachesEveryVM(t *testing.T) {
+// evacuatedLoad is what happened when two of three failure domains were evacuated under load.
+type evacuatedLoad struct {
+	last   map[string]time.Duration // time of the last request at each evacuated target after the write
+	stream response                 // of a stream that ran at an evacuated target
+	failed int64                    // requests that were not answered
+}
+
+// runEvacuatedLoad evacuates two of three failure domains while callers send many requests at
+// a time, a stream runs, one VM reaches the store only through peers, and one starts after
+// the write.
+func runEvacuatedLoad(t *testing.T) evacuatedLoad {
 	b := newTestSite(t, "near-a", "near-b", "far-a")
 	late := b.site.AddVM("near-b")
 	kept := b.addTarget("app-kept", "app", "near-a")
@@ -149,6 +157,7 @@
 					r := b.sendAs(fmt.Sprintf("load-%d-%d-%d", n, caller, i), request{vm: vm, path: "/read/1"})
 					if r.status != http.StatusOK && vm != late {
 						failed.Add(1)
+						t.Logf("%s at %s: %d %s %v", r.id, vm.Name, r.status, r.body, r.err)
 					}
 				}
 			})
@@ -163,17 +172,31 @@
 	time.Sleep(time.Until(written.Add(evacuateBound + 2*time.Second)))
 	close(done)
 	load.Wait()
+	result := evacuatedLoad{last: make(map[string]time.Duration), stream: <-stream, failed: failed.Load()}
 	for _, target := range evacuated {
 		runs := target.Runs()
 		assert.Assert(t, len(runs) > 0)
-		last := runs[len(runs)-1].StartedAt.Sub(written)
-		t.Logf("last request of %d at %s %s after the write", len(runs), target.ID, last)
+		result.last[target.ID] = runs[len(runs)-1].StartedAt.Sub(written)
+	}
+	return result
+}
+
+// Guards against requests at evacuated targets from any VM, and against streams that an
+// evacuation breaks off.
+func TestEvacuationUnderLoadReachesEveryVM(t *testing.T) {
+	result := runEvacuatedLoad(t)
+	for target, last := range result.last {
+		t.Logf("last request at %s %s after the write", target, last)
 		assert.Assert(t, last < evacuateBound)
 	}
-	r := <-stream
-	assert.NilError(t, r.err)
-	assert.Equal(t, r.status, http.StatusOK, "a running stream ends normally")
-	assert.Equal(t, failed.Load(), int64(0), "requests that other targets could serve failed")
+	assert.NilError(t, result.stream.err)
+	assert.Equal(t, result.stream.status, http.StatusOK, "a running stream ends normally")
+}
+
+// Guards against VMs that get no slot of the remaining target while others do.
+func TestEvacuationUnderLoadFailsNoRequests(t *testing.T) {
+	result := runEvacuatedLoad(t)
+	assert.Equal(t, result.failed, int64(0), "requests that other targets could serve failed")
 }
 
 // Guards against bodies that a VM without paths to targets forwards through a VM of a region
