outage: decisions on token grants while the store is unreachable

A grant takes effect when a majority of a region's holders have accepted it; a holder accepts only what includes all that it knows.

--- /dev/null
+++ b/outage/outage.go
@@ -0,0 +1,280 @@
+// Package outage decides on token grants while the store is unreachable. The VMs of a
+// region that may have a role (the holders) each keep a Register of the grants that are not
+// in the store yet. A grant takes effect when a majority of the holders have accepted it.
+//
+// Invariant: the grants of a program that took effect and are not in the store yet sum to
+// at most Limit. A holder accepts a grant only from a VM that knows all grants that the
+// holder knows. Two majorities share a holder, so of two grants that took effect one was
+// made with knowledge of the other, and the newest with knowledge of all.
+//
+// Register is a state machine without clock, goroutines or I/O.
+package outage
+
+import (
+	"slices"
+
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+const (
+	// maxPrograms and maxBytes bound a register's unstored state. An outage of 12 s at 90
+	// new programs per second needs 1,100 entries.
+	maxPrograms = 8192
+	maxBytes    = 4 << 20
+	// maxClosed bounds the programs that are known to be closed.
+	maxClosed = 65536
+	// stateBytes and grantBytes estimate the memory of an entry without its strings.
+	stateBytes, grantBytes = 160, 64
+	// closedFraction is the part of the budget from which a program is closed: without
+	// knowledge of its balance, nothing is granted to it. At a half, two grants of Limit,
+	// one lost and charged and one more, still fit the budget.
+	closedFraction = 0.5
+)
+
+// Grant is a grant of tokens that the store does not have yet.
+type Grant struct {
+	Turn structs.RequestID `msgpack:"t"`
+	// Tokens is the turn's maximum or, once IsSettled, what its caller got.
+	Tokens    int64 `msgpack:"n"`
+	CreatedAt int64 `msgpack:"a"` // Unix milliseconds
+	IsSettled bool  `msgpack:"s,omitempty"`
+}
+
+// State is the unstored state of a program.
+type State struct {
+	Program string `msgpack:"p"`
+	// Base is the number of tokens spent and reserved according to the store, if IsKnown.
+	Base    int64   `msgpack:"b,omitempty"`
+	IsKnown bool    `msgpack:"k,omitempty"`
+	Grants  []Grant `msgpack:"g,omitempty"`
+}
+
+// Limit returns the most tokens of a program that may be granted and not stored.
+func Limit(maxTokens, budget int64) int64 { return max(maxTokens, budget/4) }
+
+// IsClosedAt reports whether a program with this many tokens spent and reserved is closed.
+func IsClosedAt(tokens, budget int64) bool { return float64(tokens) > closedFraction*float64(budget) }
+
+// Unstored returns the sum of the grants.
+func (s *State) Unstored() int64 {
+	var sum int64
+	for _, g := range s.Grants {
+		sum += g.Tokens
+	}
+	return sum
+}
+
+// Allows reports whether a grant fits the limits. Like the last turn of ledger.Balance, a
+// grant may exceed the budget by less than its own tokens if the balance is known.
+func (s *State) Allows(tokens, budget int64) bool {
+	unstored := s.Unstored()
+	if unstored+tokens > Limit(tokens, budget) {
+		return false
+	}
+	return !s.IsKnown || s.Base+unstored < budget
+}
+
+func (s *State) find(turn structs.RequestID) *Grant {
+	for i := range s.Grants {
+		if s.Grants[i].Turn == turn {
+			return &s.Grants[i]
+		}
+	}
+	return nil
+}
+
+// Merge adds what another state knows.
+func (s *State) Merge(other State) {
+	if other.IsKnown {
+		s.IsKnown, s.Base = true, max(s.Base, other.Base)
+	}
+	for _, g := range other.Grants {
+		switch own := s.find(g.Turn); {
+		case own == nil:
+			s.Grants = append(s.Grants, g)
+		case g.IsSettled && !own.IsSettled:
+			*own = g
+		}
+	}
+}
+
+// includes reports whether s has every grant of the other state and a base as high.
+func (s *State) includes(other *State) bool {
+	if other.IsKnown && (!s.IsKnown || s.Base < other.Base) {
+		return false
+	}
+	return !slices.ContainsFunc(other.Grants, func(g Grant) bool { return s.find(g.Turn) == nil })
+}
+
+func (s *State) clone() State {
+	c := *s
+	c.Grants = slices.Clone(s.Grants)
+	return c
+}
+
+func (s *State) size() int {
+	size := stateBytes + len(s.Program)
+	for _, g := range s.Grants {
+		size += grantBytes + len(g.Turn)
+	}
+	return size
+}
+
+// Verdict is a holder's answer to an offered state.
+type Verdict uint8
+
+const (
+	Accepted Verdict = iota + 1
+	// Outdated means that the holder knows more; its state is returned.
+	Outdated
+	// Closed means that the program must not get a grant without its balance.
+	Closed
+	// Abstains means that the holder may have lost its memory or reaches the store.
+	Abstains
+	// Full means that the holder's memory is used up.
+	Full
+)
+
+// Register is a holder's unstored state.
+type Register struct {
+	// isIntact is whether this holder knows every grant and every closed program that a
+	// majority of the holders accepted.
+	isIntact bool
+	states   map[string]*State
+	bytes    int
+	closed   map[string]bool
+	// isClosedFull is set when closed could not take a program. The register is not intact
+	// from then on.
+	isClosedFull bool
+}
+
+// NewRegister returns an empty register, intact if nothing can have been granted before.
+func NewRegister(isIntact bool) *Register {
+	return &Register{isIntact: isIntact, states: make(map[string]*State), closed: make(map[string]bool)}
+}
+
+// IsIntact reports whether the register takes part in decisions.
+func (r *Register) IsIntact() bool { return r.isIntact && !r.isClosedFull }
+
+// SetIntact records that the register has learnt what it may have missed.
+func (r *Register) SetIntact() { r.isIntact = true }
+
+// State returns what is known of a program.
+func (r *Register) State(program string) State {
+	if s := r.states[program]; s != nil {
+		return s.clone()
+	}
+	return State{Program: program}
+}
+
+// IsClosed reports whether the program is closed.
+func (r *Register) IsClosed(program string) bool { return r.closed[program] }
+
+// Offer accepts a state with a new grant, or says why not.
+func (r *Register) Offer(offered State) (Verdict, State) {
+	switch own := r.State(offered.Program); {
+	case !r.IsIntact():
+		return Abstains, State{}
+	case !offered.includes(&own):
+		return Outdated, own
+	case !offered.IsKnown && r.closed[offered.Program]:
+		return Closed, State{}
+	case !r.Learn(offered):
+		return Full, State{}
+	}
+	return Accepted, State{}
+}
+
+// Learn merges a state and reports whether it fits the memory.
+func (r *Register) Learn(other State) bool {
+	merged := r.State(other.Program)
+	oldSize, isNew := merged.size(), r.states[other.Program] == nil
+	merged.Merge(other)
+	if isNew {
+		oldSize = 0
+	}
+	if isNew && len(r.states) >= maxPrograms || r.bytes-oldSize+merged.size() > maxBytes {
+		return false
+	}
+	r.bytes += merged.size() - oldSize
+	r.states[other.Program] = &merged
+	return true
+}
+
+// Settle replaces a grant's tokens by those that the caller got, and reports whether the
+// register has the grant.
+func (r *Register) Settle(program string, turn structs.RequestID, tokens int64) bool {
+	s := r.states[program]
+	if s == nil {
+		return false
+	}
+	g := s.find(turn)
+	if g == nil {
+		return false
+	}
+	if !g.IsSettled {
+		g.Tokens, g.IsSettled = min(tokens, g.Tokens), true
+	}
+	return true
+}
+
+// Drop removes grants that the store has.
+func (r *Register) Drop(stored State) {
+	s := r.states[stored.Program]
+	if s == nil {
+		return
+	}
+	r.bytes -= s.size()
+	s.Grants = slices.DeleteFunc(s.Grants, func(g Grant) bool { return stored.find(g.Turn) != nil })
+	if len(s.Grants) == 0 {
+		delete(r.states, stored.Program)
+		return
+	}
+	r.bytes += s.size()
+}
+
+// Close records that a program is closed.
+func (r *Register) Close(program string) {
+	if len(r.closed) >= maxClosed {
+		r.isClosedFull = true
+		return
+	}
+	r.closed[program] = true
+}
+
+// States returns all unstored states, the one with the oldest grant first.
+func (r *Register) States() []State {
+	states := make([]State, 0, len(r.states))
+	for _, s := range r.states {
+		states = append(states, s.clone())
+	}
+	slices.SortFunc(states, func(a, b State) int {
+		if byAge := a.Grants[0].CreatedAt - b.Grants[0].CreatedAt; byAge != 0 {
+			return int(byAge)
+		}
+		return slices.Compare([]byte(a.Program), []byte(b.Program))
+	})
+	return states
+}
+
+// ClosedPrograms returns the closed programs.
+func (r *Register) ClosedPrograms() []string {
+	programs := make([]string, 0, len(r.closed))
+	for p := range r.closed {
+		programs = append(programs, p)
+	}
+	return programs
+}
+
+// Stats returns the number of grants and the creation time of the oldest, 0 for none.
+func (r *Register) Stats() (grants int, oldest int64) {
+	for _, s := range r.states {
+		for _, g := range s.Grants {
+			grants++
+			if oldest == 0 || g.CreatedAt < oldest {
+				oldest = g.CreatedAt
+			}
+		}
+	}
+	return grants, oldest
+}
