Turns without a stored row run during a store outage

Cause: such a turn needs a reservation in the store; without an advance reservation it was refused although targets were idle. Now the home VM offers a grant to the holders of its region (message conversation.hold); it takes effect when a majority has a copy. When grants may have been lost, a program's first reservation is charged with their maximum.

--- a/conversation/errors.go
+++ b/conversation/errors.go
@@ -24,6 +24,7 @@
 	codePending
 	codeOther
 	codeNoAdvance
+	codeNoGrant
 )
 
 // Reply is the home VM's reply to a call. Code identifies the type of the error, and
@@ -34,6 +35,8 @@
 	Turn    structs.RequestID `msgpack:"t,omitempty"`
 	Detail  string            `msgpack:"d,omitempty"`
 	Records []*turnlog.Record `msgpack:"r,omitempty"`
+	// CopyAt is a VM that has a copy of the turn's unstored grant.
+	CopyAt structs.VMID `msgpack:"c,omitempty"`
 }
 
 // HomeError is an error of the home VM that has no errorCode of its own.
@@ -79,6 +82,7 @@
 		tooLarge *turnlog.TooLargeError
 		pending  *PendingError
 		advance  *NoAdvanceError
+		noGrant  *NoGrantError
 	)
 	switch {
 	case err == nil:
@@ -87,6 +91,8 @@
 		return Reply{Code: codePending}
 	case errors.As(err, &advance):
 		return Reply{Code: codeNoAdvance, Turn: advance.Turn}
+	case errors.As(err, &noGrant):
+		return Reply{Code: codeNoGrant, Turn: noGrant.Turn, Detail: noGrant.Reason}
 	case errors.As(err, &spent):
 		return Reply{Code: codeSpent, Numbers: [3]int64{spent.Spent, spent.Budget}}
 	case errors.As(err, &busy):
@@ -116,6 +122,8 @@
 		return &PendingError{}
 	case codeNoAdvance:
 		return &NoAdvanceError{Turn: r.Turn}
+	case codeNoGrant:
+		return &NoGrantError{Turn: r.Turn, Reason: r.Detail}
 	case codeSlowStore:
 		return &SlowStoreError{Waited: storeTimeout}
 	}
--- a/conversation/home_calls.go
+++ b/conversation/home_calls.go
@@ -37,6 +37,8 @@
 type Peers interface {
 	// Home returns the home VM of a partition; isSelf is true when it is this VM.
 	Home(partition string) (vm structs.VMID, isSelf bool)
+	// OutageHome returns the home VM of a partition while no VM reaches the store.
+	OutageHome(partition string) (vm structs.VMID, isSelf bool)
 	// CallHome calls a VM. After a failed call the VM is not used as a home VM for a
 	// while.
 	CallHome(ctx context.Context, vm structs.VMID, method string, in, out any) error
@@ -60,6 +62,12 @@
 	wire.HandleUnary(server, MethodReserve, func(ctx context.Context, req ReserveRequest) (Reply, error) {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
+		if req.NeedsAdvance {
+			copyAt, err := local.reserveInOutage(ctx, req)
+			reply := errorReply(err)
+			reply.CopyAt = copyAt
+			return reply, nil
+		}
 		return errorReply(local.Reserve(ctx, req)), nil
 	})
 	wire.HandleUnary(server, MethodFinish, func(ctx context.Context, req FinishRequest) (Reply, error) {
@@ -109,6 +117,47 @@
 	return k.local.Reserve(ctx, req)
 }
 
+// OutageGrant says where a turn's tokens are accounted for that runs during an outage.
+type OutageGrant struct {
+	Home structs.VMID // empty for this VM
+	// CopyAt is a VM that has a copy, empty for an advance reservation.
+	CopyAt structs.VMID
+}
+
+// ReserveInOutage reserves a turn's tokens while no VM reaches the store.
+func (k *Keeper) ReserveInOutage(ctx context.Context, req ReserveRequest) (OutageGrant, error) {
+	req.NeedsAdvance = true
+	vm, isSelf := k.peers.OutageHome(k.local.Partition(req.Program.Key()))
+	if isSelf {
+		copyAt, err := k.local.reserveInOutage(ctx, req)
+		return OutageGrant{CopyAt: copyAt}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, homeCallTimeout)
+	defer cancel()
+	var reply Reply
+	if err := k.peers.CallHome(ctx, vm, MethodReserve, req, &reply); err != nil {
+		k.log.Warn("program's home does not answer", "program", req.Program.Key(), "home", string(vm), "call", MethodReserve, "cause", err.Error())
+		return OutageGrant{}, err
+	}
+	return OutageGrant{Home: vm, CopyAt: reply.CopyAt}, reply.err()
+}
+
+// SettleInOutage settles, in the background, a turn that ran on an outage grant. If the
+// home VM is lost meanwhile, the turn counts with its maximum.
+func (k *Keeper) SettleInOutage(grant OutageGrant, req SettleRequest) {
+	if grant.Home == "" {
+		k.local.Settle(req)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		defer cancel()
+		if err := k.peers.CallHome(ctx, grant.Home, MethodSettle, req, &Reply{}); err != nil {
+			k.log.Warn("turn of an outage not settled", "program", req.Program.Key(), "turn", string(req.Turn), "home", string(grant.Home), "cause", err.Error())
+		}
+	}()
+}
+
 // Finish stores a turn and settles its reservation. It repeats the call while the home
 // VM waits for the store. A home VM that did not answer may have stored the turn
 // already; the retry on this VM detects that from the turn's rows.
--- a/conversation/home_calls_test.go
+++ b/conversation/home_calls_test.go
@@ -44,6 +44,8 @@
 
 func (h *homePeer) Home(string) (structs.VMID, bool) { return "home", false }
 
+func (h *homePeer) OutageHome(string) (structs.VMID, bool) { return "home", false }
+
 func (h *homePeer) CallHome(ctx context.Context, _ structs.VMID, method string, in, out any) error {
 	h.calls[method]++
 	if h.isSilent {
--- a/conversation/local.go
+++ b/conversation/local.go
@@ -38,6 +38,9 @@
 	// AllowsPending asks for *PendingError as soon as the reservation is likely to be
 	// granted.
 	AllowsPending bool `msgpack:"e,omitempty"`
+	// IsUnstored means that the turn's route stores no turns. With NeedsAdvance, a turn
+	// without an advance reservation may run on a grant that is not in the store.
+	IsUnstored bool `msgpack:"u,omitempty"`
 }
 
 // SettleRequest asks to settle the reservation of a turn that ended without being
@@ -65,6 +68,8 @@
 	Turns  *turnlog.Log
 	// Partition maps a program to the store's partition of its rows.
 	Partition func(program string) string
+	// Holds grants tokens while the store is unreachable; nil never does.
+	Holds *Holds
 }
 
 // Reserve reserves a turn's tokens. With AllowsPending it returns *PendingError when the
@@ -72,13 +77,42 @@
 // the background.
 func (l *Local) Reserve(ctx context.Context, req ReserveRequest) error {
 	if req.NeedsAdvance {
-		if !l.Ledger.UseAdvance(req.Program, req.Reservation, req.AdvanceKey) {
-			return &NoAdvanceError{Turn: req.Reservation.Turn}
+		_, err := l.reserveInOutage(ctx, req)
+		return err
+	}
+	var charge int64
+	if l.Holds != nil {
+		var err error
+		if charge, err = l.Holds.Prepare(ctx, req); err != nil {
+			return err
+		}
+	}
+	err := l.reserve(ctx, req, charge)
+	if err == nil && l.Holds != nil {
+		if req.IsUnstored {
+			l.Holds.Announce(ctx, req.Program, req.Budget)
+		} else {
+			go l.Holds.Announce(context.WithoutCancel(ctx), req.Program, req.Budget)
 		}
-		return nil
 	}
+	return err
+}
+
+// reserveInOutage uses an advance reservation or, for turns that are not stored, a grant
+// from memory. It returns the VM that has a copy of the grant.
+func (l *Local) reserveInOutage(ctx context.Context, req ReserveRequest) (copyAt structs.VMID, err error) {
+	if l.Ledger.UseAdvance(req.Program, req.Reservation, req.AdvanceKey) {
+		return "", nil
+	}
+	if !req.IsUnstored || l.Holds == nil {
+		return "", &NoAdvanceError{Turn: req.Reservation.Turn}
+	}
+	return l.Holds.Grant(ctx, req)
+}
+
+func (l *Local) reserve(ctx context.Context, req ReserveRequest, charge int64) error {
 	isLikely := req.AllowsPending && l.Ledger.Forecast(req.Program, req.Reservation, req.Budget)
-	done := l.Ledger.Reserve(ctx, req.Program, req.Reservation, req.Budget, req.AdvanceKey)
+	done := l.Ledger.ReserveCharged(ctx, req.Program, req.Reservation, req.Budget, req.AdvanceKey, charge)
 	if !isLikely {
 		return wait(ctx, done)
 	}
@@ -119,6 +153,9 @@
 
 // Settle settles the reservation of a turn that was not stored.
 func (l *Local) Settle(req SettleRequest) {
+	if l.Holds != nil && l.Holds.Settle(req) {
+		return
+	}
 	if req.AdvanceKey == "" {
 		l.Ledger.SettleTurn(req.Program, req.Turn, req.Tokens)
 		return
--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -136,6 +136,7 @@
 		Domain:      loaded.Domain,
 		Region:      loaded.Region,
 		Capacity:    loaded.MilliCores,
+		HoldsGrants: true,
 	}
 	peers, err := net.Listen("tcp", loaded.PeerAddress)
 	if err != nil {
@@ -150,7 +151,10 @@
 		Self: self, Seeds: loaded.Seeds, Listener: peers, DirectStore: direct, Config: config, Log: log,
 		Store:            func() rowstore.Store { return router },
 		IsStoreReachable: func() bool { return router.IsDirectUp() },
-		Serve:            func(s *wire.Server) { conversation.Register(s, local) },
+		Serve: func(s *wire.Server) {
+			conversation.Register(s, local)
+			conversation.RegisterHolds(s, func() *conversation.Holds { return local.Holds })
+		},
 		Hooks: fleet.Hooks{
 			Digest:       func() fleet.Digest { return server.Digest() },
 			ApplyDigest:  func(d fleet.Digest) { server.ApplyDigest(d) },
@@ -178,6 +182,10 @@
 		Store: router, Partition: partitionOf, Partitions: partitionNames(),
 		CacheBytes: int(loaded.MemoryBytes / cacheDivisor), RowBytes: loaded.RowBytes,
 	})
+	local.Holds = conversation.NewHolds(conversation.HoldOptions{
+		Holders: mesh, Ledger: local.Ledger, Store: router, Partition: partitionOf, Partitions: partitionNames(),
+		UnreachableFor: func() time.Duration { return router.UnreachableFor() }, FirstStart: loaded.IsFirstStart, Log: log,
+	})
 	server = edge.New(edge.Options{
 		VM: loaded.VM, Domain: loaded.Domain, Region: loaded.Region,
 		Config:        config,
--- a/edge/server.go
+++ b/edge/server.go
@@ -104,6 +104,9 @@
 func (s *Server) Start(_ context.Context, k *kernel.Kernel) error {
 	k.Every("edge.sweep", sweepPeriod, s.sweep)
 	k.Every("edge.wake", retryPeriod, s.retryWaiting)
+	if holds := s.opts.Local.Holds; holds != nil {
+		k.Go("edge.holds", holds.Run)
+	}
 	k.Every("edge.paths", pathCheckPeriod, s.checkPaths)
 	return nil
 }
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -39,6 +39,17 @@
 		return float64(dials)
 	})
 	set.NewGauge("endive_store_away_seconds", func() float64 { return s.opts.Store.UnreachableFor().Seconds() })
+	if s.opts.Local != nil && s.opts.Local.Holds != nil {
+		holds := s.opts.Local.Holds
+		set.NewGauge("endive_unstored_grants", func() float64 {
+			grants, _ := holds.Stats()
+			return float64(grants)
+		})
+		set.NewGauge("endive_unstored_grant_age_seconds", func() float64 {
+			_, age := holds.Stats()
+			return age.Seconds()
+		})
+	}
 	set.NewGauge("endive_config_version", func() float64 { return float64(s.opts.Config.Version()) })
 	set.NewGauge("endive_targets_naming_rate", func() float64 {
 		s.mu.Lock()
@@ -160,6 +171,9 @@
 			slog.Int64("first_byte_ms", x.firstByte.Milliseconds()),
 		)
 	}
+	if x.turn != nil && x.turn.outageGrant != nil {
+		attrs = append(attrs, slog.Bool("unstored_grant", x.turn.outageGrant.CopyAt != ""), slog.String("grant_copy_at", string(x.turn.outageGrant.CopyAt)))
+	}
 	if x.departedFor > 0 {
 		attrs = append(attrs, slog.Int64("target_leaves_for_ms", x.departedFor.Milliseconds()))
 	}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -50,6 +50,10 @@
 	likelyGranted <-chan struct{}
 	isSettled     bool // the turn was settled when it was stored
 	isComplete    bool // the caller has received the whole turn
+	// outageGrant is set if the turn runs although the store is unreachable.
+	outageGrant *conversation.OutageGrant
+	// noGrant is why the turn could not run during the outage.
+	noGrant error
 }
 
 func (x *exchange) isTurn() bool {
@@ -82,16 +86,20 @@
 	return x.dispatch(ctx, body)
 }
 
-// reserveInOutage uses an advance reservation while no VM can reach the store. It
-// reports whether the turn may run: it needs the store neither for its tokens nor for
+// reserveInOutage uses an advance reservation, or a grant from memory, while no VM can
+// reach the store. It reports whether the turn may run: it needs the store neither for its tokens nor for
 // its end.
 func (x *exchange) reserveInOutage(ctx context.Context) bool {
 	if x.route.StoresTurns || !x.hasBudget() || x.server.opts.Store.UnreachableFor() == 0 {
 		return false
 	}
-	request := x.reserveRequest()
-	request.NeedsAdvance = true
-	return x.server.opts.Conversations.Reserve(ctx, request) == nil
+	grant, err := x.server.opts.Conversations.ReserveInOutage(ctx, x.reserveRequest())
+	if err != nil {
+		x.turn.noGrant = err
+		return false
+	}
+	x.turn.outageGrant = &grant
+	return true
 }
 
 // awaitStore refuses the turn while no VM can reach the store. Turns of programs
@@ -105,7 +113,11 @@
 			return nil
 		}
 		if x.Turn.Previous == "" || structs.Now() >= deadline || ctx.Err() != nil {
-			return retryableRefusal(structs.RefusedNotReady, storeRetryAfter, "the store has been out of reach for "+away.Round(time.Millisecond).String())
+			reason := "the store has been out of reach for " + away.Round(time.Millisecond).String()
+			if x.turn.noGrant != nil {
+				reason += "; " + x.turn.noGrant.Error()
+			}
+			return retryableRefusal(structs.RefusedNotReady, storeRetryAfter, reason)
 		}
 		time.Sleep(storePollPeriod)
 	}
@@ -153,6 +165,7 @@
 func (x *exchange) reserveRequest() conversation.ReserveRequest {
 	return conversation.ReserveRequest{
 		Program: x.turn.program, Reservation: x.reservation(), Budget: x.Turn.Budget, AdvanceKey: x.advanceKey(),
+		IsUnstored: !x.route.StoresTurns,
 	}
 }
 
@@ -243,6 +256,10 @@
 	if x.turn.isComplete && !x.route.StoresTurns {
 		request.AdvanceKey, request.MaxTokens, request.Budget = x.advanceKey(), x.reservation().Tokens, x.Turn.Budget
 	}
+	if x.turn.outageGrant != nil {
+		x.server.opts.Conversations.SettleInOutage(*x.turn.outageGrant, request)
+		return
+	}
 	x.server.opts.Conversations.Settle(request)
 }
 
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -22,6 +22,8 @@
 	Region      string              `msgpack:"r"`
 	// Capacity is the VM's processor share in thousandths of a core.
 	Capacity int `msgpack:"w,omitempty"`
+	// HoldsGrants reports whether the VM serves conversation.hold.
+	HoldsGrants bool `msgpack:"h,omitempty"`
 }
 
 // Digest is the periodic report of one VM to another.
--- a/fleet/vm_roles.go
+++ b/fleet/vm_roles.go
@@ -30,6 +30,37 @@
 	})
 }
 
+// OutageHome returns the home VM of a partition while no VM reaches the store: the same
+// one as before, if it is still available.
+func (m *Mesh) OutageHome(partition string) (structs.VMID, bool) {
+	now := time.Now()
+	return m.pickByHash(partition, true, func(peer *peerState) bool { return peer.HoldsGrants && peer.isAvailable(now) })
+}
+
+// Holders returns the VMs of this region that may have a role, whether or not they are
+// available, other than this VM. isSelf is whether this VM is one of them. areAble is false
+// if one of them can't hold grants. A lost VM stays a holder until it is forgotten, so that
+// majorities formed before and after the loss share a VM.
+func (m *Mesh) Holders() (vms []structs.VMID, isSelf, areAble bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	groups := m.currentGroups()
+	areAble = true
+	for id, peer := range m.members {
+		if peer.Region == m.opts.Self.Region && groups.mayHaveRole(id) {
+			vms = append(vms, id)
+			areAble = areAble && peer.HoldsGrants
+		}
+	}
+	slices.Sort(vms)
+	return vms, groups.mayHaveRole(m.opts.Self.VM), areAble
+}
+
+// CallHolder calls a VM without an effect on its roles.
+func (m *Mesh) CallHolder(ctx context.Context, vm structs.VMID, method string, in, out any) error {
+	return m.callVM(ctx, vm, method, in, out)
+}
+
 // Placer returns the placement coordinator (the placer) of a service: of the
 // available VMs of this region, the one with the highest hash.
 func (m *Mesh) Placer(service structs.ServiceID) (structs.VMID, bool) {
--- a/ledger/balance.go
+++ b/ledger/balance.go
@@ -28,6 +28,14 @@
 type Balance struct {
 	Spent int64         `msgpack:"s"`
 	Open  []Reservation `msgpack:"o,omitempty"`
+	// OutageTurns are the turns that ran on grants of a store outage and were added to the
+	// balance, so that none is added twice.
+	OutageTurns []OutageTurn `msgpack:"w,omitempty"`
+	// ChargedAt is when the balance was last charged for grants that may have been lost, in
+	// Unix milliseconds.
+	ChargedAt int64 `msgpack:"c,omitempty"`
+	// Budget is the program's budget. It is missing in rows of builds without outage grants.
+	Budget int64 `msgpack:"b,omitempty"`
 }
 
 // reservationTTL is the age at which an open reservation counts as spent. Its turn can no
@@ -126,7 +134,10 @@
 
 // Clone returns a deep copy.
 func (b *Balance) Clone() Balance {
-	return Balance{Spent: b.Spent, Open: append([]Reservation(nil), b.Open...)}
+	c := *b
+	c.Open = append([]Reservation(nil), b.Open...)
+	c.OutageTurns = append([]OutageTurn(nil), b.OutageTurns...)
+	return c
 }
 
 func (b *Balance) encode() ([]byte, error) { return msgpack.Marshal(b) }
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/endivecourse/endivecourse/outage"
 	"github.com/endivecourse/endivecourse/rowstore"
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -17,6 +18,9 @@
 // tokens for reservations.
 func applyChanges(balance *Balance, changes []*change) (outcomes []outcome, changed bool) {
 	outcomes = make([]outcome, len(changes))
+	for _, c := range changes {
+		changed = balance.applyOutage(c) || changed
+	}
 	for i, c := range changes {
 		if !c.isSettlement {
 			continue
@@ -26,10 +30,13 @@
 		outcomes[i].hasAdvance = c.advance.Turn != "" && balance.ReserveInAdvance(c.advance, c.budget)
 	}
 	for i, c := range changes {
-		if !c.isSettlement {
+		if !c.isSettlement && !c.isWriteBack {
 			outcomes[i].err = balance.Reserve(c.reservation, c.budget)
 			changed = changed || outcomes[i].err == nil
 		}
+		if c.budget > 0 {
+			balance.Budget = c.budget
+		}
 	}
 	return outcomes, changed
 }
@@ -41,6 +48,11 @@
 	budget       int64
 	isSettlement bool
 	tokens       int64 // delivered to the caller; settlements only
+	// isWriteBack adds grants, which were made while the store was unreachable.
+	isWriteBack bool
+	grants      []outage.Grant
+	// charge is added, once per outage, for grants that may have been lost.
+	charge int64
 	// rows are written in the same transaction.
 	rows rowstore.Tx
 	// advance is reserved for the next turn if its Turn is not empty. The next turn asks
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -97,13 +97,20 @@
 // The channel receives nil once the reservation is stored, or *BudgetSpentError,
 // *BudgetReservedError or an error of the store.
 func (k *Keeper) Reserve(ctx context.Context, p Program, r Reservation, budget int64, advanceKey structs.RequestID) <-chan error {
+	return k.ReserveCharged(ctx, p, r, budget, advanceKey, 0)
+}
+
+// ReserveCharged is Reserve and, if charge is not 0, first charges the balance for grants
+// of an outage that may have been lost, once in ChargeTime. Such a turn does not use an
+// advance reservation.
+func (k *Keeper) ReserveCharged(ctx context.Context, p Program, r Reservation, budget int64, advanceKey structs.RequestID, charge int64) <-chan error {
 	done := make(chan error, 1)
-	if k.UseAdvance(p, r, advanceKey) {
+	if charge == 0 && k.UseAdvance(p, r, advanceKey) {
 		done <- nil
 		return done
 	}
 	now := time.Now()
-	c := &change{reservation: r, budget: budget, done: done, deadline: now.Add(reserveTimeout), blockUntil: now.Add(maxBlockedTime)}
+	c := &change{reservation: r, budget: budget, charge: charge, done: done, deadline: now.Add(reserveTimeout), blockUntil: now.Add(maxBlockedTime)}
 	if ctxDeadline, hasDeadline := ctx.Deadline(); hasDeadline && ctxDeadline.Before(c.deadline) {
 		c.deadline = ctxDeadline
 	}
@@ -205,10 +212,12 @@
 	e.advances[key] = advance
 }
 
-func (k *Keeper) addChange(p Program, c *change, isUrgent bool) {
+func (k *Keeper) addChange(p Program, c *change, isUrgent bool) { k.addChangeTo(p.Key(), c, isUrgent) }
+
+func (k *Keeper) addChangeTo(program string, c *change, isUrgent bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	e := k.entry(p.Key())
+	e := k.entry(program)
 	e.lastUsed = time.Now()
 	if advanceID, ok := e.advanceIDs[c.reservation.Turn]; c.isSettlement && ok {
 		c.reservation.Turn = advanceID
--- a/outage/outage.go
+++ b/outage/outage.go
@@ -25,10 +25,12 @@
 	maxClosed = 65536
 	// stateBytes and grantBytes estimate the memory of an entry without its strings.
 	stateBytes, grantBytes = 160, 64
-	// closedFraction is the part of the budget from which a program is closed: without
-	// knowledge of its balance, nothing is granted to it. At a half, two grants of Limit,
-	// one lost and charged and one more, still fit the budget.
-	closedFraction = 0.5
+	// closedFraction is the part of the budget from which a program is closed: nothing is
+	// granted to it without the store. With Limit, the rest of the budget holds all grants.
+	closedFraction = 0.75
+	// lostClosedFraction is the same after all holders were lost: grants of Limit may have
+	// been lost with them, which are charged only at the next reservation.
+	lostClosedFraction = 0.5
 )
 
 // Grant is a grant of tokens that the store does not have yet.
@@ -42,10 +44,7 @@
 
 // State is the unstored state of a program.
 type State struct {
-	Program string `msgpack:"p"`
-	// Base is the number of tokens spent and reserved according to the store, if IsKnown.
-	Base    int64   `msgpack:"b,omitempty"`
-	IsKnown bool    `msgpack:"k,omitempty"`
+	Program string  `msgpack:"p"`
 	Grants  []Grant `msgpack:"g,omitempty"`
 }
 
@@ -55,6 +54,11 @@
 // IsClosedAt reports whether a program with this many tokens spent and reserved is closed.
 func IsClosedAt(tokens, budget int64) bool { return float64(tokens) > closedFraction*float64(budget) }
 
+// IsClosedAfterLoss is IsClosedAt for a holder that knows only the store.
+func IsClosedAfterLoss(tokens, budget int64) bool {
+	return float64(tokens) > lostClosedFraction*float64(budget)
+}
+
 // Unstored returns the sum of the grants.
 func (s *State) Unstored() int64 {
 	var sum int64
@@ -64,14 +68,9 @@
 	return sum
 }
 
-// Allows reports whether a grant fits the limits. Like the last turn of ledger.Balance, a
-// grant may exceed the budget by less than its own tokens if the balance is known.
+// Allows reports whether a grant fits Limit.
 func (s *State) Allows(tokens, budget int64) bool {
-	unstored := s.Unstored()
-	if unstored+tokens > Limit(tokens, budget) {
-		return false
-	}
-	return !s.IsKnown || s.Base+unstored < budget
+	return s.Unstored()+tokens <= Limit(tokens, budget)
 }
 
 func (s *State) find(turn structs.RequestID) *Grant {
@@ -85,9 +84,6 @@
 
 // Merge adds what another state knows.
 func (s *State) Merge(other State) {
-	if other.IsKnown {
-		s.IsKnown, s.Base = true, max(s.Base, other.Base)
-	}
 	for _, g := range other.Grants {
 		switch own := s.find(g.Turn); {
 		case own == nil:
@@ -98,11 +94,8 @@
 	}
 }
 
-// includes reports whether s has every grant of the other state and a base as high.
+// includes reports whether s has every grant of the other state.
 func (s *State) includes(other *State) bool {
-	if other.IsKnown && (!s.IsKnown || s.Base < other.Base) {
-		return false
-	}
 	return !slices.ContainsFunc(other.Grants, func(g Grant) bool { return s.find(g.Turn) == nil })
 }
 
@@ -127,7 +120,7 @@
 	Accepted Verdict = iota + 1
 	// Outdated means that the holder knows more; its state is returned.
 	Outdated
-	// Closed means that the program must not get a grant without its balance.
+	// Closed means that the program must not get a grant.
 	Closed
 	// Abstains means that the holder may have lost its memory or reaches the store.
 	Abstains
@@ -177,7 +170,7 @@
 		return Abstains, State{}
 	case !offered.includes(&own):
 		return Outdated, own
-	case !offered.IsKnown && r.closed[offered.Program]:
+	case r.closed[offered.Program]:
 		return Closed, State{}
 	case !r.Learn(offered):
 		return Full, State{}
