conversation, ledger: tests of outage grants

Loss of the home VM, of its successor, of all VMs, a partition, a restarted VM that learns, closed programs, a VM of the previous build, write-back that is late, repeated and limited.

--- a/conversation/holds.go
+++ b/conversation/holds.go
@@ -274,7 +274,7 @@
 // grants that are known here are written back, and the returned tokens have to be charged
 // for those that may have been lost.
 func (h *Holds) Prepare(ctx context.Context, req ReserveRequest) (charge int64, err error) {
-	for end := time.Now().Add(syncWait); h.isLearning() && time.Now().Before(end); {
+	for end := time.Now().Add(syncWait); req.IsUnstored && h.isLearning() && time.Now().Before(end); {
 		time.Sleep(writeBackPeriod / 5)
 	}
 	h.mu.Lock()
--- /dev/null
+++ b/conversation/holds_test.go
@@ -0,0 +1,310 @@
+package conversation
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/internal/standin/rows"
+	"github.com/endivecourse/endivecourse/ledger"
+	"github.com/endivecourse/endivecourse/structs"
+)
+
+// holdRegion is a region of VMs that are all holders.
+type holdRegion struct {
+	t     *testing.T
+	store *rows.Store
+	vms   map[structs.VMID]*holdVM
+	isOut bool
+	isOld bool // one VM does not support grants
+}
+
+// holdVM is one VM; it is lost if isLost, and cut off from the others if isCut.
+type holdVM struct {
+	region        *holdRegion
+	id            structs.VMID
+	local         *Local
+	isLost, isCut bool
+	stop          context.CancelFunc
+}
+
+func newHoldRegion(t *testing.T, count int) *holdRegion {
+	r := &holdRegion{t: t, store: rows.New(), vms: make(map[structs.VMID]*holdVM)}
+	for n := range count {
+		r.start(structs.VMID(fmt.Sprint("vm-", n)), true)
+	}
+	t.Cleanup(func() {
+		for _, vm := range r.vms {
+			vm.stop()
+		}
+	})
+	return r
+}
+
+func (r *holdRegion) start(id structs.VMID, isFirstStart bool) *holdVM {
+	if old := r.vms[id]; old != nil {
+		old.kill()
+	}
+	vm := &holdVM{region: r, id: id, local: newLocal(r.store)}
+	vm.local.Holds = NewHolds(HoldOptions{
+		Holders: vm, Ledger: vm.local.Ledger, Store: r.store, Partition: vm.local.Partition, Partitions: []string{"p"},
+		UnreachableFor: func() time.Duration {
+			if r.isOut {
+				return time.Second
+			}
+			return 0
+		},
+		FirstStart: isFirstStart, Log: slog.New(slog.DiscardHandler),
+	})
+	r.vms[id] = vm
+	ctx, cancel := context.WithCancel(context.Background())
+	vm.stop = cancel
+	go func() { _ = vm.local.Holds.Run(ctx) }()
+	return vm
+}
+
+func (r *holdRegion) setOut(isOut bool) {
+	time.Sleep(100 * time.Millisecond)
+	synctest.Wait()
+	r.isOut = isOut
+	r.store.SetFaults(rows.Faults{IsDown: isOut})
+	time.Sleep(100 * time.Millisecond)
+	synctest.Wait()
+}
+
+func (vm *holdVM) kill() {
+	vm.stop()
+	vm.isLost = true
+}
+
+func (vm *holdVM) Home(string) (structs.VMID, bool) {
+	for n := 0; ; n++ {
+		id := structs.VMID(fmt.Sprint("vm-", n))
+		if other := vm.region.vms[id]; !other.isLost || other == vm {
+			return id, id == vm.id
+		}
+	}
+}
+
+func (vm *holdVM) IsMembershipKnown() bool { return true }
+
+func (vm *holdVM) Holders() (vms []structs.VMID, isSelf, areAble bool) {
+	for id := range vm.region.vms {
+		if id != vm.id {
+			vms = append(vms, id)
+		}
+	}
+	slices.Sort(vms)
+	return vms, true, !vm.region.isOld
+}
+
+func (vm *holdVM) CallHolder(ctx context.Context, to structs.VMID, method string, in, out any) error {
+	assert.Equal(vm.region.t, method, MethodHold)
+	time.Sleep(time.Millisecond)
+	other := vm.region.vms[to]
+	if other.isLost || other.isCut != vm.isCut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	var req HoldRequest
+	encoded, err := msgpack.Marshal(in)
+	assert.NilError(vm.region.t, err)
+	assert.NilError(vm.region.t, msgpack.Unmarshal(encoded, &req))
+	encoded, err = msgpack.Marshal(other.local.Holds.serve(req))
+	assert.NilError(vm.region.t, err)
+	return msgpack.Unmarshal(encoded, out)
+}
+
+// reserve requests a turn's tokens at a VM, in or after an outage.
+func (vm *holdVM) reserve(turn string) error {
+	req := reserveRequest(turn)
+	req.IsUnstored, req.NeedsAdvance = true, vm.region.isOut
+	return vm.local.Reserve(vm.region.t.Context(), req)
+}
+
+// spend runs turns until the budget is spent, and returns the tokens delivered.
+func (vm *holdVM) spend(name string) (delivered int) {
+	for n := 0; ; n++ {
+		turn := fmt.Sprint(name, n)
+		err := vm.reserve(turn)
+		var spent *ledger.BudgetSpentError
+		if errors.As(err, &spent) {
+			return delivered
+		}
+		if err == nil {
+			delivered += turnTokens
+			vm.local.Settle(SettleRequest{Program: program, Turn: structs.RequestID(turn), Tokens: turnTokens})
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// inRegion runs a test in virtual time.
+func inRegion(t *testing.T, count int, test func(t *testing.T, r *holdRegion)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newHoldRegion(t, count)
+		test(t, r)
+		for _, vm := range r.vms {
+			vm.kill()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against grants beyond a quarter of the budget, and against grants that are lost or
+// counted twice when they are written back.
+func TestGrantsAreLimitedAndWrittenBack(t *testing.T) {
+	inRegion(t, 3, func(t *testing.T, r *holdRegion) {
+		r.setOut(true)
+		home := r.vms["vm-0"]
+		assert.NilError(t, home.reserve("1"))
+		assert.NilError(t, home.reserve("2"))
+		var noGrant *NoGrantError
+		assert.Assert(t, errors.As(home.reserve("3"), &noGrant))
+		home.local.Settle(SettleRequest{Program: program, Turn: "1", Tokens: 10})
+		assert.NilError(t, home.reserve("3"))
+		r.setOut(false)
+		time.Sleep(2 * time.Second)
+		grants, _ := home.local.Holds.Stats()
+		assert.Equal(t, grants, 0)
+		assert.Equal(t, home.local.Ledger.Committed(program.Key()), int64(210))
+		home.local.Settle(SettleRequest{Program: program, Turn: "2", Tokens: 20})
+		home.local.Settle(SettleRequest{Program: program, Turn: "3", Tokens: 30})
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, home.local.Ledger.Committed(program.Key()), int64(60))
+	})
+}
+
+// Guards against tokens beyond the budget when VMs are lost in an outage: the home VM, its
+// successor, all VMs, or a VM that can't reach the others. The tokens of all turns are at
+// most the budget and one turn.
+func TestBudgetHoldsOverLossesInOutage(t *testing.T) {
+	losses := map[string]func(r *holdRegion){
+		"none": func(*holdRegion) {},
+		"home": func(r *holdRegion) { r.vms["vm-0"].kill() },
+		"home and successor": func(r *holdRegion) {
+			r.vms["vm-0"].kill()
+			time.Sleep(2 * time.Second)
+			r.vms["vm-1"].kill()
+		},
+		"all": func(r *holdRegion) {
+			for id := range r.vms {
+				r.start(id, false)
+			}
+		},
+		"partition": func(r *holdRegion) { r.vms["vm-0"].isCut = true },
+	}
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			inRegion(t, 5, func(t *testing.T, r *holdRegion) {
+				r.setOut(true)
+				delivered := 0
+				tryAll := func(turn string) {
+					for n := range 5 {
+						vm := r.vms[structs.VMID(fmt.Sprint("vm-", n))]
+						if !vm.isLost && vm.reserve(fmt.Sprint(turn, n)) == nil {
+							delivered += turnTokens
+						}
+					}
+				}
+				tryAll("before")
+				assert.Assert(t, delivered > 0)
+				lose(r)
+				time.Sleep(2 * time.Second)
+				tryAll("after")
+				assert.Assert(t, delivered <= tokenBudget/4, "%d granted", delivered)
+				r.vms["vm-0"].isCut = false
+				r.setOut(false)
+				vm := r.vms["vm-4"]
+				delivered += vm.spend("turn")
+				assert.Assert(t, delivered <= tokenBudget+turnTokens, "%d tokens", delivered)
+				assert.Assert(t, delivered >= tokenBudget/2, "%d tokens", delivered)
+			})
+		})
+	}
+}
+
+// Guards against an outage that costs all new programs after a VM was lost in it: the
+// successor grants, and a restarted VM learns what was granted.
+func TestSuccessorGrants(t *testing.T) {
+	inRegion(t, 3, func(t *testing.T, r *holdRegion) {
+		r.setOut(true)
+		assert.NilError(t, r.vms["vm-0"].reserve("1"))
+		r.start("vm-0", false)
+		time.Sleep(2 * time.Second)
+		assert.NilError(t, r.vms["vm-1"].reserve("2"))
+		assert.Assert(t, r.vms["vm-0"].reserve("3") != nil)
+		other := reserveRequest("4")
+		other.Program.ID, other.NeedsAdvance, other.IsUnstored = "other", true, true
+		r.vms["vm-1"].kill()
+		assert.NilError(t, r.vms["vm-0"].local.Reserve(t.Context(), other))
+	})
+}
+
+// Guards against grants to a program that has used most of its budget, by VMs that don't
+// know its balance, also after all VMs were lost; and against grants while a VM of a build
+// without them is in the region.
+func TestNoGrantForClosedProgramOrOldBuild(t *testing.T) {
+	inRegion(t, 3, func(t *testing.T, r *holdRegion) {
+		home := r.vms["vm-0"]
+		for n := range 8 {
+			turn := fmt.Sprint("turn", n)
+			assert.NilError(t, home.reserve(turn))
+			home.local.Settle(SettleRequest{Program: program, Turn: structs.RequestID(turn), Tokens: turnTokens})
+		}
+		time.Sleep(2 * time.Second)
+		home.kill()
+		r.setOut(true)
+		assert.Assert(t, r.vms["vm-1"].reserve("unknown") != nil)
+		r.setOut(false)
+		for id := range r.vms {
+			r.start(id, false)
+		}
+		time.Sleep(3 * time.Second)
+		r.setOut(true)
+		assert.Assert(t, r.vms["vm-1"].reserve("after the loss of all") != nil)
+		other := reserveRequest("1")
+		other.Program.ID, other.NeedsAdvance, other.IsUnstored = "new", true, true
+		r.isOld = true
+		assert.Assert(t, r.vms["vm-1"].local.Reserve(t.Context(), other) != nil)
+		r.isOld = false
+		assert.NilError(t, r.vms["vm-1"].local.Reserve(t.Context(), other))
+	})
+}
+
+// Guards against a reservation that overtakes the write-back of its program's grants, and
+// against a write-back that takes more than 20 transactions per second.
+func TestReservationIncludesGrantsAndWriteBackIsSlow(t *testing.T) {
+	const programs = 30
+	inRegion(t, 2, func(t *testing.T, r *holdRegion) {
+		r.setOut(true)
+		home := r.vms["vm-0"]
+		request := func(n int, turn string) ReserveRequest {
+			req := reserveRequest(turn)
+			req.Program.ID, req.IsUnstored, req.NeedsAdvance = structs.ProgramID(fmt.Sprint(n)), true, r.isOut
+			return req
+		}
+		for n := range programs {
+			assert.NilError(t, home.local.Reserve(t.Context(), request(n, "1")))
+			time.Sleep(time.Millisecond)
+		}
+		before := r.store.Calls()
+		r.setOut(false)
+		last := request(programs-1, "2")
+		assert.NilError(t, home.local.Reserve(t.Context(), last))
+		assert.Equal(t, home.local.Ledger.Committed(last.Program.Key()), int64(2*turnTokens))
+		time.Sleep(time.Second)
+		assert.Assert(t, r.store.Calls()-before <= 2+20*2, "%d calls in less than 1.5 s", r.store.Calls()-before)
+		time.Sleep(time.Second)
+		grants, _ := home.local.Holds.Stats()
+		assert.Equal(t, grants, 0)
+	})
+}
--- /dev/null
+++ b/ledger/outage_test.go
@@ -0,0 +1,44 @@
+package ledger
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/internal/standin/rows"
+	"github.com/endivecourse/endivecourse/outage"
+)
+
+// Guards against grants that count twice, or not at all: two VMs write the same grants back,
+// the first write is applied late, and a turn is settled in between.
+func TestWriteBackCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		first, second := newTestKeeper(store), newTestKeeper(store)
+		grants := []outage.Grant{{Turn: "1", Tokens: 100, CreatedAt: time.Now().UnixMilli()}, {Turn: "2", Tokens: 40, IsSettled: true, CreatedAt: time.Now().UnixMilli()}}
+		store.SetFaults(rows.Faults{LoseEveryNth: 1, LostWriteDelay: 5 * time.Second})
+		assert.Assert(t, <-first.WriteBack(program.Key(), grants) != nil, "the response was lost")
+		store.SetFaults(rows.Faults{})
+		assert.NilError(t, <-second.WriteBack(program.Key(), grants))
+		second.SettleTurn(program, "1", 30)
+		time.Sleep(10 * time.Second)
+		assert.NilError(t, <-first.WriteBack(program.Key(), grants))
+		assert.Equal(t, first.Committed(program.Key()), int64(70))
+	})
+}
+
+// Guards against a program that pays more than once for the same outage.
+func TestChargeIsMadeOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		for n, want := range []int64{250 + 100, 250 + 200} {
+			keeper := newTestKeeper(store)
+			r := newReservation(string(rune('a'+n)), 100)
+			assert.NilError(t, <-keeper.ReserveCharged(t.Context(), program, r, 1000, "", 250))
+			assert.Equal(t, keeper.Committed(program.Key()), want)
+			time.Sleep(time.Second)
+		}
+	})
+}
