Outage grants: grants without a majority are void; tests with lost daemons

Cause: a grant that got no majority counted at the holders that had accepted it. The home VM now tells them.

--- a/conversation/holds.go
+++ b/conversation/holds.go
@@ -50,6 +50,7 @@
 	Budget int64          `msgpack:"b,omitempty"` // of the offer's program
 	Close  string         `msgpack:"c,omitempty"` // a program that is closed, see package outage
 	Drop   []outage.State `msgpack:"d,omitempty"` // grants that the store has
+	Void   *outage.State  `msgpack:"v,omitempty"` // grants that did not take effect
 	Pull   bool           `msgpack:"l,omitempty"` // asks for everything that the holder knows
 }
 
@@ -130,6 +131,11 @@
 	if req.Close != "" {
 		h.register.Close(req.Close)
 	}
+	if req.Void != nil {
+		for _, g := range req.Void.Grants {
+			h.register.Settle(req.Void.Program, g.Turn, 0)
+		}
+	}
 	for _, state := range req.Drop {
 		h.register.Drop(state)
 	}
@@ -198,6 +204,9 @@
 			break
 		}
 	}
+	void := HoldRequest{Void: &outage.State{Program: program, Grants: []outage.Grant{grant}}}
+	h.serve(void)
+	h.callAll(ctx, others, void)
 	return "", &NoGrantError{Turn: grant.Turn, Reason: "no majority of the holders accepted the grant"}
 }
 
--- a/conversation/holds_test.go
+++ b/conversation/holds_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,9 +25,10 @@
 type holdRegion struct {
 	t     *testing.T
 	store *rows.Store
+	mu    sync.Mutex // guards vms
 	vms   map[structs.VMID]*holdVM
-	isOut bool
-	isOld bool // one VM does not support grants
+	isOut atomic.Bool
+	isOld atomic.Bool // one VM does not support grants
 }
 
 // holdVM is one VM; it is lost if isLost, and cut off from the others if isCut.
@@ -32,7 +36,7 @@
 	region        *holdRegion
 	id            structs.VMID
 	local         *Local
-	isLost, isCut bool
+	isLost, isCut atomic.Bool
 	stop          context.CancelFunc
 }
 
@@ -41,30 +45,39 @@
 	for n := range count {
 		r.start(structs.VMID(fmt.Sprint("vm-", n)), true)
 	}
-	t.Cleanup(func() {
-		for _, vm := range r.vms {
-			vm.stop()
-		}
-	})
 	return r
 }
 
+func (r *holdRegion) vm(id structs.VMID) *holdVM {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.vms[id]
+}
+
+func (r *holdRegion) ids() []structs.VMID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.vms))
+}
+
 func (r *holdRegion) start(id structs.VMID, isFirstStart bool) *holdVM {
-	if old := r.vms[id]; old != nil {
+	if old := r.vm(id); old != nil {
 		old.kill()
 	}
 	vm := &holdVM{region: r, id: id, local: newLocal(r.store)}
 	vm.local.Holds = NewHolds(HoldOptions{
 		Holders: vm, Ledger: vm.local.Ledger, Store: r.store, Partition: vm.local.Partition, Partitions: []string{"p"},
 		UnreachableFor: func() time.Duration {
-			if r.isOut {
+			if r.isOut.Load() {
 				return time.Second
 			}
 			return 0
 		},
 		FirstStart: isFirstStart, Log: slog.New(slog.DiscardHandler),
 	})
+	r.mu.Lock()
 	r.vms[id] = vm
+	r.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	vm.stop = cancel
 	go func() { _ = vm.local.Holds.Run(ctx) }()
@@ -74,7 +87,7 @@
 func (r *holdRegion) setOut(isOut bool) {
 	time.Sleep(100 * time.Millisecond)
 	synctest.Wait()
-	r.isOut = isOut
+	r.isOut.Store(isOut)
 	r.store.SetFaults(rows.Faults{IsDown: isOut})
 	time.Sleep(100 * time.Millisecond)
 	synctest.Wait()
@@ -82,13 +95,13 @@
 
 func (vm *holdVM) kill() {
 	vm.stop()
-	vm.isLost = true
+	vm.isLost.Store(true)
 }
 
 func (vm *holdVM) Home(string) (structs.VMID, bool) {
 	for n := 0; ; n++ {
 		id := structs.VMID(fmt.Sprint("vm-", n))
-		if other := vm.region.vms[id]; !other.isLost || other == vm {
+		if other := vm.region.vm(id); !other.isLost.Load() || other == vm {
 			return id, id == vm.id
 		}
 	}
@@ -97,20 +110,20 @@
 func (vm *holdVM) IsMembershipKnown() bool { return true }
 
 func (vm *holdVM) Holders() (vms []structs.VMID, isSelf, areAble bool) {
-	for id := range vm.region.vms {
+	for _, id := range vm.region.ids() {
 		if id != vm.id {
 			vms = append(vms, id)
 		}
 	}
 	slices.Sort(vms)
-	return vms, true, !vm.region.isOld
+	return vms, true, !vm.region.isOld.Load()
 }
 
 func (vm *holdVM) CallHolder(ctx context.Context, to structs.VMID, method string, in, out any) error {
 	assert.Equal(vm.region.t, method, MethodHold)
 	time.Sleep(time.Millisecond)
-	other := vm.region.vms[to]
-	if other.isLost || other.isCut != vm.isCut {
+	other := vm.region.vm(to)
+	if other.isLost.Load() || other.isCut.Load() != vm.isCut.Load() {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -126,7 +139,7 @@
 // reserve requests a turn's tokens at a VM, in or after an outage.
 func (vm *holdVM) reserve(turn string) error {
 	req := reserveRequest(turn)
-	req.IsUnstored, req.NeedsAdvance = true, vm.region.isOut
+	req.IsUnstored, req.NeedsAdvance = true, vm.region.isOut.Load()
 	return vm.local.Reserve(vm.region.t.Context(), req)
 }
 
@@ -152,8 +165,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newHoldRegion(t, count)
 		test(t, r)
-		for _, vm := range r.vms {
-			vm.kill()
+		for _, id := range r.ids() {
+			r.vm(id).kill()
 		}
 		time.Sleep(time.Minute)
 	})
@@ -164,7 +177,7 @@
 func TestGrantsAreLimitedAndWrittenBack(t *testing.T) {
 	inRegion(t, 3, func(t *testing.T, r *holdRegion) {
 		r.setOut(true)
-		home := r.vms["vm-0"]
+		home := r.vm("vm-0")
 		assert.NilError(t, home.reserve("1"))
 		assert.NilError(t, home.reserve("2"))
 		var noGrant *NoGrantError
@@ -189,18 +202,18 @@
 func TestBudgetHoldsOverLossesInOutage(t *testing.T) {
 	losses := map[string]func(r *holdRegion){
 		"none": func(*holdRegion) {},
-		"home": func(r *holdRegion) { r.vms["vm-0"].kill() },
+		"home": func(r *holdRegion) { r.vm("vm-0").kill() },
 		"home and successor": func(r *holdRegion) {
-			r.vms["vm-0"].kill()
+			r.vm("vm-0").kill()
 			time.Sleep(2 * time.Second)
-			r.vms["vm-1"].kill()
+			r.vm("vm-1").kill()
 		},
 		"all": func(r *holdRegion) {
-			for id := range r.vms {
+			for _, id := range r.ids() {
 				r.start(id, false)
 			}
 		},
-		"partition": func(r *holdRegion) { r.vms["vm-0"].isCut = true },
+		"partition": func(r *holdRegion) { r.vm("vm-0").isCut.Store(true) },
 	}
 	for name, lose := range losses {
 		t.Run(name, func(t *testing.T) {
@@ -209,8 +222,8 @@
 				delivered := 0
 				tryAll := func(turn string) {
 					for n := range 5 {
-						vm := r.vms[structs.VMID(fmt.Sprint("vm-", n))]
-						if !vm.isLost && vm.reserve(fmt.Sprint(turn, n)) == nil {
+						vm := r.vm(structs.VMID(fmt.Sprint("vm-", n)))
+						if !vm.isLost.Load() && vm.reserve(fmt.Sprint(turn, n)) == nil {
 							delivered += turnTokens
 						}
 					}
@@ -221,9 +234,9 @@
 				time.Sleep(2 * time.Second)
 				tryAll("after")
 				assert.Assert(t, delivered <= tokenBudget/4, "%d granted", delivered)
-				r.vms["vm-0"].isCut = false
+				r.vm("vm-0").isCut.Store(false)
 				r.setOut(false)
-				vm := r.vms["vm-4"]
+				vm := r.vm("vm-4")
 				delivered += vm.spend("turn")
 				assert.Assert(t, delivered <= tokenBudget+turnTokens, "%d tokens", delivered)
 				assert.Assert(t, delivered >= tokenBudget/2, "%d tokens", delivered)
@@ -237,15 +250,15 @@
 func TestSuccessorGrants(t *testing.T) {
 	inRegion(t, 3, func(t *testing.T, r *holdRegion) {
 		r.setOut(true)
-		assert.NilError(t, r.vms["vm-0"].reserve("1"))
+		assert.NilError(t, r.vm("vm-0").reserve("1"))
 		r.start("vm-0", false)
 		time.Sleep(2 * time.Second)
-		assert.NilError(t, r.vms["vm-1"].reserve("2"))
-		assert.Assert(t, r.vms["vm-0"].reserve("3") != nil)
+		assert.NilError(t, r.vm("vm-1").reserve("2"))
+		assert.Assert(t, r.vm("vm-0").reserve("3") != nil)
 		other := reserveRequest("4")
 		other.Program.ID, other.NeedsAdvance, other.IsUnstored = "other", true, true
-		r.vms["vm-1"].kill()
-		assert.NilError(t, r.vms["vm-0"].local.Reserve(t.Context(), other))
+		r.vm("vm-1").kill()
+		assert.NilError(t, r.vm("vm-0").local.Reserve(t.Context(), other))
 	})
 }
 
@@ -254,7 +267,7 @@
 // without them is in the region.
 func TestNoGrantForClosedProgramOrOldBuild(t *testing.T) {
 	inRegion(t, 3, func(t *testing.T, r *holdRegion) {
-		home := r.vms["vm-0"]
+		home := r.vm("vm-0")
 		for n := range 8 {
 			turn := fmt.Sprint("turn", n)
 			assert.NilError(t, home.reserve(turn))
@@ -263,20 +276,20 @@
 		time.Sleep(2 * time.Second)
 		home.kill()
 		r.setOut(true)
-		assert.Assert(t, r.vms["vm-1"].reserve("unknown") != nil)
+		assert.Assert(t, r.vm("vm-1").reserve("unknown") != nil)
 		r.setOut(false)
-		for id := range r.vms {
+		for _, id := range r.ids() {
 			r.start(id, false)
 		}
 		time.Sleep(3 * time.Second)
 		r.setOut(true)
-		assert.Assert(t, r.vms["vm-1"].reserve("after the loss of all") != nil)
+		assert.Assert(t, r.vm("vm-1").reserve("after the loss of all") != nil)
 		other := reserveRequest("1")
 		other.Program.ID, other.NeedsAdvance, other.IsUnstored = "new", true, true
-		r.isOld = true
-		assert.Assert(t, r.vms["vm-1"].local.Reserve(t.Context(), other) != nil)
-		r.isOld = false
-		assert.NilError(t, r.vms["vm-1"].local.Reserve(t.Context(), other))
+		r.isOld.Store(true)
+		assert.Assert(t, r.vm("vm-1").local.Reserve(t.Context(), other) != nil)
+		r.isOld.Store(false)
+		assert.NilError(t, r.vm("vm-1").local.Reserve(t.Context(), other))
 	})
 }
 
@@ -286,10 +299,10 @@
 	const programs = 30
 	inRegion(t, 2, func(t *testing.T, r *holdRegion) {
 		r.setOut(true)
-		home := r.vms["vm-0"]
+		home := r.vm("vm-0")
 		request := func(n int, turn string) ReserveRequest {
 			req := reserveRequest(turn)
-			req.Program.ID, req.IsUnstored, req.NeedsAdvance = structs.ProgramID(fmt.Sprint(n)), true, r.isOut
+			req.Program.ID, req.IsUnstored, req.NeedsAdvance = structs.ProgramID(fmt.Sprint(n)), true, r.isOut.Load()
 			return req
 		}
 		for n := range programs {
--- a/daemon/endived_outage_test.go
+++ b/daemon/endived_outage_test.go
@@ -58,3 +58,85 @@
 	b.site.Store.SetFaults(rows.Faults{})
 	b.waitUntil("written back", func() bool { return len(b.logs.lines("unstored grants written back")) > 0 })
 }
+
+// Guards against turns that fail because they arrive while the VMs don't know yet that the
+// store is away: a caller who waits for its deadline of 4 s gets its turn.
+func TestTurnRunsAtStartOfStoreOutage(t *testing.T) {
+	b := newTestSite(t, "near-a", "near-b", "near-a")
+	b.addTarget("engine-1", "engine", "near-a")
+	b.site.Store.SetFaults(rows.Faults{IsDown: true})
+	served := 0
+	for n := range 12 {
+		for attempt := 0; attempt < 3; attempt++ {
+			if b.sendDraft(b.vms[n%3], fmt.Sprint("new-", n), "main", 400).status == 200 {
+				served++
+				break
+			}
+		}
+	}
+	assert.Equal(t, served, 12, b.logs.tail(20))
+}
+
+// Guards against a VM whose loss in a store outage stops new programs or renews the budget
+// of one: home VMs are lost one after the other and start again.
+func TestVMsLostInStoreOutage(t *testing.T) {
+	const budget, limit = 400, 100
+	b := newTestSite(t)
+	var stops []func()
+	for _, domain := range []string{"near-a", "near-b", "near-a", "near-b", "near-a"} {
+		b.vms = append(b.vms, b.site.AddVM(domain))
+	}
+	for _, vm := range b.vms {
+		stops = append(stops, b.start(vm))
+	}
+	for _, vm := range b.vms {
+		b.waitReady(vm)
+	}
+	b.addTarget("engine-1", "engine", "near-a")
+	b.site.MarkStarted()
+	b.setStoreDown()
+	delivered := make(map[string]int)
+	send := func(vm int, program string) bool {
+		r := b.sendDraft(b.vms[vm], program, "main", budget)
+		if r.status == 200 {
+			delivered[program] += 30
+		}
+		return r.status == 200
+	}
+	served, sent := 0, 0
+	for lost := range 3 {
+		stops[lost]()
+		for n := range 8 {
+			sent++
+			isServed := false
+			for attempt := 0; attempt < 3 && !isServed; attempt++ {
+				isServed = send(4-n%2, fmt.Sprint("new-", lost, "-", n))
+			}
+			if isServed {
+				served++
+			}
+			for range 2 {
+				send(4-n%2, "looping")
+			}
+		}
+		stops[lost] = b.start(b.vms[lost])
+		time.Sleep(1500 * time.Millisecond)
+	}
+	t.Logf("%d of %d new programs started; the looping one got %d tokens", served, sent, delivered["looping"])
+	assert.Equal(t, served, sent, b.logs.tail(20))
+	assert.Assert(t, delivered["looping"] <= limit, "%d tokens", delivered["looping"])
+	b.site.Store.SetFaults(rows.Faults{})
+	// Turns whose home VM was lost before they were settled count for 30 s as reserved.
+	isSpent := false
+	for end := time.Now().Add(40 * time.Second); !isSpent && time.Now().Before(end); {
+		switch b.sendDraft(b.vms[4], "looping", "main", budget).status {
+		case 200:
+			delivered["looping"] += 30
+		case 402:
+			isSpent = true
+		}
+	}
+	t.Logf("the looping program got %d tokens of a budget of %d", delivered["looping"], budget)
+	assert.Assert(t, isSpent, b.logs.tail(10))
+	assert.Assert(t, delivered["looping"] <= budget+30, "%d tokens", delivered["looping"])
+}
