outage: closed programs are kept in two bounded generations

Cause: a register that was full of closed programs stopped granting for good and asked its peers for all of them every 0.3 s; a state without grants in a message ended the process.

--- a/outage/outage.go
+++ b/outage/outage.go
@@ -21,8 +21,9 @@
 	// new programs per second needs 1,100 entries.
 	maxPrograms = 8192
 	maxBytes    = 4 << 20
-	// maxClosed bounds the programs that are known to be closed.
-	maxClosed = 65536
+	// maxClosed bounds the closed programs of one generation. Two are kept, so that a program
+	// is forgotten after 32,768 others at the earliest.
+	maxClosed = 32768
 	// stateBytes and grantBytes estimate the memory of an entry without its strings.
 	stateBytes, grantBytes = 160, 64
 	// closedFraction is the part of the budget from which a program is closed: nothing is
@@ -135,10 +136,8 @@
 	isIntact bool
 	states   map[string]*State
 	bytes    int
-	closed   map[string]bool
-	// isClosedFull is set when closed could not take a program. The register is not intact
-	// from then on.
-	isClosedFull bool
+	// closed are the closed programs, olderClosed those of the generation before.
+	closed, olderClosed map[string]bool
 }
 
 // NewRegister returns an empty register, intact if nothing can have been granted before.
@@ -147,7 +146,7 @@
 }
 
 // IsIntact reports whether the register takes part in decisions.
-func (r *Register) IsIntact() bool { return r.isIntact && !r.isClosedFull }
+func (r *Register) IsIntact() bool { return r.isIntact }
 
 // SetIntact records that the register has learnt what it may have missed.
 func (r *Register) SetIntact() { r.isIntact = true }
@@ -161,7 +160,7 @@
 }
 
 // IsClosed reports whether the program is closed.
-func (r *Register) IsClosed(program string) bool { return r.closed[program] }
+func (r *Register) IsClosed(program string) bool { return r.closed[program] || r.olderClosed[program] }
 
 // Offer accepts a state with a new grant, or says why not.
 func (r *Register) Offer(offered State) (Verdict, State) {
@@ -170,7 +169,7 @@
 		return Abstains, State{}
 	case !offered.includes(&own):
 		return Outdated, own
-	case r.closed[offered.Program]:
+	case r.IsClosed(offered.Program):
 		return Closed, State{}
 	case !r.Learn(offered):
 		return Full, State{}
@@ -183,6 +182,9 @@
 	merged := r.State(other.Program)
 	oldSize, isNew := merged.size(), r.states[other.Program] == nil
 	merged.Merge(other)
+	if len(merged.Grants) == 0 {
+		return true
+	}
 	if isNew {
 		oldSize = 0
 	}
@@ -228,10 +230,12 @@
 
 // Close records that a program is closed.
 func (r *Register) Close(program string) {
-	if len(r.closed) >= maxClosed {
-		r.isClosedFull = true
+	if r.IsClosed(program) {
 		return
 	}
+	if len(r.closed) >= maxClosed {
+		r.olderClosed, r.closed = r.closed, make(map[string]bool)
+	}
 	r.closed[program] = true
 }
 
@@ -253,8 +257,10 @@
 // ClosedPrograms returns the closed programs.
 func (r *Register) ClosedPrograms() []string {
 	programs := make([]string, 0, len(r.closed))
-	for p := range r.closed {
-		programs = append(programs, p)
+	for _, generation := range []map[string]bool{r.olderClosed, r.closed} {
+		for p := range generation {
+			programs = append(programs, p)
+		}
 	}
 	return programs
 }
--- a/outage/outage_test.go
+++ b/outage/outage_test.go
@@ -249,3 +249,16 @@
 	verdict, _ = r.Offer(State{Program: "q", Grants: []Grant{{Turn: "1", Tokens: 30}}})
 	assert.Equal(t, verdict, Closed)
 }
+
+// Guards against memory that grows with the closed programs, and against a message without
+// grants, which must not end the process.
+func TestClosedProgramsAreBounded(t *testing.T) {
+	r := NewRegister(true)
+	for n := range 3 * maxClosed {
+		r.Close(fmt.Sprint(n))
+	}
+	assert.Assert(t, len(r.ClosedPrograms()) <= 2*maxClosed)
+	assert.Assert(t, r.IsClosed(fmt.Sprint(2*maxClosed)))
+	r.Learn(State{Program: "empty"})
+	assert.Equal(t, len(r.States()), 0)
+}
