--- a/admission/fair.go
+++ b/admission/fair.go
@@ -116,14 +116,14 @@
 
 // ahead returns the number of requests of the rank that start before r.
 func (k *rank) ahead(now structs.Instant, r *Request, isSingleAccount bool) int {
-	own := k.flows[r.Account]
+	own, weights := k.flows[r.Account], k.waitingWeights()
 	ahead := own.aheadOf(now, r, isSingleAccount)
-	start := own.tag + float64(ahead)*k.charge(own)
+	start := own.tag + float64(ahead)*k.charge(own, weights)
 	for account, f := range k.flows {
 		if account == r.Account || len(f.requests) == 0 {
 			continue
 		}
-		ahead += f.startedBy(now, start, k.charge(f), r.isWorthless(now))
+		ahead += f.startedBy(now, start, k.charge(f, weights), r.isWorthless(now))
 	}
 	return ahead
 }
@@ -162,7 +162,7 @@
 }
 
 // charge returns by how much the start of one request advances the tag of an account.
-func (k *rank) charge(f *flow) float64 { return k.expectedSlotTime(f) * k.scale(f) }
+func (k *rank) charge(f *flow, w weights) float64 { return k.expectedSlotTime(f) * w.scale(f) }
 
 func (k *rank) expectedSlotTime(f *flow) float64 {
 	switch {
@@ -174,24 +174,37 @@
 	return defaultSlotTime.Seconds()
 }
 
+// weights sums up the weights of the waiting accounts of a rank.
+type weights struct {
+	sum     float64
+	count   int
+	isEqual bool // one of them states no weight
+}
+
+func (k *rank) waitingWeights() weights {
+	var w weights
+	for _, f := range k.flows {
+		if len(f.requests) == 0 {
+			continue
+		}
+		w.sum += f.weight
+		w.count++
+		w.isEqual = w.isEqual || f.weight == 0
+	}
+	return w
+}
+
 // scale returns the virtual time of one second of slot time: the mean weight of the waiting
-// accounts divided by that of f, and 1 if one of them states no weight.
-func (k *rank) scale(f *flow) float64 {
-	if f.weight == 0 {
+// accounts and f divided by that of f, and 1 if one of them states no weight.
+func (w weights) scale(f *flow) float64 {
+	if w.isEqual || f.weight == 0 {
 		return 1
 	}
-	sum, n := 0.0, 0
-	for _, other := range k.flows {
-		if len(other.requests) == 0 && other != f {
-			continue
-		}
-		if other.weight == 0 {
-			return 1
-		}
-		sum += other.weight
-		n++
+	if len(f.requests) == 0 {
+		w.sum += f.weight
+		w.count++
 	}
-	return sum / float64(n) / f.weight
+	return w.sum / float64(w.count) / f.weight
 }
 
 // Grant records that a request gets a slot, whether or not it has waited. End ends it.
@@ -200,7 +213,7 @@
 	f := k.flow(r.Account)
 	f.tag = math.Max(f.tag, k.virtual)
 	k.virtual = f.tag
-	r.charged, r.chargeScale = k.expectedSlotTime(f), k.scale(f)
+	r.charged, r.chargeScale = k.expectedSlotTime(f), k.waitingWeights().scale(f)
 	f.tag += r.charged * r.chargeScale
 	q.Remove(r)
 	f.running++
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -156,6 +156,12 @@
 	if w.request.Ticket == 0 || !queue.IsWaiting(w.request) {
 		return nil
 	}
+	if now <= s.regionsUntil {
+		return nil // the requests ahead may be for other regions, whose slots don't count
+	}
+	if _, isBound := s.targets.RateWait(now, w.query, 0); isBound {
+		return nil // the rate of free slots rises when the targets are no longer limited
+	}
 	estimate, isHopeless := queue.IsHopeless(now, w.request, patience)
 	if !isHopeless {
 		return nil
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -130,6 +130,9 @@
 		})
 		switch {
 		case ctx.Err() != nil:
+			if err == nil && reply.Target != "" {
+				s.releaseGrant(&grant{placer: vm, id: reply.GrantID}) // the caller has left
+			}
 			return nil, ctx.Err()
 		case err != nil:
 			s.log.Warn("placer does not answer", "service", string(query.Service), "placer", string(vm), "cause", err.Error())
--- a/edge/regions.go
+++ b/edge/regions.go
@@ -254,7 +254,11 @@
 // noteRestricted records that a request with restrictions waits for at most maxWait. The
 // caller holds the lock.
 func (s *Server) noteRestricted(now structs.Instant, query placement.Query, maxWait time.Duration) {
-	if query.Regions != nil || len(query.Evacuated) > 0 {
+	hasRegions := query.Regions != nil || len(query.Evacuated) > 0
+	if hasRegions {
+		s.regionsUntil = max(s.regionsUntil, now.Add(maxWait))
+	}
+	if hasRegions || len(query.Exclude) > 0 || query.RateFraction > 0 {
 		s.restrictedUntil = max(s.restrictedUntil, now.Add(maxWait))
 	}
 }
@@ -269,7 +273,8 @@
 func (b blockedQueries) contains(q placement.Query) bool {
 	return slices.ContainsFunc(b, func(other placement.Query) bool {
 		hasSameRegions := (q.Regions == nil) == (other.Regions == nil) && slices.Equal(q.Regions, other.Regions)
-		return hasSameRegions && slices.Equal(q.Evacuated, other.Evacuated)
+		return hasSameRegions && slices.Equal(q.Evacuated, other.Evacuated) &&
+			slices.Equal(q.Exclude, other.Exclude) && q.RateFraction == other.RateFraction
 	})
 }
 
--- a/edge/server.go
+++ b/edge/server.go
@@ -70,22 +70,24 @@
 	stats *stats
 	paths *targetPaths
 
-	mu                sync.Mutex
-	targets           *placement.TargetSet
-	listing           listing
-	connections       connections
-	queues            map[structs.ServiceID]*admission.Queue
-	waiters           map[*admission.Request]*waiter
-	recent            recentTargets
-	pressure          placement.Pressure
-	cold              coldTargets
-	spans             programSpans
-	limiter           *share.Limiter
-	quarantine        *quarantine.List
-	peerGrants        map[uint64]peerGrant
-	lastGrantID       uint64
-	evacuations       evacuations
-	appliedLimits     uint64          // hash of the allowed regions that waiting requests know
+	mu            sync.Mutex
+	targets       *placement.TargetSet
+	listing       listing
+	connections   connections
+	queues        map[structs.ServiceID]*admission.Queue
+	waiters       map[*admission.Request]*waiter
+	recent        recentTargets
+	pressure      placement.Pressure
+	cold          coldTargets
+	spans         programSpans
+	limiter       *share.Limiter
+	quarantine    *quarantine.List
+	peerGrants    map[uint64]peerGrant
+	lastGrantID   uint64
+	evacuations   evacuations
+	appliedLimits uint64 // hash of the allowed regions that waiting requests know
+	// regionsUntil is when the last request with limited regions leaves the queue.
+	regionsUntil      structs.Instant
 	restrictedUntil   structs.Instant // no request with restrictions waits after it
 	configConfirmedAt structs.Instant // last confirmation by the store or a peer
 }
