conversation, ledger: grants of closed programs, long outages and failed attempts

Found by review. Grants of an outage of more than five minutes were dropped uncounted: their age counts from the outage's end, and a balance remembers them from the write on. A second attempt after an outdated offer found its own vote and was refused without voiding it. A settled copy now replaces an unsettled one that another holder wrote first. While a VM of the earlier build is in the region, nothing is asked, scanned or charged.

TestHomeThatKnowsTheBalanceRefusesClosedProgram fails without the change.

--- a/conversation/holds.go
+++ b/conversation/holds.go
@@ -183,47 +183,80 @@
 	if !isComplete && 2*grant.Tokens > req.Budget {
 		return "", &NoGrantError{Turn: grant.Turn, Reason: "grants may have been lost, and the turn may use more than half of the budget"}
 	}
+	isOwn := func(g outage.Grant) bool { return g.Turn == grant.Turn }
+	void := HoldRequest{Void: &outage.State{Program: program, Grants: []outage.Grant{grant}}}
+	reason := "no majority of the holders accepted the grant"
 	var known outage.State
-	for range maxHoldAttempts {
+	for attempt := range maxHoldAttempts {
 		h.mu.Lock()
 		offer := h.register.State(program)
 		h.mu.Unlock()
+		if attempt > 0 {
+			offer.Grants = slices.DeleteFunc(offer.Grants, isOwn) // this VM's own vote in the attempt before
+		}
 		offer.Merge(known)
-		if slices.ContainsFunc(offer.Grants, func(g outage.Grant) bool { return g.Turn == grant.Turn }) {
+		if slices.ContainsFunc(offer.Grants, isOwn) {
 			return "", &NoGrantError{Turn: grant.Turn, Reason: "an earlier attempt got no majority"}
 		}
 		if !offer.Allows(grant.Tokens, req.Budget) {
-			return "", &NoGrantError{Turn: grant.Turn, Reason: "the tokens granted without the store are at their limit"}
+			reason = "the tokens granted without the store are at their limit"
+			if attempt == 0 {
+				return "", &NoGrantError{Turn: grant.Turn, Reason: reason}
+			}
+			break
 		}
 		offer.Grants = append(offer.Grants, grant)
-		var newer bool
-		if copyAt, known, newer = h.collectVotes(ctx, offer, req.Budget, others, isSelf); copyAt != "" {
-			return copyAt, nil
+		votes := h.collectVotes(ctx, offer, req.Budget, others, isSelf)
+		if votes.copyAt != "" {
+			return votes.copyAt, nil
+		}
+		if votes.isClosed {
+			void.Close, reason = program, "the program is close to its budget"
+			break
 		}
-		if !newer {
+		known = votes.known
+		if !votes.isNewer {
 			break
 		}
 	}
-	void := HoldRequest{Void: &outage.State{Program: program, Grants: []outage.Grant{grant}}}
 	h.serve(void)
 	h.callAll(ctx, others, void)
-	return "", &NoGrantError{Turn: grant.Turn, Reason: "no majority of the holders accepted the grant"}
+	return "", &NoGrantError{Turn: grant.Turn, Reason: reason}
 }
 
-// collectVotes offers a state to all holders and returns one that accepted it if a majority
-// did. newer is whether a holder knew more, which is returned as known.
-func (h *Holds) collectVotes(ctx context.Context, offer outage.State, budget int64, others []structs.VMID, isSelf bool) (copyAt structs.VMID, known outage.State, newer bool) {
+// voteResult is the result of an offer to all holders.
+type voteResult struct {
+	copyAt structs.VMID // a holder that accepted, if a majority did
+	// isNewer is whether a holder knew more, which is in known.
+	isNewer bool
+	known   outage.State
+	// isClosed is whether a holder knows that the program is closed. One is enough: not all
+	// of them have heard of it.
+	isClosed bool
+}
+
+// collectVotes offers a state to all holders.
+func (h *Holds) collectVotes(ctx context.Context, offer outage.State, budget int64, others []structs.VMID, isSelf bool) voteResult {
 	votes, holders := 0, len(others)
-	known.Program = offer.Program
+	result := voteResult{known: outage.State{Program: offer.Program}}
+	if outage.IsClosedAt(h.opts.Ledger.Committed(offer.Program), budget) {
+		result.isClosed = true
+		return result
+	}
 	if isSelf {
 		holders++
 		switch verdict, own := h.vote(offer, budget); verdict {
 		case outage.Accepted:
 			votes++
 		case outage.Outdated:
-			return "", own, true
+			result.known, result.isNewer = own, true
+			return result
+		case outage.Closed:
+			result.isClosed = true
+			return result
 		}
 	}
+	copyAt := structs.VMID("")
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
 	for r := range h.callAll(ctx, others, HoldRequest{Offer: &offer, Budget: budget}) {
@@ -232,14 +265,18 @@
 			votes++
 			copyAt = r.vm
 		case outage.Outdated:
-			known.Merge(r.reply.Known)
-			newer = true
+			result.known.Merge(r.reply.Known)
+			result.isNewer = true
+		case outage.Closed:
+			result.isClosed = true
+			return result
 		}
 		if votes > holders/2 && copyAt != "" {
-			return copyAt, known, false
+			result.copyAt = copyAt
+			return result
 		}
 	}
-	return "", known, newer
+	return result
 }
 
 type holdResult struct {
@@ -295,7 +332,10 @@
 			return 0, errors.Wrap(err, "write grants back")
 		}
 	}
-	if _, _, areAble := h.opts.Holders.Holders(); mustCharge && areAble {
+	if !mustCharge {
+		return 0, nil
+	}
+	if _, _, areAble := h.opts.Holders.Holders(); areAble {
 		charge = outage.Limit(req.Reservation.Tokens, req.Budget)
 		h.opts.Log.Info("program is charged for grants that may have been lost", "program", req.Program.Key(), "tokens", charge, "budget", req.Budget)
 	}
@@ -402,7 +442,11 @@
 	if !h.opts.Holders.IsMembershipKnown() {
 		return
 	}
-	others, isSelf, _ := h.opts.Holders.Holders()
+	others, isSelf, areAble := h.opts.Holders.Holders()
+	if !areAble {
+		h.skipSync()
+		return
+	}
 	h.mu.Lock()
 	intact, complete, holders := 0, 0, len(others)
 	count := func(isIntact, isComplete bool) {
@@ -444,6 +488,15 @@
 	}
 }
 
+// skipSync ends the charge where no grants can have been made: a VM of the earlier build in the
+// region rules them out.
+func (h *Holds) skipSync() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.isSynced = !h.isOut
+	h.chargeUntil = time.Time{}
+}
+
 func (h *Holds) isIntact() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -486,13 +539,15 @@
 func (h *Holds) writeBackOldest(ctx context.Context, now time.Time) {
 	h.mu.Lock()
 	isOut, states := h.isOut, h.register.States()
-	takesForeign := now.Sub(h.outageEnd) > foreignDelay
+	outageEnd := h.outageEnd
+	takesForeign := now.Sub(outageEnd) > foreignDelay
 	h.mu.Unlock()
 	if isOut {
 		return
 	}
 	for _, state := range states {
-		if now.UnixMilli()-state.Grants[0].CreatedAt > ledger.MaxGrantAge.Milliseconds() {
+		writableSince := max(state.Grants[0].CreatedAt, outageEnd.UnixMilli())
+		if now.UnixMilli()-writableSince > ledger.MaxGrantAge.Milliseconds() {
 			h.opts.Log.Error("grants not written back in time", "program", state.Program, "tokens", state.Unstored())
 			h.serve(HoldRequest{Drop: []outage.State{state}})
 			continue
--- a/conversation/holds_test.go
+++ b/conversation/holds_test.go
@@ -321,3 +321,22 @@
 		assert.Equal(t, grants, 0)
 	})
 }
+
+// Guards against grants to a program whose balance is known to be close to its budget only to
+// the home VM, since advance reservations and settlements raise it without notice.
+func TestHomeThatKnowsTheBalanceRefusesClosedProgram(t *testing.T) {
+	inRegion(t, 3, func(t *testing.T, r *holdRegion) {
+		home := r.vm("vm-0")
+		for n := range 8 { // 800 of 1,000 tokens, of which the others know nothing
+			turn := fmt.Sprint("early-", n)
+			assert.NilError(t, home.local.reserve(t.Context(), reserveRequest(turn), 0))
+			home.local.Settle(SettleRequest{Program: program, Turn: structs.RequestID(turn), Tokens: turnTokens})
+		}
+		time.Sleep(2 * time.Second)
+		r.setOut(true)
+		var noGrant *NoGrantError
+		assert.Assert(t, errors.As(home.reserve("in-outage"), &noGrant))
+		assert.Assert(t, errors.As(r.vm("vm-1").reserve("at-another-vm"), &noGrant), "the others must know it now")
+		r.setOut(false)
+	})
+}
--- a/conversation/local.go
+++ b/conversation/local.go
@@ -106,6 +106,9 @@
 // from memory. It returns the VM that has a copy of the grant.
 func (l *Local) reserveInOutage(ctx context.Context, req ReserveRequest) (copyAt structs.VMID, err error) {
 	if l.Ledger.UseAdvance(req.Program, req.Reservation, req.AdvanceKey) {
+		if req.IsUnstored && l.Holds != nil {
+			l.Holds.Announce(ctx, req.Program, req.Budget)
+		}
 		return "", nil
 	}
 	if !req.IsUnstored || l.Holds == nil {
--- a/ledger/outage.go
+++ b/ledger/outage.go
@@ -12,9 +12,9 @@
 
 const (
 	// outageTurnTTL is how long a balance remembers the turns of an outage. Holders drop
-	// grants that are older than MaxGrantAge, which is less.
+	// grants MaxGrantAge after the outage, which is less.
 	outageTurnTTL = 10 * time.Minute
-	// MaxGrantAge is the age from which a grant is no longer written back.
+	// MaxGrantAge is the time after the outage from which a grant is no longer written back.
 	MaxGrantAge = 5 * time.Minute
 	// ChargeTime is how long after a possible loss of grants a program's first reservation
 	// is charged.
@@ -23,34 +23,40 @@
 
 // OutageTurn is a turn that ran on a grant of a store outage.
 type OutageTurn struct {
-	Turn      structs.RequestID `msgpack:"t"`
-	CreatedAt int64             `msgpack:"a"` // Unix milliseconds
+	Turn structs.RequestID `msgpack:"t"`
+	// WrittenAt is when it was written back, in Unix milliseconds: an outage may have been
+	// longer than outageTurnTTL.
+	WrittenAt int64 `msgpack:"a"`
 }
 
 // applyOutage applies the change's write-back and charge and reports whether it changed the
 // balance.
 func (b *Balance) applyOutage(c *change) bool {
 	changed := false
+	now := time.Now().UnixMilli()
 	for _, g := range c.grants {
 		if slices.ContainsFunc(b.OutageTurns, func(t OutageTurn) bool { return t.Turn == g.Turn }) {
+			if g.IsSettled && b.hasReservation(g.Turn) { // another holder wrote it before it was settled
+				b.Settle(g.Turn, g.Tokens)
+				changed = true
+			}
 			continue
 		}
 		changed = true
-		b.OutageTurns = append(b.OutageTurns, OutageTurn{Turn: g.Turn, CreatedAt: g.CreatedAt})
+		b.OutageTurns = append(b.OutageTurns, OutageTurn{Turn: g.Turn, WrittenAt: now})
 		if g.IsSettled {
 			b.Spent += g.Tokens
 		} else {
 			b.Open = append(b.Open, Reservation{Turn: g.Turn, Tokens: g.Tokens, CreatedAt: g.CreatedAt})
 		}
 	}
-	now := time.Now().UnixMilli()
 	if c.charge > 0 && now-b.ChargedAt > ChargeTime.Milliseconds() {
 		b.Spent += c.charge
 		b.ChargedAt = now
 		changed = true
 	}
 	if changed {
-		b.OutageTurns = slices.DeleteFunc(b.OutageTurns, func(t OutageTurn) bool { return now-t.CreatedAt > outageTurnTTL.Milliseconds() })
+		b.OutageTurns = slices.DeleteFunc(b.OutageTurns, func(t OutageTurn) bool { return now-t.WrittenAt > outageTurnTTL.Milliseconds() })
 	}
 	return changed
 }
