--- a/admission/fair.go
+++ b/admission/fair.go
@@ -85,7 +85,7 @@
 	var bestTag float64
 	for _, f := range k.flows {
 		r := f.first(now, isSingleAccount, isEligible)
-		if r != nil && (best == nil || k.startsBefore(now, r, f.tag, best, bestTag)) {
+		if r != nil && (best == nil || k.startsBefore(now, r, f.tag, best, bestTag, isSingleAccount)) {
 			best, bestTag = r, f.tag
 		}
 	}
@@ -94,7 +94,10 @@
 
 // startsBefore reports whether a starts before b, which is of another account. Worthless
 // requests go behind all others of the rank.
-func (k *rank) startsBefore(now structs.Instant, a *Request, aTag float64, b *Request, bTag float64) bool {
+func (k *rank) startsBefore(now structs.Instant, a *Request, aTag float64, b *Request, bTag float64, isSingleAccount bool) bool {
+	if isSingleAccount {
+		return isBefore(now, a, b, true)
+	}
 	if worthless := a.isWorthless(now); worthless != b.isWorthless(now) {
 		return !worthless
 	}
@@ -118,6 +121,14 @@
 func (k *rank) ahead(now structs.Instant, r *Request, isSingleAccount bool) int {
 	own, weights := k.flows[r.Account], k.waitingWeights()
 	ahead := own.aheadOf(now, r, isSingleAccount)
+	if isSingleAccount {
+		for account, f := range k.flows {
+			if account != r.Account {
+				ahead += f.aheadOf(now, r, true)
+			}
+		}
+		return ahead
+	}
 	start := own.tag + float64(ahead)*k.charge(own, weights)
 	for account, f := range k.flows {
 		if account == r.Account || len(f.requests) == 0 {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -50,6 +50,11 @@
 
 // Queue holds the waiting requests of one service. Its zero value is empty.
 type Queue struct {
+	// IgnoresAccounts orders requests by rank, program deadline and arrival, and refuses
+	// none at once. Where each VM keeps a queue of its own, the few requests in it say
+	// little about the accounts' use of the service.
+	IgnoresAccounts bool
+
 	ranks    map[int]*rank
 	order    []int // the numbers of the ranks, ascending
 	accounts map[structs.AccountID]int
@@ -185,7 +190,7 @@
 
 // isSingleAccount reports whether all waiting requests are of one account. The order is by
 // rank, program deadline and arrival then.
-func (q *Queue) isSingleAccount() bool { return len(q.accounts) == 1 }
+func (q *Queue) isSingleAccount() bool { return q.IgnoresAccounts || len(q.accounts) == 1 }
 
 func (q *Queue) rank(number int) *rank {
 	k := q.ranks[number]
--- a/edge/acquire.go
+++ b/edge/acquire.go
@@ -154,6 +154,7 @@
 		queue = &admission.Queue{}
 		s.queues[service] = queue
 	}
+	queue.IgnoresAccounts = !s.isCoordinated.Load()
 	return queue
 }
 
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -153,7 +153,7 @@
 // refusal. The caller holds the lock.
 func (s *Server) refuseOverloaded(now structs.Instant, w *waiter, patience time.Duration) error {
 	queue := s.queue(w.query.Service)
-	if w.request.Ticket == 0 || !queue.IsWaiting(w.request) {
+	if queue.IgnoresAccounts || w.request.Ticket == 0 || !queue.IsWaiting(w.request) {
 		return nil
 	}
 	if now <= s.regionsUntil {
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -67,6 +67,7 @@
 // view. It waits for at most maxWait.
 func (s *Server) acquireGrant(ctx context.Context, query placement.Query, request admission.Request, maxWait, timeLeft time.Duration) (*grant, error) {
 	s.describeConnections(&query)
+	s.isCoordinated.Store(s.opts.Peers.PeerCount() >= maxUncoordinatedVMs)
 	start := structs.Now()
 	request.Arrived, request.Ticket = start, newTicket()
 	if s.needsPlacer(query.Service) {
@@ -257,6 +258,7 @@
 		Group: p.VM, Connected: connectedSet(p.Connected), DomainDelay: p.DomainDelay,
 		Regions: p.Regions, Evacuated: p.Evacuated,
 	}
+	s.isCoordinated.Store(s.opts.Peers.PeerCount() >= maxUncoordinatedVMs)
 	now := structs.Now()
 	request := peerRequest(now, p)
 	s.learnRates(now, p.Rates)
--- a/edge/server.go
+++ b/edge/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/endivecourse/endivecourse/admission"
@@ -70,6 +71,9 @@
 	stats *stats
 	paths *targetPaths
 
+	// isCoordinated is whether a placer keeps the queue of all VMs of the region.
+	isCoordinated atomic.Bool
+
 	mu            sync.Mutex
 	targets       *placement.TargetSet
 	listing       listing
