conversation: only holders read the balances after a loss of all VMs, each partition once

Only holders read, an attempt goes on where the one before has ended, and other VMs ask the holders once.

--- a/conversation/holds.go
+++ b/conversation/holds.go
@@ -42,6 +42,8 @@
 	// scanAge is the age from which a process reads the balances in the store if it learnt
 	// nothing from other holders.
 	scanAge = minIntactAge
+	// scanTimeout bounds one attempt to read the balances.
+	scanTimeout = 2 * time.Second
 )
 
 // HoldRequest is a call between holders; each field that is set is applied.
@@ -104,6 +106,8 @@
 	outageEnd   time.Time
 	isOut       bool
 	writing     map[string]bool // programs whose grants are being written back
+	// scanned is the number of partitions whose closed programs are read. Only Run uses it.
+	scanned int
 }
 
 // NewHolds returns Holds without grants.
@@ -428,12 +432,13 @@
 	h.isOut = isOut
 }
 
-// needsSync reports whether this VM has to learn from others: after an outage, or after its
-// start, also while the store is unreachable.
+// needsSync reports whether this VM has to learn from others: after an outage and, if it is a
+// holder, after its start, also while the store is unreachable.
 func (h *Holds) needsSync() bool {
+	_, isHolder, _ := h.opts.Holders.Holders()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.register.IsIntact() || !h.isSynced && !h.isOut
+	return isHolder && !h.register.IsIntact() || !h.isSynced && !h.isOut
 }
 
 // sync learns what the other holders know. If half of them have lost nothing, no grant can
@@ -469,7 +474,7 @@
 		h.learn(r.reply)
 	}
 	hasHalf := func(count int) bool { return count > 0 && 2*count >= holders }
-	if !hasHalf(intact) && h.opts.UnreachableFor() == 0 && now.Sub(h.started) > scanAge && !h.isIntact() {
+	if isSelf && !hasHalf(intact) && h.opts.UnreachableFor() == 0 && now.Sub(h.started) > scanAge && !h.isIntact() {
 		h.scan(ctx)
 	}
 	h.mu.Lock()
@@ -514,24 +519,26 @@
 	}
 }
 
-// scan reads from the store which programs are closed, when no other holder knows.
+// scan reads from the store which programs are closed, when no other holder knows. It goes
+// on where the attempt before has ended: in a region far from the store one attempt does
+// not suffice, and repeated reads of all partitions use up the store's rate.
 func (h *Holds) scan(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
 	defer cancel()
-	count := 0
-	for _, partition := range h.opts.Partitions {
+	for h.scanned < len(h.opts.Partitions) {
+		partition := h.opts.Partitions[h.scanned]
 		programs, err := ledger.ClosedPrograms(ctx, h.opts.Store, partition)
 		if err != nil {
 			h.opts.Log.Warn("balances not read", "partition", partition, "cause", err.Error())
 			return
 		}
-		count += len(programs)
 		h.learn(HoldReply{Closed: programs})
+		h.scanned++
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.register.SetIntact()
-	h.opts.Log.Info("closed programs read from the store", "programs", count)
+	h.opts.Log.Info("closed programs read from the store", "partitions", h.scanned)
 }
 
 // writeBackOldest writes back the oldest state of those whose home is this VM or, long
