--- a/conversation/holds.go
+++ b/conversation/holds.go
@@ -224,7 +224,11 @@
 		}
 	}
 	h.serve(void)
-	h.callAll(ctx, others, void)
+	replies := h.callAll(ctx, others, void)
+	if void.Close != "" {
+		for range replies { // until the others know, they may grant a turn that another VM asks for
+		}
+	}
 	return "", &NoGrantError{Turn: grant.Turn, Reason: reason}
 }
 
