--- /dev/null
+++ b/fleet/calls.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/wire"
+)
+
+// BorrowTokens asks a VM for quota tokens of an account.
+func (m *Mesh) BorrowTokens(ctx context.Context, vm structs.VMID, account structs.AccountID) (int, error) {
+	var reply LoanReply
+	err := m.callVM(ctx, vm, MethodLend, LoanRequest{Account: account}, &reply)
+	return reply.Tokens, err
+}
+
+// RequestAdmission asks an account's quota holder to admit a request.
+func (m *Mesh) RequestAdmission(ctx context.Context, vm structs.VMID, req AdmissionRequest) (AdmissionReply, error) {
+	var reply AdmissionReply
+	err := m.CallHome(ctx, vm, MethodAdmit, req, &reply)
+	return reply, err
+}
+
+// RequestPlacement asks a service's placer for a target.
+func (m *Mesh) RequestPlacement(ctx context.Context, vm structs.VMID, p PlacementRequest) (PlacementReply, error) {
+	var reply PlacementReply
+	err := m.CallHome(ctx, vm, MethodPlace, p, &reply)
+	return reply, err
+}
+
+// Release ends a grant of a placer.
+func (m *Mesh) Release(ctx context.Context, vm structs.VMID, r Release) error {
+	return m.callVM(ctx, vm, MethodRelease, r, &struct{}{})
+}
+
+// call closes the connection if no reply arrives, since a lost connection may
+// stay open without delivering anything. It is for methods that every VM answers at
+// once.
+func (m *Mesh) call(ctx context.Context, address, method string, in, out any) error {
+	err := m.client.Call(ctx, address, method, in, out)
+	if errors.Is(err, context.DeadlineExceeded) {
+		m.client.CloseConn(address)
+	}
+	return err
+}
+
+func (m *Mesh) callVM(ctx context.Context, vm structs.VMID, method string, in, out any) error {
+	m.mu.Lock()
+	peer := m.members[vm]
+	m.mu.Unlock()
+	if peer == nil {
+		return &wire.NotSentError{Addr: string(vm), Cause: &UnknownVMError{VM: vm}}
+	}
+	return m.client.Call(ctx, peer.Address, method, in, out)
+}
+
+// UnknownVMError reports that a VM is not a member.
+type UnknownVMError struct{ VM structs.VMID }
+
+// Error names the VM.
+func (e *UnknownVMError) Error() string { return "VM " + string(e.VM) + " is not a member" }
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -5,14 +5,10 @@
 	"log/slog"
 	"maps"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
-
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/quarantine"
 	"github.com/endivecourse/endivecourse/routing"
@@ -166,32 +162,6 @@
 	return m
 }
 
-// BorrowTokens asks a VM for quota tokens of an account.
-func (m *Mesh) BorrowTokens(ctx context.Context, vm structs.VMID, account structs.AccountID) (int, error) {
-	var reply LoanReply
-	err := m.callVM(ctx, vm, MethodLend, LoanRequest{Account: account}, &reply)
-	return reply.Tokens, err
-}
-
-// RequestAdmission asks an account's quota holder to admit a request.
-func (m *Mesh) RequestAdmission(ctx context.Context, vm structs.VMID, req AdmissionRequest) (AdmissionReply, error) {
-	var reply AdmissionReply
-	err := m.CallHome(ctx, vm, MethodAdmit, req, &reply)
-	return reply, err
-}
-
-// RequestPlacement asks a service's placer for a target.
-func (m *Mesh) RequestPlacement(ctx context.Context, vm structs.VMID, p PlacementRequest) (PlacementReply, error) {
-	var reply PlacementReply
-	err := m.CallHome(ctx, vm, MethodPlace, p, &reply)
-	return reply, err
-}
-
-// Release ends a grant of a placer.
-func (m *Mesh) Release(ctx context.Context, vm structs.VMID, r Release) error {
-	return m.callVM(ctx, vm, MethodRelease, r, &struct{}{})
-}
-
 // IsMembershipKnown reports whether this VM has had time to learn of the others.
 // Without this check, VMs that start together and know different peers would each
 // act as the quota holder of the same account.
@@ -248,21 +218,6 @@
 // DumpState returns the other VMs that are known.
 func (m *Mesh) DumpState() any { return m.Members() }
 
-func (m *Mesh) handleDigest(_ context.Context, d Digest) (DigestReply, error) {
-	m.recordAlive(d.From)
-	m.recordStoreReachable(d.From.VM, d.IsStoreReachable)
-	m.recordRegionSupport(d.From.VM, d.HonorsRegions)
-	m.opts.Hooks.ApplyDigest(d)
-	m.noteNewerConfig(d.Config, d.From)
-	m.opts.Hooks.ReportReach(d.From, d.ReachesTargets)
-	reply := DigestReply{Config: m.opts.Config.Version(), Crashes: m.opts.Hooks.Crashes(), ReachesTargets: m.opts.Hooks.ReachesTargets()}
-	reply.HonorsRegions = true
-	if m.membersHash() != d.MembersHash {
-		reply.Members = m.recentMembers(time.Now())
-	}
-	return reply, nil
-}
-
 // recordAlive records that a VM is alive. A new incarnation replaces the old one.
 func (m *Mesh) recordAlive(from Member) {
 	if from.VM == m.opts.Self.VM || from.VM == "" {
@@ -322,119 +277,6 @@
 	return m.membersChangedAt
 }
 
-func (m *Mesh) sendDigests(ctx context.Context, now time.Time) {
-	m.expirePeers(now)
-	peers := m.pickDuePeers(now)
-	if len(peers) == 0 {
-		return
-	}
-	digest := m.digest()
-	for _, peer := range peers {
-		go m.sendDigest(ctx, peer, digest)
-	}
-}
-
-func (m *Mesh) digest() Digest {
-	d := m.opts.Hooks.Digest()
-	d.From = m.opts.Self
-	d.Config = m.opts.Config.Version()
-	d.MembersHash = m.membersHash()
-	d.ReachesTargets = m.opts.Hooks.ReachesTargets()
-	d.HonorsRegions = true
-	return d
-}
-
-// membersHash returns a hash of the members, including this VM.
-func (m *Mesh) membersHash() uint64 {
-	m.mu.Lock()
-	ids := []structs.VMID{m.opts.Self.VM}
-	for id := range m.members {
-		ids = append(ids, id)
-	}
-	m.mu.Unlock()
-	slices.Sort(ids)
-	hasher := xxhash.New()
-	for _, id := range ids {
-		hasher.WriteString(string(id))
-		hasher.Write([]byte{0})
-	}
-	return hasher.Sum64()
-}
-
-// pickDuePeers returns the peers that get a digest in this round.
-func (m *Mesh) pickDuePeers(now time.Time) []Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var peers []Member
-	due := m.rotation.pick(m.currentGroups(), func(vm structs.VMID) bool {
-		peer := m.members[vm]
-		return !peer.isSending && now.Sub(peer.lastSent) >= m.digestPeriod(peer)
-	})
-	for _, vm := range due {
-		peer := m.members[vm]
-		peer.lastSent, peer.isSending = now, true
-		peers = append(peers, peer.Member)
-	}
-	return peers
-}
-
-func (m *Mesh) digestPeriod(peer *peerState) time.Duration {
-	period := otherRegionPeriod
-	if peer.Region == m.opts.Self.Region {
-		period = sameRegionPeriod
-	}
-	return period - sameRegionPeriod/4 // the ticker's jitter must not skip a round
-}
-
-func (m *Mesh) sendDigest(ctx context.Context, peer Member, digest Digest) {
-	defer func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		if state := m.members[peer.VM]; state != nil {
-			state.isSending = false
-		}
-	}()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var reply DigestReply
-	if err := m.call(ctx, peer.Address, MethodDigest, digest, &reply); err != nil {
-		return // expirePeers removes a peer that sends nothing for memberTimeout
-	}
-	m.recordAlive(peer)
-	m.recordRegionSupport(peer.VM, reply.HonorsRegions)
-	m.opts.Hooks.ReportReach(peer, reply.ReachesTargets)
-	m.addMembers(reply.Members)
-	m.opts.Hooks.ApplyCrashes(reply.Crashes)
-	m.noteNewerConfig(reply.Config, peer)
-}
-
-// call closes the connection if no reply arrives, since a lost connection may
-// stay open without delivering anything. It is for methods that every VM answers at
-// once.
-func (m *Mesh) call(ctx context.Context, address, method string, in, out any) error {
-	err := m.client.Call(ctx, address, method, in, out)
-	if errors.Is(err, context.DeadlineExceeded) {
-		m.client.CloseConn(address)
-	}
-	return err
-}
-
-func (m *Mesh) callVM(ctx context.Context, vm structs.VMID, method string, in, out any) error {
-	m.mu.Lock()
-	peer := m.members[vm]
-	m.mu.Unlock()
-	if peer == nil {
-		return &wire.NotSentError{Addr: string(vm), Cause: &UnknownVMError{VM: vm}}
-	}
-	return m.client.Call(ctx, peer.Address, method, in, out)
-}
-
-// UnknownVMError reports that a VM is not a member.
-type UnknownVMError struct{ VM structs.VMID }
-
-// Error names the VM.
-func (e *UnknownVMError) Error() string { return "VM " + string(e.VM) + " is not a member" }
-
 func (m *Mesh) expirePeers(now time.Time) {
 	m.mu.Lock()
 	timeout := max(memberTimeout, m.currentGroups().rotationTime()*3/2)
