Comments: the value of an answer in plain words, one spelling

Cause: comments spoke of what a program earns, of the users' slots, and spelled learned in two ways. Comments only. Measured: go test ./admission ./edge ./conversation green.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -27,7 +27,7 @@
 	Weight  float64
 	// StartsProgram means that refusing the request loses no completed work of its program.
 	StartsProgram bool
-	// WorthlessAt is when the program can no longer earn anything, 0 if unknown.
+	// WorthlessAt is when an answer is of no value any more to the program's caller, 0 if unknown.
 	WorthlessAt structs.Instant
 	// Deadline is when the caller stops waiting for the answer, 0 if unknown.
 	Deadline structs.Instant
@@ -206,7 +206,7 @@
 	return k
 }
 
-// isWorthless reports whether the request's program can no longer earn anything.
+// isWorthless reports whether an answer is of no value any more to the program's caller.
 func (r *Request) isWorthless(now structs.Instant) bool {
 	return r.WorthlessAt != 0 && now >= r.WorthlessAt
 }
--- a/conversation/holds.go
+++ b/conversation/holds.go
@@ -36,7 +36,7 @@
 	// syncWait how long a reservation waits for it before its program is charged.
 	syncPeriod = 300 * time.Millisecond
 	syncWait   = 300 * time.Millisecond
-	// scanAge is the age from which a process reads the balances in the store if it learnt
+	// scanAge is the age from which a process reads the balances in the store if it learned
 	// nothing from other holders.
 	scanAge = minIntactAge
 	// scanTimeout bounds one attempt to read the balances.
@@ -96,7 +96,7 @@
 
 	mu       sync.Mutex
 	register *outage.Register
-	// isSynced is whether this VM has learnt the grants of the last outage. Until then or
+	// isSynced is whether this VM has learned the grants of the last outage. Until then or
 	// until chargeUntil, reservations are charged.
 	isSynced    bool
 	chargeUntil time.Time
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -82,7 +82,7 @@
 // programSpans holds, by route, the longest time that programs had left at one of their
 // requests. It stands for the time from the start of a program to its deadline, which only
 // the first request of a program says: it is too long rather than too short, so that no
-// program counts as worthless that can still earn something. There are two generations, so
+// program counts as worthless whose caller can still use an answer. There are two generations, so
 // that a shorter span is noticed.
 type programSpans struct {
 	newer, older map[string]time.Duration
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -146,7 +146,7 @@
 	Ticket uint64 `msgpack:"k,omitempty"`
 	// Waited is how long the request has waited before.
 	Waited time.Duration `msgpack:"m,omitempty"`
-	// WorthlessIn is the time until the request's program can no longer earn anything,
+	// WorthlessIn is the time until an answer is of no value any more to the caller,
 	// negative if that has passed, 0 if it is unknown.
 	WorthlessIn time.Duration `msgpack:"z,omitempty"`
 }
--- a/outage/outage.go
+++ b/outage/outage.go
@@ -148,7 +148,7 @@
 // IsIntact reports whether the register takes part in decisions.
 func (r *Register) IsIntact() bool { return r.isIntact }
 
-// SetIntact records that the register has learnt what it may have missed.
+// SetIntact records that the register has learned what it may have missed.
 func (r *Register) SetIntact() { r.isIntact = true }
 
 // State returns what is known of a program.
--- a/placement/connections.go
+++ b/placement/connections.go
@@ -19,7 +19,7 @@
 const (
 	// connectSetupCost covers the target's setup and the slot that a new connection may
 	// hold for a moment. It is more than the load of a target that has a free slot
-	// (loadCost times 5 with the users' 6 slots): otherwise the least loaded target wins,
+	// (loadCost times 5 with 6 slots): otherwise the least loaded target wins,
 	// which is connected only by chance.
 	connectSetupCost = 8.0
 	// outsideGroupCost makes a new connection go to the group while it has a free slot. It
