--- a/ledger/change.go
+++ b/ledger/change.go
@@ -15,11 +15,11 @@
 }
 
 // applyChanges applies the changes to a balance. Settlements go first because they free
-// tokens for reservations.
-func applyChanges(balance *Balance, changes []*change) (outcomes []outcome, changed bool) {
+// tokens for reservations. now is the time of day, which all VMs share to within seconds.
+func applyChanges(balance *Balance, changes []*change, now time.Time) (outcomes []outcome, changed bool) {
 	outcomes = make([]outcome, len(changes))
 	for _, c := range changes {
-		changed = balance.applyOutage(c) || changed
+		changed = balance.applyOutage(c, now.UnixMilli()) || changed
 	}
 	for i, c := range changes {
 		if !c.isSettlement {
--- a/ledger/group_commit.go
+++ b/ledger/group_commit.go
@@ -181,7 +181,7 @@
 		item.dropStale(now)
 		item.newBalance = item.entry.balance.Clone()
 		var changed bool
-		item.outcomes, changed = applyChanges(&item.newBalance, item.changes)
+		item.outcomes, changed = applyChanges(&item.newBalance, item.changes, time.Now())
 		if !changed && (item.entry.isKnown || len(item.changes) == 0) {
 			k.reportOutcomes(item)
 			continue
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -136,8 +136,8 @@
 	var balance Balance
 	if e != nil {
 		balance = e.balance.Clone()
-		applyChanges(&balance, e.inFlight)
-		applyChanges(&balance, e.waiting)
+		applyChanges(&balance, e.inFlight, time.Now())
+		applyChanges(&balance, e.waiting, time.Now())
 	}
 	return balance.Reserve(r, budget) == nil
 }
--- a/ledger/outage.go
+++ b/ledger/outage.go
@@ -29,11 +29,10 @@
 	WrittenAt int64 `msgpack:"a"`
 }
 
-// applyOutage applies the change's write-back and charge and reports whether it changed the
+// applyOutage applies the change's write-back and charge at now, in Unix milliseconds, and reports whether it changed the
 // balance.
-func (b *Balance) applyOutage(c *change) bool {
+func (b *Balance) applyOutage(c *change, now int64) bool {
 	changed := false
-	now := time.Now().UnixMilli()
 	for _, g := range c.grants {
 		if slices.ContainsFunc(b.OutageTurns, func(t OutageTurn) bool { return t.Turn == g.Turn }) {
 			if g.IsSettled && b.hasReservation(g.Turn) { // another holder wrote it before it was settled
