--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -18,9 +18,9 @@
 	minRefusedPatience = 100 * time.Millisecond
 	// defaultRetryAfter is the retry delay while the rate of free slots is unknown.
 	defaultRetryAfter = 250 * time.Millisecond
-	// maxRetryDivisor divides the time that the caller has left: the retry delay is at most
+	// MaxRetryDivisor divides the time that the caller has left: the retry delay is at most
 	// that part of it, so that the retry can still be served.
-	maxRetryDivisor = 3
+	MaxRetryDivisor = 3
 	// minRetryAfter is the shortest retry delay; 0 would mean that none is stated.
 	minRetryAfter = time.Millisecond
 	// goldenRatio spreads retry delays over an interval: its multiples,
@@ -97,7 +97,7 @@
 	if r.Deadline == 0 {
 		return math.MaxInt64 / 2
 	}
-	return max(r.Deadline.Sub(now)/maxRetryDivisor, minRetryAfter)
+	return max(r.Deadline.Sub(now)/MaxRetryDivisor, minRetryAfter)
 }
 
 // spread returns delays that are evenly distributed from shortest to longest.
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -24,8 +24,6 @@
 	// spanGeneration is how long the longest program of a route is remembered at least, and
 	// half of the longest time.
 	spanGeneration = time.Minute
-	// maxRetryDivisor divides the time that the caller has left: the longest retry delay.
-	maxRetryDivisor = 3
 	// maxRankLabel is the largest rank with a metric of its own.
 	maxRankLabel = 15
 )
@@ -137,7 +135,7 @@
 	if e.RetryAfter > 0 {
 		return e.RetryAfter
 	}
-	return max(min(noFreeSlotRetryAfter, x.timeLeft()/maxRetryDivisor), time.Millisecond)
+	return max(min(noFreeSlotRetryAfter, x.timeLeft()/admission.MaxRetryDivisor), time.Millisecond)
 }
 
 // placerRefusal returns the error of a request that its placer refused.
