edge: responses that are broken off are counted by cause; request lines tell the wait for the store

Cause: the record of an incident keeps the end of each VM's log only, and a cut 2 s after the start of traffic is not in it. The hypotheses differ in who ends the response: target, caller, store or deadline.

Change: endive_responses_aborted_total{by}, and store_ms on request lines. Measured: go test ./edge green.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -143,7 +143,7 @@
 				hasBegun = true
 			}
 			if writeErr := x.forwardEvents(buffered[:complete]); writeErr != nil {
-				return x.abortStream(ctx, target, writeErr)
+				return x.abortStream(ctx, target, abortedByCaller, writeErr)
 			}
 			buffered = append(buffered[:0], buffered[complete:]...)
 		}
@@ -192,7 +192,7 @@
 			x.recordIncompleteResponse(ctx, target, err)
 			return attemptResult{isRunUnknown: true, cause: errors.Wrap(err, "read stream")}
 		}
-		return x.abortStream(ctx, target, errors.Wrap(err, "read stream"))
+		return x.abortStream(ctx, target, abortedByTarget, errors.Wrap(err, "read stream"))
 	}
 	if !hasBegun {
 		if refusal := x.beginStream(ctx, resp); refusal != nil {
@@ -200,16 +200,31 @@
 		}
 	}
 	x.clearCrashes()
-	if err := x.storeTurn(ctx); err != nil {
-		return x.abortStream(ctx, target, errors.Wrap(err, "store turn"))
+	start := structs.Now()
+	err = x.storeTurn(ctx)
+	x.storeWait = structs.Now().Sub(start)
+	if err != nil {
+		return x.abortStream(ctx, target, abortedByStore, errors.Wrap(err, "store turn"))
 	}
 	x.server.recordOutcome(x, nil)
 	x.out.EndStream()
 	return attemptResult{isAnswered: true}
 }
 
+// Causes for which a response that has begun is broken off, as labels of a metric.
+const (
+	abortedByTarget   = "target"
+	abortedByCaller   = "caller"
+	abortedByStore    = "store"
+	abortedByDeadline = "deadline"
+)
+
 // abortStream ends a stream that has begun and can't be completed.
-func (x *exchange) abortStream(ctx context.Context, target placement.Target, cause error) attemptResult {
+func (x *exchange) abortStream(ctx context.Context, target placement.Target, by string, cause error) attemptResult {
+	if ctx.Err() == context.DeadlineExceeded {
+		by = abortedByDeadline
+	}
+	x.server.stats.countAborted(by)
 	x.recordIncompleteResponse(ctx, target, cause)
 	x.mayHaveRun = true
 	refusal := x.refuseFailed(cause)
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -54,6 +54,7 @@
 	connectTime   time.Duration    // of the last send, 0 if its connection was reused
 	tokenWait     time.Duration    // time spent waiting for a quota token
 	firstByte     time.Duration    // from arrival to the first byte of the response
+	storeWait     time.Duration    // time for which the end of the response was held back to store the turn
 	hasQuotaToken bool             // a quota token was taken for the request
 	forwardedBy   structs.VMID     // VM that sent the request to its target, empty for this VM
 	// forwardedFor is the VM whose request this is, empty for this VM; exclude and
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -166,6 +166,11 @@
 	}
 }
 
+// countAborted counts a response that was broken off after it had begun.
+func (st *stats) countAborted(by string) {
+	st.set.GetOrCreateCounter(`endive_responses_aborted_total{by="` + by + `"}`).Inc()
+}
+
 func (x *exchange) logAttrs(outcome string, took time.Duration, refusal *structs.Refusal) []slog.Attr {
 	attrs := make([]slog.Attr, 0, 24)
 	attrs = append(attrs,
@@ -200,6 +205,9 @@
 			slog.Int64("first_byte_ms", x.firstByte.Milliseconds()),
 		)
 	}
+	if x.storeWait >= time.Millisecond {
+		attrs = append(attrs, slog.Int64("store_ms", x.storeWait.Milliseconds()))
+	}
 	if x.connectTime > 0 {
 		attrs = append(attrs, slog.Float64("connect_ms", float64(x.connectTime.Microseconds())/1000))
 	}
