--- /dev/null
+++ b/daemon/endived_inflight_test.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/internal/standin/rows"
+	"github.com/endivecourse/endivecourse/platform/platformtest"
+)
+
+// Guards against answers that are broken off since two VMs store turns of one program at a
+// time: reservations that their own turns withdraw must not move the program's home VM.
+func TestAnswersStayWholeBesideRefusedTurnsAndConfigChanges(t *testing.T) {
+	b := newTestSite(t, "near-a", "near-b")
+	for n := range 4 {
+		b.addTarget(fmt.Sprintf("engine-%d", n), "engine", "near-a").Set(platformtest.Behaviour{Events: 2, Duration: 2 * time.Millisecond})
+	}
+	b.site.Store.SetFaults(rows.Faults{Delay: 6 * time.Millisecond})
+	const duration, callers = 4 * time.Second, 5
+	end := time.Now().Add(duration)
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var broken []string
+	served := 0
+	turn := func(vm *platformtest.VM, id, previous string) response {
+		header := map[string]string{platformtest.HeaderProgram: "busy", platformtest.HeaderBudget: "1000000", platformtest.HeaderUsage: "100,20"}
+		if previous != "" {
+			header[platformtest.HeaderPrevious] = previous
+		}
+		return b.sendAs(id, request{vm: vm, path: "/chat/1", body: "x", header: header})
+	}
+	for i, vm := range b.vms {
+		for caller := range callers {
+			group.Go(func() {
+				for n := 0; time.Now().Before(end); n++ {
+					got := turn(vm, fmt.Sprintf("turn-%d-%d-%d", i, caller, n), "")
+					mu.Lock()
+					if got.err != nil || got.status != http.StatusOK {
+						broken = append(broken, fmt.Sprintf("%s: %d %v %q", got.id, got.status, got.err, got.body))
+					}
+					served++
+					mu.Unlock()
+				}
+			})
+		}
+		group.Go(func() {
+			unknown := strings.Repeat("unknown-", 10) // too long to be stored, so the refusal is quicker than the reservation
+			for n := 0; time.Now().Before(end); n++ {
+				turn(vm, fmt.Sprintf("refused-%d-%d", i, n), unknown)
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	group.Go(func() {
+		for n := 0; time.Now().Before(end); n++ {
+			config := platformtest.BasicConfig()
+			config.Tenants = append(config.Tenants, platformtest.ConfigTenant{Name: "three", APIKeys: []string{fmt.Sprintf("key-%d", n)}})
+			b.site.PutConfig(config)
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	group.Wait()
+	assert.Equal(t, len(broken), 0, "%d of %d turns:\n%s", len(broken), served, strings.Join(broken[:min(len(broken), 3)], "\n"))
+}
--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -248,3 +248,29 @@
 	waitUntil(t, "the member table is read", n.mesh.IsMembershipKnown)
 	assert.Assert(t, time.Since(n.mesh.startedAt) < memberTableTimeout)
 }
+
+// Guards against two VMs acting as the home of one program: a call that its caller ends
+// says nothing about the VM that was called.
+func TestCallEndedByItsCallerKeepsTheHome(t *testing.T) {
+	nodes := startNodes(t, rows.New(), 3)
+	waitUntil(t, "digests", func() bool { return haveHeardFrom(nodes, 2) })
+	mesh := nodes[0].mesh // the third VM is of the same region
+	partition := ""
+	for n := 0; partition == ""; n++ {
+		if _, isSelf := mesh.Home(fmt.Sprint(n)); !isSelf {
+			partition = fmt.Sprint(n)
+		}
+	}
+	home, _ := mesh.Home(partition)
+	for _, timeout := range []time.Duration{0, time.Nanosecond} {
+		ctx, cancel := context.WithCancel(t.Context())
+		if timeout > 0 {
+			ctx, cancel = context.WithTimeout(t.Context(), timeout)
+		}
+		cancel()
+		err := mesh.CallHome(ctx, home, MethodLend, LoanRequest{}, &LoanReply{})
+		assert.Assert(t, err != nil)
+		now, _ := mesh.Home(partition)
+		assert.Equal(t, now, home, "after %v", err)
+	}
+}
