conversation, ledger: a change that keeps losing to another VM's is made by that VM

What callers saw: a stream with all its events, then a closed connection instead of its end; or 502 for a turn that had run, with 'budget was changed by other VMs in every round'.

Cause: two VMs may act as the home of a program: of different regions, or with different views of the members. Each stores its changes if nobody else has changed the balance, and gave up after eight conflicts, although the caller had seconds left. Retries made it worse: each waited up to 160 ms with the balance that the conflict had reported, which was out of date again by then.

Change: a row names the VM that wrote it last. A change that lost eight times goes to that VM, where it shares a transaction with the changes that it lost to, until the caller's time is over. A turn that used an advance reservation names it, since only the first VM knows that. Regions that limit where a program's content may go hold here too. Every second retry follows at once, with the balance just reported. A row and a reply of earlier builds lack the new fields; an earlier build reads such a reply as before, as an error after which it acts itself.

TestTurnStoredByAnotherVMSettlesItsAdvanceReservation fails without the reservation's name.

--- a/conversation/errors.go
+++ b/conversation/errors.go
@@ -37,6 +37,10 @@
 	Records []*turnlog.Record `msgpack:"r,omitempty"`
 	// CopyAt is a VM that has a copy of the turn's unstored grant.
 	CopyAt structs.VMID `msgpack:"c,omitempty"`
+	// Writer and ReservedAs are set with codeOther for *ledger.ContendedError, which builds
+	// without them read as a HomeError.
+	Writer     structs.VMID                            `msgpack:"w,omitempty"`
+	ReservedAs map[structs.RequestID]structs.RequestID `msgpack:"v,omitempty"`
 }
 
 // HomeError is an error of the home VM that has no errorCode of its own.
@@ -76,13 +80,14 @@
 		return Reply{Code: codeSlowStore}
 	}
 	var (
-		spent    *ledger.BudgetSpentError
-		busy     *ledger.BudgetReservedError
-		missing  *turnlog.NotFoundError
-		tooLarge *turnlog.TooLargeError
-		pending  *PendingError
-		advance  *NoAdvanceError
-		noGrant  *NoGrantError
+		spent     *ledger.BudgetSpentError
+		busy      *ledger.BudgetReservedError
+		missing   *turnlog.NotFoundError
+		tooLarge  *turnlog.TooLargeError
+		pending   *PendingError
+		advance   *NoAdvanceError
+		noGrant   *NoGrantError
+		contended *ledger.ContendedError
 	)
 	switch {
 	case err == nil:
@@ -99,6 +104,8 @@
 		return Reply{Code: codeBusy, Numbers: [3]int64{busy.Spent, busy.Reserved, busy.Budget}}
 	case errors.As(err, &missing):
 		return Reply{Code: codeNotFound, Turn: missing.Turn}
+	case errors.As(err, &contended):
+		return Reply{Code: codeOther, Detail: contended.Program, Writer: contended.Writer, ReservedAs: contended.ReservedAs}
 	case errors.As(err, &tooLarge):
 		return Reply{Code: codeTooLarge, Numbers: [3]int64{int64(tooLarge.Bytes), int64(tooLarge.Max)}}
 	}
@@ -127,6 +134,9 @@
 	case codeSlowStore:
 		return &SlowStoreError{Waited: storeTimeout}
 	}
+	if r.Writer != "" {
+		return &ledger.ContendedError{Program: r.Detail, Writer: r.Writer, ReservedAs: r.ReservedAs}
+	}
 	return &HomeError{Detail: r.Detail}
 }
 
--- a/conversation/home_calls.go
+++ b/conversation/home_calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -100,6 +101,11 @@
 	if isSelf || !k.mayCallHome(ctx, vm) {
 		return false, nil
 	}
+	return k.callVM(ctx, vm, p, method, in, reply)
+}
+
+// callVM is callHome for a given VM.
+func (k *Keeper) callVM(ctx context.Context, vm structs.VMID, p ledger.Program, method string, in any, reply *Reply) (handled bool, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, homeCallTimeout)
 	defer cancel()
 	if err := k.peers.CallHome(callCtx, vm, method, in, reply); err != nil {
@@ -125,10 +131,66 @@
 // Reserve reserves a turn's tokens, on the home VM or on this one. With AllowsPending
 // it may return *PendingError.
 func (k *Keeper) Reserve(ctx context.Context, req ReserveRequest) error {
-	if handled, err := k.callHome(ctx, req.Program, MethodReserve, req, &Reply{}); handled {
-		return err
+	return k.perform(ctx, operation{
+		program: req.Program, method: MethodReserve, request: &req,
+		local: func() error { return k.local.Reserve(ctx, req) },
+	})
+}
+
+// operation is a change of a program's balance.
+type operation struct {
+	program ledger.Program
+	method  string
+	request any
+	// local performs the operation on this VM.
+	local func() error
+	// recordLoss is called when the operation lost to changes of another VM; nil does nothing.
+	recordLoss func(*ledger.ContendedError)
+	// isRepeated repeats the operation while the store is slow.
+	isRepeated bool
+}
+
+// perform performs an operation at the program's home VM, or on this VM if that does not
+// answer. VMs with different views of the members may each act as the home of a program.
+// The one whose changes keep losing then lets the other make them.
+func (k *Keeper) perform(ctx context.Context, op operation) error {
+	var contended *ledger.ContendedError
+	var slow *SlowStoreError
+	handled, err := k.callHome(ctx, op.program, op.method, op.request, &Reply{})
+	for {
+		if op.recordLoss != nil && errors.As(err, &contended) {
+			op.recordLoss(contended)
+		}
+		if !handled {
+			err = op.local()
+		}
+		hasLost := errors.As(err, &contended)
+		if hasLost && op.recordLoss != nil {
+			op.recordLoss(contended)
+		}
+		switch {
+		case ctx.Err() != nil:
+			return err
+		case hasLost && k.mayRelayTo(ctx, contended.Writer):
+			k.log.Info("program's balance is changed by another VM, which makes this change too", "program", op.program.Key(),
+				"writer", string(contended.Writer), "call", op.method)
+			handled, err = k.callVM(ctx, contended.Writer, op.program, op.method, op.request, &Reply{})
+		case op.isRepeated && errors.As(err, &slow):
+			handled, err = k.callHome(ctx, op.program, op.method, op.request, &Reply{})
+		default:
+			return err
+		}
+	}
+}
+
+// mayRelayTo reports whether a program's content may be sent to a VM, empty for none.
+func (k *Keeper) mayRelayTo(ctx context.Context, vm structs.VMID) bool {
+	allowed := rowstore.RelayRegions(ctx)
+	if vm == "" || allowed == nil {
+		return vm != ""
 	}
-	return k.local.Reserve(ctx, req)
+	region, honorsRegions := k.peers.RegionSupport(vm)
+	return honorsRegions && slices.Contains(allowed, region)
 }
 
 // OutageGrant says where a turn's tokens are accounted for that runs during an outage.
@@ -176,15 +238,16 @@
 // VM waits for the store. A home VM that did not answer may have stored the turn
 // already; the retry on this VM detects that from the turn's rows.
 func (k *Keeper) Finish(ctx context.Context, req FinishRequest) error {
-	var slow *SlowStoreError
 	req.Regions = rowstore.RelayRegions(ctx)
-	handled, err := k.callHome(ctx, req.Program, MethodFinish, req, &Reply{})
-	for handled && errors.As(err, &slow) && ctx.Err() == nil {
-		handled, err = k.callHome(ctx, req.Program, MethodFinish, req, &Reply{})
-	}
-	if !handled {
-		return k.local.Finish(ctx, req)
-	}
+	err := k.perform(ctx, operation{
+		program: req.Program, method: MethodFinish, request: &req, isRepeated: true,
+		local: func() error { return k.local.Finish(ctx, req) },
+		recordLoss: func(lost *ledger.ContendedError) {
+			if id := lost.ReservedAs[req.Reservation.Turn]; id != "" {
+				req.ReservedAs = id
+			}
+		},
+	})
 	if err == nil {
 		k.local.Turns.AddToCache(req.Reservation.Turn, req.Record)
 	}
--- a/conversation/local.go
+++ b/conversation/local.go
@@ -24,6 +24,9 @@
 	Record      *turnlog.Record    `msgpack:"t"`
 	// Regions are the regions through whose VMs the turn may be relayed, empty for all.
 	Regions []string `msgpack:"g,omitempty"`
+	// ReservedAs is the ID of the advance reservation that the turn uses, empty if the VM
+	// that stores the turn knows it or there is none.
+	ReservedAs structs.RequestID `msgpack:"a,omitempty"`
 }
 
 // ReserveRequest asks to reserve the tokens of a turn that is about to run.
@@ -151,6 +154,9 @@
 		return err
 	}
 	end := ledger.TurnEnd{Reservation: req.Reservation, Budget: req.Budget, Tokens: req.Tokens, AdvanceKey: id, Rows: rows}
+	if req.ReservedAs != "" {
+		end.Reservation.Turn = req.ReservedAs
+	}
 	if err := wait(ctx, l.Ledger.FinishTurn(ctx, req.Program, end)); err != nil {
 		return err
 	}
--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -177,7 +177,7 @@
 	})
 	router = storepath.NewRouter(direct, mesh, log)
 	local.Ledger = ledger.NewKeeper(ledger.Options{
-		Store: router, Partition: partitionOf, FirstStart: loaded.IsFirstStart, Log: log,
+		Self: loaded.VM, Store: router, Partition: partitionOf, FirstStart: loaded.IsFirstStart, Log: log,
 	})
 	local.Turns = turnlog.New(turnlog.Options{
 		Store: router, Partition: partitionOf, Partitions: partitionNames(),
--- a/ledger/balance.go
+++ b/ledger/balance.go
@@ -36,6 +36,8 @@
 	ChargedAt int64 `msgpack:"c,omitempty"`
 	// Budget is the program's budget. It is missing in rows of builds without outage grants.
 	Budget int64 `msgpack:"b,omitempty"`
+	// Writer is the VM that wrote the row last. It is missing in rows of earlier builds.
+	Writer structs.VMID `msgpack:"v,omitempty"`
 }
 
 // reservationTTL is the age at which an open reservation counts as spent. Its turn can no
--- a/ledger/group_commit.go
+++ b/ledger/group_commit.go
@@ -25,8 +25,12 @@
 	// changed the balance first each time.
 	maxConflicts = 8
 	// conflictBackoff is the maximum delay before a retry, multiplied by the number of
-	// conflicts so far; the first retry is immediate. An attempt takes 10 to 40 ms.
+	// conflicts so far. An attempt takes 10 to 40 ms.
 	conflictBackoff = 20 * time.Millisecond
+	// conflictsPerBackoff is the number of conflicts after which a retry is delayed. The
+	// others follow at once, since the balance that a conflict reports is out of date after
+	// a delay if another VM keeps changing it.
+	conflictsPerBackoff = 2
 	// minTimeLeft is the least time before a change's deadline at which the change is
 	// still sent. A transaction takes 5 ms in the region of the store.
 	minTimeLeft = 10 * time.Millisecond
@@ -217,6 +221,7 @@
 func (k *Keeper) commitTx(ctx context.Context, batch []*batchItem) (uint64, error) {
 	var tx rowstore.Tx
 	for _, item := range batch {
+		item.newBalance.Writer = k.opts.Self
 		value, err := item.newBalance.encode()
 		if err != nil {
 			return 0, errors.Wrap(err, "encode budget")
@@ -249,7 +254,7 @@
 		}
 		switch {
 		case item.conflicts >= maxConflicts:
-			k.handleFailure(item, &ContendedError{Program: item.entry.key.Key}, false)
+			k.failContended(item)
 		case conflicted && item.conflicts > 1:
 			k.retryLater(item)
 		default:
@@ -311,9 +316,27 @@
 	return notStored
 }
 
-// retryLater retries an item after a delay, without delaying other programs.
+// retryLater retries an item without delaying other programs.
 func (k *Keeper) retryLater(item *batchItem) {
-	time.AfterFunc(rand.N(conflictBackoff*time.Duration(item.conflicts)), func() { k.commitBatch([]*batchItem{item}) })
+	var delay time.Duration
+	if item.conflicts%conflictsPerBackoff == 0 {
+		delay = rand.N(conflictBackoff * time.Duration(item.conflicts))
+	}
+	time.AfterFunc(delay, func() { k.commitBatch([]*batchItem{item}) })
+}
+
+// failContended fails the changes that somebody waits for and requeues the others.
+func (k *Keeper) failContended(item *batchItem) {
+	failed := &ContendedError{Program: item.entry.key.Key, ReservedAs: make(map[structs.RequestID]structs.RequestID)}
+	k.mu.Lock()
+	if writer := item.entry.balance.Writer; writer != k.opts.Self {
+		failed.Writer = writer
+	}
+	for turn, id := range item.entry.advanceIDs {
+		failed.ReservedAs[turn] = id
+	}
+	k.mu.Unlock()
+	k.handleFailure(item, failed, false)
 }
 
 func (k *Keeper) setBalance(e *entry, balance Balance, version uint64) {
@@ -390,7 +413,14 @@
 
 // ContendedError reports that other VMs changed the balance before each of maxConflicts
 // attempts.
-type ContendedError struct{ Program string }
+type ContendedError struct {
+	Program string
+	// Writer is the VM that changed the balance last, empty if it is not known. Changes
+	// that it makes for other VMs do not conflict with its own.
+	Writer structs.VMID
+	// ReservedAs maps turns that use an advance reservation to the ID of that reservation.
+	ReservedAs map[structs.RequestID]structs.RequestID
+}
 
 // Error implements error.
 func (e *ContendedError) Error() string {
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -34,6 +34,8 @@
 
 // Options configures a Keeper.
 type Options struct {
+	// Self is this VM.
+	Self  structs.VMID
 	Store rowstore.Store
 	// Partition returns the store partition that holds the row of a program.
 	Partition func(program string) string
