storepath: a call that its caller ends early does not count as a failure of the path

Two calls in a row whose callers had only milliseconds left marked the direct path to the store as down. The VM then lost its role as a home VM, so that two VMs changed its programs' balances.

Change: such a call counts if the path had 0.6 s, which a store slowed 60 times needs at most; a silent path is found as before by the calls of home VMs, which end after 0.7 s. Measured: TestCallsThatTheirCallersEndKeepTheDirectPath failed before and passes; tests of rowstore green.

--- a/rowstore/storepath/router.go
+++ b/rowstore/storepath/router.go
@@ -24,6 +24,9 @@
 	// silenceTimeout is how long a path may take to answer before it counts as failed;
 	// its call continues. A store slowed 60 times takes 0.55 s.
 	silenceTimeout = 800 * time.Millisecond
+	// minSilence is the least time that a path must have had for a call that its caller ends
+	// to count as a failure of the path. Calls of home VMs end after 0.7 s.
+	minSilence = 600 * time.Millisecond
 	// probeTimeout bounds a watch over the direct path while it is down, so that its
 	// recovery is noticed soon.
 	probeTimeout = 600 * time.Millisecond
@@ -346,10 +349,14 @@
 		go func() {
 			attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 			defer cancel()
+			start := time.Now()
 			silenceTimer := time.AfterFunc(silenceTimeout, func() { r.recordResult(p, &NoAnswerError{Waited: silenceTimeout}) })
 			value, err := call(attemptCtx, r.storeFor(p))
 			silenceTimer.Stop()
-			r.recordResult(p, err)
+			hasReplied := err == nil || isAnswer(err) || isBusy(err)
+			if hasReplied || ctx.Err() == nil || time.Since(start) >= minSilence {
+				r.recordResult(p, err)
+			}
 			results <- callResult[T]{value, err}
 		}()
 	}
--- a/rowstore/storepath/storepath_test.go
+++ b/rowstore/storepath/storepath_test.go
@@ -322,3 +322,22 @@
 		time.Sleep(attemptTimeout)
 	})
 }
+
+// Guards against a VM that gives up its direct path, and with it its role for its programs,
+// since some of its calls had little time left.
+func TestCallsThatTheirCallersEndKeepTheDirectPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		store.SetFaults(rows.Faults{Delay: 20 * time.Millisecond})
+		router := newRouter(store, peerStores{})
+		for range 2 * failureLimit {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+			_, err := router.Commit(ctx, putTx("a", 0))
+			assert.Assert(t, err != nil)
+			cancel()
+			synctest.Wait()
+		}
+		assert.Assert(t, router.IsDirectUp(), "the direct path counts as down")
+		assert.Equal(t, router.LastFailure(), structs.Instant(0))
+	})
+}
