--- a/daemon/endived_odd_entries_test.go
+++ b/daemon/endived_odd_entries_test.go
@@ -6,6 +6,9 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/platform/platformtest"
+	"github.com/endivecourse/endivecourse/rowstore"
 )
 
 // oddAddresses are addresses to which no connection can be made.
@@ -45,3 +48,24 @@
 	assert.Equal(t, b.send(request{path: "/order/2"}).status, 200)
 	assert.Equal(t, len(b.logs.lines("stopped: ")), 0)
 }
+
+// Guards against a row of another partition that changes a target or the configuration:
+// both have their rows in the empty partition.
+func TestRowsOfOtherPartitionsChangeNothing(t *testing.T) {
+	b := newTestSite(t, "near-a")
+	b.addTarget("app-1", "app", "near-a")
+	inForce := len(b.logs.lines("configuration in force"))
+	entry := `{"service":"app","address":"127.0.0.1:1","zone":"near-a","slots":4,"state":"ready"}`
+	for key, value := range map[string]string{"servers app-1": entry, "servers other": entry, "op config": `{"version":1000}`} {
+		table, name, _ := strings.Cut(key, " ")
+		b.site.Store.Put(rowstore.Key{Table: table, Partition: "p", Key: name}, []byte(value))
+	}
+	b.addTarget("app-2", "app", "near-a")
+	b.site.Store.Delete(rowstore.Key{Table: "servers", Partition: "p", Key: "app-1"})
+	b.addTarget("app-3", "app", "near-a")
+	b.site.PutConfig(platformtest.BasicConfig())
+	b.waitUntil("later configuration in force", func() bool { return len(b.logs.lines("configuration in force")) > inForce })
+	assert.DeepEqual(t, b.logs.lines("configuration in force", `"version":1000`), []string(nil))
+	assert.DeepEqual(t, append(b.logs.lines("target restarted"), b.logs.lines("target dropped")...), []string(nil))
+	assert.Equal(t, len(b.logs.lines("target listed")), 3)
+}
