--- a/daemon/endived_odd_entries_test.go
+++ b/daemon/endived_odd_entries_test.go
@@ -47,6 +47,9 @@
 	b.waitUntil("target listed again", func() bool { return len(b.logs.lines(`"target listed"`, `"app-2"`)) >= 2 })
 	assert.Equal(t, b.send(request{path: "/order/2"}).status, 200)
 	assert.Equal(t, len(b.logs.lines("stopped: ")), 0)
+	for _, line := range b.logs.lines("not valid") {
+		assert.Assert(t, len(line) < 1000, "log line of %d bytes", len(line))
+	}
 }
 
 // Guards against a row of another partition that changes a target or the configuration:
