platform, rowstore: changes that can't be read are read with the whole table

Cause: a page of changes that can't be decoded, for example one longer than 4 MB, counted as no answer from the store. The follower asked for the same changes again for good, and the path to the store counted as failed.

Change: the watch reports the changes as gone, with the cause, and the follower reads the whole table in pages, with its usual pause in between.

--- a/rowstore/errors.go
+++ b/rowstore/errors.go
@@ -57,15 +57,24 @@
 // Unwrap returns the cause.
 func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
 
-// HistoryGoneError reports that the store no longer has the changes after a version; a
-// full scan is needed.
-type HistoryGoneError struct{ After uint64 }
+// HistoryGoneError reports that the store no longer has the changes after a version, or that
+// they can't be read; a full scan is needed.
+type HistoryGoneError struct {
+	After uint64
+	Cause error // why the changes can't be read, nil if the store has none
+}
 
-// Error includes the version.
+// Error includes the version and the cause.
 func (e *HistoryGoneError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("changes after version %d can't be read: %v", e.After, e.Cause)
+	}
 	return fmt.Sprintf("store no longer has the changes after version %d", e.After)
 }
 
+// Unwrap returns the cause.
+func (e *HistoryGoneError) Unwrap() error { return e.Cause }
+
 // StaleReadError reports that a read returned a state older than one that is known.
 type StaleReadError struct {
 	Table          string
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -45,7 +45,7 @@
 			report(update)
 			sleep(ctx, opts.Pause())
 		case isHistoryGone(err):
-			opts.Log.Info("store no longer has the history of a table, reading the whole table", "table", opts.Table, "after", after)
+			opts.Log.Info("store no longer has the history of a table, reading the whole table", "table", opts.Table, "after", after, "cause", err.Error())
 			isSynced = false
 		default:
 			sleep(ctx, opts.RetryDelay)
