edge: checks of the paths connect to no target of an unknown service

Cause: a check of the VM's paths tries four targets of as many services as possible, so entries with services that the configuration doesn't name were tried before the targets in use. If nothing listens at their addresses, the failure of one target in use made the VM count its paths to all targets as lost.

Change: only targets of services that the configuration in force names are tried.

Measured: before, the new test with eight such entries and one stopped target saw the paths to all targets lost once while another target served; with the change they are not.

--- a/daemon/endived_odd_entries_test.go
+++ b/daemon/endived_odd_entries_test.go
@@ -72,3 +72,23 @@
 	assert.DeepEqual(t, append(b.logs.lines("target restarted"), b.logs.lines("target dropped")...), []string(nil))
 	assert.Equal(t, len(b.logs.lines("target listed")), 3)
 }
+
+// Guards against a check of the VM's paths that connects only to entries of unknown services.
+func TestPathChecksPassOverUnknownServices(t *testing.T) {
+	b := newTestSite(t, "near-a")
+	b.addTarget("app-1", "app", "near-a")
+	for n := range 8 {
+		b.site.PutTargetEntry(fmt.Sprintf("a-odd-%d", n), fmt.Sprintf(
+			`{"service":"odd-%d","address":"127.0.0.1:1","zone":"near-a","slots":4,"state":"ready"}`, n))
+	}
+	failing := b.addTarget("app-0", "app", "near-a")
+	failing.Close()
+	b.waitUntil("unreachable", func() bool {
+		b.send(request{path: "/read/1", method: "GET"})
+		return len(b.logs.lines("target is unreachable")) >= 1
+	})
+	for range 20 {
+		b.send(request{path: "/read/1", method: "GET"})
+	}
+	assert.DeepEqual(t, b.logs.lines("lost the paths"), []string(nil))
+}
--- a/edge/paths.go
+++ b/edge/paths.go
@@ -202,6 +202,7 @@
 // pathCandidates returns the targets that a check may connect to.
 func (s *Server) pathCandidates() []targetpath.Candidate {
 	now := structs.Now()
+	table := s.opts.Config.Current()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var candidates []targetpath.Candidate
@@ -210,6 +211,9 @@
 		if !s.targets.IsPermitted(target, placement.Query{}) {
 			continue // an evacuated failure domain gets no checks either
 		}
+		if table == nil || table.Services[target.Service] == nil {
+			continue // possibly an entry of another writer, at whose address there is nothing
+		}
 		candidates = append(candidates, targetpath.Candidate{
 			Target: id, Service: target.Service, Domain: target.Domain, Address: target.Address,
 			IsFailing: s.targets.IsBackingOff(now, id),
