hop: test answers that are cut anywhere, and each framing

Cause: users saw answers cut in the head returned as whole, empty ones, and answers whose end is that of their connection are allowed. Neither had a test.

Change: tests that cut answers with a length, with chunks and with neither at every byte, by a close and a reset, on new and kept connections; and a table of framings with the expected body and reuse of the connection.

--- /dev/null
+++ b/hop/answer_test.go
@@ -0,0 +1,164 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// ending is what a target does after it has written an answer.
+type ending int
+
+const (
+	keepsOpen ending = iota
+	closes
+	resets
+)
+
+// fetched is what became of one request.
+type fetched struct {
+	status     int
+	body       string
+	isReusable bool
+	err        error
+}
+
+// fetch sends request "a" over TCP to a target that answers it with raw bytes. If isKept is
+// set, the connection has carried another request before.
+func fetch(t *testing.T, method, raw string, end ending, isKept bool) fetched {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	go func() {
+		nc, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		reader := bufio.NewReader(nc)
+		for _, answer := range []string{response("first", "1"), raw} {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if req.Header.Get(idHeader) == "a" {
+				answer = raw
+			}
+			_, _ = io.WriteString(nc, answer)
+			if req.Header.Get(idHeader) == "a" {
+				break
+			}
+		}
+		switch end {
+		case resets:
+			_ = nc.(*net.TCPConn).SetLinger(0)
+		case keepsOpen:
+			_, _ = io.Copy(io.Discard, nc) // until the caller closes
+		}
+	}()
+	pool := NewPool(nil)
+	if isKept {
+		_, err := roundTrip(t, pool, listener.Addr().String(), "first")
+		assert.NilError(t, err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	conn, err := pool.Get(ctx, listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.Equal(t, conn.IsReused(), isKept)
+	return receive(ctx, conn, method)
+}
+
+// receive sends request "a" and reads its answer.
+func receive(ctx context.Context, conn *Conn, method string) (got fetched) {
+	req := &http.Request{Method: method, Host: "h", URL: &url.URL{Path: "/"}, Header: http.Header{idHeader: {"a"}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	resp, stop, err := conn.RoundTrip(ctx, req, nil, "a", idHeader)
+	if err != nil {
+		return fetched{err: err}
+	}
+	defer stop()
+	body, err := io.ReadAll(resp.Body)
+	return fetched{status: resp.StatusCode, body: string(body), isReusable: err == nil && conn.isReusable(), err: err}
+}
+
+const answerHead = "HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\nX-More: 1\r\n"
+
+// Guards against MIXED: an answer that is cut at any byte of its head or body, by a close or
+// a reset, must not pass for a whole one.
+func TestAnswerCutAnywhereIsNotWhole(t *testing.T) {
+	for framing, answer := range map[string]string{
+		"length":  answerHead + "Content-Length: 5\r\n\r\nhello",
+		"chunked": answerHead + "Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n",
+		"close":   answerHead + "Content-Type: text/plain\r\n\r\nhello",
+		"last":    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + idHeader + ": a\r\n\r\nhello",
+	} {
+		head := strings.Index(answer, "\r\n\r\n") + 4
+		for cut := range len(answer) + 1 {
+			for _, end := range []ending{closes, resets} {
+				for _, isKept := range []bool{false, true} {
+					got := fetch(t, "GET", answer[:cut], end, isKept)
+					name := fmt.Sprintf("%s, ending %d, kept %v: %q: %+v", framing, end, isKept, answer[:cut], got)
+					switch {
+					case framing == "close" && end == closes && cut >= head:
+						assert.NilError(t, got.err, name)
+						assert.Equal(t, got.body, answer[head:cut], name)
+						assert.Assert(t, !got.isReusable, name)
+					case cut == len(answer) && framing != "close":
+						assert.NilError(t, got.err, name)
+						assert.Equal(t, got.body, "hello", name)
+					default:
+						assert.Assert(t, got.err != nil, name)
+					}
+				}
+			}
+		}
+	}
+}
+
+// The end of an answer without length or chunks is that of its connection, whatever its head
+// says of the connection.
+func TestFramingOfAnswers(t *testing.T) {
+	const id = idHeader + ": a\r\n"
+	for name, c := range map[string]struct {
+		method, raw string
+		end         ending
+		body        string
+		isReusable  bool
+	}{
+		"keep-alive without length":   {"GET", answerHead + "Connection: keep-alive\r\n\r\nhello", closes, "hello", false},
+		"close without length":        {"GET", answerHead + "Connection: close\r\n\r\nhello", closes, "hello", false},
+		"close with length":           {"GET", answerHead + "Connection: close\r\nContent-Length: 5\r\n\r\nhello", keepsOpen, "hello", false},
+		"HTTP/1.0":                    {"GET", "HTTP/1.0 200 OK\r\n" + id + "\r\nhello", closes, "hello", false},
+		"HTTP/1.0 with length":        {"GET", "HTTP/1.0 200 OK\r\n" + id + "Content-Length: 5\r\n\r\nhello", keepsOpen, "hello", false},
+		"HTTP/1.0 keep-alive":         {"GET", "HTTP/1.0 200 OK\r\n" + id + "Connection: keep-alive\r\nContent-Length: 5\r\n\r\nhello", keepsOpen, "hello", true},
+		"204":                         {"GET", "HTTP/1.1 204 No Content\r\n" + id + "\r\n", keepsOpen, "", true},
+		"304 with length":             {"GET", "HTTP/1.1 304 Not Modified\r\n" + id + "Content-Length: 5\r\n\r\n", keepsOpen, "", true},
+		"HEAD":                        {"HEAD", answerHead + "Content-Length: 5\r\n\r\n", keepsOpen, "", true},
+		"HEAD without length":         {"HEAD", answerHead + "\r\n", keepsOpen, "", true},
+		"HEAD with a body":            {"HEAD", answerHead + "Content-Length: 5\r\n\r\nhello", keepsOpen, "", false},
+		"204 with a body":             {"GET", "HTTP/1.1 204 No Content\r\n" + id + "Content-Length: 5\r\n\r\nhello", keepsOpen, "", false},
+		"after an informational head": {"GET", "HTTP/1.1 103 Early Hints\r\n\r\n" + response("a", "hello"), keepsOpen, "hello", true},
+		"extra bytes":                 {"GET", response("a", "hello") + "x", keepsOpen, "hello", false},
+		"extra answer":                {"GET", response("a", "hello") + response("b", "x"), keepsOpen, "hello", false},
+		"equal lengths":               {"GET", answerHead + "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello", keepsOpen, "hello", true},
+		"trailers":                    {"GET", answerHead + "Transfer-Encoding: chunked\r\n\r\n5;x=y\r\nhello\r\n0\r\nT: 1\r\n\r\n", keepsOpen, "hello", true},
+	} {
+		for _, isKept := range []bool{false, true} {
+			got := fetch(t, c.method, c.raw, c.end, isKept)
+			assert.NilError(t, got.err, name)
+			assert.Equal(t, got.body, c.body, name)
+			assert.Equal(t, got.isReusable, c.isReusable, name)
+		}
+	}
+}
