hop: reject heads whose framing is ambiguous

Cause: net/http drops Content-Length beside Transfer-Encoding, ignores Transfer-Encoding in HTTP/1.0 and takes framing headers with a space before the colon for others. The target's bytes were then passed on as a whole answer, with the chunk sizes in the body in two cases, and the connection was kept in two. Also read on after status 101 and statuses below 100, and accepted HTTP/2.0.

Change: the head is checked as it was sent; such an answer gets an InvalidHeadError, a broken head a HeadError.

--- a/hop/answer_test.go
+++ b/hop/answer_test.go
@@ -162,3 +162,42 @@
 		}
 	}
 }
+
+// Guards against MIXED: where the end of an answer can't be told for certain, none of it may
+// pass for whole.
+func TestAmbiguousAnswersAreRejected(t *testing.T) {
+	chunked := answerHead + "Transfer-Encoding: chunked\r\n\r\n"
+	for name, raw := range map[string]string{
+		"two lengths":                 answerHead + "Content-Length: 5\r\nContent-Length: 4\r\n\r\nhello",
+		"list of lengths":             answerHead + "Content-Length: 5, 4\r\n\r\nhello",
+		"negative length":             answerHead + "Content-Length: -5\r\n\r\nhello",
+		"signed length":               answerHead + "Content-Length: +5\r\n\r\nhello",
+		"empty length":                answerHead + "Content-Length:\r\n\r\nhello",
+		"length over 64 bits":         answerHead + "Content-Length: 18446744073709551621\r\n\r\nhello",
+		"length over the limit":       answerHead + "Content-Length: 9223372036854775807\r\n\r\nhello",
+		"length and chunks":           answerHead + "Content-Length: 15\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"chunks and length":           answerHead + "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"chunks in HTTP/1.0":          "HTTP/1.0 200 OK\r\n" + idHeader + ": a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"space in a framing header":   answerHead + "Transfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"space in a length header":    answerHead + "Content-Length : 5\r\n\r\nhello",
+		"two encodings":               answerHead + "Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"encoding twice":              answerHead + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"identity":                    answerHead + "Transfer-Encoding: identity\r\n\r\nhello",
+		"chunk size with junk":        chunked + "5x\r\nhello\r\n0\r\n\r\n",
+		"chunk size with sign":        chunked + "+5\r\nhello\r\n0\r\n\r\n",
+		"chunk size with prefix":      chunked + "0x5\r\nhello\r\n0\r\n\r\n",
+		"empty chunk size":            chunked + "\r\nhello\r\n0\r\n\r\n",
+		"chunk size over 64 bits":     chunked + "10000000000000005\r\nhello\r\n0\r\n\r\n",
+		"chunk longer than its size":  chunked + "4\r\nhello\r\n0\r\n\r\n",
+		"chunk shorter than its size": chunked + "6\r\nhello\r\n0\r\n\r\n",
+		"another protocol":            "SSH-2.0-x\r\n\r\n",
+		"version 2":                   "HTTP/2.0 200 OK\r\n" + idHeader + ": a\r\nContent-Length: 5\r\n\r\nhello",
+		"status below 100":            "HTTP/1.1 099 x\r\nContent-Length: 0\r\n\r\n" + response("a", "hello"),
+		"switched protocol":           "HTTP/1.1 101 Switching Protocols\r\n\r\n" + response("a", "hello"),
+	} {
+		for _, isKept := range []bool{false, true} {
+			got := fetch(t, "GET", raw, closes, isKept)
+			assert.Check(t, got.err != nil && !got.isReusable, "%s, kept %v: %+v", name, isKept, got)
+		}
+	}
+}
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -51,6 +51,21 @@
 	left int
 	part string
 	max  int
+	// recorded holds the bytes read since record was called.
+	recorded    []byte
+	isRecording bool
+}
+
+// record starts to keep the bytes that are read, after those that were read before.
+func (r *boundedReader) record(before []byte) {
+	r.recorded, r.isRecording = bytes.Clone(before), true
+}
+
+// stopRecording returns the recorded bytes.
+func (r *boundedReader) stopRecording() []byte {
+	recorded := r.recorded
+	r.recorded, r.isRecording = nil, false
+	return recorded
 }
 
 // allow starts a new bound.
@@ -63,6 +78,9 @@
 	}
 	n, err := r.net.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	if r.isRecording {
+		r.recorded = append(r.recorded, p[:n]...)
+	}
 	return n, err
 }
 
@@ -191,12 +209,10 @@
 func (c *Conn) readResponse(req *http.Request, id, idHeader string) (*http.Response, error) {
 	responseID := ""
 	for range maxStrayResponses + 1 {
-		c.bounded.allow("head", maxHeadBytes)
-		resp, err := http.ReadResponse(c.reader, req)
+		resp, err := c.readHead(req)
 		if err != nil {
-			return nil, errors.Wrap(err, "read answer")
+			return nil, err
 		}
-		c.bounded.allow("response", MaxResponseBytes)
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
--- /dev/null
+++ b/hop/head.go
@@ -0,0 +1,68 @@
+package hop
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+)
+
+// HeadError reports that no complete head of a response arrived.
+type HeadError struct{ Cause error }
+
+// Error names the cause.
+func (e *HeadError) Error() string { return "read answer: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *HeadError) Unwrap() error { return e.Cause }
+
+// InvalidHeadError reports a complete head from which the request, the meaning or the end
+// of the response can't be told for certain.
+type InvalidHeadError struct{ Reason string }
+
+// Error includes the reason.
+func (e *InvalidHeadError) Error() string { return "invalid head of the answer: " + e.Reason }
+
+// readHead reads a status line and headers. net/http resolves some contradictions about the
+// framing by dropping a header, so the head is checked as it was sent.
+func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
+	c.bounded.allow("head", maxHeadBytes)
+	unread, _ := c.reader.Peek(c.reader.Buffered())
+	c.bounded.record(unread)
+	resp, err := http.ReadResponse(c.reader, req)
+	head := c.bounded.stopRecording()
+	c.bounded.allow("response", MaxResponseBytes)
+	if err != nil {
+		return nil, &HeadError{Cause: err}
+	}
+	if reason := invalidHead(resp, head[:len(head)-c.reader.Buffered()]); reason != "" {
+		return nil, &InvalidHeadError{Reason: reason}
+	}
+	return resp, nil
+}
+
+// invalidHead returns why a head must not be believed, empty if it may be.
+func invalidHead(resp *http.Response, head []byte) string {
+	if resp.ProtoMajor != 1 {
+		return "its protocol is not HTTP/1"
+	}
+	if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
+		return "unexpected status " + resp.Status
+	}
+	hasLength, hasEncoding := false, false
+	for line := range bytes.Lines(head) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		trimmed := string(bytes.TrimSpace(name))
+		isLength, isEncoding := strings.EqualFold(trimmed, "Content-Length"), strings.EqualFold(trimmed, "Transfer-Encoding")
+		hasLength, hasEncoding = hasLength || isLength, hasEncoding || isEncoding
+		if (isLength || isEncoding) && len(trimmed) != len(name) {
+			return "white space beside the name of " + trimmed
+		}
+	}
+	switch {
+	case hasEncoding && hasLength:
+		return "both Content-Length and Transfer-Encoding"
+	case hasEncoding && resp.ProtoMinor == 0:
+		return "Transfer-Encoding in HTTP/1.0"
+	}
+	return ""
+}
