hop: give up on a stray answer whose end is not known

Cause: a stray answer with neither length nor chunks swallowed the answer after it and held the request until its deadline; one over the limit of stray bodies was cut there, and the rest of its body was read as the next head.

Change: both end the wait with a StrayResponseError.

--- a/hop/answer_test.go
+++ b/hop/answer_test.go
@@ -201,3 +201,22 @@
 		}
 	}
 }
+
+// Guards against a stray answer whose end is not known: it must not swallow the next answer,
+// hold the request until the target closes, or be taken for another head.
+func TestStrayAnswerWithoutKnownEnd(t *testing.T) {
+	for name, stray := range map[string]string{
+		"without length":   "HTTP/1.1 503 x\r\n" + idHeader + ": b\r\n\r\n" + response("a", "hello"),
+		"over the limit":   "HTTP/1.1 503 x\r\n" + idHeader + ": b\r\nContent-Length: 2000000\r\n\r\n" + strings.Repeat("x", maxStrayBytes) + response("a", "hello"),
+		"longer than said": "HTTP/1.1 503 x\r\n" + idHeader + ": b\r\nContent-Length: 1\r\n\r\nxx" + response("a", "hello"),
+		"shorter":          "HTTP/1.1 503 x\r\n" + idHeader + ": b\r\nContent-Length: 9\r\n\r\nx" + response("a", "hello"),
+		"too many":         strings.Repeat(response("b", "x"), maxStrayResponses+1) + response("a", "hello"),
+	} {
+		for _, isKept := range []bool{false, true} {
+			start := time.Now()
+			got := fetch(t, "GET", stray, keepsOpen, isKept)
+			assert.Check(t, got.err != nil, "%s: %+v", name, got)
+			assert.Check(t, time.Since(start) < time.Second, "%s: %s", name, time.Since(start))
+		}
+	}
+}
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -84,7 +84,8 @@
 	return n, err
 }
 
-// StrayResponseError reports that only responses to other requests arrived.
+// StrayResponseError reports that responses to other requests arrived, and none to this one
+// after them.
 type StrayResponseError struct{ ID string }
 
 // Error names the ID of the last response.
@@ -222,13 +223,26 @@
 			return resp, nil
 		}
 		c.hasStrayBytes = true
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil {
-			return nil, errors.Wrap(err, "skip the answer to another request")
+		if !skipBody(resp) {
+			break
 		}
 	}
 	return nil, &StrayResponseError{ID: responseID}
 }
 
+// skipBody reads the body of a stray response. It reports false if the next response can't
+// be found, since the body is incomplete, too long or ends with its connection.
+func skipBody(resp *http.Response) bool {
+	if resp.Body == http.NoBody {
+		return true
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes+1))
+	return err == nil && n <= maxStrayBytes
+}
+
 func (c *Conn) recordExpiry(resp *http.Response) {
 	c.closesAfterResponse = c.closesAfterResponse || resp.Close
 	c.idleTimeout = idleTimeout(resp.Header)
