hop: reject an answer with two request IDs

Cause: the first ID was believed, so that an answer to another request could pass for this one's.

Change: two different IDs are an InvalidHeadError.

Result: the case "two IDs" of TestAmbiguousAnswersAreRejected failed before on new and kept connections, now green with -race.

--- a/hop/answer_test.go
+++ b/hop/answer_test.go
@@ -194,6 +194,7 @@
 		"version 2":                   "HTTP/2.0 200 OK\r\n" + idHeader + ": a\r\nContent-Length: 5\r\n\r\nhello",
 		"status below 100":            "HTTP/1.1 099 x\r\nContent-Length: 0\r\n\r\n" + response("a", "hello"),
 		"switched protocol":           "HTTP/1.1 101 Switching Protocols\r\n\r\n" + response("a", "hello"),
+		"two IDs":                     "HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\n" + idHeader + ": b\r\nContent-Length: 5\r\n\r\nhello",
 	} {
 		for _, isKept := range []bool{false, true} {
 			got := fetch(t, "GET", raw, closes, isKept)
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -218,6 +218,11 @@
 			continue
 		}
 		responseID = resp.Header.Get(idHeader)
+		for _, other := range resp.Header.Values(idHeader) {
+			if other != responseID {
+				return nil, &InvalidHeadError{Reason: "two request IDs"}
+			}
+		}
 		if responseID == id || responseID == "" && !c.hasStrayBytes && !c.isReused {
 			c.recordExpiry(resp)
 			return resp, nil
