edge: believe a refusal only with the request's ID and a failure status

Cause: a refusal without an ID on a new connection, or a 200 that says that nothing ran, was taken for the promise that the request had not run. The request was then sent to a second target, and its caller was told to try again: REFUSED and TWICE for a request that must not be repeated.

Change: such a refusal is an UncertainRefusalError, after which the request may have run.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -38,6 +38,18 @@
 	return "target answered " + http.StatusText(e.Status) + " without saying that the request was not run"
 }
 
+// UncertainRefusalError reports a refusal that may not be the answer to this request: it
+// lacks the request's ID, or its status is not one of a refusal.
+type UncertainRefusalError struct {
+	Status int
+	ID     string
+}
+
+// Error names the status and the ID.
+func (e *UncertainRefusalError) Error() string {
+	return "refusal with status " + strconv.Itoa(e.Status) + " and request ID " + strconv.Quote(e.ID)
+}
+
 // EncodedResponseError reports that a response is encoded although no encoding was
 // requested.
 type EncodedResponseError struct{ Encoding string }
@@ -59,6 +71,9 @@
 		x.server.recordDeparture(target)
 	}
 	if head.NotRun || head.WrongTarget {
+		if id := resp.Header.Get(x.server.opts.Dialect.IDHeader()); id != string(x.ID) || resp.StatusCode < http.StatusBadRequest {
+			return attemptResult{isRunUnknown: true, cause: &UncertainRefusalError{Status: resp.StatusCode, ID: id}}
+		}
 		return x.recordNotRun(target, resp, head)
 	}
 	if encoding := resp.Header.Get("Content-Encoding"); encoding != "" {
