edge: events of a stream may be separated by CRLF CRLF

Cause: only two line feeds ended an event. A stream whose lines end with CRLF was held back to its end and then refused with 502, though it was whole.

Change: a blank line that ends with CRLF ends an event too, also when it is split over reads. The bytes are passed on unchanged.

--- a/daemon/endived_answers_test.go
+++ b/daemon/endived_answers_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -18,7 +19,29 @@
 	return head + strings.Join(append(lines, ""), "\r\n")
 }
 
-const orderPath = "/order/1"
+// rawEvents returns a stream's events with the given line ends.
+func rawEvents(lineEnd string) string {
+	return strings.ReplaceAll("id: 1\ndata: one\n\nid: 2\ndata: two\n\n", "\n", lineEnd)
+}
+
+// inChunks returns text in chunks of seven bytes, and the last chunk if it is whole.
+func inChunks(text string, isWhole bool) string {
+	var chunked strings.Builder
+	for len(text) > 0 {
+		n := min(len(text), 7)
+		fmt.Fprintf(&chunked, "%x\r\n%s\r\n", n, text[:n])
+		text = text[n:]
+	}
+	if isWhole {
+		chunked.WriteString("0\r\n\r\n")
+	}
+	return chunked.String()
+}
+
+const (
+	orderPath = "/order/1"
+	draftPath = "/draft/1"
+)
 
 // Guards against REFUSED and TWICE: a refusal is believed only with the request's ID and a
 // status of failure; after any other, the request may have run.
@@ -49,3 +72,54 @@
 		assert.Check(t, got.status == c.status && runs == c.runs, "%s: status %d after %d runs: %s", c.name, got.status, runs, got.body)
 	}
 }
+
+// Guards against MIXED and ORDER: callers get an answer or a stream whole, or see that it is
+// not, in each framing of the target's answer.
+func TestCallersSeeWhetherAnswersAreWhole(t *testing.T) {
+	b := newTestSite(t, "near-a")
+	app, engine := b.addTarget("app-1", "app", "near-a"), b.addTarget("engine-1", "engine", "near-a")
+	const chunks = "Transfer-Encoding: chunked"
+	events, crlf := rawEvents("\n"), rawEvents("\r\n")
+	for name, c := range map[string]struct {
+		path, body string // body is empty if the answer is not whole
+		isReset    bool
+		lines      []string
+		raw        string
+	}{
+		"no framing":                 {path: orderPath, body: "hello", raw: "hello"},
+		"no framing, kept alive":     {path: orderPath, body: "hello", lines: []string{"Connection: keep-alive"}, raw: "hello"},
+		"no framing, reset":          {path: orderPath, isReset: true, raw: "hello"},
+		"length":                     {path: orderPath, body: "hello", lines: []string{"Content-Length: 5"}, raw: "hello"},
+		"cut length":                 {path: orderPath, lines: []string{"Content-Length: 6"}, raw: "hello"},
+		"chunks":                     {path: orderPath, body: "hello you", lines: []string{chunks}, raw: inChunks("hello you", true)},
+		"cut chunks":                 {path: orderPath, lines: []string{chunks}, raw: inChunks("hello you", false)},
+		"stream, no framing":         {path: draftPath, body: events, raw: events},
+		"stream, no framing, reset":  {path: draftPath, isReset: true, raw: events},
+		"stream, CRLF":               {path: draftPath, body: crlf, raw: crlf},
+		"stream, CRLF in chunks":     {path: draftPath, body: crlf, lines: []string{chunks}, raw: inChunks(crlf, true)},
+		"stream, in chunks":          {path: draftPath, body: events, lines: []string{chunks}, raw: inChunks(events, true)},
+		"stream, no last chunk":      {path: draftPath, lines: []string{chunks}, raw: inChunks(events, false)},
+		"stream, length":             {path: draftPath, body: events, lines: []string{fmt.Sprintf("Content-Length: %d", len(events))}, raw: events},
+		"stream, cut length":         {path: draftPath, lines: []string{fmt.Sprintf("Content-Length: %d", len(events)+1)}, raw: events},
+		"stream, one line feed":      {path: draftPath, raw: events[:len(events)-1]},
+		"stream, CRLF, cut at CR":    {path: draftPath, raw: crlf[:len(crlf)-1]},
+		"stream, in an event":        {path: draftPath, raw: events + "id: 3\ndata: thr"},
+		"stream, in an event, whole": {path: draftPath, lines: []string{chunks}, raw: inChunks(events+"data: thr\n", true)},
+	} {
+		behaviour := platformtest.Behaviour{RawIsReset: c.isReset, RawAnswer: func(id string) string {
+			return rawHead("200 OK", id, c.lines...) + "\r\n" + c.raw
+		}}
+		app.Set(behaviour)
+		engine.Set(behaviour)
+		for range 2 {
+			got := b.send(request{path: c.path, body: "x"})
+			if c.body != "" {
+				assert.Check(t, got.err == nil && got.status == 200 && got.body == c.body, "%s: %+v", name, got)
+				continue
+			}
+			assert.Check(t, got.err != nil || got.status == 502, "%s: %+v", name, got)
+			isCutAtEvent := strings.HasSuffix(got.body, "\n\n") || strings.HasSuffix(got.body, "\r\n\r\n")
+			assert.Check(t, got.status != 200 || got.body == "" || isCutAtEvent, "%s: %+v", name, got)
+		}
+	}
+}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -189,7 +188,7 @@
 func (x *exchange) forwardEvents(events []byte) error {
 	count := 0
 	for rest := events; len(rest) > 0; count++ {
-		end := bytes.Index(rest, eventEnd) + len(eventEnd)
+		end := firstEvent(rest)
 		if x.turn != nil && x.turn.record != nil {
 			x.turn.record.Output = appendData(x.turn.record.Output, rest[:end])
 		}
