--- a/daemon/endived_answers_test.go
+++ b/daemon/endived_answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -123,3 +124,20 @@
 		}
 	}
 }
+
+// Guards against a length in an answer that has no body, and one that is taken for an empty
+// body.
+func TestAnswersWithoutBody(t *testing.T) {
+	b := newTestSite(t, "near-a")
+	app := b.addTarget("app-1", "app", "near-a")
+	for _, c := range []struct{ method, status string }{
+		{http.MethodPost, "204 No Content"}, {http.MethodPost, "304 Not Modified"}, {http.MethodHead, "200 OK"},
+	} {
+		app.Set(platformtest.Behaviour{RawAnswer: func(id string) string { return rawHead(c.status, id, "X-Own: 1") + "\r\n" }})
+		got := b.send(request{path: orderPath, method: c.method})
+		assert.NilError(t, got.err, c.status)
+		assert.Equal(t, fmt.Sprint(got.status), c.status[:3])
+		_, hasLength := got.header["Content-Length"]
+		assert.Check(t, !hasLength && got.header.Get("X-Own") == "1", "%s: %v", c.status, got.header)
+	}
+}
