--- a/daemon/endived_answers_test.go
+++ b/daemon/endived_answers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -151,3 +153,22 @@
 		assert.Check(t, !hasLength && got.header.Get("X-Own") == "1", "%s: %v", c.status, got.header)
 	}
 }
+
+// Guards against an HTTP/1.0 caller, whose streams end with the connection, that takes a
+// stream which was broken off for a whole one.
+func TestBrokenStreamIsResetForHTTP10(t *testing.T) {
+	b := newTestSite(t, "near-a")
+	engine := b.addTarget("engine-1", "engine", "near-a")
+	for _, isWhole := range []bool{true, false} {
+		engine.Set(platformtest.Behaviour{RawAnswer: func(id string) string {
+			return rawHead("200 OK", id, "Transfer-Encoding: chunked") + "\r\n" + inChunks(rawEvents("\n"), isWhole)
+		}})
+		conn, err := net.Dial("tcp", b.vms[0].CallerAddress)
+		assert.NilError(t, err)
+		defer conn.Close()
+		fmt.Fprintf(conn, "GET %s HTTP/1.0\r\nHost: %s\r\n%s: http10-%v\r\n%s: key-one\r\n\r\n",
+			draftPath, platformtest.Host, platformtest.HeaderRequestID, isWhole, platformtest.HeaderKey)
+		got, err := io.ReadAll(conn)
+		assert.Equal(t, err == nil && strings.HasSuffix(string(got), rawEvents("\n")), isWhole, "%q, %v", got, err)
+	}
+}
