--- a/hop/answer_test.go
+++ b/hop/answer_test.go
@@ -27,7 +27,7 @@
 // fetched is what became of one request.
 type fetched struct {
 	status     int
-	body       string
+	id, body   string
 	isReusable bool
 	err        error
 }
@@ -89,7 +89,7 @@
 	}
 	defer stop()
 	body, err := io.ReadAll(resp.Body)
-	return fetched{status: resp.StatusCode, body: string(body), isReusable: err == nil && conn.isReusable(), err: err}
+	return fetched{status: resp.StatusCode, id: resp.Header.Get(idHeader), body: string(body), isReusable: err == nil && conn.isReusable(), err: err}
 }
 
 const answerHead = "HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\nX-More: 1\r\n"
@@ -221,3 +221,35 @@
 		}
 	}
 }
+
+// Guards against REFUSED: a refusal that a target writes once more on a kept connection, at
+// any time, must not be taken for the answer to the next request.
+func TestRepeatedRefusalIsNotBelieved(t *testing.T) {
+	refusal := func(id string) string { return strings.Replace(response(id, "full"), "200 OK", "503 Full", 1) }
+	for name, repeated := range map[string]string{
+		"with its ID": refusal("first"), "without an ID": refusal(""), "twice": refusal("first") + refusal(""),
+		"after an informational head": "HTTP/1.1 100 Continue\r\n\r\n" + refusal("first"),
+	} {
+		for _, when := range []string{"with the answer", "while idle", "as the request arrives", "with the next answer"} {
+			address := startTarget(t, func(n int, id string) string {
+				if id == "first" && when == "with the answer" {
+					return response(id, "answer to "+id) + repeated
+				}
+				if id != "first" && n > 0 && when == "with the next answer" {
+					return repeated + response(id, "answer to "+id)
+				}
+				return response(id, "answer to "+id)
+			}, func(nc net.Conn, n int, isAnswered bool) {
+				if n == 0 && isAnswered && when == "while idle" || n == 1 && !isAnswered && when == "as the request arrives" {
+					_, _ = io.WriteString(nc, repeated)
+				}
+			})
+			pool := NewPool(nil)
+			for _, id := range []string{"first", "a"} {
+				body, err := roundTrip(t, pool, address, id)
+				assert.NilError(t, err, "%s, %s", name, when)
+				assert.Equal(t, body, "answer to "+id, "%s, %s", name, when)
+			}
+		}
+	}
+}
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -102,6 +102,7 @@
 	expires             time.Time     // when the pooled connection must no longer be used
 	closesAfterResponse bool          // the target closes the connection after this response
 	hasStrayBytes       bool          // data that belongs to no request has arrived
+	isUnanswered        bool          // no response was read to its end since the request was sent
 	isReused            bool          // it has carried another request before
 	connectTime         time.Duration // from the attempt to connect until the target accepted
 	idleTimeout         time.Duration // stated by the target, less idleMargin
@@ -158,6 +159,7 @@
 // before.
 func (c *Conn) RoundTrip(ctx context.Context, req *http.Request, body []byte, id, idHeader string) (resp *http.Response, stop func() bool, err error) {
 	stop = context.AfterFunc(ctx, c.Close)
+	c.isUnanswered = true
 	if err := c.writeRequest(req, body); err != nil {
 		// The target may have answered before it has read the whole request.
 		resp, readErr := c.readResponse(req, id, idHeader)
@@ -225,6 +227,8 @@
 		}
 		if responseID == id || responseID == "" && !c.hasStrayBytes && !c.isReused {
 			c.recordExpiry(resp)
+			c.isUnanswered = resp.Body != http.NoBody
+			resp.Body = &responseBody{ReadCloser: resp.Body, conn: c}
 			return resp, nil
 		}
 		c.hasStrayBytes = true
@@ -269,7 +273,7 @@
 // isReusable reports whether another request may be sent after the response was
 // read completely.
 func (c *Conn) isReusable() bool {
-	if c.closesAfterResponse || c.hasStrayBytes || c.reader.Buffered() > 0 {
+	if c.closesAfterResponse || c.hasStrayBytes || c.isUnanswered || c.reader.Buffered() > 0 {
 		return false
 	}
 	if c.writeDone == nil {
--- a/hop/conn_test.go
+++ b/hop/conn_test.go
@@ -28,8 +28,8 @@
 }
 
 // startTarget starts a server that answers the n-th request on each connection, from 0,
-// with the bytes that answer returns.
-func startTarget(t *testing.T, answer func(n int, id string) string) (address string) {
+// with the bytes that answer returns. The hooks are called before and after each answer.
+func startTarget(t *testing.T, answer func(n int, id string) string, hooks ...func(nc net.Conn, n int, isAnswered bool)) (address string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { listener.Close() })
@@ -39,13 +39,13 @@
 			if err != nil {
 				return
 			}
-			go serve(conn, answer)
+			go serve(conn, answer, hooks)
 		}
 	}()
 	return listener.Addr().String()
 }
 
-func serve(conn net.Conn, answer func(n int, id string) string) {
+func serve(conn net.Conn, answer func(n int, id string) string, hooks []func(nc net.Conn, n int, isAnswered bool)) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for n := 0; ; n++ {
@@ -53,9 +53,15 @@
 		if err != nil {
 			return
 		}
+		for _, hook := range hooks {
+			hook(conn, n, false)
+		}
 		if _, err := io.WriteString(conn, answer(n, req.Header.Get(idHeader))); err != nil {
 			return
 		}
+		for _, hook := range hooks {
+			hook(conn, n, true)
+		}
 	}
 }
 
