daemon: tests of answers say that the target closes the connection

Cause: in the one whole run of ./daemon (beside the fuzz test, -race), a case of TestCallersSeeWhetherAnswersAreWhole got 502. The test's target closes each connection after its answer, and a request was sent on one whose close had not arrived yet, which is no fault.

Change: whole answers with a length or chunks have "Connection: close" there, for both sites. What the cases ask for is unchanged.

--- a/daemon/endived_answers_test.go
+++ b/daemon/endived_answers_test.go
@@ -45,6 +45,9 @@
 const (
 	orderPath = "/order/1"
 	draftPath = "/draft/1"
+	// closing is in whole answers with a length or chunks: the target closes each connection,
+	// and without it the next request might be sent before that is noticed.
+	closing = "Connection: close"
 )
 
 // Guards against REFUSED and TWICE: a refusal is believed only with the request's ID and a
@@ -86,11 +89,10 @@
 
 func TestCallersSeeWhetherForwardedAnswersAreWhole(t *testing.T) {
 	f := newForwardingSite(t, 2, time.Millisecond)
-	// A VM of this site doesn't notice on an idle connection that its target has closed it.
-	checkAnswersAreWhole(t, f.testSite, f.app, f.engine, "Connection: close")
+	checkAnswersAreWhole(t, f.testSite, f.app, f.engine)
 }
 
-func checkAnswersAreWhole(t *testing.T, b *testSite, app, engine *platformtest.Target, lines ...string) {
+func checkAnswersAreWhole(t *testing.T, b *testSite, app, engine *platformtest.Target) {
 	const chunks = "Transfer-Encoding: chunked"
 	events, crlf := rawEvents("\n"), rawEvents("\r\n")
 	for name, c := range map[string]struct {
@@ -102,17 +104,17 @@
 		"no framing":                 {path: orderPath, body: "hello", raw: "hello"},
 		"no framing, kept alive":     {path: orderPath, body: "hello", lines: []string{"Connection: keep-alive"}, raw: "hello"},
 		"no framing, reset":          {path: orderPath, isReset: true, raw: "hello"},
-		"length":                     {path: orderPath, body: "hello", lines: []string{"Content-Length: 5"}, raw: "hello"},
+		"length":                     {path: orderPath, body: "hello", lines: []string{closing, "Content-Length: 5"}, raw: "hello"},
 		"cut length":                 {path: orderPath, lines: []string{"Content-Length: 6"}, raw: "hello"},
-		"chunks":                     {path: orderPath, body: "hello you", lines: []string{chunks}, raw: inChunks("hello you", true)},
+		"chunks":                     {path: orderPath, body: "hello you", lines: []string{closing, chunks}, raw: inChunks("hello you", true)},
 		"cut chunks":                 {path: orderPath, lines: []string{chunks}, raw: inChunks("hello you", false)},
 		"stream, no framing":         {path: draftPath, body: events, raw: events},
 		"stream, no framing, reset":  {path: draftPath, isReset: true, raw: events},
 		"stream, CRLF":               {path: draftPath, body: crlf, raw: crlf},
-		"stream, CRLF in chunks":     {path: draftPath, body: crlf, lines: []string{chunks}, raw: inChunks(crlf, true)},
-		"stream, in chunks":          {path: draftPath, body: events, lines: []string{chunks}, raw: inChunks(events, true)},
+		"stream, CRLF in chunks":     {path: draftPath, body: crlf, lines: []string{closing, chunks}, raw: inChunks(crlf, true)},
+		"stream, in chunks":          {path: draftPath, body: events, lines: []string{closing, chunks}, raw: inChunks(events, true)},
 		"stream, no last chunk":      {path: draftPath, lines: []string{chunks}, raw: inChunks(events, false)},
-		"stream, length":             {path: draftPath, body: events, lines: []string{fmt.Sprintf("Content-Length: %d", len(events))}, raw: events},
+		"stream, length":             {path: draftPath, body: events, lines: []string{closing, fmt.Sprintf("Content-Length: %d", len(events))}, raw: events},
 		"stream, cut length":         {path: draftPath, lines: []string{fmt.Sprintf("Content-Length: %d", len(events)+1)}, raw: events},
 		"stream, one line feed":      {path: draftPath, raw: events[:len(events)-1]},
 		"stream, CRLF, cut at CR":    {path: draftPath, raw: crlf[:len(crlf)-1]},
@@ -120,7 +122,7 @@
 		"stream, in an event, whole": {path: draftPath, lines: []string{chunks}, raw: inChunks(events+"data: thr\n", true)},
 	} {
 		behaviour := platformtest.Behaviour{RawIsReset: c.isReset, RawAnswer: func(id string) string {
-			return rawHead("200 OK", id, append(lines, c.lines...)...) + "\r\n" + c.raw
+			return rawHead("200 OK", id, c.lines...) + "\r\n" + c.raw
 		}}
 		app.Set(behaviour)
 		engine.Set(behaviour)
@@ -145,7 +147,7 @@
 	for _, c := range []struct{ method, status string }{
 		{http.MethodPost, "204 No Content"}, {http.MethodPost, "304 Not Modified"}, {http.MethodHead, "200 OK"},
 	} {
-		app.Set(platformtest.Behaviour{RawAnswer: func(id string) string { return rawHead(c.status, id, "X-Own: 1") + "\r\n" }})
+		app.Set(platformtest.Behaviour{RawAnswer: func(id string) string { return rawHead(c.status, id, closing, "X-Own: 1") + "\r\n" }})
 		got := b.send(request{path: orderPath, method: c.method})
 		assert.NilError(t, got.err, c.status)
 		assert.Equal(t, fmt.Sprint(got.status), c.status[:3])
@@ -161,7 +163,7 @@
 	engine := b.addTarget("engine-1", "engine", "near-a")
 	for _, isWhole := range []bool{true, false} {
 		engine.Set(platformtest.Behaviour{RawAnswer: func(id string) string {
-			return rawHead("200 OK", id, "Transfer-Encoding: chunked") + "\r\n" + inChunks(rawEvents("\n"), isWhole)
+			return rawHead("200 OK", id, closing, "Transfer-Encoding: chunked") + "\r\n" + inChunks(rawEvents("\n"), isWhole)
 		}})
 		conn, err := net.Dial("tcp", b.vms[0].CallerAddress)
 		assert.NilError(t, err)
