--- a/hop/conn.go
+++ b/hop/conn.go
@@ -51,6 +51,21 @@
 	left int
 	part string
 	max  int
+	// recorded holds the bytes read since record was called.
+	recorded    []byte
+	isRecording bool
+}
+
+// record starts to keep the bytes that are read, after those that were read before.
+func (r *boundedReader) record(before []byte) {
+	r.recorded, r.isRecording = bytes.Clone(before), true
+}
+
+// stopRecording returns the recorded bytes.
+func (r *boundedReader) stopRecording() []byte {
+	recorded := r.recorded
+	r.recorded, r.isRecording = nil, false
+	return recorded
 }
 
 // allow starts a new bound.
@@ -63,10 +78,14 @@
 	}
 	n, err := r.net.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	if r.isRecording {
+		r.recorded = append(r.recorded, p[:n]...)
+	}
 	return n, err
 }
 
-// StrayResponseError reports that only responses to other requests arrived.
+// StrayResponseError reports that responses to other requests arrived, and none to this one
+// after them.
 type StrayResponseError struct{ ID string }
 
 // Error names the ID of the last response.
@@ -83,6 +102,7 @@
 	expires             time.Time     // when the pooled connection must no longer be used
 	closesAfterResponse bool          // the target closes the connection after this response
 	hasStrayBytes       bool          // data that belongs to no request has arrived
+	isUnanswered        bool          // no response was read to its end since the request was sent
 	isReused            bool          // it has carried another request before
 	connectTime         time.Duration // from the attempt to connect until the target accepted
 	idleTimeout         time.Duration // stated by the target, less idleMargin
@@ -139,6 +159,7 @@
 // before.
 func (c *Conn) RoundTrip(ctx context.Context, req *http.Request, body []byte, id, idHeader string) (resp *http.Response, stop func() bool, err error) {
 	stop = context.AfterFunc(ctx, c.Close)
+	c.isUnanswered = true
 	if err := c.writeRequest(req, body); err != nil {
 		// The target may have answered before it has read the whole request.
 		resp, readErr := c.readResponse(req, id, idHeader)
@@ -191,28 +212,46 @@
 func (c *Conn) readResponse(req *http.Request, id, idHeader string) (*http.Response, error) {
 	responseID := ""
 	for range maxStrayResponses + 1 {
-		c.bounded.allow("head", maxHeadBytes)
-		resp, err := http.ReadResponse(c.reader, req)
+		resp, err := c.readHead(req)
 		if err != nil {
-			return nil, errors.Wrap(err, "read answer")
+			return nil, err
 		}
-		c.bounded.allow("response", MaxResponseBytes)
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		responseID = resp.Header.Get(idHeader)
+		for _, other := range resp.Header.Values(idHeader) {
+			if other != responseID {
+				return nil, &InvalidHeadError{Reason: "two request IDs"}
+			}
+		}
 		if responseID == id || responseID == "" && !c.hasStrayBytes && !c.isReused {
 			c.recordExpiry(resp)
+			c.isUnanswered = resp.Body != http.NoBody
+			resp.Body = &responseBody{ReadCloser: resp.Body, conn: c}
 			return resp, nil
 		}
 		c.hasStrayBytes = true
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil {
-			return nil, errors.Wrap(err, "skip the answer to another request")
+		if !skipBody(resp) {
+			break
 		}
 	}
 	return nil, &StrayResponseError{ID: responseID}
 }
 
+// skipBody reads the body of a stray response. It reports false if the next response can't
+// be found, since the body is incomplete, too long or ends with its connection.
+func skipBody(resp *http.Response) bool {
+	if resp.Body == http.NoBody {
+		return true
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes+1))
+	return err == nil && n <= maxStrayBytes
+}
+
 func (c *Conn) recordExpiry(resp *http.Response) {
 	c.closesAfterResponse = c.closesAfterResponse || resp.Close
 	c.idleTimeout = idleTimeout(resp.Header)
@@ -234,7 +273,7 @@
 // isReusable reports whether another request may be sent after the response was
 // read completely.
 func (c *Conn) isReusable() bool {
-	if c.closesAfterResponse || c.hasStrayBytes || c.reader.Buffered() > 0 {
+	if c.closesAfterResponse || c.hasStrayBytes || c.isUnanswered || c.reader.Buffered() > 0 {
 		return false
 	}
 	if c.writeDone == nil {
