platform: a caller that leaves mid-answer no longer keeps its slot

Cause: a failed write of a whole response panicked inside the edge, which skipped the release of the slot: the target looked full on this VM until a restart.

Change: Abort marks the response, and the handler closes the connection once the edge has ended the request.

--- a/daemon/testsite_test.go
+++ b/daemon/testsite_test.go
@@ -167,6 +167,22 @@
 	key    string
 	body   string
 	header map[string]string
+	// client is the HTTP client, nil for that of the site. The caller pauses for readPause
+	// after each few bytes of the response.
+	client    *http.Client
+	readPause time.Duration
+}
+
+// slowReader reads a few bytes at a time.
+type slowReader struct {
+	io.Reader
+	pause time.Duration
+}
+
+func (r slowReader) Read(p []byte) (int, error) {
+	const atOnce = 512
+	time.Sleep(r.pause)
+	return r.Reader.Read(p[:min(len(p), atOnce)])
 }
 
 // response is what the caller received; err is set if the response is incomplete or there
@@ -208,12 +224,19 @@
 	for name, value := range c.header {
 		req.Header.Set(name, value)
 	}
-	resp, err := b.client.Do(req)
+	if c.client == nil {
+		c.client = b.client
+	}
+	resp, err := c.client.Do(req)
 	if err != nil {
 		return response{id: id, err: err}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	var reader io.Reader = resp.Body
+	if c.readPause > 0 {
+		reader = slowReader{resp.Body, c.readPause}
+	}
+	body, err := io.ReadAll(reader)
 	return response{id: id, status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
 }
 
--- a/edge/request.go
+++ b/edge/request.go
@@ -93,7 +93,7 @@
 	BeginStream(status int, header http.Header)
 	SendData(part []byte) error
 	EndStream()
-	// Abort closes the caller's connection, so that an incomplete response cannot
-	// be taken for a complete one. It does not return.
+	// Abort closes the caller's connection once the request has ended, so that an
+	// incomplete response cannot be taken for a complete one.
 	Abort()
 }
