--- a/daemon/endived_planned_test.go
+++ b/daemon/endived_planned_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -34,3 +35,22 @@
 	r := b.send(request{path: "/read/1"})
 	assert.Equal(t, r.status, http.StatusOK, r.body)
 }
+
+// Guards against kept connections that are idle when they are closed, although an answer has
+// begun on them since the VM left the rotation.
+func TestResponseThatBeginsDuringDrainClosesConnection(t *testing.T) {
+	b := newTestSite(t)
+	vm := b.site.AddVM("near-a")
+	b.vms = []*platformtest.VM{vm}
+	stop := b.startWithDrain(vm, 7*time.Second)
+	b.waitReady(vm)
+	app := b.addTarget("app-1", "app", "near-a")
+	app.Set(platformtest.Behaviour{Duration: 500 * time.Millisecond})
+	done := make(chan response, 1)
+	go func() { done <- b.send(request{path: "/read/1"}) }()
+	b.waitUntil("running", func() bool { return app.Running() == 1 })
+	go stop()
+	r := <-done
+	assert.Equal(t, r.status, http.StatusOK, r.body)
+	assert.Assert(t, r.closes)
+}
--- a/daemon/testsite_test.go
+++ b/daemon/testsite_test.go
@@ -192,6 +192,7 @@
 	status int
 	header http.Header
 	body   string
+	closes bool // the connection ends with the response
 	err    error
 }
 
@@ -237,7 +238,7 @@
 		reader = slowReader{resp.Body, c.readPause}
 	}
 	body, err := io.ReadAll(reader)
-	return response{id: id, status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+	return response{id: id, status: resp.StatusCode, header: resp.Header, body: string(body), closes: resp.Close, err: err}
 }
 
 // sendTurn sends a turn of the test's program. It continues the turn with the ID previous,
