wire: a server that closes delivers the replies of finished requests

Cause: Close closed the connections at once. Replies that were queued, or that the peer had not read when the connection was reset because of frames that this side had not read, were lost: a forwarded response that had ended could reach the forwarding VM without its end.

Change: the queued frames are written, the sending half is closed, and the connection is closed once the peer has closed its side, after 200 ms at the latest.

--- a/wire/conn.go
+++ b/wire/conn.go
@@ -19,6 +19,8 @@
 	outgoing   chan frame
 	closed     chan struct{}
 	closeOnce  sync.Once
+	finishing  chan struct{} // closed when no frame may be sent any more
+	finishOnce sync.Once
 	closeCause atomic.Pointer[error]
 	handle     func(frame)
 	traffic    *Traffic
@@ -28,13 +30,14 @@
 
 func newConn(nc net.Conn, maxBody int, traffic *Traffic, handle func(frame), onClose func()) *conn {
 	return &conn{
-		netConn:  nc,
-		maxBody:  maxBody,
-		traffic:  traffic,
-		outgoing: make(chan frame, writeQueueLen),
-		closed:   make(chan struct{}),
-		handle:   handle,
-		onClose:  onClose,
+		netConn:   nc,
+		maxBody:   maxBody,
+		traffic:   traffic,
+		outgoing:  make(chan frame, writeQueueLen),
+		closed:    make(chan struct{}),
+		finishing: make(chan struct{}),
+		handle:    handle,
+		onClose:   onClose,
 	}
 }
 
@@ -59,6 +62,41 @@
 	}
 }
 
+// finish writes the queued frames and closes the connection once the peer has read them,
+// after finishTimeout at the latest. Closing at once would also reset a connection on which
+// the peer has sent something that is not read yet, and lose what the peer has not read.
+func (c *conn) finish(cause error) {
+	c.finishOnce.Do(func() { close(c.finishing) })
+	select {
+	case <-c.closed:
+	case <-time.After(finishTimeout):
+	}
+	c.close(cause)
+}
+
+// writeLast writes the queued frames, ends this side of the connection and discards later
+// frames until the connection is closed.
+func (c *conn) writeLast() {
+	var buf []byte
+	for len(c.outgoing) > 0 { // no other goroutine receives from it
+		buf = c.encode(buf, <-c.outgoing)
+	}
+	if err := c.write(buf); err != nil {
+		c.close(err)
+		return
+	}
+	if half, ok := c.netConn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite() // finish closes the connection in any case
+	}
+	for {
+		select {
+		case <-c.outgoing:
+		case <-c.closed:
+			return
+		}
+	}
+}
+
 func (c *conn) close(cause error) {
 	c.closeOnce.Do(func() {
 		c.closeCause.Store(&cause)
@@ -106,6 +144,9 @@
 			buf = c.encodeBatch(buf[:0], f)
 		case <-ping.C:
 			buf = c.encode(buf[:0], frame{kind: framePing})
+		case <-c.finishing:
+			c.writeLast()
+			return
 		case <-c.closed:
 			return
 		}
--- a/wire/options.go
+++ b/wire/options.go
@@ -18,6 +18,9 @@
 	// idleTimeout closes a connection on which nothing, not even a ping, was
 	// received.
 	idleTimeout = 10 * time.Second
+	// finishTimeout bounds the wait until peers have read the last replies of a server that
+	// closes. Daemons have half a second to exit after their drain.
+	finishTimeout = 200 * time.Millisecond
 )
 
 // streamCredits is the number of replies that a server may send before the
--- a/wire/server.go
+++ b/wire/server.go
@@ -142,8 +142,8 @@
 	}
 }
 
-// Close closes the listener and all connections, and waits until all handlers
-// have returned.
+// Close closes the listener and, once the replies sent so far are written, all
+// connections, and waits until all handlers have returned.
 func (s *Server) Close() error {
 	s.mu.Lock()
 	s.draining, s.closed = true, true
@@ -155,10 +155,14 @@
 		conns = append(conns, c)
 	}
 	s.mu.Unlock()
+	var closing sync.WaitGroup
 	for _, c := range conns {
-		c.close(&ClosedError{})
-		c.loops.Wait()
+		closing.Go(func() {
+			c.finish(&ClosedError{})
+			c.loops.Wait()
+		})
 	}
+	closing.Wait()
 	s.requests.Wait()
 	return nil
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -187,3 +187,32 @@
 	assert.NilError(t, err)
 	sockopttest.AssertSurvivesSilence(t, peer.conn.netConn)
 }
+
+// Guards against replies of finished requests that are lost when the server stops.
+func TestCloseWritesQueuedReplies(t *testing.T) {
+	const replies = 48
+	for range 5 {
+		addr, server := startServer(t, func(s *Server) {
+			s.Handle("count", func(_ context.Context, _ *Request, out *ReplyWriter) error {
+				for range replies {
+					if err := out.Send(make([]byte, 128<<10)); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+		})
+		client := NewClient(Options{})
+		defer client.Close()
+		stream, err := client.Stream(t.Context(), addr, "count", 0)
+		assert.NilError(t, err)
+		var part []byte
+		assert.NilError(t, stream.Recv(&part))
+		assert.NilError(t, server.Drain(t.Context()))
+		assert.NilError(t, server.Close())
+		for range replies - 1 {
+			assert.NilError(t, stream.Recv(&part))
+		}
+		assert.Equal(t, stream.Recv(&part), io.EOF)
+	}
+}
