edge: a response that crosses its abandonment is not passed on

Cause: between the choice of the requests to abandon and their cancellation a response could arrive. Its connection was then closed while it was passed on, which broke it off.

Change: such a request counts as abandoned and is sent again.

Measured: TestResponseAfterAbandonIsNotUsed green with -race; found by reading, the window has not been seen in a run.

--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -208,7 +208,11 @@
 		x.recordIncompleteResponse(ctx, target, err)
 		return attemptResult{isRunUnknown: true, cause: err}
 	}
-	answered()
+	if !answered() {
+		stop()
+		conn.Close()
+		return attemptResult{isRunUnknown: true, cause: &PathLostError{Target: target.ID}}
+	}
 	resp.Body = &heardBody{ReadCloser: resp.Body, paths: x.server.paths}
 	g.result, g.latency = placement.ResultAnswered, structs.Now().Sub(x.sentAt)
 	result := x.relay(ctx, target, resp)
--- a/edge/paths.go
+++ b/edge/paths.go
@@ -71,9 +71,9 @@
 }
 
 // begin records that a request is sent. A request that may be sent again is cancelled by
-// abandon if the paths are lost before its response begins; answered prevents that. end
-// records the request's end.
-func (p *targetPaths) begin(abandon context.CancelFunc) (answered, end func()) {
+// abandon if the paths are lost before its response begins; answered prevents that, or
+// reports false if it comes too late. end records the request's end.
+func (p *targetPaths) begin(abandon context.CancelFunc) (answered func() bool, end func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.health.RequestBegan(structs.Now())
@@ -82,11 +82,13 @@
 	if abandon != nil {
 		p.abandon[number] = abandon
 	}
-	answered = func() {
+	answered = func() bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		isKept := abandon == nil || p.abandon[number] != nil
 		delete(p.abandon, number)
 		p.health.Heard(structs.Now())
+		return isKept
 	}
 	end = func() {
 		p.mu.Lock()
