outage: a void grant is not accepted again under the same ID

Cause: a holder compared only the turns of an offer with its own. A turn whose grant it knew as void, settled with no tokens, was accepted again and counted no tokens there.

Change: an offer must have each grant as settled as the holder has it, otherwise the holder returns what it knows. A majority in which no holder knows of the void grant remains open.

--- a/outage/outage.go
+++ b/outage/outage.go
@@ -95,9 +95,13 @@
 	}
 }
 
-// includes reports whether s has every grant of the other state.
+// includes reports whether s has every grant of the other state, as settled as there. A void
+// grant is settled with no tokens.
 func (s *State) includes(other *State) bool {
-	return !slices.ContainsFunc(other.Grants, func(g Grant) bool { return s.find(g.Turn) == nil })
+	return !slices.ContainsFunc(other.Grants, func(g Grant) bool {
+		own := s.find(g.Turn)
+		return own == nil || g.IsSettled && !own.IsSettled
+	})
 }
 
 func (s *State) clone() State {
--- a/outage/outage_test.go
+++ b/outage/outage_test.go
@@ -262,3 +262,24 @@
 	r.Learn(State{Program: "empty"})
 	assert.Equal(t, len(r.States()), 0)
 }
+
+// Guards against a void grant that takes effect under the same ID but counts no tokens at the
+// holders that know it as void.
+func TestVoidGrantIsNotAcceptedAgain(t *testing.T) {
+	offer := func(g Grant) State { return State{Program: "p", Grants: []Grant{g}} }
+	for name, c := range map[string]struct {
+		offered Grant
+		want    Verdict
+	}{
+		"unsettled": {Grant{Turn: "1", Tokens: 30}, Outdated},
+		"settled":   {Grant{Turn: "1", IsSettled: true}, Accepted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := NewRegister(true)
+			r.Learn(offer(Grant{Turn: "1", Tokens: 30}))
+			r.Settle("p", "1", 0)
+			verdict, _ := r.Offer(offer(c.offered))
+			assert.Equal(t, verdict, c.want)
+		})
+	}
+}
