conversation: a grant waits for VMs that notice an outage later than others

Cause: VMs notice an outage one after the other. A turn at a VM that had noticed it was refused at once while its program's home VM, or the other holders, still counted the store as reachable; three attempts in a row were over within 3 ms. In both failed runs of TestTurnRunsAtStartOfStoreOutage that were traced, the second and third attempt were refused so by the home VM, in one of them 6 ms before it noticed the outage.

Change: a home VM that is asked for a grant waits up to 400 ms until it notices the outage, and a holder that is asked for a vote up to 200 ms. A VM that still reaches the store refuses as before.

--- a/conversation/hold_grants.go
+++ b/conversation/hold_grants.go
@@ -24,12 +24,32 @@
 	return h.register.Offer(offer)
 }
 
+// awaitOutage waits until this VM has noticed that the store is unreachable, which the VM that
+// calls it knows already. It reports whether the store is unreachable.
+func (h *Holds) awaitOutage(ctx context.Context, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	ticker := time.NewTicker(noticePollPeriod)
+	defer ticker.Stop()
+	for h.opts.UnreachableFor() == 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // Grant grants a turn's tokens without the store and returns a VM that has a copy. It
 // returns *NoGrantError if it can't.
 func (h *Holds) Grant(ctx context.Context, req ReserveRequest) (copyAt structs.VMID, err error) {
 	others, isSelf, areAble := h.opts.Holders.Holders()
-	if !areAble || len(others) == 0 || h.opts.UnreachableFor() == 0 {
-		return "", &NoGrantError{Turn: req.Reservation.Turn, Reason: "no second VM can hold a copy, or the store is reachable"}
+	if !areAble || len(others) == 0 {
+		return "", &NoGrantError{Turn: req.Reservation.Turn, Reason: "no second VM can hold a copy"}
+	}
+	if !h.awaitOutage(ctx, homeNoticeTime) {
+		return "", &NoGrantError{Turn: req.Reservation.Turn, Reason: "the program's home VM reaches the store"}
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxHoldAttempts*holdTimeout)
 	defer cancel()
--- a/conversation/holds.go
+++ b/conversation/holds.go
@@ -21,6 +21,14 @@
 	// holdTimeout bounds the calls of one attempt to get a majority: several round trips
 	// within a region of 5 ms each.
 	holdTimeout = 250 * time.Millisecond
+	// homeNoticeTime is how long a home VM that still reaches the store waits to notice an
+	// outage that another VM reports: one round of digests and a margin. A refused turn waits
+	// 1.3 s before it is sent again.
+	homeNoticeTime = 400 * time.Millisecond
+	// voteNoticeTime is the same for a holder that is asked for its vote. It ends before
+	// holdTimeout, so that the vote is not cast after the home VM has given up the attempt.
+	voteNoticeTime   = 200 * time.Millisecond
+	noticePollPeriod = 10 * time.Millisecond
 	// maxHoldAttempts bounds the attempts for one grant. Another is made with what a holder
 	// knows in addition.
 	maxHoldAttempts = 3
@@ -119,7 +127,17 @@
 
 // RegisterHolds registers the handler of MethodHold.
 func RegisterHolds(server *wire.Server, holds func() *Holds) {
-	wire.HandleUnary(server, MethodHold, func(_ context.Context, req HoldRequest) (HoldReply, error) { return holds().serve(req), nil })
+	wire.HandleUnary(server, MethodHold, func(ctx context.Context, req HoldRequest) (HoldReply, error) {
+		return holds().serveCall(ctx, req), nil
+	})
+}
+
+// serveCall serves another holder, which knows of an outage if it asks for a vote.
+func (h *Holds) serveCall(ctx context.Context, req HoldRequest) HoldReply {
+	if req.Offer != nil {
+		h.awaitOutage(ctx, voteNoticeTime)
+	}
+	return h.serve(req)
 }
 
 func (h *Holds) serve(req HoldRequest) HoldReply {
--- a/conversation/holds_test.go
+++ b/conversation/holds_test.go
@@ -31,12 +31,14 @@
 	isOld atomic.Bool // one VM does not support grants
 }
 
-// holdVM is one VM; it is lost if isLost, and cut off from the others if isCut.
+// holdVM is one VM; it is lost if isLost, cut off from the others if isCut, and has not noticed
+// an outage if isUnaware.
 type holdVM struct {
 	region        *holdRegion
 	id            structs.VMID
 	local         *Local
 	isLost, isCut atomic.Bool
+	isUnaware     atomic.Bool
 	stop          context.CancelFunc
 }
 
@@ -68,7 +70,7 @@
 	vm.local.Holds = NewHolds(HoldOptions{
 		Holders: vm, Ledger: vm.local.Ledger, Store: r.store, Partition: vm.local.Partition, Partitions: []string{"p"},
 		UnreachableFor: func() time.Duration {
-			if r.isOut.Load() {
+			if r.isOut.Load() && !vm.isUnaware.Load() {
 				return time.Second
 			}
 			return 0
@@ -131,7 +133,7 @@
 	encoded, err := msgpack.Marshal(in)
 	assert.NilError(vm.region.t, err)
 	assert.NilError(vm.region.t, msgpack.Unmarshal(encoded, &req))
-	encoded, err = msgpack.Marshal(other.local.Holds.serve(req))
+	encoded, err = msgpack.Marshal(other.local.Holds.serveCall(ctx, req))
 	assert.NilError(vm.region.t, err)
 	return msgpack.Unmarshal(encoded, out)
 }
@@ -340,3 +342,33 @@
 		r.setOut(false)
 	})
 }
+
+// Guards against turns that are refused at the start of an outage because the home VM or the
+// other holders notice it after the VM that has the turn.
+func TestGrantWaitsForVMsThatNoticeOutageLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		unaware   []structs.VMID
+		delay     time.Duration
+		isGranted bool
+	}{
+		"home VM":               {[]structs.VMID{"vm-0"}, 300 * time.Millisecond, true},
+		"other holders":         {[]structs.VMID{"vm-1", "vm-2"}, 100 * time.Millisecond, true},
+		"home VM not at all":    {[]structs.VMID{"vm-0"}, time.Minute, false},
+		"most holders too late": {[]structs.VMID{"vm-1", "vm-2"}, time.Minute, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inRegion(t, 3, func(t *testing.T, r *holdRegion) {
+				r.setOut(true)
+				start := time.Now()
+				for _, id := range c.unaware {
+					vm := r.vm(id)
+					vm.isUnaware.Store(true)
+					time.AfterFunc(c.delay, func() { vm.isUnaware.Store(false) })
+				}
+				err := r.vm("vm-0").reserve("1")
+				assert.Equal(t, err == nil, c.isGranted, "%v", err)
+				assert.Assert(t, time.Since(start) < storeTimeout, "waited %s", time.Since(start))
+			})
+		})
+	}
+}
