outage, ledger: a void grant settles no reservation

Cause: a grant that did not take effect was settled with no tokens like one whose turn ended. If its turn was sent again after the outage under the same ID and ran on a reservation, a holder that wrote the grant then settled that reservation with no tokens, and the turn's tokens were not counted.

Change: a void grant is marked and not applied to the balance. A copy that another holder wrote before it knew that the grant is void now counts as an unsettled turn does.

--- a/conversation/holds.go
+++ b/conversation/holds.go
@@ -152,7 +152,7 @@
 	}
 	if req.Void != nil {
 		for _, g := range req.Void.Grants {
-			h.register.Settle(req.Void.Program, g.Turn, 0)
+			h.register.Void(req.Void.Program, g.Turn)
 		}
 	}
 	for _, state := range req.Drop {
--- a/ledger/outage.go
+++ b/ledger/outage.go
@@ -34,6 +34,9 @@
 func (b *Balance) applyOutage(c *change, now int64) bool {
 	changed := false
 	for _, g := range c.grants {
+		if g.IsVoid {
+			continue
+		}
 		if slices.ContainsFunc(b.OutageTurns, func(t OutageTurn) bool { return t.Turn == g.Turn }) {
 			if g.IsSettled && b.hasReservation(g.Turn) { // another holder wrote it before it was settled
 				b.Settle(g.Turn, g.Tokens)
--- a/ledger/outage_test.go
+++ b/ledger/outage_test.go
@@ -29,6 +29,19 @@
 	})
 }
 
+// Guards against tokens that are not counted: a turn was refused in an outage, its grant void,
+// and runs on a reservation under the same ID when holders write what they know.
+func TestVoidGrantSettlesNoReservation(t *testing.T) {
+	now := time.UnixMilli(1)
+	var b Balance
+	void := []*change{{isWriteBack: true, grants: []outage.Grant{{Turn: "1", IsSettled: true, IsVoid: true}}}}
+	applyChanges(&b, void, now)
+	assert.NilError(t, b.Reserve(Reservation{Turn: "1", Tokens: 100, CreatedAt: now.UnixMilli()}, 1000))
+	applyChanges(&b, void, now)
+	b.Settle("1", 40)
+	assert.Equal(t, b.Spent, int64(40))
+}
+
 // Guards against a program that pays more than once for the same outage.
 func TestChargeIsMadeOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/outage/outage.go
+++ b/outage/outage.go
@@ -41,6 +41,9 @@
 	Tokens    int64 `msgpack:"n"`
 	CreatedAt int64 `msgpack:"a"` // Unix milliseconds
 	IsSettled bool  `msgpack:"s,omitempty"`
+	// IsVoid means that the grant did not take effect. It is settled with no tokens, and not
+	// written to the store, which may have a reservation of the same turn.
+	IsVoid bool `msgpack:"x,omitempty"`
 }
 
 // State is the unstored state of a program.
@@ -217,6 +220,15 @@
 	return true
 }
 
+// Void records that a grant did not take effect.
+func (r *Register) Void(program string, turn structs.RequestID) {
+	if s := r.states[program]; s != nil {
+		if g := s.find(turn); g != nil && !g.IsSettled {
+			g.Tokens, g.IsSettled, g.IsVoid = 0, true, true
+		}
+	}
+}
+
 // Drop removes grants that the store has.
 func (r *Register) Drop(stored State) {
 	s := r.states[stored.Program]
--- a/outage/outage_test.go
+++ b/outage/outage_test.go
@@ -277,7 +277,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := NewRegister(true)
 			r.Learn(offer(Grant{Turn: "1", Tokens: 30}))
-			r.Settle("p", "1", 0)
+			r.Void("p", "1")
 			verdict, _ := r.Offer(offer(c.offered))
 			assert.Equal(t, verdict, c.want)
 		})
