conversation, outage: a grant settled during its write-back is written once more

Cause: while a grant was being written back, its settlement went to the ledger instead of the register. If the write failed or was applied late, the settlement found no reservation and was lost, and the turn counted with its maximum.

Change: settlements always go to the register, and Drop keeps a grant that was settled since it was stored. A void grant is dropped all the same.

--- a/conversation/hold_writeback.go
+++ b/conversation/hold_writeback.go
@@ -10,13 +10,12 @@
 	"github.com/endivecourse/endivecourse/outage"
 )
 
-// Settle settles a turn that runs on a grant, and reports whether there is one here that is
-// not being written back.
+// Settle settles a turn that runs on a grant, and reports whether there is one here. If the
+// grant is being written back unsettled, it is written once more.
 func (h *Holds) Settle(req SettleRequest) bool {
-	program := req.Program.Key()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.writing[program] && h.register.Settle(program, req.Turn, req.Tokens)
+	return h.register.Settle(req.Program.Key(), req.Turn, req.Tokens)
 }
 
 // Prepare makes sure that a reservation in the store can't miss grants of an outage: the
@@ -72,19 +71,12 @@
 
 // writeBack stores grants and tells the other holders.
 func (h *Holds) writeBack(ctx context.Context, state outage.State) error {
-	h.mu.Lock()
-	h.writing[state.Program] = true
-	h.mu.Unlock()
-	err := wait(ctx, h.opts.Ledger.WriteBack(state.Program, state.Grants))
-	h.mu.Lock()
-	delete(h.writing, state.Program)
-	if err == nil {
-		h.register.Drop(state)
-	}
-	h.mu.Unlock()
-	if err != nil {
+	if err := wait(ctx, h.opts.Ledger.WriteBack(state.Program, state.Grants)); err != nil {
 		return err
 	}
+	h.mu.Lock()
+	h.register.Drop(state)
+	h.mu.Unlock()
 	h.opts.Log.Info("unstored grants written back", "program", state.Program, "grants", len(state.Grants), "tokens", state.Unstored(),
 		"oldest_ms", time.Now().UnixMilli()-state.Grants[0].CreatedAt)
 	others, _, _ := h.opts.Holders.Holders()
--- a/conversation/holds.go
+++ b/conversation/holds.go
@@ -110,7 +110,6 @@
 	chargeUntil time.Time
 	outageEnd   time.Time
 	isOut       bool
-	writing     map[string]bool // programs whose grants are being written back
 	// scanned is the number of partitions whose closed programs are read. Only Run uses it.
 	scanned int
 }
@@ -118,7 +117,7 @@
 // NewHolds returns Holds without grants.
 func NewHolds(opts HoldOptions) *Holds {
 	now := time.Now()
-	h := &Holds{opts: opts, started: now, register: outage.NewRegister(opts.FirstStart), isSynced: opts.FirstStart, writing: make(map[string]bool)}
+	h := &Holds{opts: opts, started: now, register: outage.NewRegister(opts.FirstStart), isSynced: opts.FirstStart}
 	if !opts.FirstStart {
 		h.chargeUntil = now.Add(ledger.ChargeTime)
 	}
--- a/conversation/holds_test.go
+++ b/conversation/holds_test.go
@@ -372,3 +372,31 @@
 		})
 	}
 }
+
+// Guards against a settlement that is lost because its turn's grant is being written back: the
+// turn then counts with its maximum.
+func TestTurnSettledDuringWriteBackCountsOnce(t *testing.T) {
+	for name, faults := range map[string]rows.Faults{
+		"write succeeds":        {Delay: 200 * time.Millisecond},
+		"write fails":           {IsDown: true},
+		"response is lost":      {LoseEveryNth: 1},
+		"write is applied late": {LoseEveryNth: 1, LostWriteDelay: 5 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inRegion(t, 3, func(t *testing.T, r *holdRegion) {
+				r.setOut(true)
+				home := r.vm("vm-0")
+				assert.NilError(t, home.reserve("1"))
+				r.isOut.Store(false)
+				r.store.SetFaults(faults)
+				time.Sleep(120 * time.Millisecond)
+				home.local.Settle(SettleRequest{Program: program, Turn: "1", Tokens: 10})
+				time.Sleep(time.Second)
+				r.store.SetFaults(rows.Faults{})
+				time.Sleep(40 * time.Second)
+				assert.NilError(t, home.reserve("2"))
+				assert.Equal(t, home.local.Ledger.Committed(program.Key()), int64(10+turnTokens))
+			})
+		})
+	}
+}
--- a/outage/outage.go
+++ b/outage/outage.go
@@ -229,14 +229,18 @@
 	}
 }
 
-// Drop removes grants that the store has.
+// Drop removes grants that the store has. One that was settled since it was stored is kept, so
+// that it is written once more.
 func (r *Register) Drop(stored State) {
 	s := r.states[stored.Program]
 	if s == nil {
 		return
 	}
 	r.bytes -= s.size()
-	s.Grants = slices.DeleteFunc(s.Grants, func(g Grant) bool { return stored.find(g.Turn) != nil })
+	s.Grants = slices.DeleteFunc(s.Grants, func(g Grant) bool {
+		written := stored.find(g.Turn)
+		return written != nil && (written.IsSettled || !g.IsSettled || g.IsVoid)
+	})
 	if len(s.Grants) == 0 {
 		delete(r.states, stored.Program)
 		return
--- a/outage/outage_test.go
+++ b/outage/outage_test.go
@@ -283,3 +283,38 @@
 		})
 	}
 }
+
+// Guards against a settlement that is lost because its grant is being written back unsettled.
+func TestGrantSettledDuringWriteBackIsKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		settledBefore, settledAfter bool
+		isVoid                      bool
+		kept                        int
+	}{
+		"not settled":         {false, false, false, 0},
+		"settled before":      {true, false, false, 0},
+		"settled meanwhile":   {false, true, false, 1},
+		"settled, and repeat": {true, true, false, 0},
+		"void meanwhile":      {false, false, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := NewRegister(true)
+			r.Learn(State{Program: "p", Grants: []Grant{{Turn: "1", Tokens: 30}, {Turn: "2", Tokens: 30}}})
+			settle := func(isSettled bool) {
+				if isSettled {
+					assert.Assert(t, r.Settle("p", "1", 10))
+				}
+			}
+			settle(c.settledBefore)
+			written := r.State("p")
+			settle(c.settledAfter)
+			if c.isVoid {
+				r.Void("p", "1")
+			}
+			r.Drop(written)
+			assert.Equal(t, len(r.State("p").Grants), c.kept)
+			r.Drop(r.State("p"))
+			assert.Equal(t, r.bytes, 0)
+		})
+	}
+}
