ledger: a reserved turn that runs on a grant counts once

Cause: a reservation can be stored as an outage begins although its response is lost. If the turn then ran on a grant, the write-back added the grant to the balance beside the reservation, and both counted.

Change: the write-back settles the reservation of the same turn, or keeps it if the grant is not settled yet.

--- a/ledger/outage.go
+++ b/ledger/outage.go
@@ -46,9 +46,14 @@
 		}
 		changed = true
 		b.OutageTurns = append(b.OutageTurns, OutageTurn{Turn: g.Turn, WrittenAt: now})
-		if g.IsSettled {
+		// A turn has a reservation if that was stored as the outage began, with its response lost.
+		switch isReserved := b.hasReservation(g.Turn); {
+		case isReserved && g.IsSettled:
+			b.Settle(g.Turn, g.Tokens)
+		case isReserved:
+		case g.IsSettled:
 			b.Spent += g.Tokens
-		} else {
+		default:
 			b.Open = append(b.Open, Reservation{Turn: g.Turn, Tokens: g.Tokens, CreatedAt: g.CreatedAt})
 		}
 	}
--- a/ledger/outage_test.go
+++ b/ledger/outage_test.go
@@ -29,6 +29,34 @@
 	})
 }
 
+// Guards against a turn that counts twice: its reservation was stored as the outage began, with
+// the response lost, and the turn then ran on a grant.
+func TestReservedTurnWithGrantCountsOnce(t *testing.T) {
+	grant := func(tokens int64, isSettled bool) outage.Grant {
+		return outage.Grant{Turn: "1", Tokens: tokens, IsSettled: isSettled}
+	}
+	for name, c := range map[string]struct {
+		writes          []outage.Grant
+		spent, reserved int64
+	}{
+		"settled":               {[]outage.Grant{grant(40, true)}, 40, 0},
+		"settled, repeated":     {[]outage.Grant{grant(40, true), grant(40, true)}, 40, 0},
+		"not settled":           {[]outage.Grant{grant(100, false)}, 0, 100},
+		"settled after a write": {[]outage.Grant{grant(100, false), grant(40, true)}, 40, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.UnixMilli(1)
+			var b Balance
+			assert.NilError(t, b.Reserve(Reservation{Turn: "1", Tokens: 100, CreatedAt: now.UnixMilli()}, 1000))
+			for _, g := range c.writes {
+				applyChanges(&b, []*change{{isWriteBack: true, grants: []outage.Grant{g}}}, now)
+			}
+			assert.Equal(t, b.Spent, c.spent)
+			assert.Equal(t, b.Reserved(), c.reserved)
+		})
+	}
+}
+
 // Guards against tokens that are not counted: a turn was refused in an outage, its grant void,
 // and runs on a reservation under the same ID when holders write what they know.
 func TestVoidGrantSettlesNoReservation(t *testing.T) {
