conversation: a VM that reaches the store first counts the grants that others still make

Cause: a VM that reached the store again before the other holders had learned the grants of the outage once, and reserved in the store while the others went on granting. It told them that the program was closed, but not they it what they had granted, so that a program got up to the limit of its grants beyond its budget.

Change: a holder that learns that a program is closed replies with the program's grants. The VM writes them back before its turn runs, and gives the reservation back if it does not fit the budget with them or if the write fails.

--- a/conversation/hold_writeback.go
+++ b/conversation/hold_writeback.go
@@ -44,11 +44,13 @@
 	return charge, nil
 }
 
-// Announce tells the holders, once, when a program is closed.
-func (h *Holds) Announce(ctx context.Context, p ledger.Program, budget int64) {
+// Announce tells the holders, once, when a program is closed. If they know grants of the program
+// and this VM reaches the store, as one that notices the end of an outage before the others, the
+// grants are written back. hadGrants reports that, and err that they are not in the balance yet.
+func (h *Holds) Announce(ctx context.Context, p ledger.Program, budget int64) (hadGrants bool, err error) {
 	program := p.Key()
 	if budget <= 0 || !outage.IsClosedAt(h.opts.Ledger.Committed(program), budget) {
-		return
+		return false, nil
 	}
 	h.mu.Lock()
 	wasClosed := h.register.IsClosed(program)
@@ -56,17 +58,25 @@
 	h.mu.Unlock()
 	others, _, areAble := h.opts.Holders.Holders()
 	if wasClosed || !areAble {
-		return
+		return false, nil
 	}
 	needed := (len(others) + 1) / 2 // a majority with this VM
-	for range h.callAll(ctx, others, HoldRequest{Close: program}) {
+	for r := range h.callAll(ctx, others, HoldRequest{Close: program}) {
+		h.learn(r.reply)
 		if needed--; needed == 0 {
-			return
+			break
 		}
 	}
 	if needed > 0 {
 		h.opts.Log.Warn("no majority of the holders knows that a program is closed", "program", program, "missing", needed)
 	}
+	h.mu.Lock()
+	state := h.register.State(program)
+	h.mu.Unlock()
+	if len(state.Grants) == 0 || h.opts.UnreachableFor() > 0 {
+		return false, nil
+	}
+	return true, errors.Wrap(h.writeBack(ctx, state), "write grants back")
 }
 
 // writeBack stores grants and tells the other holders.
--- a/conversation/holds.go
+++ b/conversation/holds.go
@@ -148,6 +148,9 @@
 	defer h.mu.Unlock()
 	if req.Close != "" {
 		h.register.Close(req.Close)
+		if state := h.register.State(req.Close); len(state.Grants) > 0 {
+			reply.States = []outage.State{state}
+		}
 	}
 	if req.Void != nil {
 		for _, g := range req.Void.Grants {
--- a/conversation/holds_test.go
+++ b/conversation/holds_test.go
@@ -400,3 +400,47 @@
 		})
 	}
 }
+
+// Guards against tokens beyond the budget when one VM reaches the store again and reserves in it
+// while the other holders still grant.
+func TestBudgetHoldsIfOneVMReachesStoreFirst(t *testing.T) {
+	inRegion(t, 3, func(t *testing.T, r *holdRegion) {
+		first, home := r.vm("vm-1"), r.vm("vm-0")
+		delivered := 0
+		reserve := func(turn string) {
+			req := reserveRequest(turn)
+			req.IsUnstored = true
+			if first.local.Reserve(t.Context(), req) == nil {
+				delivered += turnTokens
+			}
+		}
+		for n := range 6 {
+			reserve(fmt.Sprint("before", n))
+		}
+		r.setOut(true)
+		first.isUnaware.Store(true)
+		r.store.SetFaults(rows.Faults{})
+		time.Sleep(2 * time.Second) // it learns the grants of the outage, of which there are none
+		for n := range 2 {
+			assert.NilError(t, home.reserve(fmt.Sprint("grant", n)))
+			delivered += turnTokens
+		}
+		for n := range 4 {
+			reserve(fmt.Sprint("after", n))
+		}
+		assert.Assert(t, delivered <= tokenBudget, "%d tokens", delivered)
+		assert.Assert(t, delivered >= tokenBudget-turnTokens, "%d tokens", delivered)
+		r.setOut(false)
+	})
+}
+
+// Guards against a turn that runs beside grants that are not in its program's balance.
+func TestReservationIsGivenBackIfGrantsAreNotWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		local, req := newLocal(rows.New()), reserveRequest("1")
+		assert.NilError(t, local.Reserve(t.Context(), req))
+		assert.ErrorType(t, local.checkReservation(req, &SlowStoreError{}), &SlowStoreError{})
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, local.Ledger.Committed(program.Key()), int64(0))
+	})
+}
--- a/conversation/local.go
+++ b/conversation/local.go
@@ -92,14 +92,32 @@
 		}
 	}
 	err := l.reserve(ctx, req, charge)
-	if err == nil && l.Holds != nil {
-		if req.IsUnstored {
-			l.Holds.Announce(ctx, req.Program, req.Budget)
-		} else {
-			go l.Holds.Announce(context.WithoutCancel(ctx), req.Program, req.Budget)
-		}
+	if err != nil || l.Holds == nil {
+		return err
+	}
+	if !req.IsUnstored {
+		go func() { _, _ = l.Holds.Announce(context.WithoutCancel(ctx), req.Program, req.Budget) }()
+		return nil
+	}
+	hadGrants, err := l.Holds.Announce(ctx, req.Program, req.Budget)
+	if !hadGrants {
+		return err
+	}
+	return l.checkReservation(req, err)
+}
+
+// checkReservation gives a reservation back that was made before grants of the program were
+// known, if it does not fit the budget with them or they could not be written back.
+func (l *Local) checkReservation(req ReserveRequest, writeErr error) error {
+	others := l.Ledger.Committed(req.Program.Key()) - req.Reservation.Tokens
+	if writeErr == nil && others < req.Budget {
+		return nil
+	}
+	l.Ledger.SettleTurn(req.Program, req.Reservation.Turn, 0)
+	if writeErr != nil {
+		return writeErr
 	}
-	return err
+	return &ledger.BudgetReservedError{Reserved: others, Budget: req.Budget}
 }
 
 // reserveInOutage uses an advance reservation or, for turns that are not stored, a grant
@@ -107,7 +125,7 @@
 func (l *Local) reserveInOutage(ctx context.Context, req ReserveRequest) (copyAt structs.VMID, err error) {
 	if l.Ledger.UseAdvance(req.Program, req.Reservation, req.AdvanceKey) {
 		if req.IsUnstored && l.Holds != nil {
-			l.Holds.Announce(ctx, req.Program, req.Budget)
+			_, _ = l.Holds.Announce(ctx, req.Program, req.Budget)
 		}
 		return "", nil
 	}
