--- a/conversation/hold_writeback.go
+++ b/conversation/hold_writeback.go
@@ -10,13 +10,12 @@
 	"github.com/endivecourse/endivecourse/outage"
 )
 
-// Settle settles a turn that runs on a grant, and reports whether there is one here that is
-// not being written back.
+// Settle settles a turn that runs on a grant, and reports whether there is one here. If the
+// grant is being written back unsettled, it is written once more.
 func (h *Holds) Settle(req SettleRequest) bool {
-	program := req.Program.Key()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.writing[program] && h.register.Settle(program, req.Turn, req.Tokens)
+	return h.register.Settle(req.Program.Key(), req.Turn, req.Tokens)
 }
 
 // Prepare makes sure that a reservation in the store can't miss grants of an outage: the
@@ -45,11 +44,13 @@
 	return charge, nil
 }
 
-// Announce tells the holders, once, when a program is closed.
-func (h *Holds) Announce(ctx context.Context, p ledger.Program, budget int64) {
+// Announce tells the holders, once, when a program is closed. If they know grants of the program
+// and this VM reaches the store, as one that notices the end of an outage before the others, the
+// grants are written back. hadGrants reports that, and err that they are not in the balance yet.
+func (h *Holds) Announce(ctx context.Context, p ledger.Program, budget int64) (hadGrants bool, err error) {
 	program := p.Key()
 	if budget <= 0 || !outage.IsClosedAt(h.opts.Ledger.Committed(program), budget) {
-		return
+		return false, nil
 	}
 	h.mu.Lock()
 	wasClosed := h.register.IsClosed(program)
@@ -57,34 +58,35 @@
 	h.mu.Unlock()
 	others, _, areAble := h.opts.Holders.Holders()
 	if wasClosed || !areAble {
-		return
+		return false, nil
 	}
 	needed := (len(others) + 1) / 2 // a majority with this VM
-	for range h.callAll(ctx, others, HoldRequest{Close: program}) {
+	for r := range h.callAll(ctx, others, HoldRequest{Close: program}) {
+		h.learn(r.reply)
 		if needed--; needed == 0 {
-			return
+			break
 		}
 	}
 	if needed > 0 {
 		h.opts.Log.Warn("no majority of the holders knows that a program is closed", "program", program, "missing", needed)
 	}
+	h.mu.Lock()
+	state := h.register.State(program)
+	h.mu.Unlock()
+	if len(state.Grants) == 0 || h.opts.UnreachableFor() > 0 {
+		return false, nil
+	}
+	return true, errors.Wrap(h.writeBack(ctx, state), "write grants back")
 }
 
 // writeBack stores grants and tells the other holders.
 func (h *Holds) writeBack(ctx context.Context, state outage.State) error {
-	h.mu.Lock()
-	h.writing[state.Program] = true
-	h.mu.Unlock()
-	err := wait(ctx, h.opts.Ledger.WriteBack(state.Program, state.Grants))
-	h.mu.Lock()
-	delete(h.writing, state.Program)
-	if err == nil {
-		h.register.Drop(state)
-	}
-	h.mu.Unlock()
-	if err != nil {
+	if err := wait(ctx, h.opts.Ledger.WriteBack(state.Program, state.Grants)); err != nil {
 		return err
 	}
+	h.mu.Lock()
+	h.register.Drop(state)
+	h.mu.Unlock()
 	h.opts.Log.Info("unstored grants written back", "program", state.Program, "grants", len(state.Grants), "tokens", state.Unstored(),
 		"oldest_ms", time.Now().UnixMilli()-state.Grants[0].CreatedAt)
 	others, _, _ := h.opts.Holders.Holders()
--- a/ledger/outage.go
+++ b/ledger/outage.go
@@ -34,6 +34,9 @@
 func (b *Balance) applyOutage(c *change, now int64) bool {
 	changed := false
 	for _, g := range c.grants {
+		if g.IsVoid {
+			continue
+		}
 		if slices.ContainsFunc(b.OutageTurns, func(t OutageTurn) bool { return t.Turn == g.Turn }) {
 			if g.IsSettled && b.hasReservation(g.Turn) { // another holder wrote it before it was settled
 				b.Settle(g.Turn, g.Tokens)
@@ -43,9 +46,14 @@
 		}
 		changed = true
 		b.OutageTurns = append(b.OutageTurns, OutageTurn{Turn: g.Turn, WrittenAt: now})
-		if g.IsSettled {
+		// A turn has a reservation if that was stored as the outage began, with its response lost.
+		switch isReserved := b.hasReservation(g.Turn); {
+		case isReserved && g.IsSettled:
+			b.Settle(g.Turn, g.Tokens)
+		case isReserved:
+		case g.IsSettled:
 			b.Spent += g.Tokens
-		} else {
+		default:
 			b.Open = append(b.Open, Reservation{Turn: g.Turn, Tokens: g.Tokens, CreatedAt: g.CreatedAt})
 		}
 	}
--- a/outage/outage.go
+++ b/outage/outage.go
@@ -41,6 +41,9 @@
 	Tokens    int64 `msgpack:"n"`
 	CreatedAt int64 `msgpack:"a"` // Unix milliseconds
 	IsSettled bool  `msgpack:"s,omitempty"`
+	// IsVoid means that the grant did not take effect. It is settled with no tokens, and not
+	// written to the store, which may have a reservation of the same turn.
+	IsVoid bool `msgpack:"x,omitempty"`
 }
 
 // State is the unstored state of a program.
@@ -95,9 +98,13 @@
 	}
 }
 
-// includes reports whether s has every grant of the other state.
+// includes reports whether s has every grant of the other state, as settled as there. A void
+// grant is settled with no tokens.
 func (s *State) includes(other *State) bool {
-	return !slices.ContainsFunc(other.Grants, func(g Grant) bool { return s.find(g.Turn) == nil })
+	return !slices.ContainsFunc(other.Grants, func(g Grant) bool {
+		own := s.find(g.Turn)
+		return own == nil || g.IsSettled && !own.IsSettled
+	})
 }
 
 func (s *State) clone() State {
@@ -213,14 +220,27 @@
 	return true
 }
 
-// Drop removes grants that the store has.
+// Void records that a grant did not take effect.
+func (r *Register) Void(program string, turn structs.RequestID) {
+	if s := r.states[program]; s != nil {
+		if g := s.find(turn); g != nil && !g.IsSettled {
+			g.Tokens, g.IsSettled, g.IsVoid = 0, true, true
+		}
+	}
+}
+
+// Drop removes grants that the store has. One that was settled since it was stored is kept, so
+// that it is written once more.
 func (r *Register) Drop(stored State) {
 	s := r.states[stored.Program]
 	if s == nil {
 		return
 	}
 	r.bytes -= s.size()
-	s.Grants = slices.DeleteFunc(s.Grants, func(g Grant) bool { return stored.find(g.Turn) != nil })
+	s.Grants = slices.DeleteFunc(s.Grants, func(g Grant) bool {
+		written := stored.find(g.Turn)
+		return written != nil && (written.IsSettled || !g.IsSettled || g.IsVoid)
+	})
 	if len(s.Grants) == 0 {
 		delete(r.states, stored.Program)
 		return
--- a/outage/outage_test.go
+++ b/outage/outage_test.go
@@ -262,3 +262,59 @@
 	r.Learn(State{Program: "empty"})
 	assert.Equal(t, len(r.States()), 0)
 }
+
+// Guards against a void grant that takes effect under the same ID but counts no tokens at the
+// holders that know it as void.
+func TestVoidGrantIsNotAcceptedAgain(t *testing.T) {
+	offer := func(g Grant) State { return State{Program: "p", Grants: []Grant{g}} }
+	for name, c := range map[string]struct {
+		offered Grant
+		want    Verdict
+	}{
+		"unsettled": {Grant{Turn: "1", Tokens: 30}, Outdated},
+		"settled":   {Grant{Turn: "1", IsSettled: true}, Accepted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := NewRegister(true)
+			r.Learn(offer(Grant{Turn: "1", Tokens: 30}))
+			r.Void("p", "1")
+			verdict, _ := r.Offer(offer(c.offered))
+			assert.Equal(t, verdict, c.want)
+		})
+	}
+}
+
+// Guards against a settlement that is lost because its grant is being written back unsettled.
+func TestGrantSettledDuringWriteBackIsKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		settledBefore, settledAfter bool
+		isVoid                      bool
+		kept                        int
+	}{
+		"not settled":         {false, false, false, 0},
+		"settled before":      {true, false, false, 0},
+		"settled meanwhile":   {false, true, false, 1},
+		"settled, and repeat": {true, true, false, 0},
+		"void meanwhile":      {false, false, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := NewRegister(true)
+			r.Learn(State{Program: "p", Grants: []Grant{{Turn: "1", Tokens: 30}, {Turn: "2", Tokens: 30}}})
+			settle := func(isSettled bool) {
+				if isSettled {
+					assert.Assert(t, r.Settle("p", "1", 10))
+				}
+			}
+			settle(c.settledBefore)
+			written := r.State("p")
+			settle(c.settledAfter)
+			if c.isVoid {
+				r.Void("p", "1")
+			}
+			r.Drop(written)
+			assert.Equal(t, len(r.State("p").Grants), c.kept)
+			r.Drop(r.State("p"))
+			assert.Equal(t, r.bytes, 0)
+		})
+	}
+}
