internal/compat: recordings and types of the release now in production,

Calls reserve, finish, settle and find are recorded too. The tests also check that each field of a recorded request or row is set, that new fields of rows are optional, and that the reply to a finish request for a contended balance, which carries the new fields, is an error of code other for production, which then stores the turn itself.

With a code of its own for the contended balance, the new test fails (10 in place of 7); with ReservedAs not optional, TestNewFieldsAreOptional; with Balance.Writer under the key of ChargedAt, TestRowsOfProductionAreRead, TestProductionReadsMessagesAndRowsOfThisRelease and TestNewFieldsAreOptional.

--- a/internal/compat/compat_test.go
+++ b/internal/compat/compat_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -16,9 +17,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivecourse/endivecourse/conversation"
 	"github.com/endivecourse/endivecourse/fleet"
 	"github.com/endivecourse/endivecourse/internal/compat/production"
+	standinrows "github.com/endivecourse/endivecourse/internal/standin/rows"
 	"github.com/endivecourse/endivecourse/ledger"
+	"github.com/endivecourse/endivecourse/rowstore"
+	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/turnlog"
 	"github.com/endivecourse/endivecourse/wire"
 )
@@ -40,6 +45,10 @@
 	{"place", fleet.MethodPlace, fleet.PlacementRequest{}, production.PlacementRequest{}, fleet.PlacementReply{}, production.PlacementReply{}},
 	{"forward", fleet.MethodForward, fleet.ForwardRequest{}, production.ForwardRequest{}, fleet.ForwardReply{}, production.ForwardReply{}},
 	{"release", fleet.MethodRelease, fleet.Release{}, production.Release{}, struct{}{}, struct{}{}},
+	{"reserve", conversation.MethodReserve, conversation.ReserveRequest{}, production.ReserveRequest{}, conversation.Reply{}, production.Reply{}},
+	{"finish", conversation.MethodFinish, conversation.FinishRequest{}, production.FinishRequest{}, conversation.Reply{}, production.Reply{}},
+	{"settle", conversation.MethodSettle, conversation.SettleRequest{}, production.SettleRequest{}, conversation.Reply{}, production.Reply{}},
+	{"find", conversation.MethodFind, conversation.FindRequest{}, production.FindRequest{}, conversation.Reply{}, production.Reply{}},
 }
 
 var rows = []struct {
@@ -90,11 +99,35 @@
 	}
 }
 
+// assertFieldsSet checks that no field of a recorded value is missing.
+func assertFieldsSet(t *testing.T, path string, v reflect.Value) {
+	t.Helper()
+	assert.Assert(t, !v.IsZero(), "%s is not in the recording", path)
+	switch v.Kind() {
+	case reflect.Pointer:
+		assertFieldsSet(t, path, v.Elem())
+	case reflect.Struct:
+		for i := range v.NumField() {
+			assertFieldsSet(t, path+"."+v.Type().Field(i).Name, v.Field(i))
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			assertFieldsSet(t, fmt.Sprint(path, "[", i, "]"), v.Index(i))
+		}
+	case reflect.Map:
+		for _, key := range v.MapKeys() {
+			assertFieldsSet(t, fmt.Sprint(path, "[", key, "]"), v.MapIndex(key))
+		}
+	}
+}
+
 // Guards against a release that loses a field of a message or row of the one in production.
 func TestRowsOfProductionAreRead(t *testing.T) {
 	for _, row := range rows {
 		raw := recording(t, row.name+".row")
-		assertContains(t, row.name, asMap(t, decodeAs(t, row.value, raw)), asMap(t, decodeAs(t, row.productionOf, raw)))
+		expected := decodeAs(t, row.productionOf, raw)
+		assertFieldsSet(t, row.name, reflect.ValueOf(expected))
+		assertContains(t, row.name, asMap(t, decodeAs(t, row.value, raw)), asMap(t, expected))
 	}
 }
 
@@ -102,7 +135,7 @@
 	for _, m := range messages {
 		got, reply := serveRecordedRequest(t, m.method, recording(t, m.name+".request"))
 		expected := decodeAs(t, m.productionRequest, got)
-		assert.Assert(t, !reflect.ValueOf(expected).IsZero(), m.name)
+		assertFieldsSet(t, m.name, reflect.ValueOf(expected))
 		assertContains(t, m.name, asMap(t, decodeAs(t, m.request, got)), asMap(t, expected))
 		assert.Assert(t, bytes.HasPrefix(recording(t, m.name+".reply"), reply[:2]), "%s: version and kind of the frame", m.name)
 
@@ -204,6 +237,10 @@
 	case reflect.Slice:
 		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
 		fill(v.Index(0))
+	case reflect.Array:
+		for i := range v.Len() {
+			fill(v.Index(i))
+		}
 	case reflect.Map:
 		key, value := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
 		fill(key)
@@ -225,25 +262,82 @@
 	}
 }
 
-// A message of this release without its new fields has the bytes of the one in production.
+// A message or row of this release without its new fields has the bytes of the one in
+// production.
 func TestNewFieldsAreOptional(t *testing.T) {
+	check := func(name string, value, productionOf any) {
+		filled := reflect.New(reflect.TypeOf(productionOf)).Elem()
+		fill(filled)
+		raw, err := msgpack.Marshal(filled.Interface())
+		assert.NilError(t, err)
+		again, err := msgpack.Marshal(decodeAs(t, value, raw))
+		assert.NilError(t, err)
+		assert.Equal(t, len(again), len(raw), "%s: a new field has no omitempty", name)
+	}
 	for _, m := range messages {
-		for _, pair := range [][2]any{{m.request, m.productionRequest}, {m.reply, m.productionReply}} {
-			filled := reflect.New(reflect.TypeOf(pair[1])).Elem()
-			fill(filled)
-			raw, err := msgpack.Marshal(filled.Interface())
-			assert.NilError(t, err)
-			again, err := msgpack.Marshal(decodeAs(t, pair[0], raw))
-			assert.NilError(t, err)
-			assert.Equal(t, len(again), len(raw), "%s: a new field has no omitempty", m.name)
+		check(m.name+" request", m.request, m.productionRequest)
+		check(m.name+" reply", m.reply, m.productionReply)
+	}
+	for _, row := range rows {
+		check(row.name, row.value, row.productionOf)
+	}
+}
+
+// contendedStore changes each balance before a transaction does, as another VM that is the
+// home of the same programs.
+type contendedStore struct{ *standinrows.Store }
+
+func (s contendedStore) Commit(ctx context.Context, tx rowstore.Tx) (uint64, error) {
+	for _, put := range tx.Put {
+		if put.Key.Table == "budgets" {
+			value, err := msgpack.Marshal(ledger.Balance{Spent: 1, Writer: "vm-3"})
+			if err != nil {
+				return 0, err
+			}
+			s.Put(put.Key, value)
 		}
 	}
+	return s.Store.Commit(ctx, tx)
+}
+
+// Guards against a reply for a contended balance that a VM of the release in production takes
+// as the end of the operation: it does not know the reply's new fields and would not store the
+// turn, whereas after an error of code other it stores the turn itself.
+func TestReplyForContendedBalanceIsNotFinalInProduction(t *testing.T) {
+	store, partition := contendedStore{standinrows.New()}, func(string) string { return "p" }
+	server := wire.NewServer(wire.Options{})
+	conversation.Register(server, &conversation.Local{
+		Ledger: ledger.NewKeeper(ledger.Options{Self: "vm-2", Store: store, Partition: partition, FirstStart: true, Log: slog.New(slog.DiscardHandler)}),
+		Turns: turnlog.New(turnlog.Options{
+			Store: store, Partition: partition, Partitions: []string{"p"}, CacheBytes: 1 << 20, RowBytes: 1 << 16,
+		}),
+		Partition: partition,
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go server.Serve(listener)
+	defer server.Close()
+	client := wire.NewClient(wire.Options{})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	recorded, _ := serveRecordedRequest(t, conversation.MethodFinish, recording(t, "finish.request"))
+	stream, err := client.Stream(ctx, listener.Addr().String(), conversation.MethodFinish, msgpack.RawMessage(recorded))
+	assert.NilError(t, err)
+	var raw msgpack.RawMessage
+	assert.NilError(t, stream.Recv(&raw))
+
+	reply := decodeAs(t, conversation.Reply{}, raw).(conversation.Reply)
+	assert.Equal(t, reply.Writer, structs.VMID("vm-3"), "the reply has no new field: %+v", reply)
+	inProduction := decodeAs(t, production.Reply{}, raw).(production.Reply)
+	assert.Equal(t, inProduction.Code, uint8(production.CodeOther))
+	assert.Assert(t, !inProduction.IsFinal())
 }
 
 func TestSystemFileNamesTheReleaseInProduction(t *testing.T) {
 	raw, err := os.ReadFile(filepath.Join("..", "..", "deploy", "system.toml"))
 	assert.NilError(t, err)
 	top, _, _ := strings.Cut(string(raw), "\n[")
-	line := `production = "3311343367271b21aea46921bbdf17ab1289fc71"`
+	line := `production = "a4fb8d97f9ade346383f828b0f633db27542abcc"`
 	assert.Assert(t, slices.Contains(strings.Split(top, "\n"), line), "the recordings in testdata are of this commit")
 }
--- a/internal/compat/production/types.go
+++ b/internal/compat/production/types.go
@@ -1,5 +1,5 @@
 // Package production holds copies of the message and row types of the release that
-// deploy/system.toml names as the one in production, commit 3311343367271b21aea46921bbdf17ab1289fc71,
+// deploy/system.toml names as the one in production, commit a4fb8d97f9ade346383f828b0f633db27542abcc,
 // with their msgpack keys. They are changed only when another release is in production.
 package production
 
@@ -18,12 +18,16 @@
 	Domain      structs.DomainID    `msgpack:"d"`
 	Region      string              `msgpack:"r"`
 	Capacity    int                 `msgpack:"w,omitempty"`
+	HoldsGrants bool                `msgpack:"h,omitempty"`
 }
 
 // Observation is targetrate.Observation.
 type Observation struct {
-	Rate float32       `msgpack:"r"`
-	Age  time.Duration `msgpack:"a"`
+	Rate     float32       `msgpack:"r"`
+	Age      time.Duration `msgpack:"a"`
+	ColdFor  time.Duration `msgpack:"c,omitempty"`
+	ColdRate float32       `msgpack:"k,omitempty"`
+	ColdAge  time.Duration `msgpack:"g,omitempty"`
 }
 
 // RateReport is targetrate.Report.
@@ -64,6 +68,7 @@
 	Rates            map[structs.TargetID]RateReport        `msgpack:"n,omitempty"`
 	Crashes          []CrashReport                          `msgpack:"x,omitempty"`
 	Departures       map[structs.TargetID]TargetIncarnation `msgpack:"y,omitempty"`
+	HonorsRegions    bool                                   `msgpack:"a,omitempty"`
 	MembersHash      uint64                                 `msgpack:"k"`
 }
 
@@ -71,23 +76,35 @@
 type DigestReply struct {
 	Config         uint64        `msgpack:"c"`
 	ReachesTargets bool          `msgpack:"t,omitempty"`
+	HonorsRegions  bool          `msgpack:"a,omitempty"`
 	Members        []Member      `msgpack:"m,omitempty"`
 	Crashes        []CrashReport `msgpack:"x,omitempty"`
 }
 
 // PlacementRequest is fleet.PlacementRequest.
 type PlacementRequest struct {
-	Service    structs.ServiceID                      `msgpack:"s"`
-	Cached     structs.TargetID                       `msgpack:"c,omitempty"`
-	Exclude    []structs.TargetID                     `msgpack:"x,omitempty"`
-	Domain     structs.DomainID                       `msgpack:"d"`
-	Priority   int                                    `msgpack:"p,omitempty"`
-	DueIn      time.Duration                          `msgpack:"u"`
-	Wait       time.Duration                          `msgpack:"w"`
-	TimeLeft   time.Duration                          `msgpack:"l"`
-	Patience   time.Duration                          `msgpack:"t,omitempty"`
-	Rates      map[structs.TargetID]Observation       `msgpack:"n,omitempty"`
-	Departures map[structs.TargetID]TargetIncarnation `msgpack:"y,omitempty"`
+	Service       structs.ServiceID                      `msgpack:"s"`
+	Cached        structs.TargetID                       `msgpack:"c,omitempty"`
+	Exclude       []structs.TargetID                     `msgpack:"x,omitempty"`
+	Domain        structs.DomainID                       `msgpack:"d"`
+	Priority      int                                    `msgpack:"p,omitempty"`
+	DueIn         time.Duration                          `msgpack:"u"`
+	Wait          time.Duration                          `msgpack:"w"`
+	TimeLeft      time.Duration                          `msgpack:"l"`
+	Patience      time.Duration                          `msgpack:"t,omitempty"`
+	Rates         map[structs.TargetID]Observation       `msgpack:"n,omitempty"`
+	Departures    map[structs.TargetID]TargetIncarnation `msgpack:"y,omitempty"`
+	VM            structs.VMID                           `msgpack:"g,omitempty"`
+	Connected     []structs.TargetID                     `msgpack:"e,omitempty"`
+	DomainDelay   time.Duration                          `msgpack:"j,omitempty"`
+	Regions       []string                               `msgpack:"h,omitempty"`
+	Evacuated     []structs.DomainID                     `msgpack:"v,omitempty"`
+	Account       structs.AccountID                      `msgpack:"a,omitempty"`
+	StartsProgram bool                                   `msgpack:"b,omitempty"`
+	Weight        float64                                `msgpack:"o,omitempty"`
+	Ticket        uint64                                 `msgpack:"k,omitempty"`
+	Waited        time.Duration                          `msgpack:"m,omitempty"`
+	WorthlessIn   time.Duration                          `msgpack:"z,omitempty"`
 }
 
 // PlacementReply is fleet.PlacementReply.
@@ -96,6 +113,7 @@
 	GrantID     uint64           `msgpack:"g,omitempty"`
 	HasNoTarget bool             `msgpack:"n,omitempty"`
 	RateWait    time.Duration    `msgpack:"w,omitempty"`
+	RetryAfter  time.Duration    `msgpack:"q,omitempty"`
 	Rate        *Observation     `msgpack:"r,omitempty"`
 }
 
@@ -128,13 +146,16 @@
 	Departures  map[structs.TargetID]TargetIncarnation `msgpack:"y,omitempty"`
 	TimeLeft    time.Duration                          `msgpack:"l"`
 	DueIn       time.Duration                          `msgpack:"d"`
+	Regions     []string                               `msgpack:"w,omitempty"`
+	Evacuated   []structs.DomainID                     `msgpack:"v,omitempty"`
 }
 
-// ForwardReply is fleet.ForwardReply without Refusal.
+// ForwardReply is fleet.ForwardReply.
 type ForwardReply struct {
 	Head          *ForwardHead `msgpack:"h,omitempty"`
 	Data          []byte       `msgpack:"d,omitempty"`
 	IsEnd         bool         `msgpack:"e,omitempty"`
+	Refusal       *Refusal     `msgpack:"r,omitempty"`
 	IsUnavailable bool         `msgpack:"u,omitempty"`
 	Sends         int          `msgpack:"s,omitempty"`
 }
@@ -147,10 +168,30 @@
 	Header      http.Header       `msgpack:"h"`
 }
 
+// Refusal is structs.Refusal.
+type Refusal struct {
+	Kind       string        `msgpack:"k"`
+	Status     int           `msgpack:"s"`
+	Run        string        `msgpack:"r"`
+	RetryAfter time.Duration `msgpack:"a,omitempty"`
+	Field      string        `msgpack:"f,omitempty"`
+	Message    string        `msgpack:"m"`
+	Owner      string        `msgpack:"o,omitempty"`
+}
+
 // Balance is ledger.Balance, the value of a row of table budgets.
 type Balance struct {
-	Spent int64         `msgpack:"s"`
-	Open  []Reservation `msgpack:"o,omitempty"`
+	Spent       int64         `msgpack:"s"`
+	Open        []Reservation `msgpack:"o,omitempty"`
+	OutageTurns []OutageTurn  `msgpack:"w,omitempty"`
+	ChargedAt   int64         `msgpack:"c,omitempty"`
+	Budget      int64         `msgpack:"b,omitempty"`
+}
+
+// OutageTurn is ledger.OutageTurn.
+type OutageTurn struct {
+	Turn      structs.RequestID `msgpack:"t"`
+	WrittenAt int64             `msgpack:"a"`
 }
 
 // Reservation is ledger.Reservation.
@@ -170,3 +211,64 @@
 	Target    structs.TargetID    `msgpack:"t,omitempty"`
 	CreatedAt int64               `msgpack:"e"`
 }
+
+// Program is ledger.Program.
+type Program struct {
+	Account structs.AccountID `msgpack:"a"`
+	ID      structs.ProgramID `msgpack:"i"`
+}
+
+// ReserveRequest is conversation.ReserveRequest.
+type ReserveRequest struct {
+	Program       Program           `msgpack:"p"`
+	Reservation   Reservation       `msgpack:"r"`
+	Budget        int64             `msgpack:"b"`
+	AdvanceKey    structs.RequestID `msgpack:"v"`
+	NeedsAdvance  bool              `msgpack:"d,omitempty"`
+	AllowsPending bool              `msgpack:"e,omitempty"`
+	IsUnstored    bool              `msgpack:"u,omitempty"`
+}
+
+// FinishRequest is conversation.FinishRequest.
+type FinishRequest struct {
+	Program     Program     `msgpack:"p"`
+	Reservation Reservation `msgpack:"r"`
+	Budget      int64       `msgpack:"b"`
+	Tokens      int64       `msgpack:"n"`
+	Record      *Record     `msgpack:"t"`
+	Regions     []string    `msgpack:"g,omitempty"`
+}
+
+// SettleRequest is conversation.SettleRequest.
+type SettleRequest struct {
+	Program    Program           `msgpack:"p"`
+	Turn       structs.RequestID `msgpack:"t"`
+	Tokens     int64             `msgpack:"n"`
+	AdvanceKey structs.RequestID `msgpack:"v,omitempty"`
+	MaxTokens  int64             `msgpack:"m,omitempty"`
+	Budget     int64             `msgpack:"b,omitempty"`
+}
+
+// FindRequest is conversation.FindRequest.
+type FindRequest struct {
+	Program Program             `msgpack:"p"`
+	Turns   []structs.RequestID `msgpack:"t"`
+	Regions []string            `msgpack:"g,omitempty"`
+}
+
+// CodeOther is conversation.codeOther, the code of errors that have none of their own.
+const CodeOther = 7
+
+// Reply is conversation.Reply.
+type Reply struct {
+	Code    uint8             `msgpack:"e,omitempty"`
+	Numbers [3]int64          `msgpack:"n,omitempty"`
+	Turn    structs.RequestID `msgpack:"t,omitempty"`
+	Detail  string            `msgpack:"d,omitempty"`
+	Records []*Record         `msgpack:"r,omitempty"`
+	CopyAt  structs.VMID      `msgpack:"c,omitempty"`
+}
+
+// IsFinal is conversation.Reply.isFinal: whether the caller leaves the operation at this
+// reply. After any other it performs the operation itself.
+func (r *Reply) IsFinal() bool { return r.Code != CodeOther }
