wire, fleet, edge: one call's end leaves the other exchanges of its connection alone

A digest that was not answered within 0.7 s closed the connection to that VM, and with it the forwarded responses and calls that were delivered on it: a VM that is only slow lost them. A connection that could not be accepted, as when file descriptors run out, ended the worker and so the daemon without a drain. A caller that left during a forwarded request took the forwarding VM out of use.

Change: a connection is closed only if nothing was received on it since the call began; the server logs a failed accept and goes on; the end of the request does not count against the forwarding VM. Measured: TestSilentConnectionIsClosedAndBusyOneKept and TestServerGoesOnAfterAFailedAccept pass; go test -race ./wire green.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -37,7 +37,8 @@
 		result, refusal := x.forwardThrough(ctx, vm, body, tried)
 		var unavailable *RelayUnavailableError
 		isUnavailable := errors.As(result.cause, &unavailable)
-		x.server.paths.endRelay(vm, isUnavailable || result.isRunUnknown)
+		hasFailed := isUnavailable || result.isRunUnknown
+		x.server.paths.endRelay(vm, hasFailed && ctx.Err() == nil) // the end of the request says nothing about the VM
 		switch {
 		case refusal != nil:
 			return x.mergeRefusal(refusal), true
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -35,13 +36,14 @@
 	return m.callVM(ctx, vm, MethodRelease, r, &struct{}{})
 }
 
-// call closes the connection if no reply arrives, since a lost connection may
-// stay open without delivering anything. It is for methods that every VM answers at
-// once.
+// call closes the connection if nothing arrives on it until the deadline, since a lost
+// connection may stay open without delivering anything. A VM that is only slow to answer
+// keeps it, with the other calls on it. It is for methods that every VM answers at once.
 func (m *Mesh) call(ctx context.Context, address, method string, in, out any) error {
+	start := time.Now()
 	err := m.client.Call(ctx, address, method, in, out)
 	if errors.Is(err, context.DeadlineExceeded) {
-		m.client.CloseConn(address)
+		m.client.CloseSilentConn(address, start)
 	}
 	return err
 }
--- a/wire/client.go
+++ b/wire/client.go
@@ -158,10 +158,22 @@
 // CloseConn closes the connection to a peer, if there is one. Its open streams
 // fail with *IncompleteReplyError; the next request opens a new connection.
 func (c *Client) CloseConn(addr string) {
-	c.mu.Lock()
-	peer := c.conns[addr]
-	c.mu.Unlock()
-	if peer != nil {
+	if peer := c.openConn(addr); peer != nil {
+		peer.conn.close(&ClosedError{})
+	}
+}
+
+// CloseSilentConn is CloseConn if nothing, not even a ping, has been received on the
+// connection since the given time.
+func (c *Client) CloseSilentConn(addr string, since time.Time) {
+	if peer := c.openConn(addr); peer != nil && peer.conn.receivedAt.Load().Before(since) {
 		peer.conn.close(&ClosedError{})
 	}
 }
+
+// openConn returns the connection to a peer, nil if there is none.
+func (c *Client) openConn(addr string) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conns[addr]
+}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -22,6 +22,9 @@
 	finishing  chan struct{} // closed when no frame may be sent any more
 	finishOnce sync.Once
 	closeCause atomic.Pointer[error]
+	// receivedAt is when the last frame was received, the time of the connection before the
+	// first one.
+	receivedAt atomic.Pointer[time.Time]
 	handle     func(frame)
 	traffic    *Traffic
 	onClose    func()
@@ -29,7 +32,7 @@
 }
 
 func newConn(nc net.Conn, maxBody int, traffic *Traffic, handle func(frame), onClose func()) *conn {
-	return &conn{
+	c := &conn{
 		netConn:   nc,
 		maxBody:   maxBody,
 		traffic:   traffic,
@@ -39,6 +42,13 @@
 		handle:    handle,
 		onClose:   onClose,
 	}
+	c.recordReceived()
+	return c
+}
+
+func (c *conn) recordReceived() {
+	now := time.Now()
+	c.receivedAt.Store(&now)
 }
 
 func (c *conn) start() {
@@ -126,6 +136,7 @@
 			c.close(err)
 			return
 		}
+		c.recordReceived()
 		c.traffic.countReceived(f)
 		if f.kind != framePing {
 			c.handle(f)
--- a/wire/options.go
+++ b/wire/options.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"log/slog"
 	"net"
 	"os"
 	"time"
@@ -15,6 +16,8 @@
 	dialTimeout  = 2 * time.Second
 	writeTimeout = 10 * time.Second
 	pingInterval = 3 * time.Second
+	// acceptRetryDelay is the pause after a connection could not be accepted.
+	acceptRetryDelay = 50 * time.Millisecond
 	// idleTimeout closes a connection on which nothing, not even a ping, was
 	// received.
 	idleTimeout = 10 * time.Second
@@ -34,6 +37,8 @@
 	// Dial opens a client's connections; nil means TCP. TLS is not applied to
 	// the connections that it returns.
 	Dial func(addr string) (net.Conn, error)
+	// Log is where a Server reports connections that it can't accept; nil means nowhere.
+	Log *slog.Logger
 }
 
 func (o Options) maxFrame() int {
--- a/wire/server.go
+++ b/wire/server.go
@@ -92,7 +92,12 @@
 			return nil
 		}
 		if err != nil {
-			return errors.Wrap(err, "accept")
+			// The process may be out of file descriptors; its open connections go on.
+			if s.opts.Log != nil {
+				s.opts.Log.Warn("connection of a peer not accepted", "cause", err.Error())
+			}
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
 		s.serveConn(nc)
 	}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -216,3 +217,70 @@
 		assert.Equal(t, stream.Recv(&part), io.EOF)
 	}
 }
+
+// Guards against a call whose time is over that cuts the other streams of its connection.
+func TestSilentConnectionIsClosedAndBusyOneKept(t *testing.T) {
+	release := make(chan struct{})
+	addr, _ := startServer(t, func(s *Server) {
+		HandleUnary(s, "hang", func(context.Context, int) (int, error) { <-release; return 0, nil })
+		s.Handle("count", func(_ context.Context, n *Request, out *ReplyWriter) error {
+			for i := range 10 {
+				time.Sleep(10 * time.Millisecond)
+				if err := out.Send(i); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	})
+	defer close(release)
+	client := NewClient(Options{})
+	defer client.Close()
+	hang := func() {
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		var out int
+		assert.Assert(t, errors.Is(client.Call(ctx, addr, "hang", 0, &out), context.DeadlineExceeded))
+		client.CloseSilentConn(addr, start)
+	}
+	stream, err := client.Stream(t.Context(), addr, "count", 0)
+	assert.NilError(t, err)
+	hang()
+	for range 10 {
+		var out int
+		assert.NilError(t, stream.Recv(&out))
+	}
+	hang()
+	assert.Assert(t, client.openConn(addr) == nil, "the silent connection is open")
+}
+
+// failingListener fails to accept once.
+type failingListener struct {
+	net.Listener
+	hasFailed bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.hasFailed {
+		l.hasFailed = true
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a daemon that stops since it had no file descriptor for one connection.
+func TestServerGoesOnAfterAFailedAccept(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewServer(Options{})
+	HandleUnary(server, "echo", func(_ context.Context, n int) (int, error) { return n, nil })
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(&failingListener{Listener: listener}) }()
+	client := NewClient(Options{})
+	defer client.Close()
+	var out int
+	assert.NilError(t, client.Call(t.Context(), listener.Addr().String(), "echo", 7, &out))
+	assert.NilError(t, server.Close())
+	assert.NilError(t, <-done)
+}
