--- a/daemon/endived_inflight_test.go
+++ b/daemon/endived_inflight_test.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -68,3 +70,17 @@
 	group.Wait()
 	assert.Equal(t, len(broken), 0, "%d of %d turns:\n%s", len(broken), served, strings.Join(broken[:min(len(broken), 3)], "\n"))
 }
+
+// Guards against a request that is refused for good, as if it were malformed, since its body
+// came too late.
+func TestRequestWithLateBodyMayBeRetried(t *testing.T) {
+	b := newTestSite(t, "near-a")
+	conn, err := net.Dial("tcp", b.vms[0].CallerAddress)
+	assert.NilError(t, err)
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: %s\r\n%s: late\r\n%s: key-one\r\n%s: 200\r\nContent-Length: 10\r\n\r\nab",
+		platformtest.Host, platformtest.HeaderRequestID, platformtest.HeaderKey, platformtest.HeaderDeadline)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+}
