--- a/conversation/hold_writeback.go
+++ b/conversation/hold_writeback.go
@@ -76,7 +76,11 @@
 	if len(state.Grants) == 0 || h.opts.UnreachableFor() > 0 {
 		return false, nil
 	}
-	return true, errors.Wrap(h.writeBack(ctx, state), "write grants back")
+	if err := h.writeBack(ctx, state); err != nil {
+		h.opts.Log.Warn("unstored grants not written back yet", "program", program, "cause", err.Error())
+		return true, errors.Wrap(err, "write grants back")
+	}
+	return true, nil
 }
 
 // writeBack stores grants and tells the other holders.
