edge: an answer that the store or the caller ends does not count against its target

Cause: every answer that was broken off counted as a failure of the target, and started a check of this VM's paths and of whether the target had crashed. A turn that could not be stored, or a caller that left, says nothing of the target. Measured: go test -race ./edge green; no test of its own.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -239,7 +239,11 @@
 		by = abortedByDeadline
 	}
 	x.server.stats.countAborted(by)
-	x.recordIncompleteResponse(ctx, target, cause)
+	if by == abortedByTarget || by == abortedByDeadline {
+		x.recordIncompleteResponse(ctx, target, cause)
+	} else {
+		x.server.log.Warn("answer broke off", "request", string(x.ID), "by", by, "cause", cause.Error())
+	}
 	x.mayHaveRun = true
 	refusal := x.refuseFailed(cause)
 	if ctx.Err() != nil {
