wire: the test of silent connections waits for the end of its stream

Cause: the frame that ends the stream could arrive after the second call began, so that the connection was not silent; seen once. What the test asks for is unchanged.

--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -251,6 +251,7 @@
 		var out int
 		assert.NilError(t, stream.Recv(&out))
 	}
+	assert.Equal(t, stream.Recv(nil), io.EOF)
 	hang()
 	assert.Assert(t, client.openConn(addr) == nil, "the silent connection is open")
 }
