fleet, wire: only a VM that had its whole time to reply loses its roles

A home VM may take 0.7 s while it waits for the store, so a caller with 0.15 s left still moved the home.

Change: the timeout of a call to a VM with a role is the cause with which its context ends (wire.WithReplyTimeout); any other end of the context does not count. A VM that loses its roles is logged, since the trace had no line that said so.

--- a/conversation/home_calls.go
+++ b/conversation/home_calls.go
@@ -106,7 +106,7 @@
 
 // callVM is callHome for a given VM.
 func (k *Keeper) callVM(ctx context.Context, vm structs.VMID, p ledger.Program, method string, in any, reply *Reply) (handled bool, err error) {
-	callCtx, cancel := context.WithTimeout(ctx, homeCallTimeout)
+	callCtx, cancel := wire.WithReplyTimeout(ctx, homeCallTimeout)
 	defer cancel()
 	if err := k.peers.CallHome(callCtx, vm, method, in, reply); err != nil {
 		if ctx.Err() != nil {
@@ -208,7 +208,7 @@
 		copyAt, err := k.local.reserveInOutage(ctx, req)
 		return OutageGrant{CopyAt: copyAt}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, homeCallTimeout)
+	ctx, cancel := wire.WithReplyTimeout(ctx, homeCallTimeout)
 	defer cancel()
 	var reply Reply
 	if err := k.peers.CallHome(ctx, vm, MethodReserve, req, &reply); err != nil {
@@ -226,7 +226,7 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		ctx, cancel := wire.WithReplyTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		if err := k.peers.CallHome(ctx, grant.Home, MethodSettle, req, &Reply{}); err != nil {
 			k.log.Warn("turn of an outage not settled", "program", req.Program.Key(), "turn", string(req.Turn), "home", string(grant.Home), "cause", err.Error())
@@ -257,7 +257,7 @@
 // Settle settles, in the background, the reservation of a turn that was not stored.
 func (k *Keeper) Settle(req SettleRequest) {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		ctx, cancel := wire.WithReplyTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		if handled, _ := k.callHome(ctx, req.Program, MethodSettle, req, &Reply{}); !handled {
 			k.local.Settle(req)
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -12,6 +12,7 @@
 	"github.com/endivecourse/endivecourse/placement"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/targetrate"
+	"github.com/endivecourse/endivecourse/wire"
 )
 
 // In a fleet of many VMs, each VM sends few requests to a target, and the loads
@@ -186,7 +187,7 @@
 }
 
 func (s *Server) callPlacer(ctx context.Context, vm structs.VMID, p fleet.PlacementRequest) (fleet.PlacementReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.Wait+placeTimeout)
+	ctx, cancel := wire.WithReplyTimeout(ctx, p.Wait+placeTimeout)
 	defer cancel()
 	return s.opts.Peers.RequestPlacement(ctx, vm, p)
 }
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -9,6 +9,7 @@
 	"github.com/endivecourse/endivecourse/share"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/targetrate"
+	"github.com/endivecourse/endivecourse/wire"
 )
 
 const (
@@ -80,7 +81,7 @@
 		if self {
 			return s.admitLocally(account, startsProgram, maxWait, s.opts.Regions)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), holderTimeout)
+		ctx, cancel := wire.WithReplyTimeout(context.Background(), holderTimeout)
 		reply, err := s.opts.Peers.RequestAdmission(ctx, vm, fleet.AdmissionRequest{Account: account.ID, StartsProgram: startsProgram, MaxWait: maxWait})
 		cancel()
 		if err == nil {
@@ -134,7 +135,7 @@
 }
 
 func (s *Server) returnTokenTo(vm structs.VMID, account structs.AccountID) {
-	ctx, cancel := context.WithTimeout(context.Background(), holderTimeout)
+	ctx, cancel := wire.WithReplyTimeout(context.Background(), holderTimeout)
 	defer cancel()
 	if _, err := s.opts.Peers.RequestAdmission(ctx, vm, fleet.AdmissionRequest{Account: account, Returns: true}); err != nil {
 		s.log.Info("quota token of a refused request is lost", "account", string(account), "holder", string(vm), "cause", err.Error())
--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -19,6 +19,7 @@
 	"github.com/endivecourse/endivecourse/routing"
 	"github.com/endivecourse/endivecourse/rowstore"
 	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/wire"
 )
 
 // testNode is one VM's mesh with the number of digests received from each sender.
@@ -262,17 +263,27 @@
 		}
 	}
 	home, _ := mesh.Home(partition)
-	for _, timeout := range []time.Duration{0, time.Nanosecond} {
-		ctx, cancel := context.WithCancel(t.Context())
-		if timeout > 0 {
-			ctx, cancel = context.WithTimeout(t.Context(), timeout)
-		}
-		cancel()
-		err := mesh.CallHome(ctx, home, MethodLend, LoanRequest{}, &LoanReply{})
-		assert.Assert(t, err != nil)
+	release := make(chan struct{})
+	defer close(release)
+	for _, n := range nodes {
+		wire.HandleUnary(n.mesh.server, "test.hang", func(context.Context, struct{}) (struct{}, error) { <-release; return struct{}{}, nil })
+	}
+	call := func(ctx context.Context) structs.VMID {
+		assert.Assert(t, mesh.CallHome(ctx, home, "test.hang", struct{}{}, &struct{}{}) != nil)
 		now, _ := mesh.Home(partition)
-		assert.Equal(t, now, home, "after %v", err)
+		return now
 	}
+	canceled, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	assert.Equal(t, call(canceled), home)
+	short, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
+	defer cancel()
+	withinShort, cancel := wire.WithReplyTimeout(short, time.Second)
+	defer cancel()
+	assert.Equal(t, call(withinShort), home)
+	enough, cancel := wire.WithReplyTimeout(t.Context(), 150*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, call(enough) != home, "a VM that does not reply in time is still the home")
 }
 
 // Guards against a stop that cuts the calls of peers, whose outcome is unknown to them then.
--- a/fleet/vm_roles.go
+++ b/fleet/vm_roles.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/targetrate"
+	"github.com/endivecourse/endivecourse/wire"
 )
 
 const (
@@ -19,9 +19,6 @@
 	maxSilence = 2500 * time.Millisecond
 	// failureBackoff is how long a VM that failed a call is not used as a home VM.
 	failureBackoff = 2 * time.Second
-	// minReplyTime is the least time that a VM must have had for a missing reply to count
-	// as a failure: below the shortest timeout of a call to a VM with a role, 120 ms.
-	minReplyTime = 100 * time.Millisecond
 )
 
 // Home returns the home VM of a partition of programs: of the available VMs of this
@@ -135,29 +132,28 @@
 }
 
 // CallHome calls a home VM, quota holder or placer. If the call fails, the VM is
-// not chosen again until failureBackoff has passed. A call that this VM ends itself, since
-// the request is over, says nothing about the VM.
+// not chosen again until failureBackoff has passed. The end of ctx counts only if it is that
+// of wire.WithReplyTimeout: a request that is over, or has little time, says nothing about
+// the VM.
 func (m *Mesh) CallHome(ctx context.Context, vm structs.VMID, method string, in, out any) error {
-	start := time.Now()
 	err := m.callVM(ctx, vm, method, in, out)
-	if err == nil || isEndedEarly(ctx, time.Since(start)) {
+	if err == nil || ctx.Err() != nil && !wire.IsReplyTimeout(ctx) {
 		return err
 	}
+	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if peer := m.members[vm]; peer != nil {
-		peer.lastFailure = time.Now()
+	peer := m.members[vm]
+	if peer == nil {
+		return err
 	}
+	if now.Sub(peer.lastFailure) > failureBackoff {
+		m.opts.Log.Warn("VM is given no role for a while, since a call failed", "peer", string(vm), "call", method, "cause", err.Error())
+	}
+	peer.lastFailure = now
 	return err
 }
 
-// isEndedEarly reports whether a call was ended by its context before the VM had time to
-// reply.
-func isEndedEarly(ctx context.Context, waited time.Duration) bool {
-	err := ctx.Err()
-	return errors.Is(err, context.Canceled) || err != nil && waited < minReplyTime
-}
-
 // recordStoreReachable records whether a VM reaches the store directly.
 func (m *Mesh) recordStoreReachable(vm structs.VMID, isReachable bool) {
 	m.mu.Lock()
--- a/wire/errors.go
+++ b/wire/errors.go
@@ -1,6 +1,12 @@
 package wire
 
-import "fmt"
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+)
 
 // VersionMismatchError reports that a peer uses another protocol version.
 type VersionMismatchError struct{ PeerVersion byte }
@@ -78,3 +84,21 @@
 
 // Error names the file.
 func (e *InvalidCAError) Error() string { return fmt.Sprintf("no certificate in CA file %q", e.File) }
+
+// ReplyTimeoutError is the cause for which a context of WithReplyTimeout ends.
+type ReplyTimeoutError struct{ Timeout time.Duration }
+
+// Error includes the timeout.
+func (e *ReplyTimeoutError) Error() string { return "no reply within " + e.Timeout.String() }
+
+// WithReplyTimeout returns a context for a call whose peer has the given time to reply. It
+// may end earlier, with ctx; IsReplyTimeout tells these cases apart.
+func WithReplyTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeoutCause(ctx, timeout, &ReplyTimeoutError{Timeout: timeout})
+}
+
+// IsReplyTimeout reports whether ctx has ended since the peer had all of its time to reply.
+func IsReplyTimeout(ctx context.Context) bool {
+	var timeout *ReplyTimeoutError
+	return errors.As(context.Cause(ctx), &timeout)
+}
