ledger: a change that the store rejects fails alone

Cause: programs share transactions, and one that the store did not accept failed the turns of all of them: their answers were broken off. Measured: TestRejectedChangeFailsAlone; go test -race ./ledger green.

--- a/ledger/group_commit.go
+++ b/ledger/group_commit.go
@@ -158,6 +158,7 @@
 		isExpired := ctx.Err() != nil
 		cancel()
 		var conflict *rowstore.ConflictError
+		var rejected *rowstore.RejectedError
 		switch {
 		case err == nil:
 			for _, item := range batch {
@@ -167,6 +168,11 @@
 			return
 		case errors.As(err, &conflict):
 			batch = k.resolveConflict(batch, conflict)
+		case errors.As(err, &rejected) && len(batch) > 1:
+			for _, item := range batch { // only the one that the store does not accept fails
+				k.commitBatch([]*batchItem{item})
+			}
+			return
 		default:
 			for _, item := range batch {
 				k.handleFailure(item, err, isExpired)
