--- a/conversation/contention_test.go
+++ b/conversation/contention_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/endivecourse/endivecourse/internal/standin/rows"
@@ -108,3 +109,100 @@
 		assert.NilError(t, second.Reserve(t.Context(), probe))
 	})
 }
+
+// contendedStore is a store at which another VM changes the balance before each commit, while
+// changes is above 0.
+type contendedStore struct {
+	*rows.Store
+	changes int
+	change  func()
+}
+
+func (s *contendedStore) Commit(ctx context.Context, tx rowstore.Tx) (uint64, error) {
+	if s.changes > 0 {
+		s.changes--
+		s.change()
+	}
+	return s.Store.Commit(ctx, tx)
+}
+
+// newContended returns a VM and the VM writer, which changes the balance before its commits.
+func newContended(store *rows.Store, writer structs.VMID) (vm, busy *Local, at *contendedStore) {
+	newVM := func(self structs.VMID, at rowstore.Store) *Local {
+		local := newLocal(store)
+		local.Ledger = ledger.NewKeeper(ledger.Options{Self: self, Store: at, Partition: local.Partition, FirstStart: true, Log: slog.New(slog.DiscardHandler)})
+		return local
+	}
+	busy = newVM(writer, store)
+	n := 0
+	at = &contendedStore{Store: store, change: func() {
+		n++
+		r := reserveRequest(fmt.Sprint("busy-", n))
+		r.Budget = 1 << 30
+		_ = busy.Reserve(context.Background(), r) // the loss of one change does not matter
+	}}
+	return newVM("other", at), busy, at
+}
+
+func finishUnlimited(id string) FinishRequest {
+	end := finishRequest(id)
+	end.Budget = 1 << 30
+	return end
+}
+
+// Guards against a turn that is not stored beside a VM of an earlier build, which does not name
+// itself in the row.
+func TestTurnIsStoredBesideAnUnknownWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		vm, busy, at := newContended(store, "")
+		at.changes = 40
+		keeper := NewKeeper(vm, secondHome{&homePeer{t: t, local: busy, calls: make(map[string]int)}}, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		assert.NilError(t, keeper.Finish(ctx, finishUnlimited("x")))
+	})
+}
+
+// Guards against an advance reservation that one VM uses for a turn that another one stores:
+// its tokens would stay reserved.
+func TestReservationMadeByAnotherVMUsesNoAdvance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		vm, busy, at := newContended(store, "busy")
+		assert.NilError(t, busy.Finish(t.Context(), finishUnlimited("1"))) // leaves an advance reservation
+		keeper := NewKeeper(vm, secondHome{&homePeer{t: t, local: busy, calls: make(map[string]int)}}, slog.New(slog.DiscardHandler))
+		at.changes = 40
+		next := reserveRequest("2")
+		next.Budget, next.AdvanceKey = 1<<30, "1"
+		assert.NilError(t, keeper.Reserve(t.Context(), next))
+		assert.Assert(t, busy.Ledger.UseAdvance(program, reserveRequest("3").Reservation, "1"), "the advance reservation is used")
+	})
+}
+
+// Guards against a reply that names the advance reservations of all turns of a program.
+func TestLostTurnNamesOnlyItsAdvanceReservation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		vm, busy, at := newContended(store, "busy")
+		var lost *ledger.ContendedError
+		for turn := range 5 {
+			first, second := fmt.Sprint(turn, "a"), fmt.Sprint(turn, "b")
+			reserve := reserveRequest(first)
+			reserve.Budget = 1 << 30
+			assert.NilError(t, vm.Reserve(t.Context(), reserve))
+			assert.NilError(t, vm.Finish(t.Context(), finishUnlimited(first)))
+			next := reserveRequest(second)
+			next.Budget, next.AdvanceKey = 1<<30, structs.RequestID(first)
+			assert.NilError(t, vm.Reserve(t.Context(), next))
+			at.changes = 40
+			err := vm.Finish(t.Context(), finishUnlimited(second))
+			at.changes = 0
+			assert.Assert(t, errors.As(err, &lost), "%v", err)
+			end := finishUnlimited(second)
+			end.ReservedAs = lost.ReservedAs[end.Reservation.Turn]
+			assert.NilError(t, busy.Finish(t.Context(), end))
+		}
+		assert.Equal(t, len(lost.ReservedAs), 1)
+	})
+}
--- a/conversation/errors.go
+++ b/conversation/errors.go
@@ -37,8 +37,9 @@
 	Records []*turnlog.Record `msgpack:"r,omitempty"`
 	// CopyAt is a VM that has a copy of the turn's unstored grant.
 	CopyAt structs.VMID `msgpack:"c,omitempty"`
-	// Writer and ReservedAs are set with codeOther for *ledger.ContendedError, which builds
-	// without them read as a HomeError.
+	// Program, Writer and ReservedAs are set with codeOther for *ledger.ContendedError, which
+	// builds without them read as a HomeError.
+	Program    string                                  `msgpack:"p,omitempty"`
 	Writer     structs.VMID                            `msgpack:"w,omitempty"`
 	ReservedAs map[structs.RequestID]structs.RequestID `msgpack:"v,omitempty"`
 }
@@ -105,7 +106,7 @@
 	case errors.As(err, &missing):
 		return Reply{Code: codeNotFound, Turn: missing.Turn}
 	case errors.As(err, &contended):
-		return Reply{Code: codeOther, Detail: contended.Program, Writer: contended.Writer, ReservedAs: contended.ReservedAs}
+		return Reply{Code: codeOther, Detail: contended.Error(), Program: contended.Program, Writer: contended.Writer, ReservedAs: contended.ReservedAs}
 	case errors.As(err, &tooLarge):
 		return Reply{Code: codeTooLarge, Numbers: [3]int64{int64(tooLarge.Bytes), int64(tooLarge.Max)}}
 	}
@@ -135,7 +136,7 @@
 		return &SlowStoreError{Waited: storeTimeout}
 	}
 	if r.Writer != "" {
-		return &ledger.ContendedError{Program: r.Detail, Writer: r.Writer, ReservedAs: r.ReservedAs}
+		return &ledger.ContendedError{Program: r.Program, Writer: r.Writer, ReservedAs: r.ReservedAs}
 	}
 	return &HomeError{Detail: r.Detail}
 }
--- a/conversation/home_calls.go
+++ b/conversation/home_calls.go
@@ -104,7 +104,8 @@
 	return k.callVM(ctx, vm, p, method, in, reply)
 }
 
-// callVM is callHome for a given VM.
+// callVM calls a VM for a program. handled is false when this VM has to perform the call
+// itself.
 func (k *Keeper) callVM(ctx context.Context, vm structs.VMID, p ledger.Program, method string, in any, reply *Reply) (handled bool, err error) {
 	callCtx, cancel := wire.WithReplyTimeout(ctx, homeCallTimeout)
 	defer cancel()
@@ -134,6 +135,8 @@
 	return k.perform(ctx, operation{
 		program: req.Program, method: MethodReserve, request: &req,
 		local: func() error { return k.local.Reserve(ctx, req) },
+		// Only the VM that stores the turn may use an advance reservation for it.
+		recordLoss: func(*ledger.ContendedError) { req.AdvanceKey = "" },
 	})
 }
 
@@ -144,7 +147,7 @@
 	request any
 	// local performs the operation on this VM.
 	local func() error
-	// recordLoss is called when the operation lost to changes of another VM; nil does nothing.
+	// recordLoss is called when the operation lost to changes of another VM.
 	recordLoss func(*ledger.ContendedError)
 	// isRepeated repeats the operation while the store is slow.
 	isRepeated bool
@@ -154,27 +157,23 @@
 // answer. VMs with different views of the members may each act as the home of a program.
 // The one whose changes keep losing then lets the other make them.
 func (k *Keeper) perform(ctx context.Context, op operation) error {
-	var contended *ledger.ContendedError
 	var slow *SlowStoreError
 	handled, err := k.callHome(ctx, op.program, op.method, op.request, &Reply{})
 	for {
-		if op.recordLoss != nil && errors.As(err, &contended) {
-			op.recordLoss(contended)
-		}
-		if !handled {
+		lost := op.findLoss(err)
+		if !handled && (lost == nil || !k.mayRelayTo(ctx, lost.Writer)) {
 			err = op.local()
-		}
-		hasLost := errors.As(err, &contended)
-		if hasLost && op.recordLoss != nil {
-			op.recordLoss(contended)
+			lost = op.findLoss(err)
 		}
 		switch {
 		case ctx.Err() != nil:
 			return err
-		case hasLost && k.mayRelayTo(ctx, contended.Writer):
+		case lost != nil && k.mayRelayTo(ctx, lost.Writer):
 			k.log.Info("program's balance is changed by another VM, which makes this change too", "program", op.program.Key(),
-				"writer", string(contended.Writer), "call", op.method)
-			handled, err = k.callVM(ctx, contended.Writer, op.program, op.method, op.request, &Reply{})
+				"writer", string(lost.Writer), "call", op.method)
+			handled, err = k.callVM(ctx, lost.Writer, op.program, op.method, op.request, &Reply{})
+		case lost != nil:
+			handled, err = false, nil
 		case op.isRepeated && errors.As(err, &slow):
 			handled, err = k.callHome(ctx, op.program, op.method, op.request, &Reply{})
 		default:
@@ -183,6 +182,16 @@
 	}
 }
 
+// findLoss returns err as a loss to changes of another VM, nil if it is none.
+func (op *operation) findLoss(err error) *ledger.ContendedError {
+	var lost *ledger.ContendedError
+	if !errors.As(err, &lost) {
+		return nil
+	}
+	op.recordLoss(lost)
+	return lost
+}
+
 // mayRelayTo reports whether a program's content may be sent to a VM, empty for none.
 func (k *Keeper) mayRelayTo(ctx context.Context, vm structs.VMID) bool {
 	allowed := rowstore.RelayRegions(ctx)
--- a/conversation/local.go
+++ b/conversation/local.go
@@ -171,9 +171,8 @@
 	if err != nil {
 		return err
 	}
-	end := ledger.TurnEnd{Reservation: req.Reservation, Budget: req.Budget, Tokens: req.Tokens, AdvanceKey: id, Rows: rows}
-	if req.ReservedAs != "" {
-		end.Reservation.Turn = req.ReservedAs
+	end := ledger.TurnEnd{
+		Reservation: req.Reservation, Budget: req.Budget, Tokens: req.Tokens, ReservedAs: req.ReservedAs, AdvanceKey: id, Rows: rows,
 	}
 	if err := wait(ctx, l.Ledger.FinishTurn(ctx, req.Program, end)); err != nil {
 		return err
--- a/ledger/group_commit.go
+++ b/ledger/group_commit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,7 +22,7 @@
 	// entries and 1 MB in base64.
 	maxTxEntries = 96
 	maxTxBytes   = 640 << 10
-	// maxConflicts is the number of attempts after which a change fails because other VMs
+	// maxConflicts is the number of attempts after which a change is left to the VM that
 	// changed the balance first each time.
 	maxConflicts = 8
 	// conflictBackoff is the maximum delay before a retry, multiplied by the number of
@@ -259,7 +260,7 @@
 			item.conflicts++
 		}
 		switch {
-		case item.conflicts >= maxConflicts:
+		case item.conflicts >= maxConflicts && (item.rival(k.opts.Self) != "" || !item.isAwaited()):
 			k.failContended(item)
 		case conflicted && item.conflicts > 1:
 			k.retryLater(item)
@@ -326,25 +327,44 @@
 func (k *Keeper) retryLater(item *batchItem) {
 	var delay time.Duration
 	if item.conflicts%conflictsPerBackoff == 0 {
-		delay = rand.N(conflictBackoff * time.Duration(item.conflicts))
+		delay = rand.N(conflictBackoff * time.Duration(min(item.conflicts, maxConflicts)))
 	}
 	time.AfterFunc(delay, func() { k.commitBatch([]*batchItem{item}) })
 }
 
 // failContended fails the changes that somebody waits for and requeues the others.
 func (k *Keeper) failContended(item *batchItem) {
-	failed := &ContendedError{Program: item.entry.key.Key, ReservedAs: make(map[structs.RequestID]structs.RequestID)}
+	failed := &ContendedError{Program: item.entry.key.Key, Writer: item.rival(k.opts.Self), ReservedAs: make(map[structs.RequestID]structs.RequestID)}
 	k.mu.Lock()
-	if writer := item.entry.balance.Writer; writer != k.opts.Self {
-		failed.Writer = writer
-	}
-	for turn, id := range item.entry.advanceIDs {
-		failed.ReservedAs[turn] = id
+	for _, c := range item.changes {
+		if c.done == nil {
+			continue
+		}
+		for turn, id := range item.entry.advanceIDs {
+			if id == c.reservation.Turn {
+				failed.ReservedAs[turn] = id
+				delete(item.entry.advanceIDs, turn)
+			}
+		}
 	}
 	k.mu.Unlock()
 	k.handleFailure(item, failed, false)
 }
 
+// rival returns the VM that wrote the balance last, empty if that is not known or it was this
+// VM.
+func (item *batchItem) rival(self structs.VMID) structs.VMID {
+	if writer := item.entry.balance.Writer; writer != self {
+		return writer
+	}
+	return ""
+}
+
+// isAwaited reports whether somebody waits for a change, until its deadline.
+func (item *batchItem) isAwaited() bool {
+	return slices.ContainsFunc(item.changes, func(c *change) bool { return c.done != nil })
+}
+
 func (k *Keeper) setBalance(e *entry, balance Balance, version uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -417,8 +437,9 @@
 	k.endTransaction(e)
 }
 
-// ContendedError reports that other VMs changed the balance before each of maxConflicts
-// attempts.
+// ContendedError reports that another VM changed the balance before each of maxConflicts
+// attempts. Without a known Writer, changes that somebody waits for are tried until their
+// deadline instead.
 type ContendedError struct {
 	Program string
 	// Writer is the VM that changed the balance last, empty if it is not known. Changes
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -171,6 +171,9 @@
 type TurnEnd struct {
 	Reservation    Reservation
 	Budget, Tokens int64
+	// ReservedAs is the ID of the advance reservation that the turn used at another VM, empty
+	// if there is none.
+	ReservedAs structs.RequestID
 	// AdvanceKey is the key with which the next turn asks for its advance reservation.
 	AdvanceKey structs.RequestID
 	// Rows are stored in the same transaction.
@@ -199,8 +202,12 @@
 
 func (end TurnEnd) change() *change {
 	now := time.Now()
+	reservation := end.Reservation
+	if end.ReservedAs != "" {
+		reservation.Turn = end.ReservedAs
+	}
 	return &change{
-		reservation: end.Reservation, budget: end.Budget, isSettlement: true, tokens: end.Tokens, rows: end.Rows, createdAt: now,
+		reservation: reservation, budget: end.Budget, isSettlement: true, tokens: end.Tokens, rows: end.Rows, createdAt: now,
 		advance:    Reservation{Turn: "after/" + end.Reservation.Turn, Tokens: end.Reservation.Tokens, CreatedAt: now.UnixMilli()},
 		advanceKey: end.AdvanceKey,
 	}
