--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -32,6 +32,7 @@
 	"budget": playBudget,
 	"longid": playLongID,
 	"memory": playMemory,
+	"quota":  playQuota,
 	"large":  playLargeTurn,
 }
 
--- a/review/_standin/runner.go
+++ b/review/_standin/runner.go
@@ -28,7 +28,7 @@
 type ranRequest struct {
 	id   string
 	body []byte // of streams only
-	end  time.Time
+	at   time.Time
 }
 
 // runner is a server of a service.
@@ -104,6 +104,18 @@
 	return count
 }
 
+// ranAt returns when the runner ran a request, 0 if it did not.
+func (r *runner) ranAt(id string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, one := range r.runs {
+		if one.id == id {
+			return one.at
+		}
+	}
+	return time.Time{}
+}
+
 func (r *runner) serve(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("X-Endivecourse-Request-Id")
 	w.Header().Set("X-Endivecourse-Request-Id", id)
@@ -114,7 +126,7 @@
 	r.mu.Lock()
 	b := r.behaviour
 	index := len(r.runs)
-	r.runs = append(r.runs, ranRequest{id: id})
+	r.runs = append(r.runs, ranRequest{id: id, at: time.Now()})
 	r.mu.Unlock()
 	body, err := readSlowly(req.Body, b.readPerSecond, b.events > 0)
 	if err != nil {
@@ -131,9 +143,6 @@
 		w.Header().Set("Content-Length", fmt.Sprint(len(text)))
 		_, _ = io.WriteString(w, text) // fails if the daemon has gone
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.runs[index].end = time.Now()
 }
 
 func (r *runner) stream(w http.ResponseWriter, req *http.Request, id string, b behaviour) {
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -37,7 +37,9 @@
 	memory  int // MB of each machine
 	limits  map[string]any
 	routes  []map[string]any
-	engine  int // tokens of one event
+	engine  int     // tokens of one event
+	rate    float64 // of the first tenant, 0 for no limit
+	burst   float64
 	version uint64
 
 	mu         sync.Mutex
@@ -215,7 +217,7 @@
 			{"name": "engine", "healthPath": "/healthz", "maxConnections": 160, "engine": map[string]any{"chunkTokens": s.engine}},
 			{"name": "app", "healthPath": "/healthz", "maxConnections": 160},
 		},
-		"tenants": []map[string]any{{"name": "one", "apiKeys": []string{"key-one"}}, {"name": "two", "apiKeys": []string{"key-two"}}},
+		"tenants": []map[string]any{{"name": "one", "apiKeys": []string{"key-one"}, "ratePerS": s.rate, "burst": s.burst}, {"name": "two", "apiKeys": []string{"key-two"}}},
 	}
 	raw, err := json.Marshal(manifest)
 	if err != nil {
