--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -29,11 +29,11 @@
 }
 
 var cases = map[string]func(rec *recorder, hasTrouble bool) (outcome, error){
-	"budget": playBudget,
-	"longid": playLongID,
-	"memory": playMemory,
-	"quota":  playQuota,
-	"large":  playLargeTurn,
+	"budget":  playBudget,
+	"longid":  playLongID,
+	"memory":  playMemory,
+	"endless": playEndless,
+	"quota":   playQuota,
 }
 
 // recorder writes what was sent, answered and run.
