--- a/review/_standin/quota.go
+++ b/review/_standin/quota.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,10 +23,9 @@
 	// hotPerSecond is what the tenant sends through all machines.
 	hotPerSecond = 440
 	hotFor       = 6500 * time.Millisecond
-	// killAfter is when two machines lose power, after the tenant has begun to send, and
-	// darkFor how long they are dark.
-	killAfter = 3500 * time.Millisecond
-	darkFor   = 3500 * time.Millisecond
+	// freezeAfter is when two machines freeze, after the tenant has begun to send.
+	freezeAfter = 3500 * time.Millisecond
+	freezeFor   = 3500 * time.Millisecond
 )
 
 // sending is one request of the hot tenant.
@@ -37,7 +37,7 @@
 }
 
 // playQuota plays a tenant that sends many times its usual, and two machines of eighteen that
-// lose power meanwhile, one in each region.
+// freeze meanwhile, one in each region.
 func playQuota(rec *recorder, hasTrouble bool) (outcome, error) {
 	var zones, machines []zone
 	for _, name := range []string{"south-a", "south-b", "south-c", "north-a", "north-b", "north-c"} {
@@ -73,16 +73,15 @@
 	if hasTrouble {
 		victims = []*vm{s.holder("south"), s.holder("north")}
 	}
-	time.AfterFunc(killAfter, func() {
+	time.AfterFunc(freezeAfter, func() {
 		for _, v := range victims {
-			rec.note("%s loses power", v.name)
-			v.kill()
+			rec.note("%s freezes", v.name)
+			v.signal(syscall.SIGSTOP)
 		}
-		time.Sleep(darkFor)
+		time.Sleep(freezeFor)
 		for _, v := range victims {
-			if err := s.start(v); err != nil {
-				rec.note("%s not started again: %v", v.name, err)
-			}
+			rec.note("%s wakes", v.name)
+			v.signal(syscall.SIGCONT)
 		}
 	})
 	callers := slices.DeleteFunc(slices.Clone(s.vms), func(v *vm) bool { return slices.Contains(victims, v) })
@@ -102,7 +101,7 @@
 }
 
 // holder returns the machine of a region that counts the tenant's quota in a fleet of more than
-// 16: the one of the highest hash. Any two machines may lose power; these are such a pair.
+// 16: the one of the highest hash. Any two machines may freeze; these are such a pair.
 func (s *site) holder(region string) *vm {
 	var best *vm
 	var highest uint64
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -302,6 +302,14 @@
 	return v.cmd.Process.Pid
 }
 
+func (v *vm) signal(s syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.cmd != nil {
+		_ = v.cmd.Process.Signal(s) // fails only if the process has ended
+	}
+}
+
 func (v *vm) kill() {
 	v.mu.Lock()
 	cmd := v.cmd
