turnlog: turns with long request IDs are stored and found at every VM

Callers saw 404 for a turn whose previous turn had been answered whole, when the request ID of that one has more than 60 bytes and the turn came in through another VM; with IDs whose escaped form has more than 196 bytes, the turn ran and its stream was cut when the store rejected the row.

Cause: reads took each ID of more than 60 bytes for one that does not exist, writes did not. Keys that fit stay as they are, so rows of earlier builds are read. A VM looks itself for a turn with a long ID that a home VM of an earlier build denies.

The stand-in of the store now rejects long keys too.

--- a/conversation/home_calls.go
+++ b/conversation/home_calls.go
@@ -281,9 +281,20 @@
 		req := FindRequest{Program: p, Turns: ids, Regions: rowstore.RelayRegions(ctx)}
 		var reply Reply
 		handled, err := k.callHome(ctx, p, MethodFind, req, &reply)
-		if !handled {
+		if !handled || mayBeUnread(ids, err) {
 			return k.local.Find(ctx, req)
 		}
 		return reply.Records, err
 	})
 }
+
+// unreadIDBytes is the length of a turn's ID above which an earlier build, as the home VM,
+// says that a turn does not exist without reading the store.
+const unreadIDBytes = 60
+
+// mayBeUnread reports whether a home VM of an earlier build may have said of a turn that is
+// stored that it does not exist.
+func mayBeUnread(ids []structs.RequestID, err error) bool {
+	var missing *turnlog.NotFoundError
+	return errors.As(err, &missing) && slices.ContainsFunc(ids, func(id structs.RequestID) bool { return len(id) > unreadIDBytes })
+}
--- a/conversation/home_calls_test.go
+++ b/conversation/home_calls_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,6 +41,8 @@
 	t        *testing.T
 	local    *Local
 	isSilent bool
+	// findsNothing is set for a VM of an earlier build that is asked for a long ID.
+	findsNothing bool
 	// ignoresRegions is set for a VM of an earlier build.
 	ignoresRegions bool
 	finishRegions  []string // of the last FinishRequest
@@ -77,6 +80,9 @@
 		assert.NilError(h.t, msgpack.Unmarshal(encodedRequest, &req))
 		var err error
 		reply.Records, err = h.local.Find(ctx, req)
+		if h.findsNothing {
+			err = &turnlog.NotFoundError{Turn: req.Turns[0]}
+		}
 		if err != nil {
 			reply = errorReply(err)
 		}
@@ -191,3 +197,22 @@
 		}
 	})
 }
+
+// While an upgrade is under way, a home VM of the earlier build answers for each ID of more
+// than 60 bytes that no such turn exists.
+func TestLongIDIsFoundBesideEarlierBuild(t *testing.T) {
+	f := newFixture(t)
+	id := strings.Repeat("0123456789abcdef", 4)
+	req := finishRequest(id)
+	req.Budget = 0
+	assert.NilError(t, f.keeper.Finish(t.Context(), req))
+	f.home.findsNothing = true
+	other := NewKeeper(newLocal(f.store), f.home, slog.New(slog.DiscardHandler))
+	chain, err := other.Chain(t.Context(), program, structs.RequestID(id))
+	assert.NilError(t, err)
+	assert.Equal(t, string(chain.Last().Output), "out "+id)
+	var missing *turnlog.NotFoundError
+	_, err = other.Chain(t.Context(), program, "short")
+	assert.Assert(t, errors.As(err, &missing), "%v", err)
+	assert.Equal(t, f.home.calls[MethodFind], 2)
+}
--- a/daemon/endived_turns_test.go
+++ b/daemon/endived_turns_test.go
@@ -208,3 +208,76 @@
 	assert.Equal(t, len(first.Runs()), 5)
 	assert.Equal(t, len(second.Runs()), 0)
 }
+
+// newThreeVMSite returns a site with VMs of three failure domains and two regions, and the
+// functions that stop them.
+func newThreeVMSite(t *testing.T) (b *testSite, stops []func()) {
+	b = newTestSite(t)
+	for _, domain := range []string{"near-a", "near-b", "far-a"} {
+		vm := b.site.AddVM(domain)
+		b.vms = append(b.vms, vm)
+		stops = append(stops, b.start(vm))
+	}
+	for _, vm := range b.vms {
+		b.waitReady(vm)
+	}
+	return b, stops
+}
+
+// clientNames are IDs that clients may choose, by what is special about them.
+var clientNames = map[string]string{
+	"60": strings.Repeat("a", 60), "61": strings.Repeat("b", 61), "64": strings.Repeat("c", 64),
+	"195": strings.Repeat("d", 195), "196": strings.Repeat("e", 196), "4000": strings.Repeat("f", 4000),
+	"100 to escape": strings.Repeat("/", 100), "not UTF-8": "g\xff" + strings.Repeat("g", 80),
+	"not UTF-8, second": "g\xfe" + strings.Repeat("g", 80), "same start as another": strings.Repeat("f", 3999) + "x",
+}
+
+// restart stops all VMs and starts the last one again, which then knows only what is stored.
+func (b *testSite) restart(stops []func()) *platformtest.VM {
+	for _, stop := range stops {
+		stop()
+	}
+	b.site.MarkStarted()
+	listed := len(b.logs.lines(`"target listed"`, `"engine-1"`))
+	vm := b.vms[len(b.vms)-1]
+	b.start(vm)
+	b.waitReady(vm)
+	b.waitUntil("target listed after the restart", func() bool { return len(b.logs.lines(`"target listed"`, `"engine-1"`)) > listed })
+	return vm
+}
+
+// Guards against a turn that is stored and then not looked up since its ID is long, or that
+// runs and can't be stored: clients choose request IDs of any length and bytes.
+func TestRequestIDsOfAnyLengthAreContinuedAtEveryVM(t *testing.T) {
+	b, stops := newThreeVMSite(t)
+	engine := b.addTarget("engine-1", "engine", "near-a")
+	n := 0
+	send := func(vm *platformtest.VM, name, id, previous, body string) response {
+		header := map[string]string{
+			platformtest.HeaderProgram: "program-" + name, platformtest.HeaderBudget: "1000", platformtest.HeaderUsage: "100,30",
+		}
+		if previous != "" {
+			header[platformtest.HeaderPrevious] = previous
+		}
+		var got response
+		b.waitUntil("answered", func() bool {
+			got = b.sendAs(id, request{vm: vm, path: "/chat/1", body: body, header: header})
+			return got.status != 503
+		})
+		assert.Assert(t, got.status == 200 && got.err == nil, "%s: %+v", name, got)
+		return got
+	}
+	for name, id := range clientNames {
+		n++
+		send(b.vms[n%3], name, id+"1", "", "in ")
+		send(b.vms[(n+1)%3], name, id+"2", id+"1", "again ")
+		runs := engine.Runs()
+		assert.Equal(t, runs[len(runs)-1].Body, "in "+eventText(id+"1", 3)+"again ", name)
+	}
+	vm := b.restart(stops)
+	for name, id := range clientNames {
+		send(vm, name, id+"3", id+"2", "more ")
+		runs := engine.Runs()
+		assert.Equal(t, runs[len(runs)-1].Body, "in "+eventText(id+"1", 3)+"again "+eventText(id+"2", 3)+"more ", name)
+	}
+}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -174,9 +174,9 @@
 // if neither is stated.
 func (x *exchange) advanceKey() structs.RequestID {
 	if x.route.StoresTurns || x.Turn.Line == "" {
-		return x.Turn.Previous
+		return turnlog.TurnID(x.Turn.Previous)
 	}
-	return structs.RequestID("line/" + x.Turn.Line)
+	return turnlog.TurnID(structs.RequestID("line/" + x.Turn.Line))
 }
 
 // isStoreStable reports whether the store has not failed recently, so that
@@ -194,7 +194,7 @@
 	if perEvent := int64(x.service.TokensPerEvent); perEvent > 0 {
 		tokens = (tokens + perEvent - 1) / perEvent * perEvent
 	}
-	return ledger.Reservation{Turn: x.ID, Tokens: tokens, CreatedAt: time.Now().UnixMilli()}
+	return ledger.Reservation{Turn: turnlog.TurnID(x.ID), Tokens: tokens, CreatedAt: time.Now().UnixMilli()}
 }
 
 // awaitReservation waits until the turn's tokens are reserved or, if likelyGranted
@@ -252,7 +252,7 @@
 	if !x.hasBudget() || x.turn.isSettled {
 		return
 	}
-	request := conversation.SettleRequest{Program: x.turn.program, Turn: x.ID, Tokens: x.tokens}
+	request := conversation.SettleRequest{Program: x.turn.program, Turn: turnlog.TurnID(x.ID), Tokens: x.tokens}
 	if x.turn.isComplete && !x.route.StoresTurns {
 		request.AdvanceKey, request.MaxTokens, request.Budget = x.advanceKey(), x.reservation().Tokens, x.Turn.Budget
 	}
--- a/internal/standin/rows/store.go
+++ b/internal/standin/rows/store.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/endivecourse/endivecourse/rowstore"
 )
@@ -119,6 +121,11 @@
 func (s *Store) applyTx(tx rowstore.Tx) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, put := range tx.Put {
+		if len(put.Key.Key) > rowstore.MaxKeyBytes || !utf8.ValidString(put.Key.Key) {
+			return 0, &rowstore.RejectedError{Status: 400, Detail: "key of " + strconv.Itoa(len(put.Key.Key)) + " bytes"}
+		}
+	}
 	if conflict := s.checkExpectations(tx); conflict != nil {
 		return 0, conflict
 	}
--- a/turnlog/log.go
+++ b/turnlog/log.go
@@ -19,11 +19,21 @@
 	table = "turns"
 	// maxParallelReads bounds the parallel reads of one chain.
 	maxParallelReads = 8
-	// maxIDBytes bounds a turn's ID. Escaping makes an ID at most three times as long,
-	// which leaves room for the rest of the key within rowstore.MaxKeyBytes.
-	maxIDBytes = 60
+	// partSuffixBytes is the length of a slash and the number of a turn's part, which
+	// follow the ID in the key of a row.
+	partSuffixBytes = 4
+	maxEscapedID    = rowstore.MaxKeyBytes - partSuffixBytes
 )
 
+// TurnID returns the ID under which a turn is stored and accounted for: the ID of its
+// request, or a hash of it if the key of a row has no room for that.
+func TurnID(request structs.RequestID) structs.RequestID {
+	if len(escapeID(request)) <= maxEscapedID {
+		return request
+	}
+	return structs.RequestID(rowstore.HashKey(string(request)))
+}
+
 // NotFoundError reports that the store holds no such turn of the account.
 type NotFoundError struct{ Turn structs.RequestID }
 
@@ -97,11 +107,11 @@
 	if size := len(r.Input) + len(r.Output); size > MaxTurnBytes {
 		return rowstore.Tx{}, &TooLargeError{Bytes: size, Max: MaxTurnBytes}
 	}
-	return l.buildTx(l.opts.Partition(program), id, r)
+	return l.buildTx(l.opts.Partition(program), TurnID(id), r)
 }
 
 // AddToCache caches a turn that the store already holds.
-func (l *Log) AddToCache(id structs.RequestID, r *Record) { l.cache.put(id, r) }
+func (l *Log) AddToCache(id structs.RequestID, r *Record) { l.cache.put(TurnID(id), r) }
 
 // buildTx returns the transaction that inserts a record; a record longer than a row is
 // split over several rows.
@@ -140,6 +150,7 @@
 // Chain returns a turn of the account and all turns that precede it. It calls find for
 // the turns that are not cached.
 func (l *Log) Chain(ctx context.Context, account structs.AccountID, id structs.RequestID, find FindFunc) (*Chain, error) {
+	id = TurnID(id)
 	last, err := l.load(ctx, []structs.RequestID{id}, find)
 	if err != nil {
 		return nil, err
@@ -185,17 +196,14 @@
 
 // Find returns turns from the cache or the store. It reads the partition of the given
 // program first. It returns *NotFoundError only when the store has answered for all
-// partitions, or when an ID is longer than any that is stored.
+// partitions.
 func (l *Log) Find(ctx context.Context, program string, ids []structs.RequestID) ([]*Record, error) {
 	records := make([]*Record, len(ids))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxParallelReads)
 	for i, id := range ids {
 		group.Go(func() error {
-			if len(id) > maxIDBytes {
-				return &NotFoundError{Turn: id}
-			}
-			record, err := l.findTurn(ctx, l.opts.Partition(program), id)
+			record, err := l.findTurn(ctx, l.opts.Partition(program), TurnID(id))
 			records[i] = record
 			return err
 		})
--- a/turnlog/turnlog_test.go
+++ b/turnlog/turnlog_test.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net/url"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/endivecourse/endivecourse/internal/standin/rows"
+	"github.com/endivecourse/endivecourse/rowstore"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -122,3 +125,17 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(chain.Prompt(nil)), "in1 out1\nin2 out2\n")
 }
+
+// Rows that earlier builds wrote have the escaped ID in their key, up to the longest that
+// fits. They must be read under that key.
+func TestKeysOfEarlierBuildsAreKept(t *testing.T) {
+	for _, id := range []string{strings.Repeat("a", 64), strings.Repeat("/", 65), strings.Repeat("a", 196)} {
+		store := rows.New()
+		value, err := (&Record{Account: "account", Input: []byte("in "), Output: []byte("out\n")}).encode()
+		assert.NilError(t, err)
+		store.Put(rowstore.Key{Table: "turns", Partition: "p1", Key: url.PathEscape(id) + "/000"}, value)
+		chain, err := readChain(newLog(store), "account", "1", structs.RequestID(id))
+		assert.NilError(t, err)
+		assert.Equal(t, string(chain.Prompt(nil)), "in out\n")
+	}
+}
