ledger: programs with long IDs have a balance at the store

Callers of a program whose ID has more than about 190 bytes, or is not UTF-8, saw 502 or 503 for each turn with a budget; turns that ran on a grant of a store outage were never written back, so that their tokens were there again after a restart.

Keys that fit stay as they are.

TestProgramIDsOfAnyLengthKeepTheirBudgets (502 in place of 200) and TestOutageGrantsOfLongProgramIDsAreWrittenBack (no write-back within 10 s) fail before, pass now.

--- a/daemon/endived_outage_test.go
+++ b/daemon/endived_outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,6 +60,31 @@
 	b.waitUntil("written back", func() bool { return len(b.logs.lines("unstored grants written back")) > 0 })
 }
 
+// Guards against grants of an outage that can't be written back, since the ID of the program
+// does not fit a key of the store: its budget would be there again after a restart.
+func TestOutageGrantsOfLongProgramIDsAreWrittenBack(t *testing.T) {
+	const budget = 120 // a quarter holds one turn of 30
+	b := newTestSite(t, "near-a", "near-b", "near-a")
+	b.addTarget("engine-1", "engine", "near-a")
+	b.setStoreDown()
+	program := strings.Repeat("p", 300)
+	assert.Equal(t, b.sendDraft(b.vms[0], program, "main", budget).status, 200, b.logs.tail(20))
+	b.site.Store.SetFaults(rows.Faults{})
+	b.waitUntil("written back", func() bool { return len(b.logs.lines("unstored grants written back")) > 0 })
+	delivered := 30
+	var status int
+	for n := 0; status != 402; n++ {
+		b.waitUntil("answered", func() bool {
+			status = b.sendDraft(b.vms[n%3], program, fmt.Sprint("line-", n), budget).status
+			return status != 503
+		})
+		if status == 200 {
+			delivered += 30
+		}
+	}
+	assert.Equal(t, delivered, budget)
+}
+
 // Guards against turns that fail because they arrive while the VMs don't know yet that the
 // store is away: a caller who waits for its deadline of 4 s gets its turn.
 func TestTurnRunsAtStartOfStoreOutage(t *testing.T) {
--- a/daemon/endived_turns_test.go
+++ b/daemon/endived_turns_test.go
@@ -281,3 +281,32 @@
 		assert.Equal(t, runs[len(runs)-1].Body, "in "+eventText(id+"1", 3)+"again "+eventText(id+"2", 3)+"more ", name)
 	}
 }
+
+// Guards against a program whose balance has no key at the store, since its ID is long or
+// not UTF-8: each of its turns was answered 503, or it shared the balance of another.
+func TestProgramIDsOfAnyLengthKeepTheirBudgets(t *testing.T) {
+	b, stops := newThreeVMSite(t)
+	engine := b.addTarget("engine-1", "engine", "near-a")
+	n := 0
+	sendUntilServed := func(vm *platformtest.VM, program string) int {
+		header := map[string]string{platformtest.HeaderProgram: program, platformtest.HeaderBudget: "60", platformtest.HeaderUsage: "100,30"}
+		n++
+		id := fmt.Sprint("turn-", n)
+		var got response
+		b.waitUntil("answered", func() bool {
+			got = b.sendAs(id, request{vm: vm, path: "/chat/1", body: "in ", header: header})
+			return got.status != 503
+		})
+		return got.status
+	}
+	for name, program := range clientNames {
+		assert.Equal(t, sendUntilServed(b.vms[n%3], program), 200, name)
+		assert.Equal(t, sendUntilServed(b.vms[n%3], program), 200, name)
+	}
+	vm := b.restart(stops)
+	ran := len(engine.Runs())
+	for name, program := range clientNames {
+		assert.Equal(t, sendUntilServed(vm, program), 402, name)
+	}
+	assert.Equal(t, len(engine.Runs()), ran)
+}
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -91,8 +91,9 @@
 	ID      structs.ProgramID `msgpack:"i"`
 }
 
-// Key returns an ID that is unique among the programs of all accounts.
-func (p Program) Key() string { return string(p.Account) + "/" + string(p.ID) }
+// Key returns an ID that is unique among the programs of all accounts, and is the key of
+// the program's row.
+func (p Program) Key() string { return rowstore.FitKey(string(p.Account) + "/" + string(p.ID)) }
 
 // Reserve requests a reservation for a turn. The turn uses the advance reservation that
 // was made under advanceKey, if there is one. The request expires at the deadline of ctx.
