quota: three holders of an account a region with fixed parts; none takes over

Callers of an account that sends many times its rate were served up to half as much again as its quota while one of the VMs that count it was frozen, killed, gone or back: each caller decided by itself that the next VM is the holder, which made a bucket with the whole burst; the frozen one woke with a full bucket; tokens given to requests that wait were used beside the successor's; a fleet that shrinks to 16 VMs made a bucket with its part of the burst in each VM.

Each account now has three holders a region, in different failure domains, each with a fixed part of the limit. No part is taken over, so the parts cannot add up to more than the limit, whoever sees whom. VMs ask the nearest holder that may have a token and then the others. New holders, restarted VMs and changes of the number of holders wait a second before buckets fill. VMs in the member table count as members.

--- a/edge/placement_test.go
+++ b/edge/placement_test.go
@@ -38,11 +38,18 @@
 
 func (p *fakePeers) PeerCount() int { return len(p.servers) - 1 }
 
-func (p *fakePeers) MembersChangedAt() structs.Instant { return 0 }
+func (p *fakePeers) RosterSize() int { return len(p.servers) }
 
-func (p *fakePeers) OtherHolders(string) []structs.VMID { return nil }
+func (p *fakePeers) IsCutOff() bool { return false }
 
-func (p *fakePeers) Holder(string) (structs.VMID, bool) { return p.holder, p.holder == "" }
+func (p *fakePeers) QuotaHolders(string) (near, far []structs.VMID) {
+	if p.holder == "" {
+		return []structs.VMID{p.servers[p.self].opts.VM}, nil
+	}
+	return []structs.VMID{p.holder}, nil
+}
+
+func (p *fakePeers) HoldsQuotaSince(string) (structs.Instant, bool) { return 0, p.holder == "" }
 
 func (p *fakePeers) Placer(structs.ServiceID) (structs.VMID, bool) {
 	if *p.placer < 0 {
@@ -228,8 +235,9 @@
 	p := &fakePeers{isMembershipUnknown: true}
 	s := New(Options{VM: "1", Domain: "d", Region: "r", Peers: p, QuotaSlack: 20, Regions: 2, Log: slog.New(slog.DiscardHandler)})
 	account := &routing.Account{ID: "account", Rate: 10, Burst: 20}
-	verdict := s.admitAccount(account, false, 0)
+	verdict, _ := s.admitAccount(account, false, 0)
 	assert.Assert(t, !verdict.Admitted && verdict.Wait == membershipRetryAfter)
 	p.isMembershipUnknown = false
-	assert.Assert(t, s.admitAccount(account, false, 0).Admitted)
+	verdict, _ = s.admitAccount(account, false, 0)
+	assert.Assert(t, verdict.Admitted)
 }
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/endivecourse/endivecourse/fleet"
@@ -15,18 +17,20 @@
 const (
 	// maxUncoordinatedVMs is the largest number of VMs that each hold a bucket of
 	// every account and, except under pressure, place their own requests. In a larger
-	// fleet, one VM of each region does this for an account or a service.
+	// fleet, a few VMs of each region do this for an account, and one for a service.
 	maxUncoordinatedVMs = fleet.MaxUncoordinatedVMs
 	// membershipRetryAfter is the retry delay of a VM that does not know its peers
 	// yet; the member table is read within 0.1 s of the start.
 	membershipRetryAfter = 100 * time.Millisecond
-	// holderTimeout bounds the call to an account's quota holder; a round trip
-	// within a region takes 1 ms.
+	// holderTimeout bounds the call to one of an account's quota holders; a round trip
+	// within a region takes 1 ms, one to another region 25 ms.
 	holderTimeout = 150 * time.Millisecond
-	// maxHolderAttempts bounds the number of VMs that are asked in turn until one
-	// answers; holderRetryAfter is the retry delay if none does.
-	maxHolderAttempts = 2
-	holderRetryAfter  = 300 * time.Millisecond
+	// holderRetryAfter is the retry delay if no holder answers.
+	holderRetryAfter = 300 * time.Millisecond
+	// cutOffFraction is the part of its quota that a cut-off VM uses. The others may have
+	// given it to another holder meanwhile; less than half of the holders can be cut off
+	// from the rest, so together they exceed a limit by less than a tenth.
+	cutOffFraction = 0.2
 )
 
 // Peers provides the calls to other VMs that a Server needs.
@@ -36,13 +40,15 @@
 	// IsMembershipKnown reports whether this VM has had time to learn of the other
 	// VMs.
 	IsMembershipKnown() bool
-	// MembersChangedAt returns when a VM of this region last joined or was forgotten.
-	MembersChangedAt() structs.Instant
-	// Holder returns the VM of this region that holds the item with the given
-	// name.
-	Holder(name string) (vm structs.VMID, self bool)
-	// OtherHolders returns the VMs that hold the item in the other regions.
-	OtherHolders(name string) []structs.VMID
+	// RosterSize returns the number of VMs over which quotas are divided.
+	RosterSize() int
+	// QuotaHolders returns the VMs that each hold a part of a named account's quota, of this
+	// region and of the others, nearest first.
+	QuotaHolders(name string) (near, far []structs.VMID)
+	// HoldsQuotaSince reports whether this VM is one of them, and since when.
+	HoldsQuotaSince(name string) (since structs.Instant, holds bool)
+	// IsCutOff reports whether the others may have given this VM's quota to another one.
+	IsCutOff() bool
 	// BorrowTokens asks a VM for quota tokens of an account and returns their
 	// number.
 	BorrowTokens(ctx context.Context, vm structs.VMID, account structs.AccountID) (int, error)
@@ -64,70 +70,148 @@
 	Forward(ctx context.Context, vm structs.VMID, req fleet.ForwardRequest) (fleet.ForwardStream, error)
 }
 
-// admitAccount takes a quota token from this VM's bucket or from the account's
-// quota holder.
-func (s *Server) admitAccount(account *routing.Account, startsProgram bool, maxWait time.Duration) share.Decision {
+// hasQuotaHolders reports whether a few VMs of each region hold the quota of each account,
+// rather than all VMs.
+func (s *Server) hasQuotaHolders() bool { return s.opts.Peers.RosterSize() > maxUncoordinatedVMs }
+
+// admitAccount takes a quota token from this VM's bucket or from one of the account's quota
+// holders. It returns the holder, empty for this VM.
+func (s *Server) admitAccount(account *routing.Account, startsProgram bool, maxWait time.Duration) (share.Decision, structs.VMID) {
 	if account.Rate <= 0 {
-		return share.Decision{Admitted: true}
+		return share.Decision{Admitted: true}, ""
 	}
 	if !s.opts.Peers.IsMembershipKnown() {
-		return share.Decision{Wait: membershipRetryAfter}
+		return share.Decision{Wait: membershipRetryAfter}, ""
+	}
+	request := share.Request{Account: account.ID, Limit: limitOf(account), StartsProgram: startsProgram}
+	if s.hasQuotaHolders() {
+		return s.admitByHolders(request, maxWait)
 	}
-	if s.opts.Peers.PeerCount() < maxUncoordinatedVMs {
-		return s.admitLocally(account, startsProgram, maxWait, 0)
+	request.MaxWait = maxWait
+	return s.admitHere(request), ""
+}
+
+// admitByHolders asks the account's holders of this region for a token, one after the other,
+// and those of the other regions if none of this region answers. If none has a token, the
+// request takes the next one that becomes available within maxWait.
+func (s *Server) admitByHolders(request share.Request, maxWait time.Duration) (share.Decision, structs.VMID) {
+	near, far := s.opts.Peers.QuotaHolders(holderName(request.Account))
+	for _, holders := range [][]structs.VMID{near, far} {
+		decision, vm, isAnswered := s.askHolders(request, holders, maxWait)
+		if isAnswered {
+			return decision, vm
+		}
 	}
-	for range maxHolderAttempts {
-		vm, self := s.opts.Peers.Holder(holderName(account.ID))
-		if self {
-			return s.admitLocally(account, startsProgram, maxWait, s.opts.Regions)
+	return share.Decision{Wait: holderRetryAfter}, ""
+}
+
+// askHolders asks holders for a token. isAnswered is false if none of them answers.
+func (s *Server) askHolders(request share.Request, holders []structs.VMID, maxWait time.Duration) (decision share.Decision, vm structs.VMID, isAnswered bool) {
+	var asked []structs.VMID
+	for {
+		s.mu.Lock()
+		vm, isFound := s.selector.Next(structs.Now(), request, holders, asked)
+		s.mu.Unlock()
+		if !isFound {
+			break
+		}
+		if decision := s.askHolder(vm, request); decision.Admitted {
+			return decision, vm, true
 		}
+		asked = append(asked, vm)
+	}
+	s.mu.Lock()
+	vm, wait, isKnown := s.selector.NextToken(structs.Now(), request, holders)
+	s.mu.Unlock()
+	if !isKnown {
+		return share.Decision{}, "", false
+	}
+	if wait <= maxWait && maxWait > 0 {
+		request.MaxWait = maxWait
+		return s.askHolder(vm, request), vm, true
+	}
+	return share.Decision{Wait: wait}, vm, true
+}
+
+// askHolder asks one holder, which may be this VM.
+func (s *Server) askHolder(vm structs.VMID, request share.Request) share.Decision {
+	req := fleet.AdmissionRequest{
+		Account: request.Account, StartsProgram: request.StartsProgram, MaxWait: request.MaxWait,
+		Limit: request.Limit,
+	}
+	var reply fleet.AdmissionReply
+	if vm == s.opts.VM {
+		reply = s.AdmitForPeer(req)
+	} else {
 		ctx, cancel := wire.WithReplyTimeout(context.Background(), holderTimeout)
-		reply, err := s.opts.Peers.RequestAdmission(ctx, vm, fleet.AdmissionRequest{Account: account.ID, StartsProgram: startsProgram, MaxWait: maxWait})
+		var err error
+		reply, err = s.opts.Peers.RequestAdmission(ctx, vm, req)
 		cancel()
-		if err == nil {
-			return share.Decision{Admitted: reply.IsAdmitted, Wait: reply.Wait, Tokens: reply.Tokens, Share: reply.Share}
+		if err != nil {
+			s.log.Warn("quota holder does not answer", "account", string(request.Account), "holder", string(vm), "cause", err.Error())
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.selector.RecordFailure(structs.Now(), vm)
+			return share.Decision{Wait: holderRetryAfter}
 		}
-		s.log.Warn("quota holder does not answer", "account", string(account.ID), "holder", string(vm), "cause", err.Error())
 	}
-	return share.Decision{Wait: holderRetryAfter}
+	decision := share.Decision{Admitted: reply.IsAdmitted, Wait: reply.Wait, Tokens: reply.Tokens, Share: reply.Share}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.selector.RecordReply(structs.Now(), vm, request, decision)
+	return decision
 }
 
-// holderName is the name by which an account's quota holder is picked.
+// holderName is the name by which an account's quota holders are picked.
 func holderName(account structs.AccountID) string { return "account/" + string(account) }
 
-// holdsQuota reports whether this VM counts the quota of an account.
-func (s *Server) holdsQuota(account structs.AccountID) bool {
-	if s.opts.Peers.PeerCount() < maxUncoordinatedVMs {
-		return true
+// holdsQuotaSince reports whether this VM counts a part of an account's quota, and since when.
+func (s *Server) holdsQuotaSince(account structs.AccountID) (structs.Instant, bool) {
+	if !s.hasQuotaHolders() {
+		return 0, true
 	}
-	_, self := s.opts.Peers.Holder(holderName(account))
-	return self
+	return s.opts.Peers.HoldsQuotaSince(holderName(account))
 }
 
-// dropUnheldQuota drops the buckets of accounts that other VMs hold now. Their tokens
-// would be lent beside those of the present holders.
-func (s *Server) dropUnheldQuota() {
+// sweepQuota drops the buckets of accounts that other VMs hold now, and what is outdated.
+// Their tokens would be lent beside those of the present holders.
+func (s *Server) sweepQuota() {
+	s.followQuotaHolders("")
 	s.mu.Lock()
+	s.selector.Sweep(structs.Now())
 	accounts := s.limiter.Accounts()
 	s.mu.Unlock()
 	for _, account := range accounts {
-		if s.holdsQuota(account) {
+		if _, holds := s.holdsQuotaSince(account); holds {
 			continue
 		}
 		s.mu.Lock()
 		s.limiter.Drop(account)
 		s.mu.Unlock()
-		s.log.Info("quota is held by another VM now", "account", string(account))
+		s.log.Info("quota is held by other VMs now", "account", string(account))
 	}
 }
 
+// followQuotaHolders tells the limiter by how many VMs the quota of an account is held.
+func (s *Server) followQuotaHolders(account structs.AccountID) {
+	if !s.opts.Peers.IsMembershipKnown() {
+		return
+	}
+	holders := 0
+	if s.hasQuotaHolders() {
+		near, _ := s.opts.Peers.QuotaHolders(holderName(account))
+		holders = max(len(near), 1) * s.opts.Regions
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.SetHolders(structs.Now(), holders)
+}
+
 // returnToken gives back the token of a request that reached no target.
-func (s *Server) returnToken(account structs.AccountID) {
-	if s.opts.Peers.PeerCount() >= maxUncoordinatedVMs {
-		if vm, self := s.opts.Peers.Holder(holderName(account)); !self {
-			go s.returnTokenTo(vm, account)
-			return
-		}
+func (s *Server) returnToken(account structs.AccountID, holder structs.VMID) {
+	if holder != "" && holder != s.opts.VM {
+		go s.returnTokenTo(holder, account)
+		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -142,7 +226,8 @@
 	}
 }
 
-// AdmitForPeer answers a VM of this region for which this VM is the quota holder.
+// AdmitForPeer answers a VM for which this VM is a quota holder. It gives out no tokens of
+// an account of which it holds nothing by what it knows itself.
 func (s *Server) AdmitForPeer(req fleet.AdmissionRequest) fleet.AdmissionReply {
 	if req.Returns {
 		s.mu.Lock()
@@ -150,31 +235,45 @@
 		s.limiter.ReturnToken(req.Account)
 		return fleet.AdmissionReply{}
 	}
-	table := s.opts.Config.Current()
-	if table == nil || table.Accounts[req.Account] == nil {
-		// The asking VM has a newer configuration, in which the account is new.
+	since, holds := s.holdsQuotaSince(req.Account)
+	if !holds {
+		return fleet.AdmissionReply{Wait: holderRetryAfter, HoldsNone: true}
+	}
+	request := share.Request{
+		Account: req.Account, Limit: req.Limit, StartsProgram: req.StartsProgram, MaxWait: req.MaxWait, HeldSince: since,
+	}
+	if table := s.opts.Config.Current(); table != nil && table.Accounts[req.Account] != nil {
+		request.Limit = limitOf(table.Accounts[req.Account])
+	}
+	if request.Limit.Rate <= 0 {
+		// The account has no limit, or the asking VM is of a build that does not send it.
 		return fleet.AdmissionReply{IsAdmitted: true}
 	}
-	decision := s.admitLocally(table.Accounts[req.Account], req.StartsProgram, req.MaxWait, s.opts.Regions)
+	decision := s.admitHere(request)
 	return fleet.AdmissionReply{IsAdmitted: decision.Admitted, Wait: decision.Wait, Tokens: decision.Tokens, Share: decision.Share}
 }
 
-// admitLocally takes a token from this VM's bucket. If there is none, it borrows
-// tokens from peers, and if they have none either, the request takes the next token
-// that becomes available within maxWait.
-func (s *Server) admitLocally(account *routing.Account, startsProgram bool, maxWait time.Duration, holders int) share.Decision {
-	request := share.Request{Account: account.ID, Limit: limitOf(account), StartsProgram: startsProgram}
+// admitHere takes a token from this VM's bucket. If there is none, it borrows tokens from
+// peers, and if they have none either, the request takes the next token that becomes
+// available in its time.
+func (s *Server) admitHere(request share.Request) share.Decision {
+	s.followQuotaHolders(request.Account)
+	if s.hasQuotaHolders() && s.opts.Peers.IsCutOff() {
+		request.Limit.Rate *= cutOffFraction
+		request.Limit.Burst *= cutOffFraction
+	}
+	maxWait := request.MaxWait
+	request.MaxWait = 0
 	s.mu.Lock()
-	s.limiter.SetHolders(holders, s.opts.Peers.MembersChangedAt())
-	s.limiter.RecordRequest(structs.Now(), account.ID, request.Limit)
+	s.limiter.RecordRequest(structs.Now(), request)
 	decision := s.limiter.Admit(structs.Now(), request)
-	s.mu.Unlock()
 	lenders := decision.Lenders
-	if len(lenders) == 0 && decision.MayBorrow {
-		lenders = s.opts.Peers.OtherHolders(holderName(account.ID))
+	s.mu.Unlock()
+	if decision.MayBorrow {
+		lenders = s.farLender(request.Account)
 	}
 	for _, vm := range lenders {
-		if decision.Admitted || !s.borrowTokens(vm, account) {
+		if decision.Admitted || !s.borrowTokens(vm, request) {
 			continue
 		}
 		decision = s.takeToken(request)
@@ -186,6 +285,22 @@
 	return decision
 }
 
+// farLender returns the holder of another region that has reported the most spare tokens, as
+// a list of at most one: the asking VM waits meanwhile.
+func (s *Server) farLender(account structs.AccountID) []structs.VMID {
+	_, far := s.opts.Peers.QuotaHolders(holderName(account))
+	if len(far) == 0 {
+		return nil
+	}
+	now := structs.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best := slices.MaxFunc(far, func(a, b structs.VMID) int {
+		return cmp.Compare(s.limiter.SpareAt(now, a, account), s.limiter.SpareAt(now, b, account))
+	})
+	return []structs.VMID{best}
+}
+
 func (s *Server) takeToken(request share.Request) share.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -193,16 +308,16 @@
 }
 
 // borrowTokens asks a peer for quota tokens and reports whether it gave any.
-func (s *Server) borrowTokens(vm structs.VMID, account *routing.Account) bool {
+func (s *Server) borrowTokens(vm structs.VMID, request share.Request) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 	defer cancel()
-	tokens, err := s.opts.Peers.BorrowTokens(ctx, vm, account.ID)
+	tokens, err := s.opts.Peers.BorrowTokens(ctx, vm, request.Account)
 	if err != nil {
-		s.log.Warn("no quota tokens borrowed", "account", string(account.ID), "from", string(vm), "cause", err.Error())
+		s.log.Warn("no quota tokens borrowed", "account", string(request.Account), "from", string(vm), "cause", err.Error())
 		tokens = 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limiter.AddBorrowed(structs.Now(), vm, account.ID, limitOf(account), tokens)
+	s.limiter.AddBorrowed(structs.Now(), vm, request, tokens)
 	return tokens > 0
 }
--- a/edge/quota_test.go
+++ b/edge/quota_test.go
@@ -26,13 +26,14 @@
 		_, err := s.opts.Config.UpdateIfNewer([]byte("1"))
 		assert.NilError(t, err)
 		s.opts.Regions = 2
-		assert.Assert(t, s.admitAccount(account, false, 0).Admitted)
+		decision, _ := s.admitAccount(account, false, 0)
+		assert.Assert(t, decision.Admitted)
 		time.Sleep(10 * time.Second)
 		assert.Assert(t, s.Lend(account.ID) > 0, "the holder lends")
 
 		peers.holder = "another"
 		assert.Equal(t, s.Lend(account.ID), 0)
-		s.dropUnheldQuota()
+		s.sweepQuota()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		_, isReported := s.limiter.SpareTokens(structs.Now())[account.ID]
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -56,6 +56,7 @@
 	firstByte     time.Duration    // from arrival to the first byte of the response
 	storeWait     time.Duration    // time for which the end of the response was held back to store the turn
 	hasQuotaToken bool             // a quota token was taken for the request
+	quotaHolder   structs.VMID     // VM that gave the token, empty for this VM
 	forwardedBy   structs.VMID     // VM that sent the request to its target, empty for this VM
 	// forwardedFor is the VM whose request this is, empty for this VM; exclude and
 	// cached are what it says of the targets.
@@ -87,7 +88,7 @@
 
 func (x *exchange) refuse(r *structs.Refusal) {
 	if x.hasQuotaToken && x.sends == 0 {
-		x.server.returnToken(x.account.ID)
+		x.server.returnToken(x.account.ID, x.quotaHolder)
 	}
 	x.server.recordOutcome(x, r)
 	x.out.Refuse(r)
@@ -194,11 +195,11 @@
 	if x.account == nil {
 		return nil
 	}
-	decision := s.admitAccount(x.account, x.startsProgram(), min(share.MaxTokenWait, x.timeLeft()/maxTokenWaitDivisor))
+	decision, holder := s.admitAccount(x.account, x.startsProgram(), min(share.MaxTokenWait, x.timeLeft()/maxTokenWaitDivisor))
 	if !decision.Admitted {
 		return x.refuseOverRate(decision)
 	}
-	x.hasQuotaToken = true
+	x.hasQuotaToken, x.quotaHolder = true, holder
 	return x.awaitToken(ctx, decision.Wait)
 }
 
--- a/edge/server.go
+++ b/edge/server.go
@@ -85,6 +85,7 @@
 	cold          coldTargets
 	spans         programSpans
 	limiter       *share.Limiter
+	selector      *share.Selector
 	quarantine    *quarantine.List
 	peerGrants    map[uint64]peerGrant
 	lastGrantID   uint64
@@ -108,6 +109,7 @@
 		peerGrants: make(map[uint64]peerGrant),
 		waiters:    make(map[*admission.Request]*waiter),
 		limiter:    share.New(structs.Now(), opts.QuotaSlack),
+		selector:   share.NewSelector(),
 		quarantine: quarantine.New(quarantine.Options{Targets: quarantineTargets, SuspectPeriod: crashTTL}),
 	}
 	s.listing.unlisted = make(map[structs.TargetID]structs.Instant)
@@ -159,8 +161,8 @@
 func (s *Server) sweep(_ context.Context, now time.Time) {
 	s.pool.Sweep(now)
 	s.opts.Local.Ledger.Sweep(now)
-	s.dropUnheldQuota()
 	s.updateReach()
+	s.sweepQuota()
 	s.mu.Lock()
 	s.limiter.Sweep(structs.Now())
 	s.expireGrants(structs.Now())
@@ -251,16 +253,14 @@
 
 // Lend gives a peer quota tokens of an account and returns their number.
 func (s *Server) Lend(account structs.AccountID) int {
-	if !s.holdsQuota(account) {
+	since, holds := s.holdsQuotaSince(account)
+	table := s.opts.Config.Current()
+	if !holds || table == nil || table.Accounts[account] == nil {
 		return 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	table := s.opts.Config.Current()
-	if table == nil || table.Accounts[account] == nil {
-		return 0
-	}
-	return s.limiter.Lend(structs.Now(), account, limitOf(table.Accounts[account]))
+	return s.limiter.Lend(structs.Now(), share.Request{Account: account, Limit: limitOf(table.Accounts[account]), HeldSince: since})
 }
 
 // ReportReach records whether a peer takes requests that this VM can't send itself.
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -77,6 +77,7 @@
 		members = append(members, member)
 	}
 	m.addMembers(members)
+	m.recordTable(members)
 	m.hasReadTable.Store(true)
 	return m.writeOwnRow(ctx, ownRow)
 }
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -111,7 +111,10 @@
 	newerConfig           *configSource                     // nil unless a peer has a newer configuration
 	groups                *groups                           // nil after a change of the members
 	rotation              rotation
-	membersChangedAt      structs.Instant
+	rosters               *Rosters
+	isRosterOutdated      bool                    // the members have changed since
+	tableMembers          map[structs.VMID]Member // as last read
+	tableReadAt           time.Time
 
 	configsSent  atomic.Uint64 // configurations sent to peers
 	hasReadTable atomic.Bool   // the member table has been read at least once
@@ -135,7 +138,8 @@
 // New returns a mesh without members.
 func New(opts Options) *Mesh {
 	m := &Mesh{
-		opts: opts, server: wire.NewServer(wire.Options{Log: opts.Log}), startedAt: time.Now(),
+		rosters: NewRosters(structs.Now(), opts.Self),
+		opts:    opts, server: wire.NewServer(wire.Options{Log: opts.Log}), startedAt: time.Now(),
 		members: make(map[structs.VMID]*peerState), forgottenIncarnations: make(map[structs.Incarnation]time.Time),
 	}
 	m.client = wire.NewClient(wire.Options{})
@@ -166,8 +170,7 @@
 }
 
 // IsMembershipKnown reports whether this VM has had time to learn of the others.
-// Without this check, VMs that start together and know different peers would each
-// act as the quota holder of the same account.
+// Without this check, a VM that has just started would ask VMs that hold no quota.
 func (m *Mesh) IsMembershipKnown() bool {
 	return m.hasReadTable.Load() || time.Since(m.startedAt) > memberTableTimeout
 }
@@ -267,24 +270,11 @@
 func (m *Mesh) addMember(member Member) {
 	now := time.Now()
 	m.members[member.VM] = &peerState{Member: member, addedAt: now, lastSeen: now}
-	m.noteChangeIn(member.Region)
+	m.recordChange()
 }
 
-// noteChangeIn records a change of the members of a region. The caller holds the lock.
-func (m *Mesh) noteChangeIn(region string) {
-	m.groups = nil
-	if region == m.opts.Self.Region {
-		m.membersChangedAt = structs.Now()
-	}
-}
-
-// MembersChangedAt returns when a VM of this region last joined or was forgotten, 0 if
-// none did.
-func (m *Mesh) MembersChangedAt() structs.Instant {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.membersChangedAt
-}
+// recordChange records a change of the members. The caller holds the lock.
+func (m *Mesh) recordChange() { m.groups, m.isRosterOutdated = nil, true }
 
 func (m *Mesh) expirePeers(now time.Time) {
 	m.mu.Lock()
@@ -296,7 +286,7 @@
 			expired = append(expired, peer.Member)
 			delete(m.members, id)
 			m.forgottenIncarnations[peer.Incarnation] = now
-			m.noteChangeIn(peer.Region)
+			m.recordChange()
 		}
 	}
 	m.mu.Unlock()
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -87,7 +87,7 @@
 	Tokens int `msgpack:"n"`
 }
 
-// AdmissionRequest asks an account's quota holder to admit a request.
+// AdmissionRequest asks one of an account's quota holders to admit a request.
 type AdmissionRequest struct {
 	Account       structs.AccountID `msgpack:"a"`
 	StartsProgram bool              `msgpack:"s,omitempty"` // the request begins a program
@@ -96,6 +96,9 @@
 	// Returns means that the request was refused without having run: its token is given
 	// back.
 	Returns bool `msgpack:"r,omitempty"`
+	// Limit is the account's limit by the asking VM's configuration, for a holder whose
+	// configuration does not have the account yet.
+	Limit share.Limit `msgpack:"l,omitempty"`
 }
 
 // AdmissionReply answers an AdmissionRequest.
@@ -107,6 +110,9 @@
 	// Tokens and Share are the holder's tokens and share of the account, for the log.
 	Tokens float64 `msgpack:"t,omitempty"`
 	Share  float64 `msgpack:"s,omitempty"`
+	// HoldsNone means that the VM holds no part of the account's quota by what it knows of
+	// the members.
+	HoldsNone bool `msgpack:"h,omitempty"`
 }
 
 // PlacementRequest asks a service's placer for a target.
--- a/fleet/vm_roles.go
+++ b/fleet/vm_roles.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -70,33 +69,6 @@
 	return m.pickByHash("service/"+string(service), true, func(peer *peerState) bool { return peer.isAvailable(now) })
 }
 
-// Holder returns the VM that holds an item which needs no store, such as an
-// account's quota: of all known VMs of this region, whether or not they were seen
-// recently, the one with the highest hash. This lets VMs that have just started
-// choose the same holder.
-func (m *Mesh) Holder(name string) (structs.VMID, bool) {
-	now := time.Now()
-	return m.pickByHash(name, true, func(peer *peerState) bool { return now.Sub(peer.lastFailure) >= failureBackoff })
-}
-
-// OtherHolders returns the VMs that hold an item in the other regions.
-func (m *Mesh) OtherHolders(name string) []structs.VMID {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	best := make(map[string]structs.VMID) // by region
-	hashes := make(map[string]uint64)
-	for id, peer := range m.members {
-		if peer.Region == m.opts.Self.Region || !m.currentGroups().mayHaveRole(id) || now.Sub(peer.lastFailure) < failureBackoff {
-			continue
-		}
-		if hash := rendezvousHash(id, name); hash > hashes[peer.Region] {
-			best[peer.Region], hashes[peer.Region] = id, hash
-		}
-	}
-	return slices.Sorted(maps.Values(best))
-}
-
 // pickByHash returns the VM with the highest hash among this region's eligible
 // peers and this VM. In a fleet with coordinators, only they are eligible. A VM that is not eligible itself is chosen only if there is no
 // eligible peer.
--- a/share/loans.go
+++ b/share/loans.go
@@ -26,9 +26,6 @@
 		return 0
 	}
 	spare, isKnown := p.spare[id]
-	if !isKnown && s.holders > 0 {
-		return 0 // holds no bucket of the account
-	}
 	if !isKnown {
 		return math.Floor(s.evenShare() * a.limit.Burst)
 	}
@@ -75,25 +72,26 @@
 
 // Lend takes tokens out of this VM's bucket for a peer and returns their number. Tokens
 // that don't reach the peer are lost; lending never creates tokens.
-func (s *Limiter) Lend(now structs.Instant, id structs.AccountID, limit Limit) int {
-	if limit.Rate <= 0 {
+func (s *Limiter) Lend(now structs.Instant, r Request) int {
+	if r.Limit.Rate <= 0 {
 		return 0
 	}
-	a := s.account(now, id, limit)
-	s.refill(now, id, a)
+	a := s.account(now, r)
+	s.refill(now, r.Account, a)
 	loan := math.Ceil(a.spareTokens() * loanFraction)
 	a.tokens -= loan
 	return int(loan)
 }
 
 // AddBorrowed adds tokens that a peer has lent. 0 tokens means that the peer had none to
-// spare.
-func (s *Limiter) AddBorrowed(now structs.Instant, from structs.VMID, id structs.AccountID, limit Limit, tokens int) {
-	a := s.account(now, id, limit)
+// spare, or did not answer.
+func (s *Limiter) AddBorrowed(now structs.Instant, from structs.VMID, r Request, tokens int) {
+	a := s.account(now, r)
 	a.tokens += float64(tokens)
-	if tokens == 0 {
-		a.borrowAfter = now.Add(borrowPause)
+	if tokens > 0 {
+		a.borrowAfter = now
 	}
+	id, limit := r.Account, r.Limit
 	p := s.peers[from]
 	if p == nil {
 		return
@@ -108,3 +106,17 @@
 	// until the next one.
 	p.spare[id] -= math.Max(float64(tokens), 1)
 }
+
+// SpareAt returns the tokens that a VM has reported to have to spare, -1 if it has reported
+// none recently.
+func (s *Limiter) SpareAt(now structs.Instant, vm structs.VMID, id structs.AccountID) float64 {
+	p := s.peers[vm]
+	if p == nil || now.Sub(p.reportedAt) > spareReportTTL {
+		return -1
+	}
+	spare, isKnown := p.spare[id]
+	if !isKnown {
+		return -1
+	}
+	return spare
+}
--- a/share/share.go
+++ b/share/share.go
@@ -55,9 +55,13 @@
 	// minDemand is the demand, in requests per second, below which an account is not
 	// reported and may be dropped.
 	minDemand = 0.05
-	// borrowPause is the time after which the holder of another region that had no tokens
-	// to spare is asked again.
+	// borrowPause is the time after which the holders of other regions are asked again for
+	// an account's tokens if one of them was asked and gave none.
 	borrowPause = 400 * time.Millisecond
+	// settleTime is how long a VM that becomes a holder of an account waits before its
+	// bucket starts to fill: requests to which the holder before gave tokens may still wait
+	// for MaxTokenWait, and VMs learn of a change of the members within that time.
+	settleTime = MaxTokenWait
 	// spareReportTTL is how long a peer's report of its spare tokens counts.
 	spareReportTTL = 2 * time.Second
 )
@@ -87,6 +91,8 @@
 	StartsProgram bool
 	// MaxWait is how long the request may be held, 0 for not at all.
 	MaxWait time.Duration
+	// HeldSince is since when this VM holds the account, if not all VMs do.
+	HeldSince structs.Instant
 }
 
 // Decision is the result of Admit.
@@ -96,7 +102,8 @@
 	// is available. For a refused request, it is the time after which a new attempt gets
 	// a token.
 	Wait time.Duration
-	// MayBorrow means that the holders of other regions may have tokens to spare.
+	// MayBorrow means that the holders of other regions may have tokens to spare. It is
+	// set for one request at a time.
 	MayBorrow bool
 	// Lenders are the VMs to ask for tokens before the request is refused, best first.
 	Lenders []structs.VMID
@@ -118,9 +125,10 @@
 	// isStarting is true while the process may not know all its peers yet.
 	isStarting bool
 	// holders is the number of VMs that hold buckets of each account, 0 if all VMs do.
-	// heldSince is when the VM that holds an account may have changed last.
-	holders   int
-	heldSince structs.Instant
+	// holdersChangedAt is when this changed, 0 if it did not.
+	holders          int
+	hasHolders       bool // holders is known
+	holdersChangedAt structs.Instant
 }
 
 type account struct {
@@ -158,10 +166,14 @@
 }
 
 // SetHolders sets the number of VMs that hold buckets of each account; 0 means all VMs.
-// If many VMs shared an account, each bucket would hold less than one token. since is
-// when another VM may last have been the holder of an account that this VM holds now.
-func (s *Limiter) SetHolders(holders int, since structs.Instant) {
-	s.holders, s.heldSince = holders, since
+// If many VMs shared an account, each bucket would hold less than one token. The share of a
+// holder is fixed, so that the shares never add up to more than the limit, whichever holders
+// hear of each other; what one of them does not need, the others borrow.
+func (s *Limiter) SetHolders(now structs.Instant, holders int) {
+	if s.hasHolders && s.holders != holders {
+		s.holdersChangedAt = now
+	}
+	s.holders, s.hasHolders = holders, true
 }
 
 // Report replaces what is known of a peer's demand and spare tokens. isNear means that
@@ -201,8 +213,8 @@
 }
 
 // RecordRequest adds a request to the demand of its account.
-func (s *Limiter) RecordRequest(now structs.Instant, id structs.AccountID, limit Limit) {
-	a := s.account(now, id, limit)
+func (s *Limiter) RecordRequest(now structs.Instant, r Request) {
+	a := s.account(now, r)
 	a.decayDemand(now)
 	a.demand += 1 / demandTau
 }
@@ -216,26 +228,40 @@
 	if r.Limit.Rate <= 0 {
 		return Decision{Admitted: true}
 	}
-	a := s.account(now, r.Account, r.Limit)
+	a := s.account(now, r)
 	s.refill(now, r.Account, a)
 	decision := Decision{Tokens: a.tokens, Share: a.share}
-	if missing := reservedFraction*r.Limit.Burst - s.totalTokens(now, r.Account, a); r.StartsProgram && missing > 0 {
-		decision.Wait = seconds(missing / r.Limit.Rate)
+	if missing, rate := s.missingForStart(now, r, a); r.StartsProgram && missing > 0 {
+		decision.Wait = seconds(missing / rate)
 		return decision
 	}
 	if a.tokens < 1 {
-		decision.Wait = seconds((1 - a.tokens) / (a.share * r.Limit.Rate))
+		decision.Wait = s.settlesIn(now) + seconds((1-a.tokens)/(a.share*r.Limit.Rate))
 	}
 	if decision.Wait <= r.MaxWait {
 		a.tokens--
 		decision.Admitted = true
 		return decision
 	}
-	decision.Lenders = s.lenders(now, r.Account, a)
-	decision.MayBorrow = s.holders > 1 && now >= a.borrowAfter
+	if s.holders == 0 {
+		decision.Lenders = s.lenders(now, r.Account, a)
+	} else if s.holders > 1 && now >= a.borrowAfter {
+		decision.MayBorrow = true
+		a.borrowAfter = now.Add(borrowPause)
+	}
 	return decision
 }
 
+// missingForStart returns how many tokens are missing until a program may start, and the
+// rate at which they come, in tokens per second. A holder reserves a part of its own bucket:
+// it does not know which VMs hold the others, and callers ask those too.
+func (s *Limiter) missingForStart(now structs.Instant, r Request, a *account) (missing, rate float64) {
+	if s.holders > 0 {
+		return reservedFraction*a.share*r.Limit.Burst - a.tokens, a.share * r.Limit.Rate
+	}
+	return reservedFraction*r.Limit.Burst - s.totalTokens(now, r.Account, a), r.Limit.Rate
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // totalDemand returns the account's demand over all VMs. This VM's own demand counts only
@@ -262,7 +288,7 @@
 // ReturnToken returns the token of a request that reached no target.
 func (s *Limiter) ReturnToken(id structs.AccountID) {
 	if a := s.accounts[id]; a != nil {
-		a.tokens++
+		a.tokens = math.Max(a.tokens, math.Min(a.tokens+1, s.capacity(a)))
 	}
 }
 
@@ -285,29 +311,47 @@
 	return 1 / float64(vms)
 }
 
-func (s *Limiter) account(now structs.Instant, id structs.AccountID, limit Limit) *account {
+func (s *Limiter) account(now structs.Instant, r Request) *account {
 	s.isStarting = s.isStarting && now.Sub(s.started) < startupPeriod
-	a := s.accounts[id]
+	a := s.accounts[r.Account]
 	if a == nil {
 		even := s.evenShare()
-		filledSince := s.started
-		if s.holders > 0 {
-			filledSince = max(s.started, s.heldSince) // another VM may have used the bucket before
-		}
-		refilled := even * limit.Rate * now.Sub(filledSince).Seconds()
+		refilled := even * r.Limit.Rate * math.Max(0, now.Sub(s.fillsSince(r)).Seconds())
 		a = &account{
-			limit: limit, decayedAt: now, refilledAt: now, share: even,
-			tokens: math.Min(s.minCapacity()+refilled, math.Max(even*limit.Burst, s.minCapacity())),
+			limit: r.Limit, decayedAt: now, refilledAt: now, share: even,
+			tokens: math.Min(s.minCapacity()+refilled, math.Max(even*r.Limit.Burst, s.minCapacity())),
 		}
-		s.accounts[id] = a
+		s.accounts[r.Account] = a
 	}
-	if a.limit != limit {
-		a.limit = limit
+	if a.limit != r.Limit {
+		a.limit = r.Limit
 		a.tokens = math.Min(a.tokens, s.capacity(a))
 	}
 	return a
 }
 
+// fillsSince returns since when a bucket that does not exist yet has been filling. Before,
+// its tokens may have been given out by another VM or by the process before.
+func (s *Limiter) fillsSince(r Request) structs.Instant {
+	since := s.started
+	if s.holders > 0 {
+		since = max(since.Add(settleTime), r.HeldSince.Add(settleTime))
+	}
+	if s.holdersChangedAt > 0 {
+		since = max(since, s.holdersChangedAt.Add(settleTime))
+	}
+	return since
+}
+
+// settlesIn returns the time until buckets fill again after a change of the holders: until
+// then, VMs that have not noticed it use the tokens.
+func (s *Limiter) settlesIn(now structs.Instant) time.Duration {
+	if s.holdersChangedAt == 0 {
+		return 0
+	}
+	return max(0, s.holdersChangedAt.Add(settleTime).Sub(now))
+}
+
 func (s *Limiter) capacity(a *account) float64 {
 	return math.Max(a.share*a.limit.Burst, s.minCapacity())
 }
@@ -315,7 +359,7 @@
 // targetShare returns the share of the account's limit that matches this VM's demand.
 func (s *Limiter) targetShare(now structs.Instant, id structs.AccountID, a *account) float64 {
 	total, even := s.totalDemand(now, id, a), s.evenShare()
-	if total <= 0 || s.isStarting {
+	if total <= 0 || s.isStarting || s.holders > 0 {
 		return even
 	}
 	return evenFraction*even + (1-evenFraction)*a.reportedDemand()/total
@@ -338,6 +382,14 @@
 // refill adds the tokens for the time since the last refill. Tokens above the capacity
 // decay.
 func (s *Limiter) refill(now structs.Instant, id structs.AccountID, a *account) {
+	if s.settlesIn(now) > 0 {
+		a.refilledAt = now
+		a.decayDemand(now)
+		return
+	}
+	if s.holdersChangedAt > 0 {
+		a.refilledAt = max(a.refilledAt, s.holdersChangedAt.Add(settleTime))
+	}
 	elapsed := now.Sub(a.refilledAt).Seconds()
 	a.refilledAt = now
 	a.decayDemand(now)
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -70,14 +70,14 @@
 // for a token, as in package edge.
 func (f *simulation) sendRequest(vm structs.VMID, limit Limit) bool {
 	s := f.limiters[vm]
-	s.RecordRequest(f.now, testAccount, limit)
 	request := Request{Account: testAccount, Limit: limit}
+	s.RecordRequest(f.now, request)
 	decision := s.Admit(f.now, request)
 	for _, lender := range decision.Lenders {
 		if decision.Admitted || !f.canReach(vm, lender) {
 			continue
 		}
-		s.AddBorrowed(f.now, lender, testAccount, limit, f.limiters[lender].Lend(f.now, testAccount, limit))
+		s.AddBorrowed(f.now, lender, request, f.limiters[lender].Lend(f.now, request))
 		decision = s.Admit(f.now, request)
 	}
 	if !decision.Admitted {
@@ -208,7 +208,7 @@
 	limit := Limit{Rate: 10, Burst: 20}
 	s := New(0, 0)
 	now := structs.Instant(10 * time.Second)
-	s.RecordRequest(now, testAccount, limit)
+	s.RecordRequest(now, Request{Account: testAccount, Limit: limit})
 	starts := 0
 	for s.Admit(now, Request{Account: testAccount, Limit: limit, StartsProgram: true}).Admitted {
 		starts++
@@ -229,20 +229,21 @@
 	a, b := New(0, 0), New(0, 0)
 	a.Report(now, "b", true, nil, nil)
 	b.Report(now, "a", true, nil, nil)
-	before := a.account(now, testAccount, limit).tokens
-	loan := a.Lend(now, testAccount, limit)
+	request := Request{Account: testAccount, Limit: limit}
+	before := a.account(now, request).tokens
+	loan := a.Lend(now, request)
 	assert.Assert(t, loan > 0)
-	assert.Equal(t, a.account(now, testAccount, limit).tokens, before-float64(loan))
-	other := b.account(now, testAccount, limit).tokens
-	b.AddBorrowed(now, "a", testAccount, limit, loan)
-	assert.Equal(t, b.account(now, testAccount, limit).tokens, other+float64(loan))
+	assert.Equal(t, a.account(now, request).tokens, before-float64(loan))
+	other := b.account(now, request).tokens
+	b.AddBorrowed(now, "a", request, loan)
+	assert.Equal(t, b.account(now, request).tokens, other+float64(loan))
 }
 
 // A lowered limit must also apply to the tokens already in the buckets.
 func TestLowerLimitCapsTokens(t *testing.T) {
 	now := structs.Instant(10 * time.Second)
 	s := New(0, 0)
-	s.RecordRequest(now, testAccount, Limit{Rate: 100, Burst: 100})
+	s.RecordRequest(now, Request{Account: testAccount, Limit: Limit{Rate: 100, Burst: 100}})
 	assert.Assert(t, s.Admit(now, Request{Account: testAccount, Limit: Limit{Rate: 100, Burst: 100}}).Admitted)
 	low := Limit{Rate: 2, Burst: 2}
 	admitted := 0
@@ -262,7 +263,7 @@
 			limit := Limit{Rate: 14, Burst: 14}
 			f := newSimulation(91)
 			for _, s := range f.limiters {
-				s.SetHolders(2, 0)
+				s.SetHolders(f.now, 2)
 			}
 			holders := f.vms[:2]
 			pickVM := func() structs.VMID { return holders[rng.IntN(2)] }
@@ -284,9 +285,9 @@
 	limit := Limit{Rate: 4, Burst: 20}
 	admitAll := func(heldSince structs.Instant) int {
 		s := New(0, slack)
-		s.SetHolders(2, heldSince)
+		s.SetHolders(0, 2)
 		admitted := 0
-		for s.Admit(now, Request{Account: testAccount, Limit: limit}).Admitted {
+		for s.Admit(now, Request{Account: testAccount, Limit: limit, HeldSince: heldSince}).Admitted {
 			admitted++
 		}
 		return admitted
@@ -303,7 +304,7 @@
 	const together = 9
 	limit := Limit{Rate: 5, Burst: 5}
 	s := New(0, 0)
-	s.SetHolders(1, 0)
+	s.SetHolders(0, 1)
 	request := Request{Account: testAccount, Limit: limit, MaxWait: MaxTokenWait}
 	for i := range together {
 		decision := s.Admit(now, request)
@@ -327,7 +328,7 @@
 		f := newSimulation(2)
 		f.deliverEvery = 4
 		for _, s := range f.limiters {
-			s.SetHolders(2, 0)
+			s.SetHolders(f.now, 2)
 		}
 		f.now = f.now.Add(10 * time.Second)
 		f.run(rng, 3*time.Second, limit.Rate/4, limit, func() structs.VMID { return "vm-0" })
--- a/soak/processes/fleet_test.go
+++ b/soak/processes/fleet_test.go
@@ -56,9 +56,12 @@
 
 var domains = []string{"near-a", "near-b", "far-a", "near-a"}
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t *testing.T) *fleet { return newFleetOf(t, domains, platformtest.BasicConfig()) }
+
+// newFleetOf starts a VM in each of the given failure domains.
+func newFleetOf(t *testing.T, domains []string, config platformtest.Config) *fleet {
 	f := &fleet{t: t, site: platformtest.NewSite(t)}
-	f.site.PutConfig(platformtest.BasicConfig())
+	f.site.PutConfig(config)
 	for i := range 5 {
 		f.addTarget(fmt.Sprintf("engine-%d", i), "engine", domains[i%len(domains)])
 		f.addTarget(fmt.Sprintf("app-%d", i), "app", domains[i%len(domains)])
