edge: responses that a VM keeps share a bound on its memory

A target that sends bytes without end took a VM over its memory, and all requests on that VM ended with its process: each response was bounded to 16 MB, their number was not.

Responses share a tenth of the VM's memory for what is kept beyond 64 KB each. What does not fit is passed on as it arrives if its length is known and else answered 502. A stated length over 16 MB is refused at once, a stored turn that grows too large is broken off at once, and a forwarding VM has 8 KB pieces under way.

The test of withdrawn reservations gets its quick refusal from another account's cached turn: a long ID is now looked up in the store.

--- a/daemon/endived_forward_test.go
+++ b/daemon/endived_forward_test.go
@@ -266,3 +266,30 @@
 	assert.Assert(t, served <= allowed, "%d served, %d allowed", served, allowed)
 	assert.Assert(t, served >= rate*3/2, "%d served in %s", served, time.Since(start))
 }
+
+// Guards against bytes without end that reach a VM through one that forwards: neither may keep
+// them all, and the caller is told that the request may have run.
+func TestEndlessForwardedResponsesAreCutOff(t *testing.T) {
+	const maxBytes = 24 << 20 // the limit of a response and what the sockets hold
+	for part, path := range map[platformtest.Part]string{
+		platformtest.PartHead: "/order/1", platformtest.PartBody: "/order/1", platformtest.PartLength: "/order/1",
+		platformtest.PartChunked: "/order/1", platformtest.PartEvent: "/chat/1",
+	} {
+		t.Run(string(part), func(t *testing.T) {
+			f := newForwardingSite(t, 2, time.Millisecond)
+			target := f.app
+			if path == "/chat/1" {
+				target = f.engine
+			}
+			target.Set(platformtest.Behaviour{Endless: part, Events: 3})
+			header := map[string]string{platformtest.HeaderDeadline: "3500", platformtest.HeaderProgram: "program"}
+			got := f.send(request{path: path, body: "x", header: header})
+			assert.Assert(t, got.err != nil || got.status == http.StatusBadGateway, "%+v", got.status)
+			f.waitUntil("the connection is closed", func() bool { return target.Running() == 0 })
+			assert.Assert(t, target.EndlessBytes() <= maxBytes, "%d bytes were read", target.EndlessBytes())
+			target.Set(platformtest.Behaviour{Events: 3})
+			next := f.send(request{path: path, body: "y", header: header})
+			assert.Equal(t, next.status, http.StatusOK, next.body)
+		})
+	}
+}
--- a/daemon/endived_inflight_test.go
+++ b/daemon/endived_inflight_test.go
@@ -52,9 +52,10 @@
 			})
 		}
 		group.Go(func() {
-			unknown := strings.Repeat("unknown-", 10) // too long to be stored, so the refusal is quicker than the reservation
+			// This VM has the other account's turn in its cache, so the refusal is quicker than the reservation.
+			others := b.sendAs(fmt.Sprint("others-", i), request{vm: vm, path: "/chat/1", key: "key-two", body: "x"})
 			for n := 0; time.Now().Before(end); n++ {
-				turn(vm, fmt.Sprintf("refused-%d-%d", i, n), unknown)
+				turn(vm, fmt.Sprintf("refused-%d-%d", i, n), others.id)
 				time.Sleep(50 * time.Millisecond)
 			}
 		})
--- a/edge/forward_serve.go
+++ b/edge/forward_serve.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// forwardPieceBytes bounds the data in one reply.
-	forwardPieceBytes = 64 << 10
+	// forwardPieceBytes bounds the data in one reply, of which 64 may be under way to a peer
+	// that reads slowly.
+	forwardPieceBytes = 8 << 10
 	// maxForwarding bounds the requests of peers that a VM forwards at a time.
 	maxForwarding = 256
 	// forwardedPollPeriod is how often AwaitForwarded looks.
--- a/edge/quota_holders_test.go
+++ b/edge/quota_holders_test.go
@@ -107,6 +107,7 @@
 		VM: structs.VMID(fmt.Sprint("vm-", n)), Region: fmt.Sprint("region-", n%2), Domain: structs.DomainID(fmt.Sprint("domain-", n%6)),
 	}}
 	vm.rosters = fleet.NewRosters(structs.Now(), vm.member)
+	vm.state.isDown = true
 	f.vms = append(f.vms, vm)
 	f.mu.Unlock()
 	vm.startProcess()
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/endivecourse/endivecourse/placement"
 	"github.com/endivecourse/endivecourse/structs"
+	"github.com/endivecourse/endivecourse/turnlog"
 )
 
 const (
@@ -107,8 +108,18 @@
 	return false
 }
 
+// relayBuffered passes a response on once it is complete. One of a known length for which the
+// VM lacks memory is passed on as it arrives.
 func (x *exchange) relayBuffered(ctx context.Context, target placement.Target, resp *http.Response) attemptResult {
-	body, err := io.ReadAll(resp.Body) // bounded by the connection
+	buffer := newBodyBuffer(&x.server.responseBodies, resp.ContentLength)
+	defer buffer.release()
+	err := checkLength(resp)
+	if err == nil {
+		err = buffer.readFrom(resp.Body)
+	}
+	if isNoMemory(err) && resp.ContentLength > 0 && !meansNotRun(resp.StatusCode) {
+		return x.relayUnbuffered(ctx, target, resp, buffer)
+	}
 	if err != nil {
 		x.recordIncompleteResponse(ctx, target, err)
 		return attemptResult{isRunUnknown: true, cause: errors.Wrap(err, "read answer")}
@@ -122,10 +133,36 @@
 	x.clearCrashes()
 	x.firstByte = structs.Now().Sub(x.Arrived)
 	x.server.recordOutcome(x, nil)
-	x.out.SendResponse(resp.StatusCode, x.server.opts.Dialect.CallerHeader(resp.Header), body)
+	x.out.SendResponse(resp.StatusCode, x.server.opts.Dialect.CallerHeader(resp.Header), buffer.data)
 	return attemptResult{isAnswered: true}
 }
 
+// relayUnbuffered passes on a response whose start is in a buffer.
+func (x *exchange) relayUnbuffered(ctx context.Context, target placement.Target, resp *http.Response, buffer *bodyBuffer) attemptResult {
+	x.firstByte = structs.Now().Sub(x.Arrived)
+	x.out.BeginStream(resp.StatusCode, x.server.opts.Dialect.CallerHeader(resp.Header))
+	part, err := buffer.data, error(nil)
+	chunk := make([]byte, readBytes)
+	for {
+		if writeErr := x.out.SendData(part); writeErr != nil {
+			return x.abortStream(ctx, target, abortedByCaller, writeErr)
+		}
+		buffer.release()
+		if err == io.EOF {
+			x.clearCrashes()
+			x.server.recordOutcome(x, nil)
+			x.out.EndStream()
+			return attemptResult{isAnswered: true}
+		}
+		if err != nil {
+			return x.abortStream(ctx, target, abortedByTarget, errors.Wrap(err, "read answer"))
+		}
+		var n int
+		n, err = resp.Body.Read(chunk)
+		part = chunk[:n]
+	}
+}
+
 // clearCrashes clears the crashes counted against the request, since a target has
 // answered it.
 func (x *exchange) clearCrashes() {
@@ -143,7 +180,8 @@
 func (x *exchange) relayStream(ctx context.Context, target placement.Target, resp *http.Response) attemptResult {
 	buffered := make([]byte, 0, readBytes)
 	chunk := make([]byte, readBytes)
-	hasBegun := false
+	hasBegun, taken := false, 0
+	defer func() { x.server.responseBodies.give(taken) }()
 	for {
 		n, err := resp.Body.Read(chunk)
 		searched := len(buffered)
@@ -161,9 +199,19 @@
 			}
 			buffered = append(buffered[:0], buffered[complete:]...)
 		}
+		if more := cap(buffered) + x.storedBytes() - taken; more > 0 && cap(buffered)+x.storedBytes() > keptBytes {
+			if !x.server.responseBodies.take(more) {
+				err = &NoMemoryError{Bytes: more}
+			} else {
+				taken += more
+			}
+		}
 		if len(buffered) > maxEventBytes {
 			err = &EventTooLargeError{Max: maxEventBytes}
 		}
+		if stored := x.storedBytes(); stored > turnlog.MaxTurnBytes {
+			err = &turnlog.TooLargeError{Bytes: stored, Max: turnlog.MaxTurnBytes}
+		}
 		if err == io.EOF && len(buffered) > 0 {
 			err = &IncompleteEventError{Bytes: len(buffered)}
 		}
@@ -173,6 +221,14 @@
 	}
 }
 
+// storedBytes returns the bytes of the turn that are kept to be stored, 0 if it is not.
+func (x *exchange) storedBytes() int {
+	if x.turn == nil || x.turn.record == nil {
+		return 0
+	}
+	return len(x.turn.record.Input) + len(x.turn.record.Output)
+}
+
 // beginStream starts the response to the caller once the turn's tokens are
 // reserved.
 func (x *exchange) beginStream(ctx context.Context, resp *http.Response) *structs.Refusal {
--- a/edge/server.go
+++ b/edge/server.go
@@ -55,6 +55,8 @@
 	// QuotaSlack is the number of requests by which all VMs together may exceed an
 	// account's limit.
 	QuotaSlack float64
+	// MemoryBytes is the VM's memory, 0 if unknown.
+	MemoryBytes int64
 	// ColdBounds bounds what all VMs together send a cold target; the zero value means the
 	// default.
 	ColdBounds targetrate.ColdBounds
@@ -71,6 +73,9 @@
 	stats *stats
 	paths *targetPaths
 
+	// requestBodies and responseBodies bound the bodies that are kept at a time.
+	requestBodies, responseBodies memoryBudget
+
 	// isCoordinated is whether a placer keeps the queue of all VMs of the region.
 	isCoordinated atomic.Bool
 
@@ -112,6 +117,8 @@
 		selector:   share.NewSelector(),
 		quarantine: quarantine.New(quarantine.Options{Targets: quarantineTargets, SuspectPeriod: crashTTL}),
 	}
+	s.requestBodies.max = int(opts.MemoryBytes / bodyDivisor)
+	s.responseBodies.max = s.requestBodies.max
 	s.listing.unlisted = make(map[structs.TargetID]structs.Instant)
 	s.initColdTargets()
 	s.stats = newStats(s)
