platform: request bodies are refused unread when the VM has no memory for them

Callers whose requests had been passed on got no answer when many large bodies, each within the operators' limit, took the VM over its memory: bodies were bounded one by one only.

Request bodies share a fifth of the VM's memory, which is reserved before a body is read. One that does not fit is refused with 503, which is true, and a retry delay.

--- a/daemon/endived_inflight_test.go
+++ b/daemon/endived_inflight_test.go
@@ -85,3 +85,43 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 }
+
+// Guards against request bodies that together exceed the VM's memory, so that its process ends
+// with all requests: those that don't fit are refused before they are read.
+func TestRequestBodiesBeyondTheMemoryAreRefusedUnread(t *testing.T) {
+	const bodyBytes, uploads = 4 << 20, 20 // of a VM with 154 MB
+	b := newTestSite(t, "near-a")
+	b.addTarget("app-1", "app", "near-a")
+	config := platformtest.BasicConfig()
+	config.Limits["maxBodyBytes"] = bodyBytes
+	version := b.site.PutConfig(config)
+	b.waitUntil("limit in force", func() bool {
+		return len(b.logs.lines("configuration in force", fmt.Sprintf(`"version":%d`, version))) == 1
+	})
+	var conns []net.Conn
+	refused := 0
+	for n := range uploads {
+		conn, err := net.Dial("tcp", b.vms[0].CallerAddress)
+		assert.NilError(t, err)
+		defer conn.Close()
+		conns = append(conns, conn)
+		fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: %s\r\n%s: upload-%d\r\n%s: key-one\r\nContent-Length: %d\r\n\r\nbegin",
+			platformtest.Host, platformtest.HeaderRequestID, n, platformtest.HeaderKey, bodyBytes)
+		_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+			assert.Assert(t, resp.Header.Get("Retry-After") != "")
+			refused++
+		}
+	}
+	t.Logf("%d of %d uploads refused", refused, uploads)
+	assert.Assert(t, refused >= uploads/2 && refused < uploads-4, "%d refused", refused)
+	for _, conn := range conns {
+		conn.Close()
+	}
+	b.waitUntil("memory free again", func() bool {
+		return b.send(request{path: "/order/1", body: strings.Repeat("x", bodyBytes)}).status == http.StatusOK
+	})
+	chunked := b.send(request{path: "/order/1", body: strings.Repeat("x", bodyBytes+1)})
+	assert.Assert(t, chunked.err != nil || chunked.status == http.StatusRequestEntityTooLarge)
+}
--- a/edge/memory.go
+++ b/edge/memory.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// bodyDivisor sets the bytes of responses that a VM keeps at a time, and those of
-	// requests: its memory divided by it. What is kept is copied while it grows, and the
-	// garbage collector frees the copies later.
-	bodyDivisor = 10
+	// responseDivisor and requestDivisor set the bytes of bodies that a VM keeps at a time:
+	// its memory divided by them. A response of unknown length is copied while it grows, and
+	// the garbage collector frees the copies later.
+	responseDivisor = 10
+	requestDivisor  = 5
 	// keptBytes is how much of a response is kept even if no more is free: most responses
 	// are shorter.
 	keptBytes = 64 << 10
--- a/edge/server.go
+++ b/edge/server.go
@@ -117,8 +117,8 @@
 		selector:   share.NewSelector(),
 		quarantine: quarantine.New(quarantine.Options{Targets: quarantineTargets, SuspectPeriod: crashTTL}),
 	}
-	s.requestBodies.max = int(opts.MemoryBytes / bodyDivisor)
-	s.responseBodies.max = s.requestBodies.max
+	s.requestBodies.max = int(opts.MemoryBytes / requestDivisor)
+	s.responseBodies.max = int(opts.MemoryBytes / responseDivisor)
 	s.listing.unlisted = make(map[structs.TargetID]structs.Instant)
 	s.initColdTargets()
 	s.stats = newStats(s)
