platform, edge: a stopping VM answers all that it passes on, and takes nothing that can't end

Callers of a VM in a planned stop got no answer to requests that it had taken and passed on, among them some that may not be repeated: what was in progress at the end of the grace period was cut, and a first request on a channel opened before was read and its channel closed.

A request whose deadline lies beyond the stop is refused with 503 before it runs; while callers may still be sent here, repeatable ones are taken with the time that is left.

--- a/edge/forward_serve.go
+++ b/edge/forward_serve.go
@@ -38,6 +38,8 @@
 	out.exchange = x
 	ctx, cancel := context.WithTimeout(ctx, req.TimeLeft)
 	defer cancel()
+	ctx, release := s.untilStop(ctx)
+	defer release()
 	refusal := x.dispatch(ctx, req.Body)
 	if refusal == nil {
 		return out.err
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -119,6 +119,9 @@
 		return retryableRefusal(structs.RefusedNoTarget, noConfigRetryAfter, "the route has no service")
 	}
 	x.setDeadline()
+	if refusal := x.refuseUnfinishable(); refusal != nil {
+		return refusal
+	}
 	if refusal := x.refuseRestricted(); refusal != nil {
 		return refusal
 	}
@@ -247,6 +250,8 @@
 	x.caller = ctx
 	ctx, cancel := x.withDeadline(ctx)
 	defer cancel()
+	ctx, release := x.server.untilStop(ctx)
+	defer release()
 	ctx = x.limitRelays(ctx)
 	if x.isTurn() {
 		return x.runTurn(ctx)
--- a/edge/server.go
+++ b/edge/server.go
@@ -76,6 +76,8 @@
 	// requestBodies and responseBodies bound the bodies that are kept at a time.
 	requestBodies, responseBodies memoryBudget
 
+	stopping stopping
+
 	// isCoordinated is whether a placer keeps the queue of all VMs of the region.
 	isCoordinated atomic.Bool
 
@@ -119,6 +121,7 @@
 	}
 	s.requestBodies.max = int(opts.MemoryBytes / requestDivisor)
 	s.responseBodies.max = int(opts.MemoryBytes / responseDivisor)
+	s.stopping.ctx, s.stopping.end = context.WithCancel(context.Background())
 	s.listing.unlisted = make(map[structs.TargetID]structs.Instant)
 	s.initColdTargets()
 	s.stats = newStats(s)
@@ -139,8 +142,11 @@
 	return nil
 }
 
-// Stop does nothing: requests end when their callers' connections are closed.
-func (s *Server) Stop(context.Context) error { return nil }
+// Stop ends the requests in progress.
+func (s *Server) Stop(context.Context) error {
+	s.stopping.end()
+	return nil
+}
 
 // Ready returns nil when requests can be served.
 func (s *Server) Ready() error {
