edge: a turn whose input is too long to be stored is refused before it runs

Callers whose turn has an input over 640 KB saw its answer broken off at the end, after it had run: the turn does not fit a transaction of the store. Such a turn is now refused with 413, which says that it has not run; 16 KB are left for the output. A turn that outgrows the rest is still broken off.

TestTurnsTooLongToStoreAreRefusedBeforeTheyRun fails before (200 with the stream broken off) and passes now.

--- a/daemon/endived_turns_test.go
+++ b/daemon/endived_turns_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/endivecourse/endivecourse/internal/standin/rows"
 	"github.com/endivecourse/endivecourse/platform/platformtest"
+	"github.com/endivecourse/endivecourse/turnlog"
 )
 
 // A conversation can be continued at any VM, and also after all VMs were stopped.
@@ -310,3 +311,14 @@
 	}
 	assert.Equal(t, len(engine.Runs()), ran)
 }
+
+// Guards against a turn that runs, and whose answer is then broken off since its long input
+// can't be stored: it must be refused before it runs.
+func TestTurnsTooLongToStoreAreRefusedBeforeTheyRun(t *testing.T) {
+	b := newTestSite(t, "near-a")
+	engine := b.addTarget("engine-1", "engine", "near-a")
+	assert.Equal(t, b.sendTurn(b.vms[0], "", strings.Repeat("x", turnlog.MaxInputBytes)).status, 200)
+	got := b.sendTurn(b.vms[0], "", strings.Repeat("x", turnlog.MaxTurnBytes+1))
+	assert.Equal(t, got.status, 413, got.body)
+	assert.Equal(t, len(engine.Runs()), 1)
+}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -62,6 +62,10 @@
 
 // runTurn reads the turns before this one, reserves the turn's tokens and runs it.
 func (x *exchange) runTurn(ctx context.Context) *structs.Refusal {
+	if x.route.StoresTurns && len(x.Body) > turnlog.MaxInputBytes {
+		cause := &turnlog.TooLargeError{Bytes: len(x.Body), Max: turnlog.MaxInputBytes}
+		return structs.Refuse(structs.RefusedTooLarge, structs.RunNo, "input: %s", cause.Error())
+	}
 	x.turn = &turn{program: ledger.Program{Account: x.accountID(), ID: x.Program}}
 	if !x.reserveInOutage(ctx) {
 		if refusal := x.awaitStore(ctx); refusal != nil {
--- a/turnlog/log.go
+++ b/turnlog/log.go
@@ -79,6 +79,10 @@
 // its keys, a turn of this size fits into a transaction of 1 MB.
 const MaxTurnBytes = 640 << 10
 
+// MaxInputBytes bounds the input of a turn, so that there is room for its output. A turn with
+// a longer input must not run.
+const MaxInputBytes = MaxTurnBytes - 16<<10
+
 // Log appends and reads turns.
 type Log struct {
 	opts  Options
