edge: a VM that does not know its members yet gives out no quota for others

A holder that has just started counted itself as one of twelve VMs with a bucket each until it had read the member table, and answered its peers from that bucket. Also drops a field of the reply that nobody reads. The tests of package edge pass.

--- a/edge/quota.go
+++ b/edge/quota.go
@@ -136,8 +136,7 @@
 // askHolder asks one holder, which may be this VM.
 func (s *Server) askHolder(vm structs.VMID, request share.Request) share.Decision {
 	req := fleet.AdmissionRequest{
-		Account: request.Account, StartsProgram: request.StartsProgram, MaxWait: request.MaxWait,
-		Limit: request.Limit,
+		Account: request.Account, StartsProgram: request.StartsProgram, MaxWait: request.MaxWait, Limit: request.Limit,
 	}
 	var reply fleet.AdmissionReply
 	if vm == s.opts.VM {
@@ -235,9 +234,12 @@
 		s.limiter.ReturnToken(req.Account)
 		return fleet.AdmissionReply{}
 	}
+	if !s.opts.Peers.IsMembershipKnown() {
+		return fleet.AdmissionReply{Wait: membershipRetryAfter}
+	}
 	since, holds := s.holdsQuotaSince(req.Account)
 	if !holds {
-		return fleet.AdmissionReply{Wait: holderRetryAfter, HoldsNone: true}
+		return fleet.AdmissionReply{Wait: holderRetryAfter}
 	}
 	request := share.Request{
 		Account: req.Account, Limit: req.Limit, StartsProgram: req.StartsProgram, MaxWait: req.MaxWait, HeldSince: since,
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -110,9 +110,6 @@
 	// Tokens and Share are the holder's tokens and share of the account, for the log.
 	Tokens float64 `msgpack:"t,omitempty"`
 	Share  float64 `msgpack:"s,omitempty"`
-	// HoldsNone means that the VM holds no part of the account's quota by what it knows of
-	// the members.
-	HoldsNone bool `msgpack:"h,omitempty"`
 }
 
 // PlacementRequest asks a service's placer for a target.
