--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -138,8 +138,7 @@
 // New returns a mesh without members.
 func New(opts Options) *Mesh {
 	m := &Mesh{
-		rosters: NewRosters(structs.Now(), opts.Self),
-		opts:    opts, server: wire.NewServer(wire.Options{Log: opts.Log}), startedAt: time.Now(),
+		opts: opts, server: wire.NewServer(wire.Options{Log: opts.Log}), startedAt: time.Now(), rosters: NewRosters(structs.Now(), opts.Self),
 		members: make(map[structs.VMID]*peerState), forgottenIncarnations: make(map[structs.Incarnation]time.Time),
 	}
 	m.client = wire.NewClient(wire.Options{})
