quota: callers that find no token in their region ask the holders of the others

A region's holders lend whole tokens above a reserve, which small buckets never have to spare.

VMs now ask the holders of all regions, the nearest first, and take the next token of any of them; borrowing between holders goes away. The bound is that of the buckets, as before.

--- a/edge/quota.go
+++ b/edge/quota.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -91,22 +90,12 @@
 	return s.admitHere(request), ""
 }
 
-// admitByHolders asks the account's holders of this region for a token, one after the other,
-// and those of the other regions if none of this region answers. If none has a token, the
-// request takes the next one that becomes available within maxWait.
+// admitByHolders asks the account's holders for a token, one after the other: those of this
+// region first, then those of the others, since callers may all be in one region. If none has
+// a token, the request takes the next one that becomes available within maxWait.
 func (s *Server) admitByHolders(request share.Request, maxWait time.Duration) (share.Decision, structs.VMID) {
 	near, far := s.opts.Peers.QuotaHolders(holderName(request.Account))
-	for _, holders := range [][]structs.VMID{near, far} {
-		decision, vm, isAnswered := s.askHolders(request, holders, maxWait)
-		if isAnswered {
-			return decision, vm
-		}
-	}
-	return share.Decision{Wait: holderRetryAfter}, ""
-}
-
-// askHolders asks holders for a token. isAnswered is false if none of them answers.
-func (s *Server) askHolders(request share.Request, holders []structs.VMID, maxWait time.Duration) (decision share.Decision, vm structs.VMID, isAnswered bool) {
+	holders := slices.Concat(near, far)
 	var asked []structs.VMID
 	for {
 		s.mu.Lock()
@@ -116,7 +105,7 @@
 			break
 		}
 		if decision := s.askHolder(vm, request); decision.Admitted {
-			return decision, vm, true
+			return decision, vm
 		}
 		asked = append(asked, vm)
 	}
@@ -124,13 +113,13 @@
 	vm, wait, isKnown := s.selector.NextToken(structs.Now(), request, holders)
 	s.mu.Unlock()
 	if !isKnown {
-		return share.Decision{}, "", false
+		return share.Decision{Wait: holderRetryAfter}, ""
 	}
 	if wait <= maxWait && maxWait > 0 {
 		request.MaxWait = maxWait
-		return s.askHolder(vm, request), vm, true
+		return s.askHolder(vm, request), vm
 	}
-	return share.Decision{Wait: wait}, vm, true
+	return share.Decision{Wait: wait}, vm
 }
 
 // askHolder asks one holder, which may be this VM.
@@ -256,8 +245,8 @@
 }
 
 // admitHere takes a token from this VM's bucket. If there is none, it borrows tokens from
-// peers, and if they have none either, the request takes the next token that becomes
-// available in its time.
+// peers where each VM has a bucket, and if they have none either, the request takes the next
+// token that becomes available in its time.
 func (s *Server) admitHere(request share.Request) share.Decision {
 	s.followQuotaHolders(request.Account)
 	if s.hasQuotaHolders() && s.opts.Peers.IsCutOff() {
@@ -269,12 +258,8 @@
 	s.mu.Lock()
 	s.limiter.RecordRequest(structs.Now(), request)
 	decision := s.limiter.Admit(structs.Now(), request)
-	lenders := decision.Lenders
 	s.mu.Unlock()
-	if decision.MayBorrow {
-		lenders = s.farLender(request.Account)
-	}
-	for _, vm := range lenders {
+	for _, vm := range decision.Lenders {
 		if decision.Admitted || !s.borrowTokens(vm, request) {
 			continue
 		}
@@ -287,22 +272,6 @@
 	return decision
 }
 
-// farLender returns the holder of another region that has reported the most spare tokens, as
-// a list of at most one: the asking VM waits meanwhile.
-func (s *Server) farLender(account structs.AccountID) []structs.VMID {
-	_, far := s.opts.Peers.QuotaHolders(holderName(account))
-	if len(far) == 0 {
-		return nil
-	}
-	now := structs.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	best := slices.MaxFunc(far, func(a, b structs.VMID) int {
-		return cmp.Compare(s.limiter.SpareAt(now, a, account), s.limiter.SpareAt(now, b, account))
-	})
-	return []structs.VMID{best}
-}
-
 func (s *Server) takeToken(request share.Request) share.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/edge/quota_fleet_test.go
+++ b/edge/quota_fleet_test.go
@@ -64,6 +64,7 @@
 	sent     []quotaRequest
 	refused  int
 	injected []string
+	region   string // of the VMs that take requests, empty for all
 	isOver   bool
 }
 
@@ -298,7 +299,7 @@
 	vms := f.all()
 	vm := vms[f.draw(len(vms))]
 	state := vm.now()
-	for state.isDown || state.isFrozen() {
+	for state.isDown || state.isFrozen() || f.region != "" && vm.member.Region != f.region {
 		vm = vms[f.draw(len(vms))]
 		state = vm.now()
 	}
--- a/edge/quota_holders_test.go
+++ b/edge/quota_holders_test.go
@@ -150,3 +150,26 @@
 		})
 	}
 }
+
+// Guards against callers of a small account that are refused below its rate since all of them
+// are in one region, and come a few at a time: they must get the tokens of all holders.
+func TestCallersOfOneRegionGetTheWholeQuota(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		advanceClock()
+		f := newQuotaFleet(t, rand.New(rand.NewPCG(6, 17)), 24, 8)
+		f.region = "region-0"
+		const together = 6
+		for range 40 {
+			for range together {
+				f.send(1200 * time.Millisecond)
+			}
+			time.Sleep(time.Duration(together * 1.6 / f.account.Rate * float64(time.Second)))
+		}
+		f.end()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		refused := float64(f.refused) / float64(f.refused+len(f.sent))
+		t.Logf("%.3f of the requests below the limit refused", refused)
+		assert.Check(t, refused <= maxWrongfulRefusals)
+	})
+}
--- a/share/loans.go
+++ b/share/loans.go
@@ -88,9 +88,6 @@
 func (s *Limiter) AddBorrowed(now structs.Instant, from structs.VMID, r Request, tokens int) {
 	a := s.account(now, r)
 	a.tokens += float64(tokens)
-	if tokens > 0 {
-		a.borrowAfter = now
-	}
 	id, limit := r.Account, r.Limit
 	p := s.peers[from]
 	if p == nil {
@@ -106,17 +103,3 @@
 	// until the next one.
 	p.spare[id] -= math.Max(float64(tokens), 1)
 }
-
-// SpareAt returns the tokens that a VM has reported to have to spare, -1 if it has reported
-// none recently.
-func (s *Limiter) SpareAt(now structs.Instant, vm structs.VMID, id structs.AccountID) float64 {
-	p := s.peers[vm]
-	if p == nil || now.Sub(p.reportedAt) > spareReportTTL {
-		return -1
-	}
-	spare, isKnown := p.spare[id]
-	if !isKnown {
-		return -1
-	}
-	return spare
-}
--- a/share/selector.go
+++ b/share/selector.go
@@ -11,8 +11,8 @@
 const (
 	// holderBackoff is how long a holder that did not answer is not asked.
 	holderBackoff = 2 * time.Second
-	// maxEmptyTime bounds the time for which a holder without tokens is not asked: it may
-	// borrow some or get some back meanwhile.
+	// maxEmptyTime bounds the time for which a holder without tokens is not asked: it may get
+	// some back meanwhile.
 	maxEmptyTime = 300 * time.Millisecond
 )
 
--- a/share/share.go
+++ b/share/share.go
@@ -55,9 +55,6 @@
 	// minDemand is the demand, in requests per second, below which an account is not
 	// reported and may be dropped.
 	minDemand = 0.05
-	// borrowPause is the time after which the holders of other regions are asked again for
-	// an account's tokens if one of them was asked and gave none.
-	borrowPause = 400 * time.Millisecond
 	// settleTime is how long a VM that becomes a holder of an account waits before its
 	// bucket starts to fill: requests to which the holder before gave tokens may still wait
 	// for MaxTokenWait, and VMs learn of a change of the members within that time.
@@ -102,9 +99,6 @@
 	// is available. For a refused request, it is the time after which a new attempt gets
 	// a token.
 	Wait time.Duration
-	// MayBorrow means that the holders of other regions may have tokens to spare. It is
-	// set for one request at a time.
-	MayBorrow bool
 	// Lenders are the VMs to ask for tokens before the request is refused, best first.
 	Lenders []structs.VMID
 	// Tokens and Share are this VM's tokens and share of the account that decided, for
@@ -141,8 +135,6 @@
 	share        float64 // this VM's share, 0 to 1
 	tokens       float64
 	refilledAt   structs.Instant
-	// borrowAfter is when the holders of other regions may have spare tokens again.
-	borrowAfter structs.Instant
 }
 
 type peer struct {
@@ -168,7 +160,7 @@
 // SetHolders sets the number of VMs that hold buckets of each account; 0 means all VMs.
 // If many VMs shared an account, each bucket would hold less than one token. The share of a
 // holder is fixed, so that the shares never add up to more than the limit, whichever holders
-// hear of each other; what one of them does not need, the others borrow.
+// hear of each other; callers that find no token at one ask the others.
 func (s *Limiter) SetHolders(now structs.Instant, holders int) {
 	if s.hasHolders && s.holders != holders {
 		s.holdersChangedAt = now
@@ -243,11 +235,8 @@
 		decision.Admitted = true
 		return decision
 	}
-	if s.holders == 0 {
+	if s.holders == 0 { // else callers ask the other holders themselves
 		decision.Lenders = s.lenders(now, r.Account, a)
-	} else if s.holders > 1 && now >= a.borrowAfter {
-		decision.MayBorrow = true
-		a.borrowAfter = now.Add(borrowPause)
 	}
 	return decision
 }
