config: logs and metrics that show which VM lags behind, where and why

On-call saw that a request was handled by an old version, but not what its VM was waiting for. Each application of a document now logs its size, the time until the first byte, until the last one and until the table was in force; a failed read of a table logs the bytes that it discards; a VM logs the first report of a version that it lacks, and each second for how long it has lagged. No decision changes.

--- a/edge/stats.go
+++ b/edge/stats.go
@@ -61,6 +61,8 @@
 		})
 	}
 	set.NewGauge("endive_config_version", func() float64 { return float64(s.opts.Config.Version()) })
+	set.NewGauge("endive_config_known_version", func() float64 { return float64(max(s.opts.Config.Version(), s.opts.Config.Lag().Version)) })
+	set.NewGauge("endive_config_lag_seconds", func() float64 { return s.opts.Config.Lag().For.Seconds() })
 	set.NewGauge("endive_targets_naming_rate", func() float64 {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -180,6 +182,9 @@
 	)
 	if x.table != nil {
 		attrs = append(attrs, slog.Uint64("config", x.table.Version))
+		if lag := x.server.opts.Config.Lag(); lag.For > 0 {
+			attrs = append(attrs, slog.Int64("config_lag_ms", lag.For.Milliseconds()))
+		}
 	}
 	if x.route != nil {
 		attrs = append(attrs, slog.String("route", x.route.Name), slog.Int64("left_ms", x.timeLeft().Milliseconds()))
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -17,6 +17,9 @@
 	// otherRegionFetchDelay leaves time for a peer of this region to get it first.
 	sameRegionFetchDelay  = 400 * time.Millisecond
 	otherRegionFetchDelay = 900 * time.Millisecond
+	// A lag of at least minReportedLag is logged each configLagPeriod.
+	configLagPeriod = time.Second
+	minReportedLag  = 500 * time.Millisecond
 )
 
 // configSource is a peer that has a newer configuration than this VM.
@@ -28,6 +31,9 @@
 
 // noteNewerConfig starts a fetch if a peer has a newer configuration than this VM.
 func (m *Mesh) noteNewerConfig(version uint64, peer Member) {
+	if m.opts.Config.NoteVersion(version, peer.Address) {
+		m.opts.Log.Info("newer configuration known", "version", version, "in_force", m.opts.Config.Version(), "peer", peer.Address)
+	}
 	if version <= m.opts.Config.Version() {
 		return
 	}
@@ -66,6 +72,13 @@
 	}
 }
 
+// reportConfigLag logs that a newer configuration is known and not yet in force.
+func (m *Mesh) reportConfigLag(context.Context, time.Time) {
+	if lag := m.opts.Config.Lag(); lag.For >= minReportedLag {
+		m.opts.Log.Warn("configuration lags", "in_force", m.opts.Config.Version(), "known", lag.Version, "lag_ms", lag.For.Milliseconds(), "peer", lag.Source)
+	}
+}
+
 func (m *Mesh) clearNewerConfig() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -89,17 +102,20 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	var document routing.Document
+	start := time.Now()
 	if err := m.call(ctx, address, MethodConfig, ConfigQuery{}, &document); err != nil {
-		m.opts.Log.Warn("configuration not fetched from a peer", "peer", address, "cause", err.Error())
+		m.opts.Log.Warn("configuration not fetched from a peer", "peer", address, "wait_ms", time.Since(start).Milliseconds(), "cause", err.Error())
 		return false
 	}
+	fetched := time.Now()
 	isAccepted, err := m.opts.Config.UpdateIfNewer(document.Raw)
 	if err != nil {
 		m.opts.Log.Error("configuration of a peer can't be read", "peer", address, "version", document.Version, "cause", err.Error())
 		return false
 	}
 	if isAccepted {
-		m.opts.Log.Info("configuration in force", "version", document.Version, "source", address)
+		m.opts.Log.Info("configuration in force", "version", document.Version, "source", address, "document_bytes", len(document.Raw),
+			"transfer_ms", fetched.Sub(start).Milliseconds(), "apply_ms", time.Since(fetched).Milliseconds())
 	}
 	return true
 }
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -194,6 +194,7 @@
 		return err
 	})
 	k.Every("fleet.digests", sameRegionPeriod, m.sendDigests)
+	k.Every("fleet.config", configLagPeriod, m.reportConfigLag)
 	k.Go("fleet.members", m.refreshMembers)
 	return nil
 }
--- a/routing/config.go
+++ b/routing/config.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"sync/atomic"
+
+	"github.com/endivecourse/endivecourse/structs"
 )
 
 // Document is one version of the configuration as written by the operator.
@@ -21,6 +23,7 @@
 
 	mu       sync.Mutex
 	document Document
+	lag      lag
 }
 
 // NewConfig returns a Config without a table.
@@ -58,5 +61,25 @@
 	}
 	c.document = Document{Version: table.Version, Raw: raw}
 	c.current.Store(table)
+	c.lag.apply(table.Version)
 	return true, nil
 }
+
+// NoteVersion records that the VM with an address has a version in force, and reports whether
+// a version that this VM lacks is heard of for the first time.
+func (c *Config) NoteVersion(version uint64, source string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if current := c.current.Load(); current == nil || version <= current.Version {
+		return false
+	}
+	return c.lag.note(structs.Now(), version, source)
+}
+
+// Lag returns how far the version in force is behind that of other VMs. A VM without any
+// configuration has no lag.
+func (c *Config) Lag() Lag {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lag.state(structs.Now())
+}
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -27,6 +27,7 @@
 	// IsFull is true when Rows lists all rows that exist.
 	IsFull  bool
 	Version uint64
+	Read    ReadStats
 }
 
 // Follow reports all rows in the partition "" of a table and then each change of the
@@ -37,8 +38,10 @@
 	isSynced := false
 	gap := readGap{log: opts.Log, table: opts.Table, readAt: time.Now()}
 	for ctx.Err() == nil {
-		update, err := fetchNext(ctx, s, opts, isSynced, after)
-		gap.record(ctx, err)
+		recorder := &readRecorder{start: time.Now()}
+		update, err := fetchNext(WithProgress(ctx, recorder.record), s, opts, isSynced, after)
+		update.Read = recorder.stats()
+		gap.record(ctx, err, update.Read)
 		switch {
 		case err == nil:
 			isSynced, after = true, update.Version
--- a/rowstore/read_gap.go
+++ b/rowstore/read_gap.go
@@ -13,20 +13,26 @@
 	table  string
 	readAt time.Time // of the last read that succeeded
 	isOpen bool
+	// discarded is the number of bytes of failed reads since then.
+	discarded int
 }
 
 // record records the result of a read.
-func (g *readGap) record(ctx context.Context, err error) {
+func (g *readGap) record(ctx context.Context, err error, read ReadStats) {
 	now := time.Now()
 	gap := now.Sub(g.readAt).Milliseconds()
+	if err != nil {
+		g.discarded += read.Bytes
+	}
 	switch {
 	case err == nil:
 		if g.isOpen {
-			g.log.Info("table is read again", "table", g.table, "gap_ms", gap)
+			g.log.Info("table is read again", "table", g.table, "gap_ms", gap, "discarded_bytes", g.discarded)
 		}
-		g.isOpen, g.readAt = false, now
+		g.isOpen, g.readAt, g.discarded = false, now, 0
 	case !g.isOpen && !isHistoryGone(err) && ctx.Err() == nil:
 		g.isOpen = true
-		g.log.Warn("table not read", "table", g.table, "gap_ms", gap, "cause", err.Error())
+		g.log.Warn("table not read", "table", g.table, "gap_ms", gap,
+			"wait_ms", read.Wait.Milliseconds(), "transfer_ms", read.Transfer.Milliseconds(), "discarded_bytes", read.Bytes, "cause", err.Error())
 	}
 }
