fleet: the operators' table is read from the store by two VMs of a region

Cause: each VM read every version of the whole document from the store, so that a change of a region's 34 VMs put 34 copies of 366 KB on the 60 Mbit/s that all traffic between the regions shares, and reads that exceeded their time limit added further copies.

Change: the two VMs of a region that rank highest read the table; every other one follows it at a VM of its region that ranks before it, by a long poll that also carries the age of the state. A VM whose sources have nothing new enough for 1.2 s reads the store itself. Large rows are compressed once per VM, not once per follower. The copies on a link do not grow with the VMs of a region.

With both roots of each region cut off from the store a change is known after 1.6 s, with all of them lost after 1.3 s (TestSharedTableSurvivesTheLossOfItsSources).

--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -203,8 +203,10 @@
 		DialTarget:    dialTarget,
 		Log:           log,
 	})
+	operators := mesh.ShareTable(platform.OperatorTable, router)
 	follower := &platform.Follower{
 		Store: router, Config: config, Edge: server, Regions: loaded.Regions, Log: log,
+		FollowOperators: operators.Follow, OperatorsSource: operators.Source,
 		VMs: func() int { return mesh.PeerCount() + 1 },
 	}
 	frontend := &platform.Frontend{Settings: loaded, SettingsPath: path, Edge: server, Config: config, Follower: follower, Log: log}
--- a/daemon/endived_config_test.go
+++ b/daemon/endived_config_test.go
@@ -25,9 +25,13 @@
 	b.waitUntil("members known", func() bool {
 		return len(b.logs.lines(`"peer `, `"incarnation"`)) >= len(domains)*(len(domains)-1)
 	})
+	time.Sleep(watchTime) // watches that began before all members were known
 	return b
 }
 
+// watchTime is longer than a watch of the store takes.
+const watchTime = 1500 * time.Millisecond
+
 // putIdleRoutes stores a configuration with more routes and waits until it is in force at all
 // VMs. It returns the bytes that each region's VMs have read of the configuration meanwhile,
 // and the time that it took.
--- a/edge/server.go
+++ b/edge/server.go
@@ -294,9 +294,9 @@
 	s.limiter.Forget(vm)
 }
 
-// ConfirmConfig records that the store has no newer configuration.
-func (s *Server) ConfirmConfig() {
+// ConfirmConfig records that the store had no newer configuration as of the given time ago.
+func (s *Server) ConfirmConfig(age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.configConfirmedAt = structs.Now()
+	s.configConfirmedAt = max(s.configConfirmedAt, structs.Now()-structs.Instant(age))
 }
--- a/fleet/coordinators.go
+++ b/fleet/coordinators.go
@@ -38,11 +38,12 @@
 	sameRegion      []structs.VMID        // other members of this VM's region
 	farCoordinators []structs.VMID        // of other regions; empty on a VM that is none itself
 	otherRegion     []structs.VMID        // other members of other regions
+	tableSources    []structs.VMID        // at which this VM follows shared tables
 }
 
 // newGroups sorts the members into groups. In a small fleet there are no coordinators.
 func newGroups(self Member, members []Member) *groups {
-	g := &groups{isCoordinator: make(map[structs.VMID]bool)}
+	g := &groups{isCoordinator: make(map[structs.VMID]bool), tableSources: tableSources(self, members)}
 	if len(members) >= MaxUncoordinatedVMs {
 		byRegion := make(map[string][]Member)
 		for _, member := range append(slices.Clone(members), self) {
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -116,6 +116,9 @@
 	tableMembers          map[structs.VMID]Member // as last read
 	tableReadAt           time.Time
 
+	shared   map[string]*SharedTable // by table; unchanged after Start
+	stopping chan struct{}           // closed by Stop
+
 	configsSent  atomic.Uint64 // configurations sent to peers
 	hasReadTable atomic.Bool   // the member table has been read at least once
 	startedAt    time.Time
@@ -140,6 +143,7 @@
 	m := &Mesh{
 		opts: opts, server: wire.NewServer(wire.Options{Log: opts.Log}), startedAt: time.Now(), rosters: NewRosters(structs.Now(), opts.Self),
 		members: make(map[structs.VMID]*peerState), forgottenIncarnations: make(map[structs.Incarnation]time.Time),
+		shared: make(map[string]*SharedTable), stopping: make(chan struct{}),
 	}
 	m.client = wire.NewClient(wire.Options{})
 	serveStore(m.server, opts.DirectStore)
@@ -148,6 +152,7 @@
 		m.configsSent.Add(1)
 		return m.opts.Config.Document(), nil
 	})
+	wire.HandleUnary(m.server, MethodTable, m.handleTable)
 	wire.HandleUnary(m.server, MethodLend, func(_ context.Context, r LoanRequest) (LoanReply, error) {
 		return LoanReply{Tokens: m.opts.Hooks.Lend(r.Account)}, nil
 	})
@@ -202,6 +207,7 @@
 // Stop refuses new calls of peers, so that they act themselves, lets the ones in progress
 // end and closes all connections.
 func (m *Mesh) Stop(ctx context.Context) error {
+	close(m.stopping)
 	ctx, cancel := context.WithTimeout(ctx, lastCallsTimeout)
 	defer cancel()
 	if err := m.server.Drain(ctx); err != nil {
--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -91,6 +91,13 @@
 }
 
 func startNode(t *testing.T, store rowstore.Store, i int, listener net.Listener, seeds []string) *testNode {
+	n := prepareNode(store, i, listener, seeds)
+	n.run(t)
+	return n
+}
+
+// prepareNode returns a mesh that is not started yet.
+func prepareNode(store rowstore.Store, i int, listener net.Listener, seeds []string) *testNode {
 	n := &testNode{senders: make(map[structs.VMID]int)}
 	vm := structs.VMID(fmt.Sprintf("vm-%d", i))
 	log := slog.New(slog.DiscardHandler)
@@ -119,15 +126,20 @@
 			ForgetVM:       func(structs.VMID) {},
 		},
 	})
+	return n
+}
+
+// run starts a mesh with further components.
+func (n *testNode) run(t *testing.T, components ...kernel.Component) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- kernel.New(log, n.mesh).Run(ctx, time.Millisecond) }()
+	all := append([]kernel.Component{n.mesh}, components...)
+	go func() { done <- kernel.New(slog.New(slog.DiscardHandler), all...).Run(ctx, time.Millisecond) }()
 	n.stop = sync.OnceFunc(func() {
 		cancel()
 		<-done
 	})
 	t.Cleanup(n.stop)
-	return n
 }
 
 func waitUntil(t *testing.T, what string, condition func() bool) {
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -27,7 +27,10 @@
 	// IsFull is true when Rows lists all rows that exist.
 	IsFull  bool
 	Version uint64
-	Read    ReadStats
+	// Age is the time since the store had no change after Version, as far as a VM that
+	// passed the update on knows; 0 for the store's own reply.
+	Age  time.Duration
+	Read ReadStats
 }
 
 // Follow reports all rows in the partition "" of a table and then each change of the
@@ -61,15 +64,15 @@
 // version.
 func fetchNext(ctx context.Context, s Store, opts FollowOptions, isSynced bool, after uint64) (TableUpdate, error) {
 	if !isSynced {
-		rows, version, err := ScanAll(ctx, s, Range{Table: opts.Table})
-		if err == nil && version < after {
-			err = &StaleReadError{Table: opts.Table, Version: version, Known: after}
+		all, err := scanPages(ctx, s, Range{Table: opts.Table})
+		if err == nil && all.Version < after {
+			err = &StaleReadError{Table: opts.Table, Version: all.Version, Known: after}
 		}
-		return TableUpdate{Rows: rows, IsFull: true, Version: version}, err
+		return TableUpdate{Rows: all.Rows, IsFull: true, Version: all.Version, Age: all.Age}, err
 	}
 	page, err := s.Watch(ctx, opts.Table, after, opts.Wait)
 	// With a version below the last one, the next Watch would report old rows as new.
-	return TableUpdate{Rows: page.Rows, Version: max(after, page.Version)}, err
+	return TableUpdate{Rows: page.Rows, Version: max(after, page.Version), Age: page.Age}, err
 }
 
 func isHistoryGone(err error) bool {
--- a/rowstore/rowstore.go
+++ b/rowstore/rowstore.go
@@ -67,6 +67,9 @@
 	HasMore bool `msgpack:"m,omitempty"`
 	// Clock is the store's monotonic clock, in milliseconds.
 	Clock int64 `msgpack:"c"`
+	// Age is the time since the rows were known to be the newest, 0 for a page of the store
+	// itself.
+	Age time.Duration `msgpack:"a,omitempty"`
 }
 
 // Store is the platform's row store or a path to it. The errors of its methods are
--- a/rowstore/scan.go
+++ b/rowstore/scan.go
@@ -5,19 +5,25 @@
 // ScanAll reads a whole range, page by page. It returns the version of the first page,
 // so that a Watch after that version misses no change.
 func ScanAll(ctx context.Context, s Store, r Range) ([]Row, uint64, error) {
-	var rows []Row
-	var version uint64
+	all, err := scanPages(ctx, s, r)
+	return all.Rows, all.Version, err
+}
+
+// scanPages reads a whole range into one page, which has the version and the age of the first
+// one.
+func scanPages(ctx context.Context, s Store, r Range) (Page, error) {
+	var all Page
 	for isFirst := true; ; isFirst = false {
 		page, err := s.Scan(ctx, r)
 		if err != nil {
-			return nil, 0, err
+			return Page{}, err
 		}
 		if isFirst {
-			version = page.Version
+			all.Version, all.Age = page.Version, page.Age
 		}
-		rows = append(rows, page.Rows...)
+		all.Rows = append(all.Rows, page.Rows...)
 		if !page.HasMore || len(page.Rows) == 0 {
-			return rows, version, nil
+			return all, nil
 		}
 		// Continue with the next possible key in byte order.
 		r.From = page.Rows[len(page.Rows)-1].Key.Key + "\x00"
