storepath: a reply of the store that keeps arriving is not discarded

Callers saw old configurations for seconds (CONFIG). Besides the number of readers, the time limits of a read knew no size: a watch was given up 0.7 s after its wait, a scan after 1.5 s, whatever had arrived, and was sent again over the next path or from the start.

The limits now hold for the first byte of a reply and for each pause in it (1.5 s); a reply that has begun is not hedged over another path, and does not count as a failure of its path.

TestReplyThatKeepsArrivingIsNotReadAgain (3 s for 1,400 routes) failed before: "no answer from the store: context deadline exceeded". TestReplyThatStopsArrivingFails keeps the bound for a silent one. Tests of rowstore with -race, platform and the store tests of daemon pass.

--- a/rowstore/storepath/router.go
+++ b/rowstore/storepath/router.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,13 +16,13 @@
 )
 
 const (
-	// attemptTimeout bounds one call over one path. A store slowed 60 times answers a
-	// transaction within 0.6 s.
+	// attemptTimeout bounds the time until a path begins to answer a call. A store slowed 60
+	// times answers a transaction within 0.6 s.
 	attemptTimeout = 1500 * time.Millisecond
 	// hedgeDelay is how long a call waits for an answer before it is sent over the next
 	// path as well: ten times the usual latency from the other region.
 	hedgeDelay = 300 * time.Millisecond
-	// silenceTimeout is how long a path may take to answer before it counts as failed;
+	// silenceTimeout is how long a path may take to begin an answer before it counts as failed;
 	// its call continues. A store slowed 60 times takes 0.55 s.
 	silenceTimeout = 800 * time.Millisecond
 	// minSilence is the least time that a path must have had for a call that its caller ends
@@ -34,7 +35,7 @@
 	// longest. The pause doubles each time, with random jitter of half of it.
 	minRetryPause = 60 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
-	// watchSlack is added to the wait of a Watch to get its timeout.
+	// watchSlack is added to the wait of a Watch to get the time until its answer begins.
 	watchSlack = 700 * time.Millisecond
 )
 
@@ -187,9 +188,9 @@
 	if !r.IsDirectUp() {
 		wait, timeout = 0, probeTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	page, err := r.direct.Watch(ctx, table, after, wait)
+	a := beginAttempt(ctx, Path{}, timeout)
+	page, err := r.direct.Watch(a.ctx, table, after, wait)
+	err = a.end(err)
 	r.recordResult(Path{}, err)
 	return page, err
 }
@@ -338,20 +339,26 @@
 }
 
 // tryPaths tries paths once, best first. The next path is tried when one fails, or
-// in parallel when there is no answer within hedgeDelay. It returns true when the result
+// in parallel when no answer has begun within hedgeDelay. It returns true when the result
 // is final: a success, an error of the store itself or the end of ctx.
 func tryPaths[T any](ctx context.Context, r *Router, paths []Path, call func(context.Context, rowstore.Store) (T, error)) (callResult[T], bool) {
 	results := make(chan callResult[T], len(paths))
 	started, finished := 0, 0
+	var attempts []*attempt
 	start := func() {
 		p := paths[started]
 		started++
+		a := beginAttempt(ctx, p, attemptTimeout)
+		attempts = append(attempts, a)
 		go func() {
-			attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
-			defer cancel()
 			start := time.Now()
-			silenceTimer := time.AfterFunc(silenceTimeout, func() { r.recordResult(p, &NoAnswerError{Waited: silenceTimeout}) })
-			value, err := call(attemptCtx, r.storeFor(p))
+			silenceTimer := time.AfterFunc(silenceTimeout, func() {
+				if !a.hasProgress() {
+					r.recordResult(p, &NoAnswerError{Waited: silenceTimeout})
+				}
+			})
+			value, err := call(a.ctx, r.storeFor(p))
+			err = a.end(err)
 			silenceTimer.Stop()
 			hasReplied := err == nil || isAnswer(err) || isBusy(err)
 			if hasReplied || ctx.Err() == nil || time.Since(start) >= minSilence {
@@ -377,7 +384,7 @@
 				return last, false
 			}
 		case <-hedgeTimer.C:
-			if started < len(paths) {
+			if started < len(paths) && !slices.ContainsFunc(attempts, (*attempt).hasProgress) {
 				start()
 			}
 		case <-ctx.Done():
