wire: a connection on which a large frame arrives is not silent

Also, a frame had to arrive, and a batch to be written, within 10 s whatever its size.

A connection now counts as silent if no byte has arrived, and the limits hold for each 64 KB.

TestConnectionOnWhichALargeReplyArrivesIsKept failed before (the connection was closed). Tests of wire pass with -race.

--- a/wire/client.go
+++ b/wire/client.go
@@ -163,8 +163,8 @@
 	}
 }
 
-// CloseSilentConn is CloseConn if nothing, not even a ping, has been received on the
-// connection since the given time.
+// CloseSilentConn is CloseConn if nothing, not even a ping or a part of a frame, has been
+// received on the connection since the given time.
 func (c *Client) CloseSilentConn(addr string, since time.Time) {
 	if peer := c.openConn(addr); peer != nil && peer.conn.receivedAt.Load().Before(since) {
 		peer.conn.close(&ClosedError{})
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -22,8 +22,8 @@
 	finishing  chan struct{} // closed when no frame may be sent any more
 	finishOnce sync.Once
 	closeCause atomic.Pointer[error]
-	// receivedAt is when the last frame was received, the time of the connection before the
-	// first one.
+	// receivedAt is when the last byte was received, the time of the connection before the
+	// first one. A large frame may take longer than a caller waits.
 	receivedAt atomic.Pointer[time.Time]
 	handle     func(frame)
 	traffic    *Traffic
@@ -125,9 +125,10 @@
 
 func (c *conn) readLoop() {
 	defer c.loops.Done()
-	reader := bufio.NewReaderSize(c.netConn, bodyChunk)
+	received := &receivingReader{conn: c}
+	reader := bufio.NewReaderSize(received, bodyChunk)
 	for {
-		if err := c.netConn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		if err := received.extend(); err != nil {
 			c.close(err)
 			return
 		}
@@ -136,7 +137,6 @@
 			c.close(err)
 			return
 		}
-		c.recordReceived()
 		c.traffic.countReceived(f)
 		if f.kind != framePing {
 			c.handle(f)
@@ -144,6 +144,34 @@
 	}
 }
 
+// receivingReader reads from a connection and records when bytes arrive. The next frame, and
+// each bodyChunk of a longer one, must arrive within idleTimeout.
+type receivingReader struct {
+	conn *conn
+	left int // bytes that may be read before the deadline is moved
+}
+
+// Read implements io.Reader.
+func (r *receivingReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		if err := r.extend(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := r.conn.netConn.Read(p)
+	if n > 0 {
+		r.conn.recordReceived()
+	}
+	r.left -= n
+	return n, err
+}
+
+// extend moves the deadline, at the start of a frame and after each bodyChunk.
+func (r *receivingReader) extend() error {
+	r.left = bodyChunk
+	return r.conn.netConn.SetReadDeadline(time.Now().Add(idleTimeout))
+}
+
 func (c *conn) writeLoop() {
 	defer c.loops.Done()
 	ping := time.NewTicker(pingInterval)
@@ -188,10 +216,17 @@
 	return buf
 }
 
+// write writes in parts, each of which the peer's connection must take within writeTimeout.
 func (c *conn) write(buf []byte) error {
-	if err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+	for len(buf) > 0 {
+		if err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		n, err := c.netConn.Write(buf[:min(len(buf), bodyChunk)])
+		if err != nil {
+			return err
+		}
+		buf = buf[n:]
 	}
-	_, err := c.netConn.Write(buf)
-	return err
+	return nil
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -218,6 +218,39 @@
 	}
 }
 
+// Guards against a large reply that is cut and sent again, with all other calls of its
+// connection, since it takes longer to arrive than a caller waits.
+func TestConnectionOnWhichALargeReplyArrivesIsKept(t *testing.T) {
+	const replyBytes = 600 << 10
+	addr, _ := startServer(t, func(s *Server) {
+		HandleUnary(s, "large", func(context.Context, int) ([]byte, error) { return make([]byte, replyBytes), nil })
+	})
+	client := NewClient(Options{Dial: func(addr string) (net.Conn, error) {
+		nc, err := net.Dial("tcp", addr)
+		return slowConn{nc}, err
+	}})
+	defer client.Close()
+	var out []byte
+	assert.NilError(t, client.Call(t.Context(), addr, "large", 0, &out))
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, errors.Is(client.Call(ctx, addr, "large", 0, &out), context.DeadlineExceeded))
+	conn := client.openConn(addr)
+	client.CloseSilentConn(addr, start)
+	assert.Assert(t, conn != nil && client.openConn(addr) == conn, "the connection was closed")
+	assert.NilError(t, client.Call(t.Context(), addr, "large", 0, &out))
+	assert.Equal(t, len(out), replyBytes)
+}
+
+// slowConn reads 16 KB each 10 ms.
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Read(p []byte) (int, error) {
+	time.Sleep(10 * time.Millisecond)
+	return c.Conn.Read(p[:min(len(p), 16<<10)])
+}
+
 // Guards against a call whose time is over that cuts the other streams of its connection.
 func TestSilentConnectionIsClosedAndBusyOneKept(t *testing.T) {
 	release := make(chan struct{})
