routing, platform: the cost of a change grows linearly with the routes

Routes are found by their prefix now, one look-up for each length of a prefix. A document that is in force is not decoded again.

--- a/routing/config.go
+++ b/routing/config.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"bytes"
 	"sync"
 	"sync/atomic"
 
@@ -50,6 +51,9 @@
 // UpdateIfNewer replaces the configuration if the document has a higher version, and
 // reports whether it did.
 func (c *Config) UpdateIfNewer(raw []byte) (bool, error) {
+	if c.isInForce(raw) {
+		return false, nil
+	}
 	table, err := c.decode(raw)
 	if err != nil {
 		return false, err
@@ -65,6 +69,14 @@
 	return true, nil
 }
 
+// isInForce reports whether a document is the one in force. The same one may come from the
+// store and from other VMs.
+func (c *Config) isInForce(raw []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current.Load() != nil && bytes.Equal(raw, c.document.Raw)
+}
+
 // NoteVersion records that the VM with an address has a version in force, and reports whether
 // a version that this VM lacks is heard of for the first time.
 func (c *Config) NoteVersion(version uint64, source string) bool {
--- a/routing/regions.go
+++ b/routing/regions.go
@@ -57,8 +57,8 @@
 			}
 		}
 	}
-	for _, routes := range t.routes {
-		for _, route := range routes {
+	for _, host := range t.hosts {
+		for _, route := range host.byPrefix {
 			add("route "+route.Name, route.AllowedRegions)
 		}
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -142,10 +143,16 @@
 	Limits   Limits
 	// RegionLimits is a hash of all AllowedRegions, 0 if there are none.
 	RegionLimits uint64
-	routes       map[string][]*Route // by host, longest prefix first
+	hosts        map[string]*hostRoutes // by name in lower case
 	keys         map[string]*Account
 }
 
+// hostRoutes are the routes of one host.
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	lengths  []int // of the prefixes, each once, longest first
+}
+
 // TableContents is the input of NewTable.
 type TableContents struct {
 	Version  uint64
@@ -163,7 +170,7 @@
 		Limits:   c.Limits,
 		Services: make(map[structs.ServiceID]*Service, len(c.Services)),
 		Accounts: make(map[structs.AccountID]*Account, len(c.Accounts)),
-		routes:   make(map[string][]*Route),
+		hosts:    make(map[string]*hostRoutes),
 		keys:     c.Keys,
 	}
 	for _, account := range c.Accounts {
@@ -173,31 +180,42 @@
 		t.Services[service.ID] = service
 	}
 	for _, route := range c.Routes {
-		host := strings.ToLower(route.Host)
-		t.routes[host] = insertByPrefixLength(t.routes[host], route)
+		t.addRoute(route)
+	}
+	for _, host := range t.hosts {
+		slices.SortFunc(host.lengths, func(a, b int) int { return b - a })
+		host.lengths = slices.Compact(host.lengths)
 	}
 	t.RegionLimits = hashRegionLimits(c)
 	return t
 }
 
-func insertByPrefixLength(routes []*Route, route *Route) []*Route {
-	at := len(routes)
-	for i, other := range routes {
-		if len(route.Prefix) > len(other.Prefix) {
-			at = i
-			break
-		}
+// addRoute adds a route unless its host has one with the same prefix.
+func (t *Table) addRoute(route *Route) {
+	name := strings.ToLower(route.Host)
+	host := t.hosts[name]
+	if host == nil {
+		host = &hostRoutes{byPrefix: make(map[string]*Route)}
+		t.hosts[name] = host
 	}
-	routes = append(routes, nil)
-	copy(routes[at+1:], routes[at:])
-	routes[at] = route
-	return routes
+	if _, exists := host.byPrefix[route.Prefix]; exists {
+		return
+	}
+	host.byPrefix[route.Prefix] = route
+	host.lengths = append(host.lengths, len(route.Prefix))
 }
 
-// Match returns the route of a host and path, nil if there is none.
+// Match returns the route of a host with the longest prefix of a path, nil if there is none.
 func (t *Table) Match(host, path string) *Route {
-	for _, route := range t.routes[strings.ToLower(host)] {
-		if strings.HasPrefix(path, route.Prefix) {
+	routes := t.hosts[strings.ToLower(host)]
+	if routes == nil {
+		return nil
+	}
+	for _, length := range routes.lengths {
+		if length > len(path) {
+			continue
+		}
+		if route := routes.byPrefix[path[:length]]; route != nil {
 			return route
 		}
 	}
