fleet: peers send the configuration compressed, and few of them across regions

The same cause as in the reads of the store: a VM that heard of a newer version asked a peer for the whole document (275 KB) within 0.7 s, also one of another region, and without any configuration at once.

The document is sent compressed to VMs that say that they decompress it; a fetch has 3 s; a document that is not newer is not decoded; a VM that follows the operators' table at others of its region asks another region only after 1 to 3 s, one without any configuration included.

TestLargeConfigurationIsFetchedFromAnyPeer: earlier builds get and send the document as before. Tests of fleet and internal/compat pass with -race.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -8,15 +8,20 @@
 	"github.com/endivecourse/endivecourse/routing"
 )
 
-// Most VMs receive a new configuration from the store before they receive it from a
-// peer. Peers are therefore asked for it only after a delay, one at a time, and
+// Most VMs receive a new configuration with the operators' table before they receive it from
+// a peer. Peers are therefore asked for it only after a delay, one at a time, and
 // those of the same region first: in a large fleet, the links between regions would
 // be saturated if every VM asked each peer that has it.
 const (
 	// sameRegionFetchDelay is longer than the store takes to notify all VMs;
-	// otherRegionFetchDelay leaves time for a peer of this region to get it first.
+	// otherRegionFetchDelay leaves time for a peer of this region to get it first, and
+	// followerFetchDelay for the VMs at which this one follows the operators' table.
 	sameRegionFetchDelay  = 400 * time.Millisecond
 	otherRegionFetchDelay = 900 * time.Millisecond
+	followerFetchDelay    = 2 * time.Second
+	// configFetchTimeout is the time that a document of the largest size takes over a link
+	// of 30 Mbit/s.
+	configFetchTimeout = 3 * time.Second
 	// A lag of at least minReportedLag is logged each configLagPeriod.
 	configLagPeriod = time.Second
 	minReportedLag  = 500 * time.Millisecond
@@ -86,28 +91,39 @@
 }
 
 // fetchDelay returns a delay that varies randomly by half, so that VMs don't ask at
-// the same time. A VM without any configuration does not wait.
+// the same time. A VM without any configuration does not wait for one of its region.
 func (m *Mesh) fetchDelay(sameRegion bool) time.Duration {
-	if m.opts.Config.Version() == 0 {
-		return 0
-	}
+	hasNone := m.opts.Config.Version() == 0
+	isFollower := len(m.tableSources()) > 0
 	delay := otherRegionFetchDelay
-	if sameRegion {
+	switch {
+	case hasNone && (sameRegion || !isFollower):
+		return 0
+	case sameRegion:
 		delay = sameRegionFetchDelay
+	case isFollower:
+		delay = followerFetchDelay
 	}
 	return delay/2 + rand.N(delay)
 }
 
 func (m *Mesh) fetchConfig(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), configFetchTimeout)
 	defer cancel()
-	var document routing.Document
+	var document ConfigReply
 	start := time.Now()
-	if err := m.call(ctx, address, MethodConfig, ConfigQuery{}, &document); err != nil {
+	err := m.call(ctx, address, MethodConfig, ConfigQuery{AcceptsPacked: true}, &document)
+	if err == nil {
+		err = document.unpack()
+	}
+	if err != nil {
 		m.opts.Log.Warn("configuration not fetched from a peer", "peer", address, "wait_ms", time.Since(start).Milliseconds(), "cause", err.Error())
 		return false
 	}
 	fetched := time.Now()
+	if document.Version <= m.opts.Config.Version() {
+		return true
+	}
 	isAccepted, err := m.opts.Config.UpdateIfNewer(document.Raw)
 	if err != nil {
 		m.opts.Log.Error("configuration of a peer can't be read", "peer", address, "version", document.Version, "cause", err.Error())
@@ -119,3 +135,41 @@
 	}
 	return true
 }
+
+// handleConfig answers with the newest configuration.
+func (m *Mesh) handleConfig(_ context.Context, q ConfigQuery) (ConfigReply, error) {
+	m.configsSent.Add(1)
+	document := m.opts.Config.Document()
+	if !q.AcceptsPacked || len(document.Raw) < minPackedBytes {
+		return ConfigReply{Document: document}, nil
+	}
+	packed, err := m.packedConfig(document)
+	if err != nil {
+		return ConfigReply{}, err
+	}
+	return ConfigReply{Document: routing.Document{Version: document.Version}, Packed: packed}, nil
+}
+
+// packedConfig returns a document compressed. Each version is compressed once.
+func (m *Mesh) packedConfig(document routing.Document) ([]byte, error) {
+	m.packed.mu.Lock()
+	defer m.packed.mu.Unlock()
+	if m.packed.version != document.Version {
+		value, err := compress(document.Raw)
+		if err != nil {
+			return nil, err
+		}
+		m.packed.version, m.packed.value = document.Version, value
+	}
+	return m.packed.value, nil
+}
+
+// unpack decompresses the document if it is compressed.
+func (r *ConfigReply) unpack() error {
+	if len(r.Packed) == 0 {
+		return nil
+	}
+	raw, err := decompress(r.Packed)
+	r.Raw = raw
+	return err
+}
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -119,6 +119,11 @@
 	shared   map[string]*SharedTable // by table; unchanged after Start
 	stopping chan struct{}           // closed by Stop
 
+	packed struct { // the newest configuration, compressed
+		mu      sync.Mutex
+		version uint64
+		value   []byte
+	}
 	configsSent  atomic.Uint64 // configurations sent to peers
 	hasReadTable atomic.Bool   // the member table has been read at least once
 	startedAt    time.Time
@@ -148,10 +153,7 @@
 	m.client = wire.NewClient(wire.Options{})
 	serveStore(m.server, opts.DirectStore)
 	wire.HandleUnary(m.server, MethodDigest, m.handleDigest)
-	wire.HandleUnary(m.server, MethodConfig, func(context.Context, ConfigQuery) (routing.Document, error) {
-		m.configsSent.Add(1)
-		return m.opts.Config.Document(), nil
-	})
+	wire.HandleUnary(m.server, MethodConfig, m.handleConfig)
 	wire.HandleUnary(m.server, MethodTable, m.handleTable)
 	wire.HandleUnary(m.server, MethodLend, func(_ context.Context, r LoanRequest) (LoanReply, error) {
 		return LoanReply{Tokens: m.opts.Hooks.Lend(r.Account)}, nil
--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
 	"github.com/endivecourse/endivecourse/internal/standin/rows"
@@ -314,3 +316,28 @@
 	nodes[0].stop()
 	assert.NilError(t, <-result)
 }
+
+// Guards against a peer of an earlier version that can't read a compressed configuration, and
+// against one whose answer this VM can't read.
+func TestLargeConfigurationIsFetchedFromAnyPeer(t *testing.T) {
+	nodes := startNodes(t, rows.New(), 2)
+	waitUntil(t, "digests", func() bool { return haveHeardFrom(nodes, 1) })
+	raw := "8" + strings.Repeat(" ", 4*minPackedBytes)
+	_, err := nodes[0].mesh.opts.Config.UpdateIfNewer([]byte(raw))
+	assert.NilError(t, err)
+	peer := nodes[0].mesh.opts.Self.Address
+	var earlier routing.Document
+	assert.NilError(t, nodes[1].mesh.call(t.Context(), peer, MethodConfig, struct{}{}, &earlier))
+	assert.Equal(t, string(earlier.Raw), raw)
+	var reply ConfigReply
+	assert.NilError(t, nodes[1].mesh.call(t.Context(), peer, MethodConfig, ConfigQuery{AcceptsPacked: true}, &reply))
+	assert.Assert(t, len(reply.Raw) == 0 && len(reply.Packed) < len(raw)/10)
+	assert.NilError(t, reply.unpack())
+	assert.Equal(t, string(reply.Raw), raw)
+	encoded, err := msgpack.Marshal(earlier)
+	assert.NilError(t, err)
+	reply = ConfigReply{}
+	assert.NilError(t, msgpack.Unmarshal(encoded, &reply))
+	assert.NilError(t, reply.unpack())
+	assert.Equal(t, string(reply.Raw), raw)
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -8,6 +8,7 @@
 
 	"github.com/endivecourse/endivecourse/placement"
 	"github.com/endivecourse/endivecourse/quarantine"
+	"github.com/endivecourse/endivecourse/routing"
 	"github.com/endivecourse/endivecourse/share"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/targetrate"
@@ -178,4 +179,13 @@
 }
 
 // ConfigQuery asks for the newest configuration.
-type ConfigQuery struct{}
+type ConfigQuery struct {
+	// AcceptsPacked means that the asking VM decompresses the document.
+	AcceptsPacked bool `msgpack:"p,omitempty"`
+}
+
+// ConfigReply is the newest configuration; either Raw or Packed is set.
+type ConfigReply struct {
+	routing.Document
+	Packed []byte `msgpack:"z,omitempty"` // the document compressed with DEFLATE
+}
--- a/fleet/table_relay.go
+++ b/fleet/table_relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"sync"
@@ -248,12 +249,9 @@
 	if !row.IsPacked {
 		return row.Value, nil
 	}
-	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(row.Value)), maxValueBytes+1))
+	value, err := decompress(row.Value)
 	if err != nil {
-		return nil, errors.Wrap(err, "decompress a row")
-	}
-	if len(value) > maxValueBytes {
-		return nil, &ValueTooLargeError{Key: row.Key, Max: maxValueBytes}
+		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -262,13 +260,12 @@
 }
 
 // ValueTooLargeError reports that a compressed value of another VM exceeds the maximum.
-type ValueTooLargeError struct {
-	Key string
-	Max int // bytes
-}
+type ValueTooLargeError struct{ Max int } // bytes
 
-// Error names the row.
-func (e *ValueTooLargeError) Error() string { return "value of row " + e.Key + " is too large" }
+// Error names the maximum.
+func (e *ValueTooLargeError) Error() string {
+	return fmt.Sprintf("decompressed value exceeds %d bytes", e.Max)
+}
 
 // tableSources returns the VMs at which this VM follows shared tables.
 func (m *Mesh) tableSources() []structs.VMID {
@@ -366,13 +363,24 @@
 	var out bytes.Buffer
 	writer, err := flate.NewWriter(&out, flate.BestSpeed)
 	if err != nil {
-		return nil, errors.Wrap(err, "compress a row")
+		return nil, errors.Wrap(err, "compress")
 	}
 	if _, err := writer.Write(value); err != nil {
-		return nil, errors.Wrap(err, "compress a row")
+		return nil, errors.Wrap(err, "compress")
 	}
 	if err := writer.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress a row")
+		return nil, errors.Wrap(err, "compress")
 	}
 	return out.Bytes(), nil
 }
+
+func decompress(packed []byte) ([]byte, error) {
+	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxValueBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress")
+	}
+	if len(value) > maxValueBytes {
+		return nil, &ValueTooLargeError{Max: maxValueBytes}
+	}
+	return value, nil
+}
--- a/fleet/table_relay_test.go
+++ b/fleet/table_relay_test.go
@@ -199,6 +199,17 @@
 	})
 }
 
+// rowsRead returns the number of rows that VMs have read from the store.
+func rowsRead(followers []*tableFollower) int {
+	total := 0
+	for _, f := range followers {
+		f.store.mu.Lock()
+		total += f.store.rows
+		f.store.mu.Unlock()
+	}
+	return total
+}
+
 // Guards against a number of VMs reading the store that grows with the fleet, also for small
 // changes in quick succession.
 func TestChangesOfASharedTableAreReadByTheRoots(t *testing.T) {
@@ -206,16 +217,10 @@
 	store := rows.New()
 	store.Put(rowstore.Key{Table: sharedTestTable, Key: "0"}, []byte("0"))
 	followers := startFollowers(t, store, count)
-	before := 0
-	for _, f := range followers {
-		before += f.store.rows
-	}
+	before := rowsRead(followers)
 	for i := range changes {
 		putAndAwait(t, store, followers, fmt.Sprint(i), fmt.Sprint("value ", i))
 	}
-	total := -before
-	for _, f := range followers {
-		total += f.store.rows
-	}
+	total := rowsRead(followers) - before
 	assert.Assert(t, total <= 2*tableRoots*changes, "%d rows read of %d changes", total, changes)
 }
