edge: a VM that lags behind a known configuration refuses requests

Callers saw routes that were removed, and would have seen keys that were withdrawn, at VMs that knew from their peers' digests for seconds that a newer configuration was in force elsewhere. Such a VM served by its own version without a limit.

A VM that has known of a newer configuration for half of the time in which a change has to be in force everywhere (configApplyMs of the settings) refuses requests with 503 and a retry delay, which says that they have not run, and reports that it is not ready. Without that bound in the settings nothing changes.

--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -200,6 +200,7 @@
 		QuotaSlack:    loaded.QuotaSlack,
 		MemoryBytes:   loaded.MemoryBytes,
 		ColdBounds:    targetrate.ColdBounds{Overage: loaded.ColdOverage, Slack: loaded.ColdSlack},
+		ConfigApply:   loaded.ConfigApply,
 		DialTarget:    dialTarget,
 		Log:           log,
 	})
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -103,6 +103,9 @@
 	if !x.server.knowsEvacuations() {
 		return retryableRefusal(structs.RefusedNotReady, noConfigRetryAfter, "the operators' table has not been read yet")
 	}
+	if lag, isTooLong := x.server.configLag(); isTooLong {
+		return retryableRefusal(structs.RefusedStaleConfig, noConfigRetryAfter, fmt.Sprintf("configuration %d is known but has not arrived", lag.Version))
+	}
 	if x.ID == "" {
 		return structs.Refuse(structs.RefusedBadRequest, structs.RunNo, "the request has no ID")
 	}
--- a/edge/server.go
+++ b/edge/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -60,6 +61,9 @@
 	// ColdBounds bounds what all VMs together send a cold target; the zero value means the
 	// default.
 	ColdBounds targetrate.ColdBounds
+	// ConfigApply is the time in which a change of the configuration has to be in force at
+	// every VM, 0 if there is no such time.
+	ConfigApply time.Duration
 	// DialTarget opens the connections to targets; nil means TCP.
 	DialTarget hop.DialFunc
 	Log        *slog.Logger
@@ -156,9 +160,35 @@
 	if !s.knowsEvacuations() {
 		return &EvacuationsUnknownError{}
 	}
+	if lag, isTooLong := s.configLag(); isTooLong {
+		return &StaleConfigError{InForce: s.opts.Config.Version(), Known: lag.Version, For: lag.For}
+	}
 	return nil
 }
 
+// configLagDivisor sets the part of ConfigApply for which a VM may lag behind a configuration
+// that it knows of. It hears of one within a second of the first VM that has it.
+const configLagDivisor = 2
+
+// configLag returns how far the configuration is behind that of other VMs, and whether that is
+// too long to serve requests by it: a route may lead elsewhere, and a key be withdrawn.
+func (s *Server) configLag() (routing.Lag, bool) {
+	lag := s.opts.Config.Lag()
+	return lag, s.opts.ConfigApply > 0 && lag.For > s.opts.ConfigApply/configLagDivisor
+}
+
+// StaleConfigError reports that other VMs have a newer configuration in force, which has not
+// arrived at this VM in time.
+type StaleConfigError struct {
+	InForce, Known uint64 // versions
+	For            time.Duration
+}
+
+// Error names both versions.
+func (e *StaleConfigError) Error() string {
+	return fmt.Sprintf("configuration %d is in force, %d has been known for %s", e.InForce, e.Known, e.For.Round(time.Millisecond))
+}
+
 // NoConfigError reports that no configuration has arrived yet.
 type NoConfigError struct{}
 
