--- a/soak/processes/crowd_test.go
+++ b/soak/processes/crowd_test.go
@@ -97,14 +97,13 @@
 	return out
 }
 
-// run sends the form on connections of a crowd until the time is over. A refused or closed
-// connection is opened again.
+// run sends the form on connections of a crowd until the time is over. A connection that the
+// VM refuses or closes is opened again; the others stay open until closeAll is called.
 func (c crowdForm) run(address string, size int, d time.Duration) (closeAll func()) {
 	var clients sync.WaitGroup
-	var mu sync.Mutex
-	var open []net.Conn
+	open := make([]net.Conn, size)
 	end := time.Now().Add(d)
-	for range size {
+	for n := range size {
 		clients.Go(func() {
 			for time.Now().Before(end) {
 				conn, err := net.DialTimeout("tcp", address, time.Second)
@@ -112,39 +111,42 @@
 					time.Sleep(20 * time.Millisecond)
 					continue
 				}
-				mu.Lock()
-				open = append(open, conn)
-				mu.Unlock()
-				c.send(conn, end)
+				if c.send(conn, end) {
+					open[n] = conn
+					return
+				}
+				conn.Close()
 			}
 		})
 	}
 	clients.Wait()
 	return func() {
 		for _, conn := range open {
-			conn.Close()
+			if conn != nil {
+				conn.Close()
+			}
 		}
 	}
 }
 
-// send sends until the connection fails or the time is over.
-func (c crowdForm) send(conn net.Conn, end time.Time) {
+// send sends until the time is over, and returns false if the connection fails before.
+func (c crowdForm) send(conn net.Conn, end time.Time) bool {
 	_ = conn.SetDeadline(end)
 	if _, err := conn.Write(c.first); err != nil {
-		return
+		return !time.Now().Before(end)
 	}
 	for len(c.rest) > 0 && time.Now().Before(end) {
 		if _, err := conn.Write(c.rest); err != nil {
-			return
+			return !time.Now().Before(end)
 		}
 		time.Sleep(c.pause)
 	}
-	_, _ = conn.Read(make([]byte, 1)) // until it is closed
-	for len(c.rest) == 0 && time.Now().Before(end) {
+	for time.Now().Before(end) {
 		if _, err := conn.Read(make([]byte, 512)); err != nil {
-			return
+			return !time.Now().Before(end)
 		}
 	}
+	return true
 }
 
 // peakFDs watches the process's descriptors until stop is called, which returns the largest
@@ -183,12 +185,14 @@
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
 		resp, err := client.Do(req)
 		if err != nil {
+			f.t.Logf("ordinary request: %v", err)
 			continue
 		}
 		resp.Body.Close()
 		if resp.StatusCode == http.StatusOK {
 			return true
 		}
+		f.t.Logf("ordinary request: %s", resp.Status)
 	}
 	return false
 }
