edge: long bodies that have not arrived leave memory for short ones

The memory of all requests' bodies is bounded, and was reserved from the stated length: five callers that state 4 MB and send nothing kept out every other request with a body for the 10 s that a body may take. A quarter of it is left to bodies of at most 80 KB now; longer ones share the rest.

--- a/edge/forward_serve.go
+++ b/edge/forward_serve.go
@@ -26,10 +26,10 @@
 		return send(fleet.ForwardReply{IsUnavailable: true})
 	}
 	defer s.paths.endForwarding()
-	if !s.requestBodies.take(len(req.Body)) {
+	if !s.requestBodies.Take(len(req.Body)) {
 		return send(fleet.ForwardReply{IsUnavailable: true})
 	}
-	defer s.requestBodies.give(len(req.Body))
+	defer s.requestBodies.Give(len(req.Body))
 	s.mu.Lock()
 	s.learnDepartures(structs.Now(), req.Departures, "request of a peer")
 	s.mu.Unlock()
--- a/edge/memory.go
+++ b/edge/memory.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 
 	"github.com/pkg/errors"
 
+	"github.com/endivecourse/endivecourse/connlimit"
 	"github.com/endivecourse/endivecourse/hop"
 	"github.com/endivecourse/endivecourse/structs"
 )
@@ -25,30 +25,6 @@
 	firstReadBytes = 4 << 10
 )
 
-// memoryBudget bounds the bytes of bodies that a VM keeps at a time.
-type memoryBudget struct {
-	mu   sync.Mutex
-	max  int // 0 means no bound
-	used int
-}
-
-// take reserves bytes and reports whether they were free.
-func (b *memoryBudget) take(bytes int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.max > 0 && b.used+bytes > b.max {
-		return false
-	}
-	b.used += bytes
-	return true
-}
-
-func (b *memoryBudget) give(bytes int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.used -= bytes
-}
-
 // NoMemoryError reports that the memory for bodies is in use.
 type NoMemoryError struct{ Bytes int }
 
@@ -59,13 +35,13 @@
 
 // bodyBuffer keeps the start of a response's body within the VM's memory budget.
 type bodyBuffer struct {
-	budget *memoryBudget
+	budget *connlimit.Budget
 	data   []byte
 	taken  int
 }
 
 // newBodyBuffer returns a buffer for a body of the given length, negative if unknown.
-func newBodyBuffer(budget *memoryBudget, length int64) *bodyBuffer {
+func newBodyBuffer(budget *connlimit.Budget, length int64) *bodyBuffer {
 	b := &bodyBuffer{budget: budget}
 	capacity := firstReadBytes
 	if length >= 0 && length <= keptBytes {
@@ -79,7 +55,7 @@
 func (b *bodyBuffer) grow() error {
 	capacity := 2 * cap(b.data)
 	if capacity > keptBytes {
-		if !b.budget.take(capacity - b.taken) {
+		if !b.budget.Take(capacity - b.taken) {
 			return &NoMemoryError{Bytes: capacity - b.taken}
 		}
 		b.taken = capacity
@@ -112,7 +88,7 @@
 
 // release ends the use of the buffer.
 func (b *bodyBuffer) release() {
-	b.budget.give(b.taken)
+	b.budget.Give(b.taken)
 	b.taken, b.data = 0, nil
 }
 
@@ -133,14 +109,21 @@
 	return errors.As(err, &noMemory)
 }
 
-// ReserveRequestBody reserves memory for a request's body before it is read. The refusal says
-// that the request has not run.
-func (s *Server) ReserveRequestBody(bytes int) *structs.Refusal {
-	if s.requestBodies.take(bytes) {
+// smallBodyBytes is the size up to which a request's body may take all of the memory for them.
+const smallBodyBytes = 80 << 10
+
+// ReserveRequestBody reserves memory for more bytes of a request's body, of which kept bytes are
+// reserved already, before they are read. The refusal says that the request has not run.
+func (s *Server) ReserveRequestBody(bytes, kept int) *structs.Refusal {
+	take := s.requestBodies.TakeLarge
+	if kept+bytes <= smallBodyBytes {
+		take = s.requestBodies.Take
+	}
+	if take(bytes) {
 		return nil
 	}
 	return retryableRefusal(structs.RefusedQueueFull, noFreeSlotRetryAfter, (&NoMemoryError{Bytes: bytes}).Error())
 }
 
 // ReleaseRequestBody ends a reservation.
-func (s *Server) ReleaseRequestBody(bytes int) { s.requestBodies.give(bytes) }
+func (s *Server) ReleaseRequestBody(bytes int) { s.requestBodies.Give(bytes) }
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -111,7 +111,7 @@
 // relayBuffered passes a response on once it is complete. One of a known length for which the
 // VM lacks memory is passed on as it arrives.
 func (x *exchange) relayBuffered(ctx context.Context, target placement.Target, resp *http.Response) attemptResult {
-	buffer := newBodyBuffer(&x.server.responseBodies, resp.ContentLength)
+	buffer := newBodyBuffer(x.server.responseBodies, resp.ContentLength)
 	defer buffer.release()
 	err := checkLength(resp)
 	if err == nil {
@@ -181,7 +181,7 @@
 	buffered := make([]byte, 0, readBytes)
 	chunk := make([]byte, readBytes)
 	hasBegun, taken := false, 0
-	defer func() { x.server.responseBodies.give(taken) }()
+	defer func() { x.server.responseBodies.Give(taken) }()
 	for {
 		n, err := resp.Body.Read(chunk)
 		searched := len(buffered)
@@ -200,7 +200,7 @@
 			buffered = append(buffered[:0], buffered[complete:]...)
 		}
 		if more := cap(buffered) + x.storedBytes() - taken; more > 0 && cap(buffered)+x.storedBytes() > keptBytes {
-			if !x.server.responseBodies.take(more) {
+			if !x.server.responseBodies.Take(more) {
 				err = &NoMemoryError{Bytes: more}
 			} else {
 				taken += more
--- a/edge/server.go
+++ b/edge/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/endivecourse/endivecourse/admission"
+	"github.com/endivecourse/endivecourse/connlimit"
 	"github.com/endivecourse/endivecourse/conversation"
 	"github.com/endivecourse/endivecourse/fleet"
 	"github.com/endivecourse/endivecourse/hop"
@@ -78,7 +79,7 @@
 	paths *targetPaths
 
 	// requestBodies and responseBodies bound the bodies that are kept at a time.
-	requestBodies, responseBodies memoryBudget
+	requestBodies, responseBodies *connlimit.Budget
 
 	stopping stopping
 
@@ -123,8 +124,8 @@
 		selector:   share.NewSelector(),
 		quarantine: quarantine.New(quarantine.Options{Targets: quarantineTargets, SuspectPeriod: crashTTL}),
 	}
-	s.requestBodies.max = int(opts.MemoryBytes / requestDivisor)
-	s.responseBodies.max = int(opts.MemoryBytes / responseDivisor)
+	s.requestBodies = connlimit.NewBudget(int(opts.MemoryBytes / requestDivisor))
+	s.responseBodies = connlimit.NewBudget(int(opts.MemoryBytes / responseDivisor))
 	s.stopping.ctx, s.stopping.end = context.WithCancel(context.Background())
 	s.listing.unlisted = make(map[structs.TargetID]structs.Instant)
 	s.initColdTargets()
