wire, fleet: the port for other VMs bounds connections, frames and calls

At the port for other VMs 400 clients took a process of 96 MB to 4,846 MB and 8,727 descriptors. Causes: frames of 8 MB that stay open, on any number of connections; 4,096 calls at a time on each connection, each with a goroutine, a reply that nobody reads, or a call to the store on a connection of its own; 64 KB of read buffer a connection.

The connections are kept by a guard: one without a call is closed after 5 s, or earlier in favour of a new one. The bytes of requests that arrive or run, and of replies that are not written, have budgets of a tenth of the VM's memory each, with a part for small ones; calls in progress are bounded by the memory and, for one connection, by a quarter of that; a VM relays 16 reads and 64 commits to the store at a time. What does not fit is refused with a type, or its connection closed.

--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -150,6 +150,7 @@
 	local := &conversation.Local{Partition: partitionOf}
 	mesh := fleet.New(fleet.Options{
 		Self: self, Seeds: loaded.Seeds, Listener: peers, DirectStore: direct, Config: config, Log: log,
+		MaxPeerConns: platform.PeerConns(loaded), MemoryBytes: loaded.MemoryBytes,
 		Store:            func() rowstore.Store { return router },
 		IsStoreReachable: func() bool { return router.IsDirectUp() },
 		Serve: func(s *wire.Server) {
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -9,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/endivecourse/endivecourse/connlimit"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/quarantine"
 	"github.com/endivecourse/endivecourse/routing"
@@ -89,6 +91,10 @@
 	DirectStore rowstore.Store
 	Store       func() rowstore.Store
 	Config      *routing.Config
+	// MaxPeerConns bounds the connections of peers; the bytes of requests and replies that
+	// are kept at a time are parts of MemoryBytes, the VM's memory. 0 means no bound.
+	MaxPeerConns int
+	MemoryBytes  int64
 	// IsStoreReachable reports whether this VM reaches the store directly.
 	IsStoreReachable func() bool
 	// Serve registers the methods that other packages serve to peers.
@@ -102,6 +108,7 @@
 	opts   Options
 	server *wire.Server
 	client *wire.Client
+	guard  *connlimit.Guard // of the peers' connections
 
 	mu      sync.Mutex
 	members map[structs.VMID]*peerState
@@ -145,8 +152,9 @@
 
 // New returns a mesh without members.
 func New(opts Options) *Mesh {
+	guard := connlimit.NewForFrames("peers", connlimit.Bounds{Conns: opts.MaxPeerConns}, firstCallTimeout, opts.Log)
 	m := &Mesh{
-		opts: opts, server: wire.NewServer(wire.Options{Log: opts.Log}), startedAt: time.Now(), rosters: NewRosters(structs.Now(), opts.Self),
+		opts: opts, guard: guard, server: newPeerServer(opts, guard), startedAt: time.Now(), rosters: NewRosters(structs.Now(), opts.Self),
 		members: make(map[structs.VMID]*peerState), forgottenIncarnations: make(map[structs.Incarnation]time.Time),
 		shared: make(map[string]*SharedTable), stopping: make(chan struct{}),
 	}
@@ -200,12 +208,36 @@
 		}
 		return err
 	})
+	k.Go("fleet.guard", m.guard.Run)
 	k.Every("fleet.digests", sameRegionPeriod, m.sendDigests)
 	k.Every("fleet.config", configLagPeriod, m.reportConfigLag)
 	k.Go("fleet.members", m.refreshMembers)
 	return nil
 }
 
+const (
+	// firstCallTimeout is how long a connection of a peer may stay without a call. Peers open
+	// it for one.
+	firstCallTimeout = 5 * time.Second
+	// Parts of the VM's memory: for requests of peers that arrive or are in progress, for
+	// replies that are not written yet, and for the goroutines of calls, callBytes each.
+	peerMemoryDivisor = 10
+	callMemoryDivisor = 8
+	callBytes         = 12 << 10
+)
+
+// newPeerServer returns the server for peers.
+func newPeerServer(opts Options, guard *connlimit.Guard) *wire.Server {
+	bytes := int(opts.MemoryBytes / peerMemoryDivisor)
+	return wire.NewServer(wire.Options{
+		Log: opts.Log, Guard: guard, Received: connlimit.NewBudget(bytes), Sent: connlimit.NewBudget(bytes),
+		MaxRequests: int(opts.MemoryBytes / callMemoryDivisor / callBytes),
+	})
+}
+
+// WriteMetrics writes the numbers of connections of peers.
+func (m *Mesh) WriteMetrics(w io.Writer) { m.guard.WriteMetrics(w) }
+
 // Stop refuses new calls of peers, so that they act themselves, lets the ones in progress
 // end and closes all connections.
 func (m *Mesh) Stop(ctx context.Context) error {
--- a/fleet/store_relay.go
+++ b/fleet/store_relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -97,28 +98,64 @@
 	return &rowstore.OutcomeUnknownError{Cause: &RelayedError{Detail: r.Detail}}
 }
 
+const (
+	// maxRelayedReads and maxRelayedCommits bound the calls that are relayed at a time. Each
+	// takes a connection to the store, and a read up to a page of rows.
+	maxRelayedReads   = 16
+	maxRelayedCommits = 64
+	// maxRelayedWait bounds the wait of a relayed watch, maxRelayTime a relayed call.
+	maxRelayedWait = time.Second
+	maxRelayTime   = 12 * time.Second
+)
+
+// TooManyRelayedError reports that a VM relays as many calls as it can.
+type TooManyRelayedError struct{ Max int }
+
+// Error names the maximum.
+func (e *TooManyRelayedError) Error() string {
+	return fmt.Sprintf("%d calls to the store are being relayed", e.Max)
+}
+
+// relayWithin performs a relayed call unless as many as slots holds are in progress.
+func relayWithin(ctx context.Context, slots chan struct{}, call func(context.Context) StoreReply) (StoreReply, error) {
+	select {
+	case slots <- struct{}{}:
+	default:
+		return newStoreReply(&rowstore.UnavailableError{Cause: &TooManyRelayedError{Max: cap(slots)}}), nil
+	}
+	defer func() { <-slots }()
+	ctx, cancel := context.WithTimeout(ctx, maxRelayTime)
+	defer cancel()
+	return call(ctx), nil
+}
+
+func newPageReply(page rowstore.Page, err error) StoreReply {
+	reply := newStoreReply(err)
+	reply.Page = page
+	return reply
+}
+
 // serveStore lets peers call the store over this VM's direct path. A relayed call
 // is not relayed again, which bounds the number of hops.
 func serveStore(server *wire.Server, direct rowstore.Store) {
+	reads, commits := make(chan struct{}, maxRelayedReads), make(chan struct{}, maxRelayedCommits)
 	wire.HandleUnary(server, MethodCommit, func(ctx context.Context, tx rowstore.Tx) (StoreReply, error) {
-		version, err := direct.Commit(ctx, tx)
-		reply := newStoreReply(err)
-		if err == nil {
-			reply.Version = version
-		}
-		return reply, nil
+		return relayWithin(ctx, commits, func(ctx context.Context) StoreReply {
+			version, err := direct.Commit(ctx, tx)
+			reply := newStoreReply(err)
+			if err == nil {
+				reply.Version = version
+			}
+			return reply
+		})
 	})
 	wire.HandleUnary(server, MethodScan, func(ctx context.Context, r rowstore.Range) (StoreReply, error) {
-		page, err := direct.Scan(ctx, r)
-		reply := newStoreReply(err)
-		reply.Page = page
-		return reply, nil
+		return relayWithin(ctx, reads, func(ctx context.Context) StoreReply { return newPageReply(direct.Scan(ctx, r)) })
 	})
 	wire.HandleUnary(server, MethodWatch, func(ctx context.Context, call WatchRequest) (StoreReply, error) {
-		page, err := direct.Watch(ctx, call.Table, call.After, call.Wait)
-		reply := newStoreReply(err)
-		reply.Page = page
-		return reply, nil
+		return relayWithin(ctx, reads, func(ctx context.Context) StoreReply {
+			return newPageReply(direct.Watch(ctx, call.Table, call.After, min(call.Wait, maxRelayedWait)))
+		})
 	})
 }
 
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -6,12 +6,17 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/endivecourse/endivecourse/connlimit"
 )
 
 // writeQueueLen is the maximum number of frames that wait for one connection's
 // writer.
 const writeQueueLen = 256
 
+// readBufferBytes is the size of a connection's read buffer. Longer bodies are read past it.
+const readBufferBytes = 4 << 10
+
 // conn is one TCP connection with a reader and a writer goroutine.
 type conn struct {
 	netConn    net.Conn
@@ -29,6 +34,8 @@
 	traffic    *Traffic
 	onClose    func()
 	loops      sync.WaitGroup
+	received   *connlimit.Budget // of frames that arrive, nil for no bound
+	written    []chan struct{}   // of the frames in the write loop's buffer
 }
 
 func newConn(nc net.Conn, maxBody int, traffic *Traffic, handle func(frame), onClose func()) *conn {
@@ -126,21 +133,23 @@
 func (c *conn) readLoop() {
 	defer c.loops.Done()
 	received := &receivingReader{conn: c}
-	reader := bufio.NewReaderSize(received, bodyChunk)
+	reader := bufio.NewReaderSize(received, readBufferBytes)
 	for {
 		if err := received.extend(); err != nil {
 			c.close(err)
 			return
 		}
-		f, err := readFrame(reader, c.maxBody)
+		f, err := readFrameWithin(reader, c.maxBody, c.received)
 		if err != nil {
 			c.close(err)
 			return
 		}
 		c.traffic.countReceived(f)
-		if f.kind != framePing {
-			c.handle(f)
+		if f.kind == framePing {
+			c.received.Give(f.taken)
+			continue
 		}
+		c.handle(f)
 	}
 }
 
@@ -198,6 +207,9 @@
 
 func (c *conn) encode(buf []byte, f frame) []byte {
 	c.traffic.countSent(f)
+	if f.sent != nil {
+		c.written = append(c.written, f.sent)
+	}
 	return appendFrame(buf, f)
 }
 
@@ -216,8 +228,15 @@
 	return buf
 }
 
-// write writes in parts, each of which the peer's connection must take within writeTimeout.
+// write writes in parts, each of which the peer's connection must take within writeTimeout. It
+// says so to those who wait for their frames.
 func (c *conn) write(buf []byte) error {
+	defer func() {
+		for _, sent := range c.written {
+			close(sent)
+		}
+		c.written = c.written[:0]
+	}()
 	for len(buf) > 0 {
 		if err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return err
--- a/wire/errors.go
+++ b/wire/errors.go
@@ -36,6 +36,14 @@
 	return fmt.Sprintf("wire frame of %d bytes exceeds %d", e.Length, e.Max)
 }
 
+// NoFrameMemoryError reports that the memory for frames that arrive is in use.
+type NoFrameMemoryError struct{ Length int } // of the frame's body in bytes
+
+// Error names the length.
+func (e *NoFrameMemoryError) Error() string {
+	return fmt.Sprintf("no memory for a wire frame of %d bytes", e.Length)
+}
+
 // NotSentError reports that no byte of a request was sent to the peer.
 type NotSentError struct {
 	Addr  string
--- a/wire/options.go
+++ b/wire/options.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/connlimit"
 )
 
 // Timeouts of a connection.
@@ -37,6 +39,12 @@
 	// Dial opens a client's connections; nil means TCP. TLS is not applied to
 	// the connections that it returns.
 	Dial func(addr string) (net.Conn, error)
+	// Guard bounds the connections of a Server, Received and Sent the bytes of its requests and
+	// replies that are kept at a time, MaxRequests its requests in progress; nil and 0 mean no
+	// bound. The guard applies to TCP without TLS.
+	Guard          *connlimit.Guard
+	Received, Sent *connlimit.Budget
+	MaxRequests    int
 	// Log is where a Server reports connections that it can't accept; nil means nowhere.
 	Log *slog.Logger
 }
--- a/wire/server.go
+++ b/wire/server.go
@@ -53,6 +53,7 @@
 	draining bool
 	closed   bool
 	requests sync.WaitGroup
+	running  int // requests in progress
 }
 
 // NewServer returns a server without handlers.
@@ -80,6 +81,9 @@
 
 // Serve accepts connections until Close.
 func (s *Server) Serve(listener net.Listener) error {
+	if s.opts.Guard != nil {
+		listener = s.opts.Guard.Listen(listener)
+	}
 	if s.opts.TLS != nil {
 		listener = tls.NewListener(listener, s.opts.TLS)
 	}
@@ -111,6 +115,7 @@
 		cancel()
 		s.removeConn(session.conn)
 	})
+	session.conn.received = s.opts.Received
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -172,14 +177,37 @@
 	return nil
 }
 
-// beginRequest adds a request to those that Drain and Close wait for. It
-// returns false when the server is draining.
-func (s *Server) beginRequest() bool {
+// beginRequest adds a request to those that Drain and Close wait for. It returns a refusal when
+// the server is draining or has too many requests.
+func (s *Server) beginRequest() *structs.Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
-		return false
+		return structs.Refuse(structs.RefusedNotReady, structs.RunNo, "the process is stopping")
+	}
+	if s.opts.MaxRequests > 0 && s.running >= s.opts.MaxRequests {
+		return structs.Refuse(structs.RefusedQueueFull, structs.RunNo, "%d requests of peers are in progress", s.running)
 	}
+	s.running++
 	s.requests.Add(1)
-	return true
+	return nil
 }
+
+// endRequest ends what beginRequest has begun.
+func (s *Server) endRequest() {
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+	s.requests.Done()
+}
+
+// maxRequestsOfConn returns how many requests of one connection may be in progress.
+func (s *Server) maxRequestsOfConn() int {
+	if s.opts.MaxRequests == 0 {
+		return maxRequestsPerConn
+	}
+	return min(maxRequestsPerConn, max(s.opts.MaxRequests/connPartDivisor, 1))
+}
+
+// connPartDivisor sets the part of all requests that one connection may have in progress.
+const connPartDivisor = 4
--- a/wire/session.go
+++ b/wire/session.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/endivecourse/endivecourse/connlimit"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -40,6 +41,14 @@
 	if err != nil {
 		return errors.Wrap(err, "encode reply")
 	}
+	f := frame{kind: frameReply, stream: w.stream, body: body}
+	if len(body) > freeReplyBytes {
+		if !w.session.server.opts.Sent.Take(len(body)) {
+			return structs.Refuse(structs.RefusedQueueFull, structs.RunUnknown, "no memory for a reply of %d bytes", len(body))
+		}
+		defer w.session.server.opts.Sent.Give(len(body))
+		f.sent = make(chan struct{})
+	}
 	if len(body) > w.session.conn.maxBody {
 		return &FrameTooLargeError{Length: uint64(len(body)), Max: uint64(w.session.conn.maxBody)}
 	}
@@ -48,16 +57,31 @@
 	case <-w.ctx.Done():
 		return w.ctx.Err()
 	}
-	if !w.session.conn.send(frame{kind: frameReply, stream: w.stream, body: body}) {
+	if !w.session.conn.send(f) {
+		return w.session.conn.err()
+	}
+	if f.sent == nil {
+		return nil
+	}
+	select {
+	case <-f.sent:
+		return nil
+	case <-w.session.conn.closed:
 		return w.session.conn.err()
 	}
-	return nil
 }
 
+// freeReplyBytes is the size up to which a reply counts for no budget and its handler does not
+// wait until it is written.
+const freeReplyBytes = 16 << 10
+
 func (s *serverConn) handle(f frame) {
-	switch f.kind {
-	case frameRequest:
+	if f.kind == frameRequest {
 		s.startRequest(f)
+		return
+	}
+	defer s.server.opts.Received.Give(f.taken)
+	switch f.kind {
 	case frameCancel:
 		if w := s.replyWriter(f.stream); w != nil {
 			w.cancel()
@@ -95,33 +119,50 @@
 }
 
 func (s *serverConn) startRequest(f frame) {
+	handler, req, refusal := s.admitRequest(f)
+	if refusal != nil {
+		s.server.opts.Received.Give(f.taken)
+		s.sendRefusal(f.stream, refusal)
+		return
+	}
+	w := s.newReplyWriter(f.stream, *req)
+	if w == nil {
+		s.server.opts.Received.Give(f.taken)
+		s.server.endRequest()
+		s.sendRefusal(f.stream, structs.Refuse(structs.RefusedQueueFull, structs.RunNo, "too many requests on one connection"))
+		return
+	}
+	if guarded, isGuarded := s.conn.netConn.(*connlimit.Conn); isGuarded {
+		guarded.Accept()
+	}
+	go func() {
+		defer s.server.opts.Received.Give(f.taken)
+		s.runHandler(handler, &Request{Method: req.Method, Peer: s.conn.netConn.RemoteAddr().String(), body: req.Body}, w)
+	}()
+}
+
+// admitRequest decodes a request and begins it, unless it has to be refused.
+func (s *serverConn) admitRequest(f frame) (Handler, *request, *structs.Refusal) {
 	var req request
 	if err := msgpack.Unmarshal(f.body, &req); err != nil {
+		refusal := structs.Refuse(structs.RefusedBadRequest, structs.RunNo, "decode request: %v", err)
 		s.conn.close(errors.Wrap(err, "decode request"))
-		return
+		return nil, nil, refusal
 	}
 	handler, found := s.server.handlers[req.Method]
 	if !found {
-		s.sendRefusal(f.stream, structs.Refuse(structs.RefusedNotFound, structs.RunNo, "method %q does not exist", req.Method))
-		return
-	}
-	if !s.server.beginRequest() {
-		s.sendRefusal(f.stream, structs.Refuse(structs.RefusedNotReady, structs.RunNo, "the process is stopping"))
-		return
+		return nil, nil, structs.Refuse(structs.RefusedNotFound, structs.RunNo, "method %q does not exist", req.Method)
 	}
-	w := s.newReplyWriter(f.stream, req)
-	if w == nil {
-		s.server.requests.Done()
-		s.sendRefusal(f.stream, structs.Refuse(structs.RefusedQueueFull, structs.RunNo, "too many requests on one connection"))
-		return
+	if refusal := s.server.beginRequest(); refusal != nil {
+		return nil, nil, refusal
 	}
-	go s.runHandler(handler, &Request{Method: req.Method, Peer: s.conn.netConn.RemoteAddr().String(), body: req.Body}, w)
+	return handler, &req, nil
 }
 
 func (s *serverConn) newReplyWriter(stream uint64, req request) *ReplyWriter {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.writers) >= maxRequestsPerConn {
+	if len(s.writers) >= s.server.maxRequestsOfConn() {
 		return nil
 	}
 	w := &ReplyWriter{session: s, stream: stream, credits: make(chan struct{}, streamCredits)}
@@ -138,7 +179,7 @@
 }
 
 func (s *serverConn) runHandler(handler Handler, req *Request, w *ReplyWriter) {
-	defer s.server.requests.Done()
+	defer s.server.endRequest()
 	err := handler(w.ctx, req, w)
 	s.mu.Lock()
 	delete(s.writers, w.stream)
