fleet: a VM whose sources are lost follows a shared table at the store without pauses

It read the store only once its state was 1.2 s old, so that each change took up to that long until its sources were back.

--- a/fleet/table_relay.go
+++ b/fleet/table_relay.go
@@ -173,7 +173,7 @@
 	}
 	page, err := readStore()
 	if err == nil {
-		t.setSource("store")
+		t.setSource(storeSource)
 	}
 	return page, err
 }
@@ -200,8 +200,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.source = source
+	t.choice.recordRead(source == storeSource)
 }
 
+// storeSource is the source of a state that this VM has read from the store.
+const storeSource = "store"
+
 // ask asks a source for its changes after a version.
 func (t *SharedTable) ask(ctx context.Context, vm structs.VMID, after uint64) (*TableReply, error) {
 	callCtx, cancel := context.WithTimeout(ctx, sharedWait+sourceSilence)
--- a/fleet/table_tree.go
+++ b/fleet/table_tree.go
@@ -75,9 +75,10 @@
 // sourceChoice decides where a VM reads a shared table next. It is a state machine without
 // clock, goroutines or I/O.
 type sourceChoice struct {
-	freshAt  structs.Instant // the instant as of which this VM's state is known to be the newest
-	storeAt  structs.Instant // of the next read of the store while a source answers
-	failures map[structs.VMID]sourceFailure
+	freshAt    structs.Instant // the instant as of which this VM's state is known to be the newest
+	storeAt    structs.Instant // of the next read of the store while a source answers
+	readsStore bool            // the newest state came from the store
+	failures   map[structs.VMID]sourceFailure
 }
 
 type sourceFailure struct {
@@ -114,10 +115,16 @@
 	c.freshAt = max(c.freshAt, now-structs.Instant(age))
 }
 
+// recordRead records whether the newest state came from the store.
+func (c *sourceChoice) recordRead(fromStore bool) { c.readsStore = fromStore }
+
 // mayReadStore reports whether this VM reads the store itself, since no source had a new
 // enough state. isAnswered is whether one answered; pause is the pause before the next read of
-// the store in that case.
+// the store in that case. A VM whose sources are lost goes on at the store without a pause.
 func (c *sourceChoice) mayReadStore(now structs.Instant, isAnswered bool, pause time.Duration) bool {
+	if !isAnswered && c.readsStore {
+		return true
+	}
 	if now.Sub(c.freshAt) < sourcePatience {
 		return false
 	}
--- a/fleet/table_tree_test.go
+++ b/fleet/table_tree_test.go
@@ -72,6 +72,13 @@
 	assert.Assert(t, !c.mayReadStore(at(3900), false, time.Second))
 	assert.Assert(t, c.mayReadStore(at(4000), false, time.Second))
 
+	c.recordRead(true)
+	c.recordState(at(4500), 0)
+	assert.Assert(t, c.mayReadStore(at(4600), false, time.Second), "its sources are lost, it follows the table at the store")
+	assert.Assert(t, !c.mayReadStore(at(4600), true, time.Second))
+	c.recordRead(false)
+	assert.Assert(t, !c.mayReadStore(at(4600), false, time.Second))
+
 	c.recordFailure(at(5000), "a")
 	assert.DeepEqual(t, c.usable(at(7900), sources), []structs.VMID{"b"})
 	assert.DeepEqual(t, c.usable(at(8000), sources), sources)
