edge: log lines about requests that are refused for what they are, are bounded

Clients that are not controlled may send any number of requests without an ID, with unknown keys or routes, each of which wrote a line: the buffer drops lines then, also those about other requests, and writing them takes processor time.

--- a/edge/server.go
+++ b/edge/server.go
@@ -83,6 +83,8 @@
 
 	stopping stopping
 
+	refusalLines refusalLines
+
 	// isCoordinated is whether a placer keeps the queue of all VMs of the region.
 	isCoordinated atomic.Bool
 
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -153,7 +153,7 @@
 	if refusal != nil {
 		level = slog.LevelWarn
 	}
-	if !s.log.Enabled(context.Background(), level) {
+	if !s.log.Enabled(context.Background(), level) || isRefusedForItself(x, refusal) && !s.mayLogRefusal() {
 		return
 	}
 	s.log.LogAttrs(context.Background(), level, message, x.logAttrs(outcome, took, refusal)...)
