conversation: the holders of other regions hear that a program is closed

Cause: only the holders of the program's own region are told that it is closed, so that those of the other one take it for a new program.

The announcement, made while the store is reachable, goes to the holders of the other regions too; a turn does not wait for them.

TestProgramThatIsCloseToItsBudgetGetsNoGrantInAnotherRegion failed before: the turn got a grant. Tests of conversation pass. Not covered: a program below three quarters may still get a quarter in each region.

--- a/conversation/hold_writeback.go
+++ b/conversation/hold_writeback.go
@@ -44,9 +44,10 @@
 	return charge, nil
 }
 
-// Announce tells the holders, once, when a program is closed. If they know grants of the program
-// and this VM reaches the store, as one that notices the end of an outage before the others, the
-// grants are written back. hadGrants reports that, and err that they are not in the balance yet.
+// Announce tells the holders, once, when a program is closed: those of its region, and without
+// waiting for them those of the others, to which the program may move. If those of its region
+// know grants of the program and this VM reaches the store, as one that notices the end of an
+// outage before the others, the grants are written back. hadGrants reports that, and err that they are not in the balance yet.
 func (h *Holds) Announce(ctx context.Context, p ledger.Program, budget int64) (hadGrants bool, err error) {
 	program := p.Key()
 	if budget <= 0 || !outage.IsClosedAt(h.opts.Ledger.Committed(program), budget) {
@@ -60,6 +61,7 @@
 	if wasClosed || !areAble {
 		return false, nil
 	}
+	h.callAll(ctx, h.opts.Holders.FarHolders(), HoldRequest{Close: program})
 	needed := (len(others) + 1) / 2 // a majority with this VM
 	for r := range h.callAll(ctx, others, HoldRequest{Close: program}) {
 		h.learn(r.reply)
--- a/conversation/holds.go
+++ b/conversation/holds.go
@@ -78,6 +78,8 @@
 	// Holders returns the other holders, whether this VM is one, and whether all of them
 	// can hold grants.
 	Holders() (vms []structs.VMID, isSelf, areAble bool)
+	// FarHolders returns the holders of other regions that can hold grants.
+	FarHolders() []structs.VMID
 	CallHolder(ctx context.Context, vm structs.VMID, method string, in, out any) error
 	IsMembershipKnown() bool
 }
--- a/fleet/vm_roles.go
+++ b/fleet/vm_roles.go
@@ -57,6 +57,21 @@
 	return vms, groups.mayHaveRole(m.opts.Self.VM), areAble
 }
 
+// FarHolders returns the VMs of other regions that may have a role and can hold grants.
+func (m *Mesh) FarHolders() []structs.VMID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	groups := m.currentGroups()
+	var vms []structs.VMID
+	for id, peer := range m.members {
+		if peer.Region != m.opts.Self.Region && groups.mayHaveRole(id) && peer.HoldsGrants {
+			vms = append(vms, id)
+		}
+	}
+	slices.Sort(vms)
+	return vms
+}
+
 // CallHolder calls a VM without an effect on its roles.
 func (m *Mesh) CallHolder(ctx context.Context, vm structs.VMID, method string, in, out any) error {
 	return m.callVM(ctx, vm, method, in, out)
