edge: a VM that is cut off from the newer configuration serves what it can

A VM refused requests from half of configApplyMs on after it had heard of a newer configuration, also when it was cut off meanwhile from all VMs that have it. It refuses only while it goes on hearing of the newer version: then it could have it. The last such report must be at most 2 s old.

--- a/edge/server.go
+++ b/edge/server.go
@@ -169,15 +169,21 @@
 	return nil
 }
 
-// configLagDivisor sets the part of ConfigApply for which a VM may lag behind a configuration
-// that it knows of. It hears of one within a second of the first VM that has it.
-const configLagDivisor = 2
+const (
+	// configLagDivisor sets the part of ConfigApply for which a VM may lag behind a
+	// configuration that it knows of. It hears of one within a second of the first VM that
+	// has it.
+	configLagDivisor = 2
+	// maxLagSilence is how long ago a VM must have heard of the newer configuration to refuse
+	// requests: one that is cut off from all VMs that have it serves what it can.
+	maxLagSilence = 2 * time.Second
+)
 
 // configLag returns how far the configuration is behind that of other VMs, and whether that is
 // too long to serve requests by it: a route may lead elsewhere, and a key be withdrawn.
 func (s *Server) configLag() (routing.Lag, bool) {
 	lag := s.opts.Config.Lag()
-	return lag, s.opts.ConfigApply > 0 && lag.For > s.opts.ConfigApply/configLagDivisor
+	return lag, s.opts.ConfigApply > 0 && lag.For > s.opts.ConfigApply/configLagDivisor && lag.HeardAgo < maxLagSilence
 }
 
 // StaleConfigError reports that other VMs have a newer configuration in force, which has not
--- a/routing/lag.go
+++ b/routing/lag.go
@@ -15,7 +15,10 @@
 //
 // Invariant: versions and times of known ascend, and all versions are newer than the one in
 // force.
-type lag struct{ known []knownVersion }
+type lag struct {
+	known   []knownVersion
+	heardAt structs.Instant // of the last report of a newer version than the one in force
+}
 
 type knownVersion struct {
 	version uint64
@@ -25,6 +28,7 @@
 
 // note records that another VM has a version in force, and reports whether this is new.
 func (l *lag) note(now structs.Instant, version uint64, source string) bool {
+	l.heardAt = now
 	if last := len(l.known); last == maxKnownVersions || last > 0 && l.known[last-1].version >= version {
 		return false
 	}
@@ -47,6 +51,8 @@
 	Source  string
 	// For is the time since that report, 0 if no newer version is known.
 	For time.Duration
+	// HeardAgo is the time since the last report of a newer version by any VM.
+	HeardAgo time.Duration
 }
 
 func (l *lag) state(now structs.Instant) Lag {
@@ -54,5 +60,5 @@
 		return Lag{}
 	}
 	oldest := l.known[0]
-	return Lag{Version: l.known[len(l.known)-1].version, Source: oldest.source, For: max(now.Sub(oldest.since), 1)}
+	return Lag{Version: l.known[len(l.known)-1].version, Source: oldest.source, For: max(now.Sub(oldest.since), 1), HeardAgo: now.Sub(l.heardAt)}
 }
--- a/routing/lag_test.go
+++ b/routing/lag_test.go
@@ -19,9 +19,9 @@
 	assert.Assert(t, !l.note(at(200), 4, "b"))
 	assert.Assert(t, l.note(at(300), 7, "b"))
 	assert.Assert(t, !l.note(at(400), 4, "c"), "an older version than the newest one known")
-	assert.DeepEqual(t, l.state(at(500)), Lag{Version: 7, Source: "a", For: 400 * time.Millisecond})
+	assert.DeepEqual(t, l.state(at(500)), Lag{Version: 7, Source: "a", For: 400 * time.Millisecond, HeardAgo: 100 * time.Millisecond})
 	l.apply(5)
-	assert.DeepEqual(t, l.state(at(500)), Lag{Version: 7, Source: "b", For: 200 * time.Millisecond})
+	assert.DeepEqual(t, l.state(at(500)), Lag{Version: 7, Source: "b", For: 200 * time.Millisecond, HeardAgo: 100 * time.Millisecond})
 	l.apply(7)
 	assert.DeepEqual(t, l.state(at(600)), Lag{})
 }
