fleet: a large change that arrives from a source is not discarded

The wait for a source's answer had a limit of 0.9 s whatever the size of the answer, the same fault as in the reads of the store: a change of 1 MB that takes 1.3 s between two VMs was discarded, and all VMs of both regions read it from the store (18 reads). The wait goes on while a frame arrives on the connection, with pauses of at most 0.4 s, for 5 s at most.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -49,13 +49,21 @@
 }
 
 func (m *Mesh) callVM(ctx context.Context, vm structs.VMID, method string, in, out any) error {
-	m.mu.Lock()
-	peer := m.members[vm]
-	m.mu.Unlock()
-	if peer == nil {
+	address := m.addressOf(vm)
+	if address == "" {
 		return &wire.NotSentError{Addr: string(vm), Cause: &UnknownVMError{VM: vm}}
 	}
-	return m.client.Call(ctx, peer.Address, method, in, out)
+	return m.client.Call(ctx, address, method, in, out)
+}
+
+// addressOf returns a member's address, empty if the VM is not a member.
+func (m *Mesh) addressOf(vm structs.VMID) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if peer := m.members[vm]; peer != nil {
+		return peer.Address
+	}
+	return ""
 }
 
 // UnknownVMError reports that a VM is not a member.
--- a/fleet/table_relay.go
+++ b/fleet/table_relay.go
@@ -19,8 +19,10 @@
 	// sharedWait is how long one read of a shared table waits for a change. The answer to it
 	// also tells the age of the state, so it is below maxTableAge.
 	sharedWait = 500 * time.Millisecond
-	// sourceSilence is how long a source may take to answer beyond that.
+	// sourceSilence is how long a source may take to answer beyond that, and the longest pause
+	// in a large answer; maxAnswerTime bounds that.
 	sourceSilence = 400 * time.Millisecond
+	maxAnswerTime = 5 * time.Second
 )
 
 // TableQuery asks for the changes of a shared table after a version.
@@ -200,8 +202,9 @@
 
 // ask asks a source for its changes after a version.
 func (t *SharedTable) ask(ctx context.Context, vm structs.VMID, after uint64) (*TableReply, error) {
-	callCtx, cancel := context.WithTimeout(ctx, sharedWait+sourceSilence)
+	callCtx, cancel := context.WithTimeout(ctx, maxAnswerTime)
 	defer cancel()
+	go t.mesh.cancelIfSilent(callCtx, cancel, vm)
 	var reply TableReply
 	err := t.mesh.callVM(callCtx, vm, MethodTable, TableQuery{Table: t.table, After: after, Wait: sharedWait, MaxAge: maxTableAge}, &reply)
 	if ctx.Err() != nil {
@@ -218,6 +221,24 @@
 	return &reply, nil
 }
 
+// cancelIfSilent ends a call for news of a table when the answer is overdue and none is arriving.
+func (m *Mesh) cancelIfSilent(ctx context.Context, cancel context.CancelFunc, vm structs.VMID) {
+	timer := time.NewTimer(sharedWait + sourceSilence)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if !m.client.IsFrameArriving(m.addressOf(vm), time.Now().Add(-sourceSilence)) {
+			cancel()
+			return
+		}
+		timer.Reset(sourceSilence)
+	}
+}
+
 // toPage decodes a source's reply. A reply with all rows to a question for changes is a
 // *rowstore.HistoryGoneError, so that the reader asks for all rows and drops its own.
 func (t *SharedTable) toPage(vm structs.VMID, after uint64, reply *TableReply) (rowstore.Page, error) {
--- a/fleet/table_relay_test.go
+++ b/fleet/table_relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -84,6 +85,12 @@
 
 // startFollowers starts VMs that follow the shared table, of two regions by turns.
 func startFollowers(t *testing.T, store *rows.Store, count int) []*tableFollower {
+	t.Helper()
+	return startFollowersBehind(t, store, count, func(l net.Listener) net.Listener { return l })
+}
+
+// startFollowersBehind is startFollowers with the listeners that wrap returns.
+func startFollowersBehind(t *testing.T, store *rows.Store, count int, wrap func(net.Listener) net.Listener) []*tableFollower {
 	t.Helper()
 	var followers []*tableFollower
 	var seeds []string
@@ -92,7 +99,7 @@
 		assert.NilError(t, err)
 		seeds = append(seeds, listener.Addr().String())
 		f := &tableFollower{store: &gatedStore{Store: store}, rows: make(map[string]string)}
-		f.testNode = prepareNode(store, i, listener, seeds[:min(len(seeds), 3)])
+		f.testNode = prepareNode(store, i, wrap(listener), seeds[:min(len(seeds), 3)])
 		shared := f.mesh.ShareTable(sharedTestTable, f.store)
 		f.run(t, &followWorker{shared: shared, report: f.apply})
 		followers = append(followers, f)
@@ -224,3 +231,44 @@
 	total := rowsRead(followers) - before
 	assert.Assert(t, total <= 2*tableRoots*changes, "%d rows read of %d changes", total, changes)
 }
+
+// slowListener accepts connections that send 16 KB each 20 ms.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return slowConn{conn}, err
+}
+
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Write(p []byte) (int, error) {
+	written := 0
+	for len(p) > 0 {
+		time.Sleep(20 * time.Millisecond)
+		n, err := c.Conn.Write(p[:min(len(p), 16<<10)])
+		written, p = written+n, p[n:]
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// Guards against a large change whose transfer between two VMs takes longer than a VM waits for
+// an answer: it would be discarded, and read again from the store by all VMs.
+func TestLargeChangeBetweenVMsIsNotDiscarded(t *testing.T) {
+	const count, bytes = 18, 1 << 20 // 1.3 s
+	store := rows.New()
+	store.Put(rowstore.Key{Table: sharedTestTable, Key: "first"}, []byte("1"))
+	followers := startFollowersBehind(t, store, count, func(l net.Listener) net.Listener { return slowListener{l} })
+	before := rowsRead(followers)
+	random := rand.New(rand.NewPCG(1, 2))
+	value := make([]byte, bytes) // does not compress
+	for i := range value {
+		value[i] = byte(random.Uint32())
+	}
+	took := putAndAwait(t, store, followers, "large", string(value))
+	t.Logf("known after %s", took)
+	assert.Assert(t, rowsRead(followers)-before <= 2*tableRoots, "%d reads of the store", rowsRead(followers)-before)
+}
--- a/wire/client.go
+++ b/wire/client.go
@@ -171,6 +171,13 @@
 	}
 }
 
+// IsFrameArriving reports whether a part of a frame that is larger than the read buffer has been
+// received on the connection to a peer since the given time.
+func (c *Client) IsFrameArriving(addr string, since time.Time) bool {
+	peer := c.openConn(addr)
+	return peer != nil && peer.conn.arriving.Load() > readBufferBytes && peer.conn.receivedAt.Load().After(since)
+}
+
 // openConn returns the connection to a peer, nil if there is none.
 func (c *Client) openConn(addr string) *clientConn {
 	c.mu.Lock()
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -30,12 +30,14 @@
 	// receivedAt is when the last byte was received, the time of the connection before the
 	// first one. A large frame may take longer than a caller waits.
 	receivedAt atomic.Pointer[time.Time]
-	handle     func(frame)
-	traffic    *Traffic
-	onClose    func()
-	loops      sync.WaitGroup
-	received   *connlimit.Budget // of frames that arrive, nil for no bound
-	written    []chan struct{}   // of the frames in the write loop's buffer
+	// arriving is the number of bytes that were received since the last whole frame.
+	arriving atomic.Int64
+	handle   func(frame)
+	traffic  *Traffic
+	onClose  func()
+	loops    sync.WaitGroup
+	received *connlimit.Budget // of frames that arrive, nil for no bound
+	written  []chan struct{}   // of the frames in the write loop's buffer
 }
 
 func newConn(nc net.Conn, maxBody int, traffic *Traffic, handle func(frame), onClose func()) *conn {
@@ -144,6 +146,7 @@
 			c.close(err)
 			return
 		}
+		c.arriving.Store(0)
 		c.traffic.countReceived(f)
 		if f.kind == framePing {
 			c.received.Give(f.taken)
@@ -170,6 +173,7 @@
 	n, err := r.conn.netConn.Read(p)
 	if n > 0 {
 		r.conn.recordReceived()
+		r.conn.arriving.Add(int64(n))
 	}
 	r.left -= n
 	return n, err
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -237,10 +237,12 @@
 	defer cancel()
 	assert.Assert(t, errors.Is(client.Call(ctx, addr, "large", 0, &out), context.DeadlineExceeded))
 	conn := client.openConn(addr)
+	assert.Assert(t, client.IsFrameArriving(addr, start))
 	client.CloseSilentConn(addr, start)
 	assert.Assert(t, conn != nil && client.openConn(addr) == conn, "the connection was closed")
 	assert.NilError(t, client.Call(t.Context(), addr, "large", 0, &out))
 	assert.Equal(t, len(out), replyBytes)
+	assert.Assert(t, !client.IsFrameArriving(addr, start), "no frame is incomplete")
 }
 
 // slowConn reads 16 KB each 10 ms.
