connlimit: no warning for idle connections that are closed in their time

Most of the connections that are overdue are idle ones of clients that behave; a warning a second said nothing to operators. They are counted as before.

--- a/connlimit/guard.go
+++ b/connlimit/guard.go
@@ -120,8 +120,12 @@
 		g.loggedAt[cause] = time.Now()
 	}
 	g.mu.Unlock()
+	level := slog.LevelWarn
+	if cause == causeOverdue {
+		level = slog.LevelDebug // most are idle ones of clients that behave
+	}
 	if isDue {
-		g.log.Warn("client's connection closed", "port", g.name, "cause", cause, "closed", count, "client", c.RemoteAddr().String(),
+		g.log.Log(context.Background(), level, "client's connection closed", "port", g.name, "cause", cause, "closed", count, "client", c.RemoteAddr().String(),
 			"new", counts[stateNew], "in_head", counts[stateHead], "in_body", counts[stateBody], "idle", counts[stateIdle], "active", counts[stateActive])
 	}
 }
