review/9: bytes that are no answer of a runner reach the client as a success

Looked for: successes without the runner's stamp. Nothing checks the stamp, and a response without an id counts on a new channel.

Done: case 9 lets three of eight runners spoil two of a hundred answers for 5.5 s.

--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -12,6 +12,8 @@
 var cases = map[string]func(s *site, withTrouble bool) int{
 	"6": bodyBrokenOff,
 	"7": frozenHome,
+	"8": movedClients,
+	"9": spoiledAnswers,
 }
 
 func main() {
