--- a/review/_standin2/runner.go
+++ b/review/_standin2/runner.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -62,6 +63,13 @@
 	return append([]run(nil), rn.runs...)
 }
 
+// hasRun reports whether the runner has run a request.
+func (rn *runner) hasRun(id string) bool {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	return slices.ContainsFunc(rn.runs, func(r run) bool { return r.id == id })
+}
+
 // ServeHTTP implements http.Handler.
 func (rn *runner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/healthz" {
--- a/review/_standin2/turns.go
+++ b/review/_standin2/turns.go
@@ -30,6 +30,7 @@
 	events     []string // the data of the events that arrived whole
 	isWhole    bool
 	retryAfter time.Duration
+	refusal    string // the start of an answer with another status than 200
 	err        error
 }
 
@@ -69,6 +70,8 @@
 		a.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	if resp.StatusCode != http.StatusOK {
+		raw, _ := io.ReadAll(io.LimitReader(resp.Body, 200))
+		a.refusal = string(raw)
 		return a
 	}
 	a.events, a.err = readEvents(resp.Body)
