review: cases 8 to 10 in their order, case 8 added

Case 8: three runner crashes put a common input into quarantine everywhere for ten minutes. The stop of a home machine is case 9, bytes that are no answer case 10.

--- a/review/_standin2/case10.go
+++ b/review/_standin2/case10.go
@@ -2,177 +2,101 @@
 
 import (
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
-const (
-	exactTurns  = 10 // turns of a program
-	exactTurn   = 80 // the most tokens of a turn, which all turns generate
-	exactBudget = exactTurns * exactTurn
-	exactGap    = 120 * time.Millisecond // between two events
-	exactPause  = 300                    // ms, mean of the pause for tools
-	// wayTime and aimFactor are those of the sheet: a program's aim is 1.4 x its time on idle
-	// runners, with 72 ms a turn for the way, and the objective of 250 ms.
-	wayTime      = 72 * time.Millisecond
-	aimFactor    = 1.4
-	aimObjective = 250 * time.Millisecond
-)
-
-// exactProgram is a program whose budget holds all of its turns, and no more.
-type exactProgram struct {
-	name    string
-	begin   time.Time
-	turns   int
-	lostAt  string // the turn that reached no runner in five tries before the aim
-	isEnded bool
-	// firstTries are the tries of its first turn, firstReached those that reached a runner.
-	firstTries, firstReached int
-}
+// wrongBytes are bytes that are no answer of a runner: they name no request and bear no stamp.
+const wrongBytes = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\nwrong bytes."
 
-// stoppedHome plays programs whose budget holds just their turns, at two machines, while a third
-// machine is stopped and started. A turn that continues one that was answered whole must reach a
-// runner in less than five tries.
-func stoppedHome(s *site, withTrouble bool) int {
+// spoiledAnswers plays clients that read records while some runners hand out wrong bytes in
+// place of a part of their answers. A success that a client gets must bear the runner's stamp.
+func spoiledAnswers(s *site, withTrouble bool) int {
 	s.putConfig(config())
-	engines, _ := s.addRunners(8, streamOf(exactTurn/tokensPerEvent, exactGap), answerAfter(100*time.Millisecond))
-	s.addVMs(9)
-	s.startAll()
-	time.Sleep(5 * time.Second) // all machines are in touch from here on
-	region := s.inZone("kumasi-north")
-	stopped, vms := region[0], region[1:]
-	begin := time.Now()
-	const playFor = 38 * time.Second
-	var programs []*exactProgram
-	var mu sync.Mutex
-	var running sync.WaitGroup
-	reached := func(id string) bool {
-		for _, engine := range engines {
-			if engine.hasRun(id) {
-				return true
-			}
-		}
-		return false
-	}
-	watched := make(chan struct{})
-	var mostUsed atomic.Int64
-	go func() {
-		for {
-			used := 0
-			for _, engine := range engines {
-				used += len(engine.slots)
-			}
-			mostUsed.Store(max(mostUsed.Load(), int64(used)))
-			select {
-			case <-watched:
+	var isSpoiling atomic.Bool
+	var spoiled atomic.Int64
+	sound := answerAfter(10 * time.Millisecond)
+	app := func(rn *runner, w http.ResponseWriter, r *http.Request, id string) {
+		// Three of eight runners spoil two of a hundred answers.
+		if spoils := rn.id == "i-app-0" || rn.id == "i-app-1" || rn.id == "i-app-2"; spoils && isSpoiling.Load() && rand.IntN(50) == 0 {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
 				return
-			case <-time.After(10 * time.Millisecond):
 			}
+			defer conn.Close()
+			spoiled.Add(1)
+			s.record.printf("%s: %s ran it and hands out wrong bytes", id, rn.id)
+			_, _ = io.WriteString(conn, wrongBytes)
+			time.Sleep(20 * time.Millisecond)
+			return
 		}
-	}()
-	for worker := range 48 {
-		running.Go(func() {
-			time.Sleep(time.Duration(worker) * 250 * time.Millisecond)
-			for n := 0; time.Since(begin) < playFor; n++ {
-				p := &exactProgram{name: fmt.Sprintf("p%d-%d", worker, n), begin: time.Now()}
-				mu.Lock()
-				programs = append(programs, p)
-				mu.Unlock()
-				s.playExact(p, vms[(worker+n)%len(vms)], reached)
-			}
-		})
+		if rand.IntN(5) == 0 {
+			w.Header().Set("Connection", "close")
+		}
+		sound(rn, w, r, id)
 	}
-	for withTrouble && time.Since(begin) < playFor-15*time.Second {
-		time.Sleep(5 * time.Second)
-		s.record.printf("SIGTERM to %s", stopped.name)
-		stopped.end(syscall.SIGTERM)
-		stopped.start()
+	s.addRunners(8, streamOf(7, 20*time.Millisecond), app)
+	s.addVMs(3)
+	s.startAll()
+	var answered, unstamped atomic.Int64
+	end := time.Now().Add(10 * time.Second)
+	if withTrouble {
+		time.AfterFunc(2*time.Second, func() { isSpoiling.Store(true) })
+		time.AfterFunc(7500*time.Millisecond, func() { isSpoiling.Store(false) })
 	}
-	running.Wait()
-	close(watched)
-	result, ended, lost, tries, reaching := held, 0, 0, 0, 0
-	for _, p := range programs {
-		tries, reaching = tries+p.firstTries, reaching+p.firstReached
-		if p.isEnded {
-			ended++
-		}
-		if p.lostAt != "" {
-			lost++
-			result = broken
-			s.record.printf("program %s: LOST, after %d turns: %s", p.name, p.turns, p.lostAt)
-		}
+	var clients sync.WaitGroup
+	for client := range 24 {
+		clients.Go(func() {
+			for time.Now().Before(end) {
+				id := newID()
+				status, stamp, body, err := s.get(s.vms[client%len(s.vms)], id)
+				if err == nil && status/100 == 2 {
+					answered.Add(1)
+					if stamp == "" || body != "answer to "+id {
+						unstamped.Add(1)
+						s.record.printf("%s: MIXED, status %d, stamp %q, body %q", id, status, stamp, body)
+					}
+				}
+				time.Sleep(30 * time.Millisecond)
+			}
+		})
 	}
-	s.record.printf("%d programs, %d answered whole, %d with a turn that reached no runner in five tries before the aim", len(programs), ended, lost)
-	s.record.printf("of %d tries of first turns %d reached a runner; at most %d of %d slots of the engines were in use", tries, reaching, mostUsed.Load(), 16*len(engines))
-	if ended == 0 || 10*reaching < 9*tries || int(2*mostUsed.Load()) >= 16*len(engines) {
-		return couldntRun // the rule holds only while the runners are under half full and first turns reach them
+	clients.Wait()
+	s.record.printf("%d successes, %d answers spoiled, %d successes without the runner's stamp", answered.Load(), spoiled.Load(), unstamped.Load())
+	switch {
+	case answered.Load() == 0 || withTrouble && spoiled.Load() == 0:
+		return couldntRun
+	case unstamped.Load() > 0:
+		return broken
 	}
-	return result
-}
-
-// aim returns when the program should have ended, by the time that its turns and pauses take.
-func (p *exactProgram) aim() time.Duration {
-	idle := exactTurns*(time.Duration(exactTurn/tokensPerEvent)*exactGap+wayTime) + (exactTurns-1)*exactPause*time.Millisecond
-	return time.Duration(aimFactor*float64(idle)) + aimObjective
+	return held
 }
 
-// playExact runs the turns of a program one after the other.
-func (s *site) playExact(p *exactProgram, v *vm, reached func(id string) bool) {
-	previous := ""
-	for p.turns < exactTurns {
-		id := s.playExactTurn(p, v, previous, reached)
-		if id == "" {
-			return
-		}
-		previous = id
-		p.turns++
-		if p.turns < exactTurns {
-			pause(exactPause)
-		}
+// get sends a request of the route record-read on a kept channel.
+func (s *site) get(v *vm, id string) (status int, stamp, body string, err error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+v.frontend+"/read/"+id, nil)
+	must(err)
+	req.Host = host
+	req.Header.Set(headerRequestID, id)
+	req.Header.Set(headerDeadline, "1200")
+	req.Header.Set(headerKey, "key-north")
+	client := http.Client{Timeout: 2 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		s.record.printf("%s: %v", id, err)
+		return 0, "", "", err
 	}
-	p.isEnded = true
-}
-
-// playExactTurn sends a turn, three times at most, each with one retry after a promise, and
-// returns its id if it was answered whole.
-func (s *site) playExactTurn(p *exactProgram, v *vm, previous string, reached func(id string) bool) string {
-	tries, answers := 0, ""
-	for range 3 {
-		begin := time.Now()
-		for range 2 {
-			const budget = 4 * time.Second
-			a := s.sendTurn(v, turnRequest{path: "/plan/t", program: p.name, session: "main", previous: previous, body: fmt.Sprintf("input %d;", p.turns),
-				budget: exactBudget, maxTokens: exactTurn, deadline: budget - time.Since(begin)})
-			hasReached := reached(a.id)
-			s.record.printf("turn %s at %s: program %s, previous %q: status %d, %d events, whole %v, reached a runner %v, %v %s",
-				a.id, v.name, p.name, previous, a.status, len(a.events), a.isWhole, hasReached, a.err, a.refusal)
-			if previous == "" {
-				p.firstTries++
-				if hasReached {
-					p.firstReached++
-				}
-			}
-			if a.isWhole {
-				return a.id
-			}
-			if hasReached {
-				tries = -100 // it counts only if no try reaches a runner
-			}
-			tries++
-			answers += fmt.Sprintf(" %d", a.status)
-			if previous != "" && tries >= 5 && time.Since(p.begin) < p.aim() && p.lostAt == "" {
-				p.lostAt = fmt.Sprintf("turn after %s, %d tries, answered%s, %.1f s after the program's begin, aim %.1f s",
-					previous, tries, answers, time.Since(p.begin).Seconds(), p.aim().Seconds())
-			}
-			if a.status != http.StatusServiceUnavailable && a.status != http.StatusTooManyRequests {
-				break
-			}
-			time.Sleep(min(a.retryAfter, (budget-time.Since(begin))/3))
-		}
-		pause(250)
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, "", "", err
+	}
+	if resp.StatusCode != http.StatusOK {
+		s.record.printf("%s: status %d %.150s", id, resp.StatusCode, raw)
 	}
-	return ""
+	return resp.StatusCode, resp.Header.Get(headerStamp), fmt.Sprint(string(raw)), nil
 }
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -10,11 +10,11 @@
 // cases maps the number of a case to the function that plays it. withTrouble is false for
 // the run without the disruption.
 var cases = map[string]func(s *site, withTrouble bool) int{
-	"10": stoppedHome,
 	"6":  bodyBrokenOff,
 	"7":  frozenHome,
-	"8":  movedClients,
-	"9":  spoiledAnswers,
+	"8":  crashedRunners,
+	"9":  stoppedHome,
+	"10": spoiledAnswers,
 }
 
 func main() {
--- a/review/_standin2/runner.go
+++ b/review/_standin2/runner.go
@@ -37,6 +37,8 @@
 type runner struct {
 	id       string
 	listener net.Listener
+	server   *http.Server
+	crashed  chan struct{} // closed by crash
 	slots    chan struct{}
 	// answer runs a request; it is called in a slot.
 	answer func(rn *runner, w http.ResponseWriter, r *http.Request, id string)
@@ -49,11 +51,27 @@
 func newRunner(id string, slots int, answer func(*runner, http.ResponseWriter, *http.Request, string)) *runner {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	rn := &runner{id: id, listener: listener, slots: make(chan struct{}, slots), answer: answer}
-	go func() { _ = http.Serve(listener, rn) }()
+	rn := &runner{id: id, listener: listener, crashed: make(chan struct{}), slots: make(chan struct{}, slots), answer: answer}
+	rn.server = &http.Server{Handler: rn}
+	go func() { _ = rn.server.Serve(listener) }()
 	return rn
 }
 
+// crash ends the runner: it accepts no channel any more, and those it has are closed.
+func (rn *runner) crash() {
+	close(rn.crashed)
+	rn.server.Close()
+}
+
+func (rn *runner) hasCrashed() bool {
+	select {
+	case <-rn.crashed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (rn *runner) address() string { return rn.listener.Addr().String() }
 
 // allRuns returns the requests that the runner ran.
--- a/review/_standin2/site.go
+++ b/review/_standin2/site.go
@@ -308,6 +308,10 @@
 			select {
 			case <-time.After(1200 * time.Millisecond):
 				write(sequence)
+			case <-rn.crashed: // the entry goes after three heartbeat intervals of silence
+				time.Sleep(3600 * time.Millisecond)
+				s.store.Delete(rowstore.Key{Table: "servers", Key: rn.id})
+				return
 			case <-s.stopped:
 				return
 			}
@@ -328,3 +332,14 @@
 	}
 	return engines, apps
 }
+
+// inZone returns the machines of a zone.
+func (s *site) inZone(zone string) []*vm {
+	var vms []*vm
+	for _, v := range s.vms {
+		if v.zone == zone {
+			vms = append(vms, v)
+		}
+	}
+	return vms
+}
