edge: a response without the request's ID and the target's signature is no answer

Cause, by a trace of the case: nothing read the signature, and hop accepted a response without an ID on a connection that had carried no other request. All wrong successes came over new connections. The same answers were stored as turns and counted.

Change: checkProof stands before everything that believes a response: the ID must be repeated in each response, a 2xx needs exactly one signature; at the asking and at the forwarding VM. hop ends the wait at a response without an ID, but for requests that can't be repeated on a reused connection, where it may be a late copy. Related: each 2xx of a streaming route is a stream, streams need events with increasing IDs, a stored turn is not resumed, a retry may use an ejected target if no other is left.

TestResponseWithoutIDOnNewConnection demanded the fault; two tests of the opposite replace it, and the fuzz test demands the ID now.

--- a/edge/connections_test.go
+++ b/edge/connections_test.go
@@ -54,7 +54,7 @@
 	assert.NilError(t, err)
 	s.recordConnection(connected, conn)
 	req := &http.Request{Method: "GET", Host: "h", URL: &url.URL{Path: "/"}, Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
-	_, stop, err := conn.RoundTrip(t.Context(), req, nil, "1", "X-Request")
+	_, stop, err := conn.RoundTrip(t.Context(), req, nil, hop.Expected{IDHeader: "X-Request", ID: "1"})
 	assert.NilError(t, err)
 	assert.Assert(t, stop())
 	s.keepConnection(connected, conn)
--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -199,12 +199,18 @@
 	x.sentAt = structs.Now()
 	x.grantedBy, x.targetsAge = g.placer, x.server.targetsAge(x.sentAt)
 	x.departedFor = x.server.departureAge(x.sentAt, target.ID)
-	resp, stop, err := conn.RoundTrip(sendCtx, x.targetRequest(target), body, string(x.ID), x.server.opts.Dialect.IDHeader())
+	resp, stop, err := conn.RoundTrip(sendCtx, x.targetRequest(target), body, hop.Expected{
+		IDHeader: x.server.opts.Dialect.IDHeader(), ID: string(x.ID), IsRepeatable: x.route.IsRepeatable(),
+	})
 	if err != nil {
 		conn.Close()
 		if ctx.Err() == nil && sendCtx.Err() != nil {
 			return attemptResult{isRunUnknown: true, cause: &PathLostError{Target: target.ID}}
 		}
+		if hop.IsWrongResponse(err) && ctx.Err() == nil {
+			go x.server.checkCrash(x.fingerprint, x.ID, target)
+			return x.rejectResponse(target, err)
+		}
 		x.recordIncompleteResponse(ctx, target, err)
 		return attemptResult{isRunUnknown: true, cause: err}
 	}
@@ -277,5 +283,5 @@
 }
 
 func isStream(x *exchange, resp *http.Response) bool {
-	return x.route.Kind == routing.Streaming && resp.StatusCode == http.StatusOK
+	return x.route.Kind == routing.Streaming && isSuccess(resp.StatusCode)
 }
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -140,7 +140,7 @@
 	return fleet.ForwardRequest{
 		From: x.server.opts.VM, ID: x.ID, Method: x.Method, Host: x.Host, URI: x.URI, Header: x.Header, Body: body,
 		Account: x.accountID(), Route: x.route.Name, Service: x.service.ID, Kind: x.route.Kind,
-		MaxSends: x.maxSends() - x.sends, Priority: x.priority(), Fingerprint: x.fingerprint, Program: x.Program,
+		MaxSends: x.maxSends() - x.sends, Priority: x.priority(), Fingerprint: x.fingerprint, Program: x.Program, LastEvent: x.LastEvent,
 		Cached: x.cachedTarget(), Exclude: tried, Departures: x.server.knownDepartures(), TimeLeft: x.timeLeft(), DueIn: dueIn,
 		Regions: x.allowedRegions(), Evacuated: x.server.Evacuated(),
 	}
--- a/edge/forward_serve.go
+++ b/edge/forward_serve.go
@@ -96,7 +96,7 @@
 	now := structs.Now()
 	x := &exchange{
 		Request: &Request{
-			ID: req.ID, Method: req.Method, Host: req.Host, URI: req.URI, Header: req.Header, Body: req.Body,
+			ID: req.ID, Method: req.Method, Host: req.Host, URI: req.URI, Header: req.Header, Body: req.Body, LastEvent: req.LastEvent,
 			Arrived: now, Deadline: now.Add(req.TimeLeft), Program: req.Program, ProgramDeadline: now.Add(req.DueIn),
 		},
 		server: s, out: out,
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -38,25 +38,6 @@
 	return "target answered " + http.StatusText(e.Status) + " without saying that the request was not run"
 }
 
-// UncertainRefusalError reports a refusal that may not be the answer to this request: it
-// lacks the request's ID, or its status is not one of a refusal.
-type UncertainRefusalError struct {
-	Status int
-	ID     string
-}
-
-// Error names the status and the ID.
-func (e *UncertainRefusalError) Error() string {
-	return "refusal with status " + strconv.Itoa(e.Status) + " and request ID " + strconv.Quote(e.ID)
-}
-
-// EncodedResponseError reports that a response is encoded although no encoding was
-// requested.
-type EncodedResponseError struct{ Encoding string }
-
-// Error names the encoding.
-func (e *EncodedResponseError) Error() string { return "answer is encoded as " + e.Encoding }
-
 // IncompleteEventError reports that a stream ended within an event.
 type IncompleteEventError struct{ Bytes int }
 
@@ -66,19 +47,16 @@
 // relay passes a target's response back to the caller.
 func (x *exchange) relay(ctx context.Context, target placement.Target, resp *http.Response) attemptResult {
 	head := x.server.opts.Dialect.ParseResponseHead(resp.StatusCode, resp.Header)
+	if err := x.checkProof(resp, head); err != nil {
+		return x.rejectResponse(target, err)
+	}
 	x.server.recordNamedRate(target.ID, resp, head)
 	if head.IsLeaving {
 		x.server.recordDeparture(target)
 	}
 	if head.NotRun || head.WrongTarget {
-		if id := resp.Header.Get(x.server.opts.Dialect.IDHeader()); id != string(x.ID) || resp.StatusCode < http.StatusBadRequest {
-			return attemptResult{isRunUnknown: true, cause: &UncertainRefusalError{Status: resp.StatusCode, ID: id}}
-		}
 		return x.recordNotRun(target, resp, head)
 	}
-	if encoding := resp.Header.Get("Content-Encoding"); encoding != "" {
-		return attemptResult{isRunUnknown: true, cause: &EncodedResponseError{Encoding: encoding}}
-	}
 	if isStream(x, resp) {
 		return x.relayStream(ctx, target, resp)
 	}
@@ -181,12 +159,16 @@
 	buffered := make([]byte, 0, readBytes)
 	chunk := make([]byte, readBytes)
 	hasBegun, taken := false, 0
+	x.eventOrder = newEventOrder(x.LastEvent)
 	defer func() { x.server.responseBodies.Give(taken) }()
 	for {
 		n, err := resp.Body.Read(chunk)
 		searched := len(buffered)
 		buffered = append(buffered, chunk[:n]...)
 		complete := completeEvents(buffered, searched)
+		if orderErr := x.eventOrder.check(buffered[:complete]); orderErr != nil {
+			complete, err = 0, orderErr
+		}
 		if complete > 0 {
 			if !hasBegun {
 				if refusal := x.beginStream(ctx, resp); refusal != nil {
@@ -215,6 +197,9 @@
 		if err == io.EOF && len(buffered) > 0 {
 			err = &IncompleteEventError{Bytes: len(buffered)}
 		}
+		if err == io.EOF && !hasBegun && !x.mayBeEmpty(resp) {
+			err = &EmptyStreamError{Status: resp.StatusCode}
+		}
 		if err != nil {
 			return x.endStream(ctx, target, resp, hasBegun, err)
 		}
--- a/edge/request.go
+++ b/edge/request.go
@@ -20,8 +20,11 @@
 	// Header is the part of the caller's header that is forwarded to the target
 	// unchanged.
 	Header http.Header
-	Body   []byte
-	Key    string
+	// LastEvent is the ID of the last event that the caller has of a stream which it resumes,
+	// empty if it resumes none.
+	LastEvent string
+	Body      []byte
+	Key       string
 	// Arrived is when the request's head was read; Deadline is when the caller
 	// stops waiting for the answer.
 	Arrived  structs.Instant
@@ -54,6 +57,9 @@
 // ResponseHead holds what the status and headers of a target's response say about
 // the request.
 type ResponseHead struct {
+	// IsSigned reports that the head bears the target's signature, without which a success is
+	// not the target's answer.
+	IsSigned bool
 	// NotRun reports that the target did not run the request and never will.
 	NotRun bool
 	// WrongTarget reports that another target now uses the address.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -71,6 +71,7 @@
 	forwardEvacuated []structs.DomainID
 	tokens           int64
 	events           int
+	eventOrder       eventOrder // of the stream that is passed on
 }
 
 // Serve answers one request.
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -104,6 +104,11 @@
 	}
 }
 
+// countRejected counts a response that is not shown to be the target's answer.
+func (st *stats) countRejected() {
+	st.set.GetOrCreateCounter("endive_responses_rejected_total").Inc()
+}
+
 func (st *stats) countStarted() { st.requests.Inc() }
 
 // WriteMetrics implements kernel.MetricWriter.
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -66,6 +66,9 @@
 		cause := &turnlog.TooLargeError{Bytes: len(x.Body), Max: turnlog.MaxInputBytes}
 		return structs.Refuse(structs.RefusedTooLarge, structs.RunNo, "input: %s", cause.Error())
 	}
+	if x.route.StoresTurns && x.LastEvent != "" {
+		return structs.Refuse(structs.RefusedBadRequest, structs.RunNo, "a turn that is stored is not resumed: it starts at its first event, not after event %q", x.LastEvent)
+	}
 	x.turn = &turn{program: ledger.Program{Account: x.accountID(), ID: x.Program}}
 	if !x.reserveInOutage(ctx) {
 		if refusal := x.awaitStore(ctx); refusal != nil {
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -30,6 +30,8 @@
 	Priority    int               `msgpack:"p,omitempty"`
 	Fingerprint uint64            `msgpack:"g"` // identifies the request when targets crash
 	Program     structs.ProgramID `msgpack:"o,omitempty"`
+	// LastEvent is the last event that the caller has of a stream which it resumes.
+	LastEvent string `msgpack:"q,omitempty"`
 
 	Cached  structs.TargetID   `msgpack:"c,omitempty"` // has the prompt in its cache
 	Exclude []structs.TargetID `msgpack:"x,omitempty"`
--- a/hop/answer_test.go
+++ b/hop/answer_test.go
@@ -83,7 +83,7 @@
 // receive sends request "a" and reads its answer.
 func receive(ctx context.Context, conn *Conn, method string) (got fetched) {
 	req := &http.Request{Method: method, Host: "h", URL: &url.URL{Path: "/"}, Header: http.Header{idHeader: {"a"}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
-	resp, stop, err := conn.RoundTrip(ctx, req, nil, "a", idHeader)
+	resp, stop, err := conn.RoundTrip(ctx, req, nil, Expected{IDHeader: idHeader, ID: "a"})
 	if err != nil {
 		return fetched{err: err}
 	}
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -93,6 +93,24 @@
 	return "answer to another request, " + strconv.Quote(e.ID)
 }
 
+// AnonymousResponseError reports a response without a request ID where the response to a
+// request was expected: nothing shows that it belongs to that request.
+type AnonymousResponseError struct{ Status int }
+
+// Error names the status.
+func (e *AnonymousResponseError) Error() string {
+	return "response with status " + strconv.Itoa(e.Status) + " has no request ID"
+}
+
+// Expected identifies the response to a request.
+type Expected struct {
+	// IDHeader is the header in which the target repeats the request's ID.
+	IDHeader, ID string
+	// IsRepeatable reports that the request may be sent to another target if this one answers
+	// with bytes that belong to no request.
+	IsRepeatable bool
+}
+
 // Conn is one connection to a target; it carries one request at a time.
 type Conn struct {
 	net                 net.Conn
@@ -157,12 +175,12 @@
 // RoundTrip sends a request and returns the response that carries its ID, with the
 // body unread. The connection is closed when ctx ends, unless stop has been called
 // before.
-func (c *Conn) RoundTrip(ctx context.Context, req *http.Request, body []byte, id, idHeader string) (resp *http.Response, stop func() bool, err error) {
+func (c *Conn) RoundTrip(ctx context.Context, req *http.Request, body []byte, expected Expected) (resp *http.Response, stop func() bool, err error) {
 	stop = context.AfterFunc(ctx, c.Close)
 	c.isUnanswered = true
 	if err := c.writeRequest(req, body); err != nil {
 		// The target may have answered before it has read the whole request.
-		resp, readErr := c.readResponse(req, id, idHeader)
+		resp, readErr := c.readResponse(req, expected)
 		if readErr == nil {
 			c.closesAfterResponse = true
 			return resp, stop, nil
@@ -170,7 +188,7 @@
 		stop()
 		return nil, nil, errors.Wrap(err, "send request")
 	}
-	resp, err = c.readResponse(req, id, idHeader)
+	resp, err = c.readResponse(req, expected)
 	if err != nil {
 		stop()
 		return nil, nil, err
@@ -206,10 +224,10 @@
 	return nil
 }
 
-// readResponse returns the response with the wanted ID. A response without any ID is
-// accepted only on a connection that has carried no other request and no stray response:
-// elsewhere it may be a late copy of an earlier response.
-func (c *Conn) readResponse(req *http.Request, id, idHeader string) (*http.Response, error) {
+// readResponse returns the response with the expected ID. Responses to other requests are
+// skipped. One without any ID ends the wait, unless it may be a late copy of an earlier
+// response: then a request that can't be repeated still waits for its own.
+func (c *Conn) readResponse(req *http.Request, expected Expected) (*http.Response, error) {
 	responseID := ""
 	for range maxStrayResponses + 1 {
 		resp, err := c.readHead(req)
@@ -219,19 +237,23 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		responseID = resp.Header.Get(idHeader)
-		for _, other := range resp.Header.Values(idHeader) {
+		responseID = resp.Header.Get(expected.IDHeader)
+		for _, other := range resp.Header.Values(expected.IDHeader) {
 			if other != responseID {
 				return nil, &InvalidHeadError{Reason: "two request IDs"}
 			}
 		}
-		if responseID == id || responseID == "" && !c.hasStrayBytes && !c.isReused {
+		if responseID == expected.ID && responseID != "" {
 			c.recordExpiry(resp)
 			c.isUnanswered = resp.Body != http.NoBody
 			resp.Body = &responseBody{ReadCloser: resp.Body, conn: c}
 			return resp, nil
 		}
+		mayBeLateCopy := c.isReused || c.hasStrayBytes
 		c.hasStrayBytes = true
+		if responseID == "" && (expected.IsRepeatable || !mayBeLateCopy) {
+			return nil, &AnonymousResponseError{Status: resp.StatusCode}
+		}
 		if !skipBody(resp) {
 			break
 		}
--- a/hop/conn_test.go
+++ b/hop/conn_test.go
@@ -72,7 +72,7 @@
 	conn, err := pool.Get(ctx, address)
 	assert.NilError(t, err)
 	req := &http.Request{Method: "GET", Host: "h", URL: &url.URL{Path: "/"}, Header: http.Header{idHeader: {id}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
-	resp, stop, err := conn.RoundTrip(ctx, req, nil, id, idHeader)
+	resp, stop, err := conn.RoundTrip(ctx, req, nil, Expected{IDHeader: idHeader, ID: id})
 	if err != nil {
 		conn.Close()
 		return "", err
@@ -124,12 +124,45 @@
 	}
 }
 
-// A response without an ID on a new connection is the response to its only request.
-func TestResponseWithoutIDOnNewConnection(t *testing.T) {
-	address := startTarget(t, func(int, string) string { return response("", "plain") })
-	body, err := roundTrip(t, NewPool(nil), address, "a")
+// Guards against MIXED: bytes that name no request must not pass for the response to one, also
+// on a connection that has carried no other request.
+func TestResponseWithoutIDOnNewConnectionIsRejected(t *testing.T) {
+	for _, isRepeatable := range []bool{false, true} {
+		for _, follows := range []string{"", response("a", "answer to a")} {
+			address := startTarget(t, func(int, string) string { return response("", "plain") + follows })
+			start := time.Now()
+			err := roundTripError(t, NewPool(nil), address, isRepeatable)
+			assert.ErrorType(t, err, &AnonymousResponseError{})
+			assert.Assert(t, time.Since(start) < time.Second, "waited for another response")
+		}
+	}
+}
+
+// Guards against a repeatable request that waits until its deadline at a target that sends
+// bytes which belong to no request.
+func TestRepeatableRequestDoesNotWaitBehindResponseWithoutID(t *testing.T) {
+	address := startTarget(t, func(n int, id string) string {
+		if n == 0 {
+			return response(id, "answer to "+id)
+		}
+		return response("", "plain")
+	})
+	pool := NewPool(nil)
+	_, err := roundTrip(t, pool, address, "first")
 	assert.NilError(t, err)
-	assert.Equal(t, body, "plain")
+	assert.ErrorType(t, roundTripError(t, pool, address, true), &AnonymousResponseError{})
+}
+
+// roundTripError sends request "a" and returns the error of its response's head.
+func roundTripError(t *testing.T, pool *Pool, address string, isRepeatable bool) error {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	conn, err := pool.Get(ctx, address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	req := &http.Request{Method: "GET", Host: "h", URL: &url.URL{Path: "/"}, Header: http.Header{idHeader: {"a"}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	_, _, err = conn.RoundTrip(ctx, req, nil, Expected{IDHeader: idHeader, ID: "a", IsRepeatable: isRepeatable})
+	return err
 }
 
 // A head without end is cut off at its limit.
--- a/hop/fuzz_test.go
+++ b/hop/fuzz_test.go
@@ -69,7 +69,7 @@
 		consumed := nc.read - conn.reader.Buffered()
 		assert.Assert(t, got.status >= 200)
 		assert.Assert(t, !conn.isReusable() || conn.reader.Buffered() == 0 && !conn.hasStrayBytes)
-		assert.Assert(t, got.id == "a" || got.id == "" && !isReused && !conn.hasStrayBytes, "%q", raw)
+		assert.Assert(t, got.id == "a", "%q", raw)
 		whole := &scriptedConn{input: raw[:consumed], err: syscall.ECONNRESET}
 		again := receiveFrom(t, whole, isReused, method)
 		if again.err != nil { // it ended with its connection
@@ -96,14 +96,15 @@
 	var invalid *InvalidHeadError
 	var stray *StrayResponseError
 	var body *IncompleteBodyError
-	assert.Assert(t, errors.As(err, &head) || errors.As(err, &invalid) || errors.As(err, &stray) || errors.As(err, &body), "%v", err)
+	var anonymous *AnonymousResponseError
+	assert.Assert(t, errors.As(err, &anonymous) || errors.As(err, &head) || errors.As(err, &invalid) || errors.As(err, &stray) || errors.As(err, &body), "%v", err)
 }
 
 // A connection whose answer was not read to its end must not carry another request.
 func TestConnectionWithUnreadBodyIsNotReused(t *testing.T) {
 	conn := newConn(&scriptedConn{input: []byte(answerHead + "Content-Length: 5\r\n\r\n"), err: io.EOF}, "target")
 	req := &http.Request{Method: "GET", Host: "h", URL: &url.URL{Path: "/"}}
-	_, _, err := conn.RoundTrip(t.Context(), req, nil, "a", idHeader)
+	_, _, err := conn.RoundTrip(t.Context(), req, nil, Expected{IDHeader: idHeader, ID: "a"})
 	assert.NilError(t, err)
 	assert.Assert(t, !conn.isReusable())
 }
--- a/hop/head.go
+++ b/hop/head.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
 // HeadError reports that no complete head of a response arrived.
@@ -15,6 +19,13 @@
 // Unwrap returns the cause.
 func (e *HeadError) Unwrap() error { return e.Cause }
 
+// isMalformed reports whether bytes arrived that are no head of a response.
+func (e *HeadError) isMalformed() bool {
+	var network net.Error
+	hasEnded := errors.Is(e.Cause, io.EOF) || errors.Is(e.Cause, io.ErrUnexpectedEOF)
+	return !hasEnded && !errors.As(e.Cause, &network)
+}
+
 // InvalidHeadError reports a complete head from which the request, the meaning or the end
 // of the response can't be told for certain.
 type InvalidHeadError struct{ Reason string }
@@ -66,3 +77,15 @@
 	}
 	return ""
 }
+
+// IsWrongResponse reports whether an error of RoundTrip means that the target has sent bytes
+// which are not the response to the request. The connection worked until then.
+func IsWrongResponse(err error) bool {
+	var anonymous *AnonymousResponseError
+	var stray *StrayResponseError
+	var invalid *InvalidHeadError
+	var tooLarge *ResponseTooLargeError
+	var head *HeadError
+	return errors.As(err, &anonymous) || errors.As(err, &stray) || errors.As(err, &invalid) ||
+		errors.As(err, &tooLarge) || errors.As(err, &head) && head.isMalformed()
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -202,11 +202,17 @@
 	lowest := referenceLatency(now, q, group)
 	ejected := ejectedTargets(now, group)
 	preferred := s.newGroup(q, group)
-	var best, backingOff *targetState
+	var best, backingOff, leastFailing *targetState
 	bestCost, soonest := math.Inf(1), structs.Instant(math.MaxInt64)
 	bestHasSlot := false
 	for _, st := range group {
-		if st.IsDraining || ejected[st.ID] || contains(q.Exclude, st.ID) {
+		if st.IsDraining || contains(q.Exclude, st.ID) {
+			continue
+		}
+		if ejected[st.ID] {
+			if leastFailing == nil || st.failsLessThan(now, leastFailing) {
+				leastFailing = st
+			}
 			continue
 		}
 		if now < st.backoffUntil {
@@ -226,17 +232,26 @@
 		}
 	}
 	if best == nil {
-		// All targets are backing off. A service must not become unavailable for this
-		// reason.
+		// All targets are backing off or ejected. A service must not become unavailable for
+		// this reason, nor a request that the others have failed already.
 		best = backingOff
 	}
+	if best == nil {
+		best = leastFailing
+	}
 	if best == nil {
 		return Choice{}, false
 	}
-	isRetry := best == backingOff && s.hasRateToken(now, best.ID, q)
+	isRetry := (best == backingOff || best == leastFailing && best.load(now) < best.Slots) && s.hasRateToken(now, best.ID, q)
 	return Choice{Target: best.Target, HasFreeSlot: bestHasSlot || isRetry}, true
 }
 
+// failsLessThan reports whether a target fails a smaller part of its requests than another.
+func (st *targetState) failsLessThan(now structs.Instant, other *targetState) bool {
+	rate, otherRate := st.outcomes.failureRate(now), other.outcomes.failureRate(now)
+	return rate < otherRate || rate == otherRate && st.ID < other.ID
+}
+
 func (s *TargetSet) cost(now structs.Instant, st *targetState, q Query, lowest float64, preferred *group) float64 {
 	cost := s.distanceCost(st, q)
 	cost += s.connectCost(st, q, preferred, cost)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -96,7 +96,7 @@
 		assert.Equal(t, id, structs.TargetID("b"))
 		s.BeginRequest(id)
 	}
-	assert.Equal(t, choose(t, s, 2*latencyTTL, Query{Exclude: []structs.TargetID{"b"}}), structs.TargetID("a"))
+	assert.Equal(t, choose(t, s, 2*latencyTTL, Query{Exclude: []structs.TargetID{"b", "far"}}), structs.TargetID("a"))
 }
 
 // Draining and excluded targets must not be chosen. A restarted target starts without
@@ -239,3 +239,14 @@
 	assert.Assert(t, len(changes) == 1 && !changes[0].IsEjected)
 	assert.Equal(t, len(s.FailureReport(at(0))), 0)
 }
+
+// Guards against a request that fails for want of a target while one is left that only fails a
+// part of its requests.
+func TestEjectedTargetIsUsedWhenTheOthersHaveFailedTheRequest(t *testing.T) {
+	s := newSet()
+	for range 5 {
+		s.RecordFailure(at(0), "a")
+	}
+	assert.Equal(t, choose(t, s, 0, Query{CacheTarget: "a"}), structs.TargetID("b"))
+	assert.Equal(t, choose(t, s, 0, Query{Exclude: []structs.TargetID{"b", "far"}}), structs.TargetID("a"))
+}
