--- a/backing/httpbacking/client.go
+++ b/backing/httpbacking/client.go
@@ -83,6 +83,9 @@
 		return response{}, call.sendError(err)
 	}
 	defer resp.Body.Close()
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return response{}, call.errorAfterSend(&UnframedResponseError{})
+	}
 	body, err := c.readBody(resp.Body)
 	if err != nil {
 		return response{}, call.errorAfterSend(err)
--- a/backing/httpbacking/errors.go
+++ b/backing/httpbacking/errors.go
@@ -15,3 +15,10 @@
 func (e *ResponseTooLargeError) Error() string {
 	return fmt.Sprintf("response exceeds %d bytes", e.Limit)
 }
+
+// UnframedResponseError is returned for a response with neither a length nor chunks, whose end
+// can't be told from a lost connection.
+type UnframedResponseError struct{}
+
+// Error implements error.
+func (*UnframedResponseError) Error() string { return "response has neither a length nor chunks" }
--- a/backing/httpbacking/limit_test.go
+++ b/backing/httpbacking/limit_test.go
@@ -28,3 +28,18 @@
 	_, err = (&objects{c}).Get(t.Context(), "k")
 	assert.NilError(t, err)
 }
+
+// Guards against a value that was cut by a lost connection and is taken for the whole one.
+func TestResponseWithoutFramingIsNotWhole(t *testing.T) {
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		assert.NilError(t, err)
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\nfirst part"))
+		conn.Close()
+	}))
+	defer web.Close()
+	c := &client{base: web.URL, http: outbound.NewClient(), maxResponse: maxResponseBytes}
+	_, err := (&objects{c}).Get(t.Context(), "k")
+	var unframed *UnframedResponseError
+	assert.Assert(t, errors.As(err, &unframed), "%v", err)
+}
--- a/command/state.go
+++ b/command/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -14,9 +15,20 @@
 	"github.com/endivecourse/endivecourse/admin"
 )
 
-// maxDumpBytes is the size at which a response from an admin address is truncated.
+// maxDumpBytes bounds a response from an admin address.
 const maxDumpBytes = 256 << 20
 
+// DumpTooLargeError reports a response from an admin address that is over the limit.
+type DumpTooLargeError struct {
+	Address string
+	Max     int // bytes
+}
+
+// Error names the address and the limit.
+func (e *DumpTooLargeError) Error() string {
+	return fmt.Sprintf("response of %s is over %d bytes", e.Address, e.Max)
+}
+
 func (a *app) stateCommand() *cobra.Command {
 	c := &cobra.Command{Use: "state", Short: "Show the state of a daemon"}
 	c.AddCommand(a.stateDump())
@@ -56,10 +68,13 @@
 		return nil, errors.Wrapf(err, "send request to %s", address)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxDumpBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxDumpBytes+1))
 	if err != nil {
 		return nil, errors.Wrapf(err, "read response of %s", address)
 	}
+	if len(body) > maxDumpBytes {
+		return nil, &DumpTooLargeError{Address: address, Max: maxDumpBytes}
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, &StatusError{Address: address, Status: response.StatusCode, Body: string(body)}
 	}
--- a/rowstore/scan.go
+++ b/rowstore/scan.go
@@ -1,6 +1,18 @@
 package rowstore
 
-import "context"
+import (
+	"context"
+	"strconv"
+)
+
+// EmptyPageError reports a page without rows that says that there are more. The rows beyond it
+// can't be asked for, so the scan is not complete.
+type EmptyPageError struct{ Table, From string }
+
+// Error names the table and the key from which the page was asked for.
+func (e *EmptyPageError) Error() string {
+	return "page of table " + e.Table + " from key " + strconv.Quote(e.From) + " has no rows, but there are more"
+}
 
 // ScanAll reads a whole range, page by page. It returns the version of the first page,
 // so that a Watch after that version misses no change.
@@ -22,9 +34,12 @@
 			all.Version, all.Age = page.Version, page.Age
 		}
 		all.Rows = append(all.Rows, page.Rows...)
-		if !page.HasMore || len(page.Rows) == 0 {
+		if !page.HasMore {
 			return all, nil
 		}
+		if len(page.Rows) == 0 {
+			return Page{}, &OutcomeUnknownError{Cause: &EmptyPageError{Table: r.Table, From: r.From}}
+		}
 		// Continue with the next possible key in byte order.
 		r.From = page.Rows[len(page.Rows)-1].Key.Key + "\x00"
 	}
@@ -41,5 +56,8 @@
 			return row, nil
 		}
 	}
+	if page.HasMore {
+		return Row{}, &OutcomeUnknownError{Cause: &EmptyPageError{Table: key.Table, From: key.Key}}
+	}
 	return Row{Key: key}, nil
 }
