quarantine: crashes have an age and are cleared at all VMs; trials end a quarantine

Cause, traced in the digests of the case: a report named the crashed targets without their age, so each VM took what another one had cleared or forgotten for a new crash; an answer cleared the suspicion at one VM and never ended a quarantine.

Change: the state of a request is a set of crashes by start of target, each with its instant and whether it is cleared; all else is derived. Merging takes the larger age and keeps what is cleared, so it is independent of the order, delay and repetition of messages. A request that was answered in the last minute is not suspected. A request in quarantine is tried once more after 2, 4 and 8 s, at one VM at a time, at most three times, counted in the store under a condition. The end of a leaving target is no crash. Reports keep the fields of earlier builds.

Why the bound holds: trials are the only sends of a request in quarantine, a trial sends once, and the row allows three in the period whatever VMs know (TestTrialsAreBounded).

Tests that failed before: TestHarmlessRequestIsServedAfterCrashes (three of three parts: not served within 12 s; now 3.6 to 7.5 s with the crashes). New: drawn orders of crashes, answers and messages over 2 to 5 lists (5,000 checks passed), TestCrashingRequestReachesFewTargets (6 targets crashed in 13 of 14 runs; one run ended early as another request got a 503, cause not known, not seen again).

--- a/edge/dispatch.go
+++ b/edge/dispatch.go
@@ -101,7 +101,7 @@
 
 // maySendAgain reports whether a request that may have run may be sent to another target.
 func (x *exchange) maySendAgain() bool {
-	return x.route.IsRepeatable() && x.refusedReservation() == nil
+	return x.route.IsRepeatable() && x.refusedReservation() == nil && !x.isQuarantined()
 }
 
 func errorText(err error) string {
@@ -112,6 +112,9 @@
 }
 
 func (x *exchange) maxSends() int {
+	if x.isTrial {
+		return 1
+	}
 	if x.route.MaxAttempts > 0 {
 		return x.route.MaxAttempts
 	}
--- a/edge/failures.go
+++ b/edge/failures.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/hop"
@@ -85,8 +86,23 @@
 		return
 	}
 	s.mu.Lock()
-	s.targets.RecordUnreachable(structs.Now(), target.ID)
-	quarantined := s.quarantine.RecordCrash(structs.Now(), fingerprint, target.ID)
-	s.mu.Unlock()
-	s.log.Warn("target crashed while it ran a request", "request", string(id), "target", string(target.ID), "quarantined", quarantined)
+	defer s.mu.Unlock()
+	now := structs.Now()
+	s.targets.RecordUnreachable(now, target.ID)
+	if listed, isListed := s.targets.Get(target.ID); !isListed || listed.IsDraining {
+		s.log.Info("no crash counted, the target was leaving", "request", string(id), "target", string(target.ID))
+		return
+	}
+	quarantined := s.quarantine.RecordCrash(now, fingerprint, target.ID, lifetimeOf(target))
+	s.log.Warn("target crashed while it ran a request", "request", string(id), "target", string(target.ID),
+		"crashes", s.quarantine.NextTrial(now, fingerprint).Crashes, "quarantined", quarantined)
+}
+
+// lifetimeOf returns a number that identifies a start of a target: its time or, where that is
+// not stated, a hash of its address.
+func lifetimeOf(target placement.Target) int64 {
+	if target.Started != 0 {
+		return target.Started
+	}
+	return int64(xxhash.Sum64String(target.Address))
 }
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -146,9 +146,11 @@
 func (x *exchange) clearCrashes() {
 	s := x.server
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.quarantine.Len() > 0 {
-		s.quarantine.RecordAnswer(structs.Now(), x.fingerprint)
+	s.quarantine.RecordAnswer(structs.Now(), x.fingerprint)
+	s.mu.Unlock()
+	if x.isTrial {
+		s.log.Info("request leaves quarantine, a target has answered it", "request", string(x.ID), "target", string(x.target))
+		go s.trials.end(x.fingerprint)
 	}
 }
 
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -55,6 +55,7 @@
 	tokenWait     time.Duration    // time spent waiting for a quota token
 	firstByte     time.Duration    // from arrival to the first byte of the response
 	storeWait     time.Duration    // time for which the end of the response was held back to store the turn
+	isTrial       bool             // the request is in quarantine and is tried once more
 	hasQuotaToken bool             // a quota token was taken for the request
 	quotaHolder   structs.VMID     // VM that gave the token, empty for this VM
 	forwardedBy   structs.VMID     // VM that sent the request to its target, empty for this VM
@@ -91,6 +92,9 @@
 	if x.hasQuotaToken && x.sends == 0 {
 		x.server.returnToken(x.account.ID, x.quotaHolder)
 	}
+	if x.isTrial && x.sends == 0 {
+		go x.server.trials.giveBack(x.fingerprint)
+	}
 	x.server.recordOutcome(x, r)
 	x.out.Refuse(r)
 }
@@ -192,17 +196,13 @@
 
 // admit checks the quarantine and takes a quota token.
 func (x *exchange) admit(ctx context.Context) *structs.Refusal {
-	s := x.server
-	s.mu.Lock()
-	left := s.quarantine.Remaining(structs.Now(), x.fingerprint)
-	s.mu.Unlock()
-	if left > 0 {
-		return structs.Refuse(structs.RefusedQuarantined, structs.RunNo, "the request crashed the targets that ran it")
+	if refusal := x.checkQuarantine(ctx); refusal != nil {
+		return refusal
 	}
 	if x.account == nil {
 		return nil
 	}
-	decision, holder := s.admitAccount(x.account, x.startsProgram(), min(share.MaxTokenWait, x.timeLeft()/maxTokenWaitDivisor))
+	decision, holder := x.server.admitAccount(x.account, x.startsProgram(), min(share.MaxTokenWait, x.timeLeft()/maxTokenWaitDivisor))
 	if !decision.Admitted {
 		return x.refuseOverRate(decision)
 	}
--- a/edge/server.go
+++ b/edge/server.go
@@ -27,8 +27,10 @@
 	// quarantineTargets is the number of targets that a request must have crashed
 	// before it is quarantined.
 	quarantineTargets = 3
-	// crashTTL is how long a crash counts against a request.
+	// crashTTL is the time within which these crashes have to be.
 	crashTTL = time.Minute
+	// maxCrashReports bounds the requests that a digest tells of; each takes about 100 bytes.
+	maxCrashReports = 128
 	// sweepPeriod is the interval between two removals of expired state.
 	sweepPeriod = time.Second
 	// retryPeriod is the interval at which waiting requests are retried even
@@ -101,6 +103,7 @@
 	limiter       *share.Limiter
 	selector      *share.Selector
 	quarantine    *quarantine.List
+	trials        *trials
 	peerGrants    map[uint64]peerGrant
 	lastGrantID   uint64
 	evacuations   evacuations
@@ -124,8 +127,9 @@
 		waiters:    make(map[*admission.Request]*waiter),
 		limiter:    share.New(structs.Now(), opts.QuotaSlack),
 		selector:   share.NewSelector(),
-		quarantine: quarantine.New(quarantine.Options{Targets: quarantineTargets, SuspectPeriod: crashTTL}),
+		quarantine: quarantine.New(quarantine.Options{Targets: quarantineTargets, SuspectPeriod: crashTTL, MaxReports: maxCrashReports}),
 	}
+	s.trials = &trials{store: opts.Store, log: opts.Log}
 	s.requestBodies = connlimit.NewBudget(int(opts.MemoryBytes / requestDivisor))
 	s.responseBodies = connlimit.NewBudget(int(opts.MemoryBytes / responseDivisor))
 	s.stopping.ctx, s.stopping.end = context.WithCancel(context.Background())
@@ -219,6 +223,7 @@
 	s.limiter.Sweep(structs.Now())
 	s.expireGrants(structs.Now())
 	s.targets.SweepDepartures(structs.Now())
+	s.quarantine.Sweep(structs.Now())
 	changes := s.targets.EjectionChanges(structs.Now())
 	s.mu.Unlock()
 	s.logEjectionChanges(changes)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,12 +1,17 @@
 // Package quarantine decides which requests must not be sent to targets because they may
-// crash them: those that were running on Options.Targets different targets (by default
-// two) when these crashed.
+// crash them: those that were running on Options.Targets starts of targets (by default two)
+// when these crashed within Options.SuspectPeriod, and that no target has answered since.
 //
-// The package is a deterministic state machine without clock, goroutine or I/O.
+// The package is a deterministic state machine without clock, goroutine or I/O. What it knows
+// of a request is a set of crashes, each cleared or not, from which all else follows. Lists
+// that exchange their sets in any order, late and repeatedly, come to the same one: a crash is
+// identified by the start of the target, its age only grows, and what is cleared stays so.
 package quarantine
 
 import (
 	"encoding/binary"
+	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -17,18 +22,24 @@
 
 // Options configures a List; zero values select the defaults.
 type Options struct {
-	// Targets is the number of different targets that must have crashed before a request
-	// is quarantined.
+	// Targets is the number of crashes that put a request into quarantine.
 	Targets int
-	// SuspectPeriod is how long a crash counts; Period is how long a quarantine lasts.
+	// SuspectPeriod is the time within which these crashes have to be; Period is how long a
+	// quarantine lasts after the last of them.
 	SuspectPeriod, Period time.Duration
 	// MaxEntries limits the number of fingerprints in the list.
 	MaxEntries int
+	// MaxReports limits the reports for other lists, 0 for no limit.
+	MaxReports int
 }
 
 // DefaultPeriod is the default of both SuspectPeriod and Period.
 const DefaultPeriod = 10 * time.Minute
 
+// trialDelay is the time from a crash to the next trial of a request in quarantine. It doubles
+// with each crash.
+const trialDelay = 2 * time.Second
+
 func (o Options) withDefaults() Options {
 	if o.Targets == 0 {
 		o.Targets = 2
@@ -42,28 +53,56 @@
 	if o.MaxEntries == 0 {
 		o.MaxEntries = 4096
 	}
+	if o.MaxReports == 0 {
+		o.MaxReports = math.MaxInt
+	}
 	return o
 }
 
-// Report is what is known of one request, in the form sent to other schedulers. Times are
-// durations, since an Instant is valid in one process only.
+// Crash is the crash of a target that ran a request, in the form sent to other lists.
+type Crash struct {
+	Target structs.TargetID `msgpack:"t"`
+	// Lifetime identifies the start of the target, 0 if it is not known.
+	Lifetime int64 `msgpack:"s,omitempty"`
+	// Count tells crashes apart that are recorded under the same start.
+	Count int `msgpack:"n,omitempty"`
+	// Age is the time since the crash; an Instant is valid in one process only.
+	Age time.Duration `msgpack:"a"`
+	// IsCleared reports that a target has answered the request since.
+	IsCleared bool `msgpack:"c,omitempty"`
+}
+
+// Report is what is known of one request, in the form sent to other lists.
 type Report struct {
-	Fingerprint uint64             `msgpack:"f"`
-	Targets     []structs.TargetID `msgpack:"t"`
-	// Remaining is the time until the quarantine ends, 0 for a request that is only
-	// suspected.
-	Remaining time.Duration `msgpack:"l"`
+	Fingerprint uint64 `msgpack:"f"`
+	// Targets are the targets whose crash counts against the request, Remaining is the time
+	// until its quarantine ends, 0 for none. Lists of builds without Crashes read these.
+	Targets   []structs.TargetID `msgpack:"t"`
+	Remaining time.Duration      `msgpack:"l"`
+	Crashes   []Crash            `msgpack:"k,omitempty"`
 }
 
-type entry struct {
-	crashes          map[structs.TargetID]structs.Instant // instant of the last crash
-	quarantinedUntil structs.Instant                      // 0 when not quarantined
-	lastUsed         structs.Instant
+// crashID identifies the crash of one start of a target.
+type crashID struct {
+	target   structs.TargetID
+	lifetime int64
 }
 
-// isQuarantined reports whether the request must not be sent to targets.
-func (e *entry) isQuarantined(now structs.Instant) bool {
-	return e.quarantinedUntil != 0 && now < e.quarantinedUntil
+// crash is what is known of one crash. at is not later than the instant at which this list
+// heard of it, and only moves back.
+type crash struct {
+	at        structs.Instant
+	count     int
+	isCleared bool
+}
+
+type entry struct {
+	crashes  map[crashID]crash
+	lastUsed structs.Instant
+	// announceUntil is until when other lists are told of the entry although it holds
+	// nothing against the request.
+	announceUntil structs.Instant
+	askAgainAt    structs.Instant // when a trial may be asked for again
 }
 
 // List holds the fingerprints of the suspected and the quarantined requests. It is not
@@ -71,6 +110,10 @@
 type List struct {
 	opts    Options
 	entries map[uint64]*entry
+	// answered and answeredBefore hold the requests that were answered in the present and the
+	// previous part of SuspectPeriod.
+	answered, answeredBefore map[uint64]bool
+	rotatedAt                structs.Instant
 }
 
 // New returns an empty list.
@@ -78,32 +121,141 @@
 	return &List{opts: opts.withDefaults(), entries: make(map[uint64]*entry)}
 }
 
-// RecordCrash records that a target's connection was lost while it ran a request, which
-// counts as a crash. It reports whether this puts the request into quarantine.
-func (l *List) RecordCrash(now structs.Instant, fingerprint uint64, target structs.TargetID) bool {
+// RecordCrash records that a start of a target crashed while it ran a request. It reports
+// whether this puts the request into quarantine. A request that targets have answered
+// recently did not cause the crash.
+func (l *List) RecordCrash(now structs.Instant, fingerprint uint64, target structs.TargetID, lifetime int64) bool {
 	e := l.entry(now, fingerprint)
-	e.crashes[target] = now
-	for id, at := range e.crashes {
-		if now.Sub(at) > l.opts.SuspectPeriod {
-			delete(e.crashes, id)
+	wasQuarantined := l.isQuarantined(now, e)
+	id := crashID{target: target, lifetime: lifetime}
+	known, isKnown := e.crashes[id]
+	if isKnown && lifetime != 0 {
+		return false // another list, or another run of the request, has recorded it
+	}
+	e.crashes[id] = crash{at: now, count: known.count + 1, isCleared: l.wasAnswered(now, fingerprint)}
+	l.announce(now, e)
+	return !wasQuarantined && l.isQuarantined(now, e)
+}
+
+// RecordAnswer clears the crashes of a request that a target has answered, also those of its
+// quarantine: it does not crash the targets that run it.
+func (l *List) RecordAnswer(now structs.Instant, fingerprint uint64) {
+	l.rotateAnswered(now)
+	if len(l.answered) < l.opts.MaxEntries {
+		l.answered[fingerprint] = true
+	}
+	e := l.entries[fingerprint]
+	if e == nil {
+		return
+	}
+	for id, c := range e.crashes {
+		if c.isCleared {
+			continue
 		}
+		c.isCleared = true
+		e.crashes[id] = c
+		l.announce(now, e)
 	}
-	if len(e.crashes) < l.opts.Targets {
-		return false
+}
+
+// rotateAnswered forgets the answers that are older than SuspectPeriod.
+func (l *List) rotateAnswered(now structs.Instant) {
+	if l.answered == nil {
+		l.answered, l.rotatedAt = make(map[uint64]bool), now
+	}
+	if now.Sub(l.rotatedAt) < l.opts.SuspectPeriod/2 {
+		return
+	}
+	l.answeredBefore, l.answered = l.answered, make(map[uint64]bool)
+	if now.Sub(l.rotatedAt) >= l.opts.SuspectPeriod {
+		l.answeredBefore = nil
+	}
+	l.rotatedAt = now
+}
+
+// wasAnswered reports whether a target has answered the request in the last SuspectPeriod.
+func (l *List) wasAnswered(now structs.Instant, fingerprint uint64) bool {
+	l.rotateAnswered(now)
+	return l.answered[fingerprint] || l.answeredBefore[fingerprint]
+}
+
+// announce makes other lists hear of an entry for some time.
+func (l *List) announce(now structs.Instant, e *entry) {
+	e.announceUntil = now.Add(l.opts.SuspectPeriod)
+}
+
+// remaining returns the time until the quarantine of a request ends, 0 if there is none.
+func (l *List) remaining(now structs.Instant, e *entry) time.Duration {
+	instants := e.counted()
+	for last := len(instants) - 1; last >= l.opts.Targets-1; last-- {
+		if instants[last].Sub(instants[last-l.opts.Targets+1]) <= l.opts.SuspectPeriod {
+			return max(instants[last].Add(l.opts.Period).Sub(now), 0)
+		}
+	}
+	return 0
+}
+
+func (l *List) isQuarantined(now structs.Instant, e *entry) bool { return l.remaining(now, e) > 0 }
+
+// counted returns the instants of the crashes that count against the request, in order.
+func (e *entry) counted() []structs.Instant {
+	var instants []structs.Instant
+	for _, c := range e.crashes {
+		if !c.isCleared {
+			instants = append(instants, c.at)
+		}
+	}
+	slices.Sort(instants)
+	return instants
+}
+
+// expire drops the crashes that are older than Period.
+func (l *List) expire(now structs.Instant, e *entry) {
+	for id, c := range e.crashes {
+		if now.Sub(c.at) > l.opts.Period {
+			delete(e.crashes, id)
+		}
 	}
-	isNew := !e.isQuarantined(now)
-	e.quarantinedUntil = now.Add(l.opts.Period)
-	return isNew
 }
 
 // Remaining returns the time until a request's quarantine ends, 0 if it is not
 // quarantined.
 func (l *List) Remaining(now structs.Instant, fingerprint uint64) time.Duration {
 	e := l.entries[fingerprint]
-	if e == nil || !e.isQuarantined(now) {
+	if e == nil {
 		return 0
 	}
-	return e.quarantinedUntil.Sub(now)
+	return l.remaining(now, e)
+}
+
+// Trial describes when a request in quarantine may be tried once more.
+type Trial struct {
+	// Crashes is the number of crashes that count against the request. Each allows one trial.
+	Crashes int
+	// Wait is the time until the next trial.
+	Wait time.Duration
+}
+
+// NextTrial returns when a request in quarantine may be tried once more.
+func (l *List) NextTrial(now structs.Instant, fingerprint uint64) Trial {
+	e := l.entries[fingerprint]
+	if e == nil {
+		return Trial{}
+	}
+	instants := e.counted()
+	if len(instants) < l.opts.Targets {
+		return Trial{Crashes: len(instants)}
+	}
+	const maxDoublings = 20
+	due := instants[len(instants)-1].Add(trialDelay << min(len(instants)-l.opts.Targets, maxDoublings))
+	return Trial{Crashes: len(instants), Wait: max(due.Sub(now), e.askAgainAt.Sub(now), 0)}
+}
+
+// DelayTrial holds trials of a request back for a time.
+func (l *List) DelayTrial(now structs.Instant, fingerprint uint64, wait time.Duration) {
+	if e := l.entries[fingerprint]; e != nil {
+		e.askAgainAt = now.Add(wait)
+	}
 }
 
 // Report returns what is known of one request.
@@ -113,50 +265,103 @@
 	if e == nil {
 		return report
 	}
-	for id, at := range e.crashes {
-		if now.Sub(at) <= l.opts.SuspectPeriod {
-			report.Targets = append(report.Targets, id)
+	for id, c := range e.crashes {
+		age := now.Sub(c.at)
+		if age > l.opts.Period {
+			continue
+		}
+		report.Crashes = append(report.Crashes, Crash{Target: id.target, Lifetime: id.lifetime, Count: c.count, Age: age, IsCleared: c.isCleared})
+		if !c.isCleared && (age <= l.opts.SuspectPeriod || report.Remaining > 0) {
+			report.Targets = append(report.Targets, id.target)
 		}
 	}
-	sort.Slice(report.Targets, func(i, j int) bool { return report.Targets[i] < report.Targets[j] })
+	slices.Sort(report.Targets)
+	report.Targets = slices.Compact(report.Targets)
+	sort.Slice(report.Crashes, func(i, j int) bool {
+		a, b := report.Crashes[i], report.Crashes[j]
+		return a.Target < b.Target || a.Target == b.Target && a.Lifetime < b.Lifetime
+	})
 	return report
 }
 
-// Export returns reports for other schedulers, sorted by fingerprint.
+// Export returns reports for other lists, sorted by fingerprint: of the requests that are
+// suspected or in quarantine, and of those of which there is news. If they are more than
+// MaxReports, the newest and those in quarantine are returned.
 func (l *List) Export(now structs.Instant) []Report {
-	reports := make([]Report, 0, len(l.entries))
-	for fingerprint := range l.entries {
+	reports := make([]Report, 0, min(len(l.entries), l.opts.MaxReports))
+	for fingerprint, e := range l.entries {
 		report := l.Report(now, fingerprint)
-		if report.Remaining == 0 && len(report.Targets) == 0 {
+		if report.Remaining == 0 && len(report.Targets) == 0 && now >= e.announceUntil || len(report.Crashes) == 0 {
 			continue
 		}
 		reports = append(reports, report)
 	}
+	if len(reports) > l.opts.MaxReports {
+		sort.Slice(reports, func(i, j int) bool { return reports[i].isMoreUrgentThan(&reports[j]) })
+		reports = reports[:l.opts.MaxReports]
+	}
 	sort.Slice(reports, func(i, j int) bool { return reports[i].Fingerprint < reports[j].Fingerprint })
 	return reports
 }
 
-// Digest returns a hash of reports. It does not change while only the remaining times
-// change.
+// isMoreUrgentThan orders reports of quarantines first, then by the age of the last crash.
+func (r *Report) isMoreUrgentThan(other *Report) bool {
+	if (r.Remaining > 0) != (other.Remaining > 0) {
+		return r.Remaining > 0
+	}
+	if age, otherAge := r.youngest(), other.youngest(); age != otherAge {
+		return age < otherAge
+	}
+	return r.Fingerprint < other.Fingerprint
+}
+
+func (r *Report) youngest() time.Duration {
+	youngest := time.Duration(math.MaxInt64)
+	for _, c := range r.Crashes {
+		youngest = min(youngest, c.Age)
+	}
+	return youngest
+}
+
+// AddAge returns reports as they are after a time in which they were stored.
+func AddAge(reports []Report, age time.Duration) []Report {
+	age = max(age, 0)
+	older := make([]Report, 0, len(reports))
+	for _, r := range reports {
+		r.Remaining = max(r.Remaining-age, 0)
+		r.Crashes = slices.Clone(r.Crashes)
+		for i := range r.Crashes {
+			r.Crashes[i].Age += age
+		}
+		older = append(older, r)
+	}
+	return older
+}
+
+// Digest returns a hash of reports. It does not change while only the times change.
 func Digest(reports []Report) uint64 {
 	digest := xxhash.New()
 	var number [8]byte
-	for _, r := range reports {
-		binary.BigEndian.PutUint64(number[:], r.Fingerprint)
+	writeNumber := func(n uint64) {
+		binary.BigEndian.PutUint64(number[:], n)
 		digest.Write(number[:])
-		for _, id := range r.Targets {
-			digest.WriteString(string(id))
-			digest.Write([]byte{0})
-		}
-		if r.Remaining > 0 {
-			digest.Write([]byte{1})
+	}
+	for _, r := range reports {
+		writeNumber(r.Fingerprint)
+		for _, c := range r.Crashes {
+			digest.WriteString(string(c.Target))
+			writeNumber(uint64(c.Lifetime))
+			writeNumber(uint64(c.Count))
+			if c.IsCleared {
+				digest.Write([]byte{1})
+			}
 		}
+		digest.Write([]byte{0})
 	}
 	return digest.Sum64()
 }
 
-// Import merges the reports of another scheduler. A crash that is already known keeps its
-// instant, so that reports passed back and forth expire.
+// Import merges the reports of another list.
 func (l *List) Import(now structs.Instant, reports []Report) {
 	for _, report := range reports {
 		l.merge(now, report)
@@ -164,35 +369,89 @@
 }
 
 func (l *List) merge(now structs.Instant, report Report) {
+	crashes := slices.DeleteFunc(slices.Clone(report.Crashes), func(c Crash) bool { return c.Age > l.opts.Period })
+	if len(report.Crashes) == 0 {
+		crashes = l.unagedCrashes(report)
+	}
+	if len(crashes) == 0 {
+		return
+	}
 	e := l.entry(now, report.Fingerprint)
-	for _, id := range report.Targets {
-		if _, isKnown := e.crashes[id]; !isKnown {
-			e.crashes[id] = now
+	wasAnswered := l.wasAnswered(now, report.Fingerprint)
+	for _, c := range crashes {
+		if e.merge(now, c, wasAnswered) {
+			l.announce(now, e)
+		}
+	}
+}
+
+// merge merges one crash of another list. It reports whether other lists may lack what this
+// one knows now.
+func (e *entry) merge(now structs.Instant, c Crash, wasAnswered bool) bool {
+	id := crashID{target: c.Target, lifetime: c.Lifetime}
+	known, isKnown := e.crashes[id]
+	merged := crash{at: now.Add(-max(c.Age, 0)), count: c.Count, isCleared: c.IsCleared || wasAnswered}
+	switch {
+	case isKnown && known.count > c.Count:
+		return true
+	case isKnown && known.count == c.Count:
+		merged.at = min(merged.at, known.at)
+		merged.isCleared = merged.isCleared || known.isCleared
+	}
+	e.crashes[id] = merged
+	return !isKnown || known.count != merged.count || merged.isCleared != (known.isCleared && c.IsCleared)
+}
+
+// unagedCrashes returns the crashes in a report of a build that states neither their ages nor
+// which are cleared. Those of known targets are left out: they may be any age.
+func (l *List) unagedCrashes(report Report) []Crash {
+	var crashes []Crash
+	for _, target := range report.Targets {
+		if !l.knowsCrashOf(report.Fingerprint, target) {
+			crashes = append(crashes, Crash{Target: target, Count: 1})
 		}
 	}
-	until := now.Add(min(report.Remaining, l.opts.Period))
-	if report.Remaining > 0 && (e.quarantinedUntil == 0 || until > e.quarantinedUntil) {
-		e.quarantinedUntil = until
+	return crashes
+}
+
+func (l *List) knowsCrashOf(fingerprint uint64, target structs.TargetID) bool {
+	e := l.entries[fingerprint]
+	if e == nil {
+		return false
+	}
+	for id := range e.crashes {
+		if id.target == target {
+			return true
+		}
 	}
-	if len(e.crashes) >= l.opts.Targets && e.quarantinedUntil == 0 {
-		e.quarantinedUntil = now.Add(l.opts.Period)
+	return false
+}
+
+// Sweep drops what has expired.
+func (l *List) Sweep(now structs.Instant) {
+	for fingerprint, e := range l.entries {
+		l.expire(now, e)
+		if len(e.crashes) == 0 {
+			delete(l.entries, fingerprint)
+		}
 	}
 }
 
 // Len returns the number of fingerprints in the list.
 func (l *List) Len() int { return len(l.entries) }
 
-// entry returns the entry of a fingerprint. If it has to add one to a full list, it
-// evicts another.
+// entry returns the entry of a fingerprint without its expired crashes. If it has to add one
+// to a full list, it evicts another.
 func (l *List) entry(now structs.Instant, fingerprint uint64) *entry {
 	if e := l.entries[fingerprint]; e != nil {
 		e.lastUsed = now
+		l.expire(now, e)
 		return e
 	}
 	if len(l.entries) >= l.opts.MaxEntries {
 		l.evict(now)
 	}
-	e := &entry{crashes: make(map[structs.TargetID]structs.Instant), lastUsed: now}
+	e := &entry{crashes: make(map[crashID]crash), lastUsed: now, announceUntil: now, askAgainAt: now}
 	l.entries[fingerprint] = e
 	return e
 }
@@ -203,11 +462,12 @@
 	var evicted uint64
 	var oldest *entry
 	for fingerprint, e := range l.entries {
-		if !e.isQuarantined(now) && now.Sub(e.lastUsed) > l.opts.SuspectPeriod {
+		l.expire(now, e)
+		if len(e.crashes) == 0 {
 			delete(l.entries, fingerprint)
 			continue
 		}
-		if oldest == nil || shouldEvictBefore(now, e, oldest, fingerprint < evicted) {
+		if oldest == nil || l.shouldEvictBefore(now, e, oldest, fingerprint < evicted) {
 			evicted, oldest = fingerprint, e
 		}
 	}
@@ -216,8 +476,8 @@
 	}
 }
 
-func shouldEvictBefore(now structs.Instant, a, b *entry, isLower bool) bool {
-	if isQuarantinedA, isQuarantinedB := a.isQuarantined(now), b.isQuarantined(now); isQuarantinedA != isQuarantinedB {
+func (l *List) shouldEvictBefore(now structs.Instant, a, b *entry, isLower bool) bool {
+	if isQuarantinedA, isQuarantinedB := l.isQuarantined(now, a), l.isQuarantined(now, b); isQuarantinedA != isQuarantinedB {
 		return isQuarantinedB
 	}
 	if a.lastUsed != b.lastUsed {
@@ -225,11 +485,3 @@
 	}
 	return isLower
 }
-
-// RecordAnswer clears the suspicion from a request that a target answered, since it did
-// not crash that target. A quarantine stays.
-func (l *List) RecordAnswer(now structs.Instant, fingerprint uint64) {
-	if e := l.entries[fingerprint]; e != nil && !e.isQuarantined(now) {
-		delete(l.entries, fingerprint)
-	}
-}
--- a/scheduler/quarantine_sync.go
+++ b/scheduler/quarantine_sync.go
@@ -84,21 +84,17 @@
 		return errors.Wrapf(err, "decode crash reports of row %s", row.Key)
 	}
 	h.importedVersions[row.Key] = row.Version
-	reports := subtractAge(shared.Reports, time.Since(shared.Written))
+	reports := addAge(shared.Reports, time.Since(shared.Written))
 	return h.s.runOnLoop(ctx, func(l *loop) { l.quarantine.Import(structs.Now(), reports) })
 }
 
-// subtractAge subtracts the age from the remaining time of reports and drops expired
-// ones. Reports without a quarantine are dropped once they are as old as
-// quarantine.DefaultPeriod, the length of a quarantine.
-func subtractAge(reports []quarantine.Report, age time.Duration) []quarantine.Report {
-	age = max(age, 0)
+// addAge adds the time since reports were written to their ages. Reports of builds that state
+// no ages are dropped once they are as old as quarantine.DefaultPeriod, the length of a
+// quarantine.
+func addAge(reports []quarantine.Report, age time.Duration) []quarantine.Report {
 	var kept []quarantine.Report
-	for _, r := range reports {
-		if r.Remaining > age {
-			r.Remaining -= age
-			kept = append(kept, r)
-		} else if r.Remaining == 0 && age < quarantine.DefaultPeriod {
+	for _, r := range quarantine.AddAge(reports, age) {
+		if len(r.Crashes) > 0 || r.Remaining > 0 || age < quarantine.DefaultPeriod {
 			kept = append(kept, r)
 		}
 	}
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -158,10 +158,13 @@
 	if end.result == program.ResultNotSent || end.result == program.ResultRefused || end.isCrash {
 		d.MarkDown(now, a.Target, targetDownPeriod)
 	}
-	if end.isCrash && l.quarantine.RecordCrash(now, a.Fingerprint, a.Target) {
+	if end.isCrash && l.quarantine.RecordCrash(now, a.Fingerprint, a.Target, 0) {
 		l.s.stats.quarantined.Add(1)
 		l.s.log.Warn("request quarantined", "fingerprint", a.Fingerprint, "target", a.Target)
 	}
+	if end.result == program.ResultDone {
+		l.quarantine.RecordAnswer(now, a.Fingerprint)
+	}
 	finished := program.DispatchFinished{Call: a.Call, Attempt: a.Attempt, Result: end.result, Usage: end.usage, Detail: end.detail}
 	if end.isCrash {
 		l.finishCrashed(a, finished)
