--- a/conversation/contention_test.go
+++ b/conversation/contention_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
 	"github.com/endivecourse/endivecourse/internal/standin/rows"
@@ -91,19 +93,15 @@
 	return s.Finish(ctx, finishRequest(id))
 }
 
-// A turn that another VM stores settles the advance reservation that it used on this VM, so
-// that the tokens do not stay reserved.
-func TestTurnStoredByAnotherVMSettlesItsAdvanceReservation(t *testing.T) {
+// A turn that another VM stores settles the reservation that this VM has made, so that the
+// tokens do not stay reserved.
+func TestTurnStoredByAnotherVMSettlesItsReservation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
 		first, second := newLocal(store), newLocal(store)
 		assert.NilError(t, runTurn(t.Context(), first, "1"))
-		next := reserveRequest("2")
-		next.AdvanceKey = "1"
-		assert.NilError(t, first.Reserve(t.Context(), next))
-		finish := finishRequest("2")
-		finish.ReservedAs = "after/1"
-		assert.NilError(t, second.Finish(t.Context(), finish))
+		assert.NilError(t, first.Reserve(t.Context(), reserveRequest("2")))
+		assert.NilError(t, second.Finish(t.Context(), finishRequest("2")))
 		probe := reserveRequest("3")
 		probe.Budget = 61 // 60 are spent; an open reservation would leave no room
 		assert.NilError(t, second.Reserve(t.Context(), probe))
@@ -164,45 +162,65 @@
 	})
 }
 
-// Guards against an advance reservation that one VM uses for a turn that another one stores:
-// its tokens would stay reserved.
-func TestReservationMadeByAnotherVMUsesNoAdvance(t *testing.T) {
+// openTurns returns the turns of the test's program that have a reservation in the store.
+func openTurns(t *testing.T, store *rows.Store) (turns []structs.RequestID) {
+	row, err := rowstore.Get(t.Context(), store, rowstore.Key{Table: "budgets", Partition: "p", Key: program.Key()})
+	assert.NilError(t, err)
+	var balance ledger.Balance
+	assert.NilError(t, msgpack.Unmarshal(row.Value, &balance))
+	for _, r := range balance.Open {
+		turns = append(turns, r.Turn)
+	}
+	return turns
+}
+
+// Guards against a reservation that two VMs make for the same turn, or that neither of them
+// settles, while they compete for the balance.
+func TestReservationOfContendedTurnIsMadeOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
 		vm, busy, at := newContended(store, "busy")
-		assert.NilError(t, busy.Finish(t.Context(), finishUnlimited("1"))) // leaves an advance reservation
+		assert.NilError(t, busy.Finish(t.Context(), finishUnlimited("1")))
 		keeper := NewKeeper(vm, secondHome{&homePeer{t: t, local: busy, calls: make(map[string]int)}}, slog.New(slog.DiscardHandler))
 		at.changes = 40
 		next := reserveRequest("2")
-		next.Budget, next.AdvanceKey = 1<<30, "1"
+		next.Budget = 1 << 30
 		assert.NilError(t, keeper.Reserve(t.Context(), next))
-		assert.Assert(t, busy.Ledger.UseAdvance(program, reserveRequest("3").Reservation, "1"), "the advance reservation is used")
+		at.changes = 0
+		count := 0
+		for _, turn := range openTurns(t, store) {
+			if turn == "2" {
+				count++
+			}
+		}
+		assert.Equal(t, count, 1)
+		assert.NilError(t, keeper.Finish(t.Context(), finishUnlimited("2")))
+		assert.Assert(t, !slices.Contains(openTurns(t, store), "2"))
 	})
 }
 
-// Guards against a reply that names the advance reservations of all turns of a program.
-func TestLostTurnNamesOnlyItsAdvanceReservation(t *testing.T) {
+// Guards against a turn that one VM reserves, loses to another VM and lets that VM store: none
+// of its tokens may stay reserved.
+func TestLostTurnIsSettledByTheVMThatStoresIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
 		vm, busy, at := newContended(store, "busy")
 		var lost *ledger.ContendedError
 		for turn := range 5 {
 			first, second := fmt.Sprint(turn, "a"), fmt.Sprint(turn, "b")
-			reserve := reserveRequest(first)
-			reserve.Budget = 1 << 30
-			assert.NilError(t, vm.Reserve(t.Context(), reserve))
+			for _, id := range []string{first, second} {
+				reserve := reserveRequest(id)
+				reserve.Budget = 1 << 30
+				assert.NilError(t, vm.Reserve(t.Context(), reserve))
+			}
 			assert.NilError(t, vm.Finish(t.Context(), finishUnlimited(first)))
-			next := reserveRequest(second)
-			next.Budget, next.AdvanceKey = 1<<30, structs.RequestID(first)
-			assert.NilError(t, vm.Reserve(t.Context(), next))
 			at.changes = 40
 			err := vm.Finish(t.Context(), finishUnlimited(second))
 			at.changes = 0
 			assert.Assert(t, errors.As(err, &lost), "%v", err)
-			end := finishUnlimited(second)
-			end.ReservedAs = lost.ReservedAs[end.Reservation.Turn]
-			assert.NilError(t, busy.Finish(t.Context(), end))
+			assert.NilError(t, busy.Finish(t.Context(), finishUnlimited(second)))
+			open := openTurns(t, store)
+			assert.Assert(t, !slices.Contains(open, structs.RequestID(first)) && !slices.Contains(open, structs.RequestID(second)), "%v", open)
 		}
-		assert.Equal(t, len(lost.ReservedAs), 1)
 	})
 }
--- a/conversation/errors.go
+++ b/conversation/errors.go
@@ -23,7 +23,7 @@
 	codeSlowStore
 	codePending
 	codeOther
-	codeNoAdvance
+	codeNoAdvance // of earlier builds: the turn needs the store
 	codeNoGrant
 )
 
@@ -37,11 +37,10 @@
 	Records []*turnlog.Record `msgpack:"r,omitempty"`
 	// CopyAt is a VM that has a copy of the turn's unstored grant.
 	CopyAt structs.VMID `msgpack:"c,omitempty"`
-	// Program, Writer and ReservedAs are set with codeOther for *ledger.ContendedError, which
-	// builds without them read as a HomeError.
-	Program    string                                  `msgpack:"p,omitempty"`
-	Writer     structs.VMID                            `msgpack:"w,omitempty"`
-	ReservedAs map[structs.RequestID]structs.RequestID `msgpack:"v,omitempty"`
+	// Program and Writer are set with codeOther for *ledger.ContendedError, which builds
+	// without them read as a HomeError.
+	Program string       `msgpack:"p,omitempty"`
+	Writer  structs.VMID `msgpack:"w,omitempty"`
 }
 
 // HomeError is an error of the home VM that has no errorCode of its own.
@@ -57,15 +56,6 @@
 // Error implements error.
 func (e *PendingError) Error() string { return "the reservation is not stored yet" }
 
-// NoAdvanceError reports that a turn has no advance reservation, so that it needs the
-// store.
-type NoAdvanceError struct{ Turn structs.RequestID }
-
-// Error names the turn.
-func (e *NoAdvanceError) Error() string {
-	return "turn " + string(e.Turn) + " has no advance reservation"
-}
-
 // SlowStoreError reports that the home VM is alive but its transaction has not ended
 // yet.
 type SlowStoreError struct{ Waited time.Duration }
@@ -86,7 +76,6 @@
 		missing   *turnlog.NotFoundError
 		tooLarge  *turnlog.TooLargeError
 		pending   *PendingError
-		advance   *NoAdvanceError
 		noGrant   *NoGrantError
 		contended *ledger.ContendedError
 	)
@@ -95,8 +84,6 @@
 		return Reply{}
 	case errors.As(err, &pending):
 		return Reply{Code: codePending}
-	case errors.As(err, &advance):
-		return Reply{Code: codeNoAdvance, Turn: advance.Turn}
 	case errors.As(err, &noGrant):
 		return Reply{Code: codeNoGrant, Turn: noGrant.Turn, Detail: noGrant.Reason}
 	case errors.As(err, &spent):
@@ -106,7 +93,7 @@
 	case errors.As(err, &missing):
 		return Reply{Code: codeNotFound, Turn: missing.Turn}
 	case errors.As(err, &contended):
-		return Reply{Code: codeOther, Detail: contended.Error(), Program: contended.Program, Writer: contended.Writer, ReservedAs: contended.ReservedAs}
+		return Reply{Code: codeOther, Detail: contended.Error(), Program: contended.Program, Writer: contended.Writer}
 	case errors.As(err, &tooLarge):
 		return Reply{Code: codeTooLarge, Numbers: [3]int64{int64(tooLarge.Bytes), int64(tooLarge.Max)}}
 	}
@@ -129,14 +116,14 @@
 	case codePending:
 		return &PendingError{}
 	case codeNoAdvance:
-		return &NoAdvanceError{Turn: r.Turn}
+		return &NoGrantError{Turn: r.Turn, Reason: "the turn needs the store"}
 	case codeNoGrant:
 		return &NoGrantError{Turn: r.Turn, Reason: r.Detail}
 	case codeSlowStore:
 		return &SlowStoreError{Waited: storeTimeout}
 	}
 	if r.Writer != "" {
-		return &ledger.ContendedError{Program: r.Program, Writer: r.Writer, ReservedAs: r.ReservedAs}
+		return &ledger.ContendedError{Program: r.Program, Writer: r.Writer}
 	}
 	return &HomeError{Detail: r.Detail}
 }
--- a/conversation/holds_test.go
+++ b/conversation/holds_test.go
@@ -145,7 +145,7 @@
 // reserve requests a turn's tokens at a VM, in or after an outage.
 func (vm *holdVM) reserve(turn string) error {
 	req := reserveRequest(turn)
-	req.IsUnstored, req.NeedsAdvance = true, vm.region.isOut.Load()
+	req.IsUnstored, req.InOutage = true, vm.region.isOut.Load()
 	return vm.local.Reserve(vm.region.t.Context(), req)
 }
 
@@ -160,12 +160,25 @@
 		}
 		if err == nil {
 			delivered += turnTokens
-			vm.local.Settle(SettleRequest{Program: program, Turn: structs.RequestID(turn), Tokens: turnTokens})
+			vm.settle(structs.RequestID(turn), turnTokens)
 		}
 		time.Sleep(time.Second)
 	}
 }
 
+// settle settles a turn in the background, and repeats that until it is stored.
+func (vm *holdVM) settle(turn structs.RequestID, tokens int64) {
+	req := SettleRequest{Program: program, Turn: turn, Tokens: tokens}
+	if vm.local.Holds.Settle(req) {
+		return
+	}
+	go func() {
+		for vm.local.Settle(context.Background(), req) != nil {
+			time.Sleep(settlePause)
+		}
+	}()
+}
+
 // inRegion runs a test in virtual time.
 func inRegion(t *testing.T, count int, test func(t *testing.T, r *holdRegion)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -188,15 +201,15 @@
 		assert.NilError(t, home.reserve("2"))
 		var noGrant *NoGrantError
 		assert.Assert(t, errors.As(home.reserve("3"), &noGrant))
-		home.local.Settle(SettleRequest{Program: program, Turn: "1", Tokens: 10})
+		home.settle("1", 10)
 		assert.NilError(t, home.reserve("3"))
 		r.setOut(false)
 		time.Sleep(2 * time.Second)
 		grants, _ := home.local.Holds.Stats()
 		assert.Equal(t, grants, 0)
 		assert.Equal(t, home.local.Ledger.Committed(program.Key()), int64(210))
-		home.local.Settle(SettleRequest{Program: program, Turn: "2", Tokens: 20})
-		home.local.Settle(SettleRequest{Program: program, Turn: "3", Tokens: 30})
+		home.settle("2", 20)
+		home.settle("3", 30)
 		time.Sleep(10 * time.Second)
 		assert.Equal(t, home.local.Ledger.Committed(program.Key()), int64(60))
 	})
@@ -262,7 +275,7 @@
 		assert.NilError(t, r.vm("vm-1").reserve("2"))
 		assert.Assert(t, r.vm("vm-0").reserve("3") != nil)
 		other := reserveRequest("4")
-		other.Program.ID, other.NeedsAdvance, other.IsUnstored = "other", true, true
+		other.Program.ID, other.InOutage, other.IsUnstored = "other", true, true
 		r.vm("vm-1").kill()
 		assert.NilError(t, r.vm("vm-0").local.Reserve(t.Context(), other))
 	})
@@ -277,7 +290,7 @@
 		for n := range 8 {
 			turn := fmt.Sprint("turn", n)
 			assert.NilError(t, home.reserve(turn))
-			home.local.Settle(SettleRequest{Program: program, Turn: structs.RequestID(turn), Tokens: turnTokens})
+			home.settle(structs.RequestID(turn), turnTokens)
 		}
 		time.Sleep(2 * time.Second)
 		home.kill()
@@ -291,7 +304,7 @@
 		r.setOut(true)
 		assert.Assert(t, r.vm("vm-1").reserve("after the loss of all") != nil)
 		other := reserveRequest("1")
-		other.Program.ID, other.NeedsAdvance, other.IsUnstored = "new", true, true
+		other.Program.ID, other.InOutage, other.IsUnstored = "new", true, true
 		r.isOld.Store(true)
 		assert.Assert(t, r.vm("vm-1").local.Reserve(t.Context(), other) != nil)
 		r.isOld.Store(false)
@@ -308,7 +321,7 @@
 		home := r.vm("vm-0")
 		request := func(n int, turn string) ReserveRequest {
 			req := reserveRequest(turn)
-			req.Program.ID, req.IsUnstored, req.NeedsAdvance = structs.ProgramID(fmt.Sprint(n)), true, r.isOut.Load()
+			req.Program.ID, req.IsUnstored, req.InOutage = structs.ProgramID(fmt.Sprint(n)), true, r.isOut.Load()
 			return req
 		}
 		for n := range programs {
@@ -336,7 +349,7 @@
 		for n := range 8 { // 800 of 1,000 tokens, of which the others know nothing
 			turn := fmt.Sprint("early-", n)
 			assert.NilError(t, home.local.reserve(t.Context(), reserveRequest(turn), 0))
-			home.local.Settle(SettleRequest{Program: program, Turn: structs.RequestID(turn), Tokens: turnTokens})
+			home.settle(structs.RequestID(turn), turnTokens)
 		}
 		time.Sleep(2 * time.Second)
 		r.setOut(true)
@@ -394,7 +407,7 @@
 				r.isOut.Store(false)
 				r.store.SetFaults(faults)
 				time.Sleep(120 * time.Millisecond)
-				home.local.Settle(SettleRequest{Program: program, Turn: "1", Tokens: 10})
+				home.settle("1", 10)
 				time.Sleep(time.Second)
 				r.store.SetFaults(rows.Faults{})
 				time.Sleep(40 * time.Second)
--- a/conversation/home_calls.go
+++ b/conversation/home_calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,8 +32,15 @@
 	// homeCallTimeout bounds a call to a home VM; after it, this VM acts itself. It
 	// exceeds storeTimeout by 200 ms, seven round trips between regions.
 	homeCallTimeout = 900 * time.Millisecond
-	// settleTimeout bounds a settlement, which runs in the background.
+	// settleTimeout bounds one attempt of a settlement, which runs in the background. It
+	// waits for a part of that to share a transaction.
 	settleTimeout = 2 * time.Second
+	// settlePause is the pause between two attempts, settleTime the time for all of them: for
+	// that long, balances remember which turns have been settled.
+	settlePause = time.Second
+	// flushPeriod is how often a stopping VM sends the settlements that wait for others.
+	flushPeriod = 5 * time.Millisecond
+	settleTime  = 45 * time.Second
 )
 
 // Peers finds and calls home VMs.
@@ -55,6 +63,8 @@
 	local *Local
 	peers Peers
 	log   *slog.Logger
+	// settling counts the settlements in the background.
+	settling sync.WaitGroup
 }
 
 // NewKeeper returns a Keeper that falls back to local.
@@ -67,7 +77,7 @@
 	wire.HandleUnary(server, MethodReserve, func(ctx context.Context, req ReserveRequest) (Reply, error) {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		if req.NeedsAdvance {
+		if req.InOutage {
 			copyAt, err := local.reserveInOutage(ctx, req)
 			reply := errorReply(err)
 			reply.CopyAt = copyAt
@@ -80,9 +90,10 @@
 		defer cancel()
 		return errorReply(local.Finish(rowstore.WithRelayRegions(ctx, req.Regions), req)), nil
 	})
-	wire.HandleUnary(server, MethodSettle, func(_ context.Context, req SettleRequest) (Reply, error) {
-		local.Settle(req)
-		return Reply{}, nil
+	wire.HandleUnary(server, MethodSettle, func(ctx context.Context, req SettleRequest) (Reply, error) {
+		ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+		defer cancel()
+		return errorReply(local.Settle(ctx, req)), nil
 	})
 	wire.HandleUnary(server, MethodFind, func(ctx context.Context, req FindRequest) (Reply, error) {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -135,8 +146,6 @@
 	return k.perform(ctx, operation{
 		program: req.Program, method: MethodReserve, request: &req,
 		local: func() error { return k.local.Reserve(ctx, req) },
-		// Only the VM that stores the turn may use an advance reservation for it.
-		recordLoss: func(*ledger.ContendedError) { req.AdvanceKey = "" },
 	})
 }
 
@@ -147,8 +156,6 @@
 	request any
 	// local performs the operation on this VM.
 	local func() error
-	// recordLoss is called when the operation lost to changes of another VM.
-	recordLoss func(*ledger.ContendedError)
 	// isRepeated repeats the operation while the store is slow.
 	isRepeated bool
 }
@@ -160,10 +167,10 @@
 	var slow *SlowStoreError
 	handled, err := k.callHome(ctx, op.program, op.method, op.request, &Reply{})
 	for {
-		lost := op.findLoss(err)
+		lost := findLoss(err)
 		if !handled && (lost == nil || !k.mayRelayTo(ctx, lost.Writer)) {
 			err = op.local()
-			lost = op.findLoss(err)
+			lost = findLoss(err)
 		}
 		switch {
 		case ctx.Err() != nil:
@@ -183,12 +190,11 @@
 }
 
 // findLoss returns err as a loss to changes of another VM, nil if it is none.
-func (op *operation) findLoss(err error) *ledger.ContendedError {
+func findLoss(err error) *ledger.ContendedError {
 	var lost *ledger.ContendedError
 	if !errors.As(err, &lost) {
 		return nil
 	}
-	op.recordLoss(lost)
 	return lost
 }
 
@@ -204,14 +210,13 @@
 
 // OutageGrant says where a turn's tokens are accounted for that runs during an outage.
 type OutageGrant struct {
-	Home structs.VMID // empty for this VM
-	// CopyAt is a VM that has a copy, empty for an advance reservation.
-	CopyAt structs.VMID
+	Home   structs.VMID // empty for this VM
+	CopyAt structs.VMID // has a copy
 }
 
 // ReserveInOutage reserves a turn's tokens while no VM reaches the store.
 func (k *Keeper) ReserveInOutage(ctx context.Context, req ReserveRequest) (OutageGrant, error) {
-	req.NeedsAdvance = true
+	req.InOutage = true
 	vm, isSelf := k.peers.OutageHome(k.local.Partition(req.Program.Key()))
 	if isSelf {
 		copyAt, err := k.local.reserveInOutage(ctx, req)
@@ -230,17 +235,19 @@
 // SettleInOutage settles, in the background, a turn that ran on an outage grant. If the
 // home VM is lost meanwhile, the turn counts with its maximum.
 func (k *Keeper) SettleInOutage(grant OutageGrant, req SettleRequest) {
-	if grant.Home == "" {
-		k.local.Settle(req)
-		return
-	}
-	go func() {
+	k.settling.Go(func() {
 		ctx, cancel := wire.WithReplyTimeout(context.Background(), settleTimeout)
 		defer cancel()
+		if grant.Home == "" {
+			if err := k.local.Settle(ctx, req); err != nil {
+				k.log.Warn("turn of an outage not settled", "program", req.Program.Key(), "turn", string(req.Turn), "cause", err.Error())
+			}
+			return
+		}
 		if err := k.peers.CallHome(ctx, grant.Home, MethodSettle, req, &Reply{}); err != nil {
 			k.log.Warn("turn of an outage not settled", "program", req.Program.Key(), "turn", string(req.Turn), "home", string(grant.Home), "cause", err.Error())
 		}
-	}()
+	})
 }
 
 // Finish stores a turn and settles its reservation. It repeats the call while the home
@@ -251,11 +258,6 @@
 	err := k.perform(ctx, operation{
 		program: req.Program, method: MethodFinish, request: &req, isRepeated: true,
 		local: func() error { return k.local.Finish(ctx, req) },
-		recordLoss: func(lost *ledger.ContendedError) {
-			if id := lost.ReservedAs[req.Reservation.Turn]; id != "" {
-				req.ReservedAs = id
-			}
-		},
 	})
 	if err == nil {
 		k.local.Turns.AddToCache(req.Reservation.Turn, req.Record)
@@ -263,15 +265,69 @@
 	return err
 }
 
-// Settle settles, in the background, the reservation of a turn that was not stored.
+// Settle settles, in the background, the reservation of a turn that was not stored. It repeats
+// that until it is stored: a home VM may end before it has stored what it was told.
 func (k *Keeper) Settle(req SettleRequest) {
-	go func() {
-		ctx, cancel := wire.WithReplyTimeout(context.Background(), settleTimeout)
+	k.settling.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 		defer cancel()
-		if handled, _ := k.callHome(ctx, req.Program, MethodSettle, req, &Reply{}); !handled {
-			k.local.Settle(req)
+		for {
+			err := k.settleOnce(ctx, req)
+			if err == nil {
+				return
+			}
+			select {
+			case <-time.After(settlePause):
+			case <-ctx.Done():
+				k.log.Warn("turn not settled, it counts with its maximum", "program", req.Program.Key(), "turn", string(req.Turn),
+					"tokens", req.Tokens, "cause", err.Error())
+				return
+			}
+		}
+	})
+}
+
+// settleOnce settles a turn at the program's home VM, or on this VM if that does not answer.
+func (k *Keeper) settleOnce(ctx context.Context, req SettleRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	vm, isSelf := k.peers.Home(k.local.Partition(req.Program.Key()))
+	if !isSelf {
+		callCtx, cancelCall := wire.WithReplyTimeout(ctx, settleTimeout)
+		defer cancelCall()
+		var reply Reply
+		err := k.peers.CallHome(callCtx, vm, MethodSettle, req, &reply)
+		if err == nil && reply.isFinal() {
+			return reply.err()
+		}
+		if err != nil {
+			k.log.Warn("program's home does not answer", "program", req.Program.Key(), "home", string(vm), "call", MethodSettle, "cause", err.Error())
 		}
+	}
+	localCtx, cancelLocal := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancelLocal()
+	return k.local.Settle(localCtx, req)
+}
+
+// Flush stores the settlements of this VM and of those that call it as a home, before the
+// process ends.
+func (k *Keeper) Flush(ctx context.Context) {
+	settled := make(chan struct{})
+	go func() {
+		k.settling.Wait()
+		close(settled)
 	}()
+	for {
+		k.local.Ledger.Flush(ctx)
+		select {
+		case <-settled:
+			return
+		case <-ctx.Done():
+			k.log.Warn("turns not settled before the stop count with their maximum")
+			return
+		case <-time.After(flushPeriod):
+		}
+	}
 }
 
 // Chain returns a turn of the account and all turns that precede it. Turns that are not
--- a/conversation/local.go
+++ b/conversation/local.go
@@ -24,9 +24,6 @@
 	Record      *turnlog.Record    `msgpack:"t"`
 	// Regions are the regions through whose VMs the turn may be relayed, empty for all.
 	Regions []string `msgpack:"g,omitempty"`
-	// ReservedAs is the ID of the advance reservation that the turn uses, empty if the VM
-	// that stores the turn knows it or there is none.
-	ReservedAs structs.RequestID `msgpack:"a,omitempty"`
 }
 
 // ReserveRequest asks to reserve the tokens of a turn that is about to run.
@@ -34,17 +31,16 @@
 	Program     ledger.Program     `msgpack:"p"`
 	Reservation ledger.Reservation `msgpack:"r"`
 	Budget      int64              `msgpack:"b"`
-	// AdvanceKey is the key of the advance reservation that the turn may use: the turn
-	// that it continues or, for turns that are not stored, the key of their line.
+	// AdvanceKey is not used any more; builds that reserve tokens for a next turn send it.
 	AdvanceKey structs.RequestID `msgpack:"v"`
-	// NeedsAdvance refuses the turn with *NoAdvanceError if it has no advance
-	// reservation; the store is not called.
-	NeedsAdvance bool `msgpack:"d,omitempty"`
+	// InOutage asks for a grant that is not in the store, or *NoGrantError; the store is not
+	// called.
+	InOutage bool `msgpack:"d,omitempty"`
 	// AllowsPending asks for *PendingError as soon as the reservation is likely to be
 	// granted.
 	AllowsPending bool `msgpack:"e,omitempty"`
-	// IsUnstored means that the turn's route stores no turns. With NeedsAdvance, a turn
-	// without an advance reservation may run on a grant that is not in the store.
+	// IsUnstored means that the turn's route stores no turns. Only such a turn may run on a
+	// grant that is not in the store.
 	IsUnstored bool `msgpack:"u,omitempty"`
 }
 
@@ -54,8 +50,11 @@
 	Program ledger.Program    `msgpack:"p"`
 	Turn    structs.RequestID `msgpack:"t"`
 	Tokens  int64             `msgpack:"n"` // delivered to the caller
-	// AdvanceKey, if not empty, asks for an advance reservation of MaxTokens for the
-	// next turn of the line, within Budget.
+	// CreatedAt is when the turn's reservation was made, in Unix milliseconds; 0 in calls of
+	// earlier builds.
+	CreatedAt int64 `msgpack:"c,omitempty"`
+	// AdvanceKey, MaxTokens and Budget are not used any more; builds that reserve tokens for a
+	// next turn send them.
 	AdvanceKey structs.RequestID `msgpack:"v,omitempty"`
 	MaxTokens  int64             `msgpack:"m,omitempty"`
 	Budget     int64             `msgpack:"b,omitempty"`
@@ -83,7 +82,7 @@
 // reservation is likely to be granted but not stored yet; the reservation continues in
 // the background.
 func (l *Local) Reserve(ctx context.Context, req ReserveRequest) error {
-	if req.NeedsAdvance {
+	if req.InOutage {
 		_, err := l.reserveInOutage(ctx, req)
 		return err
 	}
@@ -116,31 +115,25 @@
 	if writeErr == nil && others < req.Budget {
 		return nil
 	}
-	l.Ledger.SettleTurn(req.Program, req.Reservation.Turn, 0)
+	l.Ledger.SettleTurn(req.Program, req.Reservation, 0)
 	if writeErr != nil {
 		return writeErr
 	}
 	return &ledger.BudgetReservedError{Reserved: others, Budget: req.Budget}
 }
 
-// reserveInOutage uses an advance reservation or, for turns that are not stored, a grant
-// from memory. It returns the VM that has a copy of the grant.
+// reserveInOutage makes a grant from memory for a turn that is not stored. It returns the VM
+// that has a copy of the grant.
 func (l *Local) reserveInOutage(ctx context.Context, req ReserveRequest) (copyAt structs.VMID, err error) {
-	if l.Ledger.UseAdvance(req.Program, req.Reservation, req.AdvanceKey) {
-		if req.IsUnstored && l.Holds != nil {
-			_, _ = l.Holds.Announce(ctx, req.Program, req.Budget)
-		}
-		return "", nil
-	}
 	if !req.IsUnstored || l.Holds == nil {
-		return "", &NoAdvanceError{Turn: req.Reservation.Turn}
+		return "", &NoGrantError{Turn: req.Reservation.Turn, Reason: "a turn that is stored needs the store"}
 	}
 	return l.Holds.Grant(ctx, req)
 }
 
 func (l *Local) reserve(ctx context.Context, req ReserveRequest, charge int64) error {
 	isLikely := req.AllowsPending && l.Ledger.Forecast(req.Program, req.Reservation, req.Budget)
-	done := l.Ledger.ReserveCharged(ctx, req.Program, req.Reservation, req.Budget, req.AdvanceKey, charge)
+	done := l.Ledger.ReserveCharged(ctx, req.Program, req.Reservation, req.Budget, charge)
 	if !isLikely {
 		return wait(ctx, done)
 	}
@@ -171,9 +164,7 @@
 	if err != nil {
 		return err
 	}
-	end := ledger.TurnEnd{
-		Reservation: req.Reservation, Budget: req.Budget, Tokens: req.Tokens, ReservedAs: req.ReservedAs, AdvanceKey: id, Rows: rows,
-	}
+	end := ledger.TurnEnd{Reservation: req.Reservation, Budget: req.Budget, Tokens: req.Tokens, Rows: rows}
 	if err := wait(ctx, l.Ledger.FinishTurn(ctx, req.Program, end)); err != nil {
 		return err
 	}
@@ -181,19 +172,13 @@
 	return nil
 }
 
-// Settle settles the reservation of a turn that was not stored.
-func (l *Local) Settle(req SettleRequest) {
+// Settle settles the reservation of a turn that was not stored. It returns once that is
+// stored; a settlement may be repeated.
+func (l *Local) Settle(ctx context.Context, req SettleRequest) error {
 	if l.Holds != nil && l.Holds.Settle(req) {
-		return
-	}
-	if req.AdvanceKey == "" {
-		l.Ledger.SettleTurn(req.Program, req.Turn, req.Tokens)
-		return
+		return nil
 	}
-	l.Ledger.SettleInAdvance(req.Program, ledger.TurnEnd{
-		Reservation: ledger.Reservation{Turn: req.Turn, Tokens: req.MaxTokens},
-		Budget:      req.Budget, Tokens: req.Tokens, AdvanceKey: req.AdvanceKey,
-	})
+	return wait(ctx, l.Ledger.SettleStored(req.Program, ledger.Reservation{Turn: req.Turn, CreatedAt: req.CreatedAt}, req.Tokens))
 }
 
 // Find returns the records of turns of a program, from the cache or the store.
--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -146,6 +146,7 @@
 	config := routing.NewConfig(platform.DecodeDocument)
 	direct := platform.NewStore(loaded.StoreAddress)
 	var server *edge.Server
+	var conversations *conversation.Keeper
 	var router *storepath.Router
 	local := &conversation.Local{Partition: partitionOf}
 	mesh := fleet.New(fleet.Options{
@@ -188,12 +189,13 @@
 		Holders: mesh, Ledger: local.Ledger, Store: router, Partition: partitionOf, Partitions: partitionNames(),
 		UnreachableFor: func() time.Duration { return router.UnreachableFor() }, FirstStart: loaded.IsFirstStart, Log: log,
 	})
+	conversations = conversation.NewKeeper(local, mesh, log)
 	server = edge.New(edge.Options{
-		VM: loaded.VM, Domain: loaded.Domain, Region: loaded.Region,
+		VM: loaded.VM, Process: self.Incarnation, Domain: loaded.Domain, Region: loaded.Region,
 		Config:        config,
 		Dialect:       platform.Dialect{},
 		Store:         router,
-		Conversations: conversation.NewKeeper(local, mesh, log),
+		Conversations: conversations,
 		Local:         local,
 		Peers:         mesh,
 		Domains:       loaded.Regions,
--- a/edge/server.go
+++ b/edge/server.go
@@ -42,6 +42,7 @@
 // Options configures a Server.
 type Options struct {
 	VM      structs.VMID
+	Process structs.Incarnation // this process
 	Domain  structs.DomainID
 	Region  string
 	Config  *routing.Config
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -39,17 +39,18 @@
 // turn is a request that is stored as a turn of a conversation, or whose tokens count
 // against a program's budget, or both.
 type turn struct {
-	chain    *turnlog.Chain  // nil for a first turn and for turns that are not stored
-	record   *turnlog.Record // nil for turns that are not stored
-	program  ledger.Program
-	reserved <-chan error // nil without a budget, and once its result was read
+	chain   *turnlog.Chain  // nil for a first turn and for turns that are not stored
+	record  *turnlog.Record // nil for turns that are not stored
+	program ledger.Program
+	// reservation is the most tokens that the turn can use.
+	reservation ledger.Reservation
+	reserved    <-chan error // nil without a budget, and once its result was read
 	// refused is set when the reservation was refused: nothing may be sent then.
 	refused *structs.Refusal
 	// likelyGranted is closed when the forecast says that the reservation will be
 	// granted.
 	likelyGranted <-chan struct{}
 	isSettled     bool // the turn was settled when it was stored
-	isComplete    bool // the caller has received the whole turn
 	// outageGrant is set if the turn runs although the store is unreachable.
 	outageGrant *conversation.OutageGrant
 	// noGrant is why the turn could not run during the outage.
@@ -69,7 +70,7 @@
 	if x.route.StoresTurns && x.LastEvent != "" {
 		return structs.Refuse(structs.RefusedBadRequest, structs.RunNo, "a turn that is stored is not resumed: it starts at its first event, not after event %q", x.LastEvent)
 	}
-	x.turn = &turn{program: ledger.Program{Account: x.accountID(), ID: x.Program}}
+	x.turn = &turn{program: ledger.Program{Account: x.accountID(), ID: x.Program}, reservation: x.newReservation()}
 	if !x.reserveInOutage(ctx) {
 		if refusal := x.awaitStore(ctx); refusal != nil {
 			return refusal
@@ -93,8 +94,7 @@
 	return x.dispatch(ctx, body)
 }
 
-// reserveInOutage uses an advance reservation, or a grant from memory, while no VM can
-// reach the store. It reports whether the turn may run: it needs the store neither for its tokens nor for
+// reserveInOutage uses a grant from memory while no VM can reach the store. It reports whether the turn may run: it needs the store neither for its tokens nor for
 // its end.
 func (x *exchange) reserveInOutage(ctx context.Context) bool {
 	if x.route.StoresTurns || !x.hasBudget() || x.server.opts.Store.UnreachableFor() == 0 {
@@ -171,21 +171,10 @@
 
 func (x *exchange) reserveRequest() conversation.ReserveRequest {
 	return conversation.ReserveRequest{
-		Program: x.turn.program, Reservation: x.reservation(), Budget: x.Turn.Budget, AdvanceKey: x.advanceKey(),
-		IsUnstored: !x.route.StoresTurns,
+		Program: x.turn.program, Reservation: x.turn.reservation, Budget: x.Turn.Budget, IsUnstored: !x.route.StoresTurns,
 	}
 }
 
-// advanceKey returns the key of the advance reservation that the turn before this one
-// left: that turn's ID or, for turns that don't name it, the line of turns. It is empty
-// if neither is stated.
-func (x *exchange) advanceKey() structs.RequestID {
-	if x.route.StoresTurns || x.Turn.Line == "" {
-		return turnlog.TurnID(x.Turn.Previous)
-	}
-	return turnlog.TurnID(structs.RequestID("line/" + x.Turn.Line))
-}
-
 // isStoreStable reports whether the store has not failed recently, so that
 // reservations are expected to be quick and turns may run before theirs has been
 // made.
@@ -194,14 +183,14 @@
 	return failed == 0 || structs.Now().Sub(failed) > storeStableTime
 }
 
-// reservation returns the most tokens that the turn can use: tokens are counted in
-// complete events, even if the last event is not full.
-func (x *exchange) reservation() ledger.Reservation {
+// newReservation returns a reservation of the most tokens that the turn can use: tokens are
+// counted in complete events, even if the last event is not full.
+func (x *exchange) newReservation() ledger.Reservation {
 	tokens := x.Turn.MaxTokens
 	if perEvent := int64(x.service.TokensPerEvent); perEvent > 0 {
 		tokens = (tokens + perEvent - 1) / perEvent * perEvent
 	}
-	return ledger.Reservation{Turn: turnlog.TurnID(x.ID), Tokens: tokens, CreatedAt: time.Now().UnixMilli()}
+	return ledger.Reservation{Turn: turnlog.TurnID(x.ID), Tokens: tokens, CreatedAt: time.Now().UnixMilli(), Owner: x.server.opts.Process}
 }
 
 // awaitReservation waits until the turn's tokens are reserved or, if likelyGranted
@@ -253,15 +242,13 @@
 func (x *exchange) hasBudget() bool { return x.Turn.Budget > 0 && x.Program != "" }
 
 // settle replaces the reservation by the tokens that the caller received, unless
-// that was done when the turn was stored. A complete turn that is not stored makes an
-// advance reservation for the next one of its line.
+// that was done when the turn was stored.
 func (x *exchange) settle() {
 	if !x.hasBudget() || x.turn.isSettled {
 		return
 	}
-	request := conversation.SettleRequest{Program: x.turn.program, Turn: turnlog.TurnID(x.ID), Tokens: x.tokens}
-	if x.turn.isComplete && !x.route.StoresTurns {
-		request.AdvanceKey, request.MaxTokens, request.Budget = x.advanceKey(), x.reservation().Tokens, x.Turn.Budget
+	request := conversation.SettleRequest{
+		Program: x.turn.program, Turn: x.turn.reservation.Turn, Tokens: x.tokens, CreatedAt: x.turn.reservation.CreatedAt,
 	}
 	if x.turn.outageGrant != nil {
 		x.server.opts.Conversations.SettleInOutage(*x.turn.outageGrant, request)
@@ -273,16 +260,12 @@
 // storeTurn stores the turn if its route asks for it. The response to the caller may
 // end only after that.
 func (x *exchange) storeTurn(ctx context.Context) error {
-	if x.turn == nil {
-		return nil
-	}
-	if !x.route.StoresTurns {
-		x.turn.isComplete = true
+	if x.turn == nil || !x.route.StoresTurns {
 		return nil
 	}
 	x.turn.record.Target = x.target
 	end := conversation.FinishRequest{
-		Program: x.turn.program, Reservation: x.reservation(), Tokens: x.tokens, Record: x.turn.record,
+		Program: x.turn.program, Reservation: x.turn.reservation, Tokens: x.tokens, Record: x.turn.record,
 	}
 	if x.hasBudget() {
 		end.Budget = x.Turn.Budget
--- a/internal/compat/record/main.go
+++ b/internal/compat/record/main.go
@@ -74,13 +74,13 @@
 	}, fleet.ForwardReply{Head: &fleet.ForwardHead{Target: "t-1", Status: 200, Header: http.Header{"C": {"d"}}}, Sends: 1}},
 	{"release", fleet.MethodRelease, fleet.Release{GrantID: 5, Result: placement.ResultAnswered, Latency: time.Millisecond}, struct{}{}},
 	{"reserve", conversation.MethodReserve, conversation.ReserveRequest{
-		Program: program, Reservation: reservation, Budget: 1000, AdvanceKey: "turn-1", NeedsAdvance: true, AllowsPending: true, IsUnstored: true,
+		Program: program, Reservation: reservation, Budget: 1000, AdvanceKey: "turn-1", InOutage: true, AllowsPending: true, IsUnstored: true,
 	}, conversation.Reply{Code: codeNoGrant, Turn: "turn-2", Detail: "detail", CopyAt: "vm-2"}},
 	{"finish", conversation.MethodFinish, conversation.FinishRequest{
 		Program: program, Reservation: reservation, Budget: 1000, Tokens: 60, Record: &turn, Regions: []string{"near"},
 	}, conversation.Reply{Code: codeOther, Detail: "detail"}},
 	{"settle", conversation.MethodSettle, conversation.SettleRequest{
-		Program: program, Turn: "turn-2", Tokens: 60, AdvanceKey: "turn-2", MaxTokens: 64, Budget: 1000,
+		Program: program, Turn: "turn-2", Tokens: 60, CreatedAt: 7, AdvanceKey: "turn-2", MaxTokens: 64, Budget: 1000,
 	}, conversation.Reply{Code: codeBusy, Numbers: [3]int64{900, 64, 960}}},
 	{"find", conversation.MethodFind, conversation.FindRequest{
 		Program: program, Turns: []structs.RequestID{"turn-1", "turn-2"}, Regions: []string{"near"},
--- a/ledger/balance.go
+++ b/ledger/balance.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -13,12 +14,16 @@
 	"github.com/endivecourse/endivecourse/structs"
 )
 
-// Reservation holds the tokens that an unfinished turn may still generate.
+// Reservation holds the tokens that an unfinished turn may still generate. It belongs to its
+// turn from the moment at which it is stored until it is settled.
 type Reservation struct {
 	Turn   structs.RequestID `msgpack:"t"`
 	Tokens int64             `msgpack:"n"`
 	// CreatedAt is the time of the reservation in Unix milliseconds.
 	CreatedAt int64 `msgpack:"a"`
+	// Owner is the process that serves the turn and settles it. It is missing in rows of
+	// earlier builds.
+	Owner structs.Incarnation `msgpack:"o,omitempty"`
 }
 
 // Balance is a program's token balance: the tokens spent and the open reservations.
@@ -28,6 +33,8 @@
 type Balance struct {
 	Spent int64         `msgpack:"s"`
 	Open  []Reservation `msgpack:"o,omitempty"`
+	// Ended are the turns whose reservation was closed in the last endedTTL.
+	Ended []EndedTurn `msgpack:"e,omitempty"`
 	// OutageTurns are the turns that ran on grants of a store outage and were added to the
 	// balance, so that none is added twice.
 	OutageTurns []OutageTurn `msgpack:"w,omitempty"`
@@ -40,10 +47,20 @@
 	Writer structs.VMID `msgpack:"v,omitempty"`
 }
 
-// reservationTTL is the age at which an open reservation counts as spent. Its turn can no
-// longer run, since callers wait for less time than this, so its settlement must have
-// been lost.
-const reservationTTL = 30 * time.Second
+const (
+	// reservationTTL is the age at which an open reservation is charged. Its turn can no
+	// longer run, since callers wait for less time than this, but its settlement has not come
+	// yet.
+	reservationTTL = 30 * time.Second
+	// endedTTL is how long a balance remembers that a turn has ended, and the age at which a
+	// call to reserve its tokens is too late.
+	endedTTL = time.Minute
+	// maxClockDifference is how far the clocks of two VMs may be apart.
+	maxClockDifference = 10 * time.Second
+	// advancePrefix begins the IDs of reservations that earlier builds made for a next turn,
+	// which may never have begun.
+	advancePrefix = "after/"
+)
 
 // BudgetSpentError reports that a program's budget is used up.
 type BudgetSpentError struct{ Spent, Budget int64 }
@@ -71,13 +88,15 @@
 	return sum
 }
 
-// Reserve opens a reservation, or returns *BudgetSpentError or *BudgetReservedError. The
-// last turn may exceed the budget by less than its own tokens.
-func (b *Balance) Reserve(r Reservation, budget int64) error {
+// Reserve opens a reservation at now, or returns *BudgetSpentError, *BudgetReservedError or
+// *LateReservationError. The last turn may exceed the budget by less than its own tokens.
+func (b *Balance) Reserve(r Reservation, budget int64, now time.Time) error {
 	if b.hasReservation(r.Turn) {
 		return nil // an earlier attempt whose response was lost has been applied
 	}
-	b.expireReservations(r.CreatedAt)
+	if b.findEnded(r.Turn) != nil || now.UnixMilli()-r.CreatedAt > endedTTL.Milliseconds() {
+		return &LateReservationError{Turn: r.Turn, Age: now.Sub(time.UnixMilli(r.CreatedAt))}
+	}
 	if b.Spent >= budget {
 		return &BudgetSpentError{Spent: b.Spent, Budget: budget}
 	}
@@ -88,57 +107,64 @@
 	return nil
 }
 
-// ReserveInAdvance opens a reservation for the next turn and reports whether it did. The
-// budget must also have room for a turn of the same size at another VM, which can't use
-// this reservation.
-func (b *Balance) ReserveInAdvance(r Reservation, budget int64) bool {
-	if b.hasReservation(r.Turn) {
-		return true
-	}
-	if b.Spent+b.Reserved()+2*r.Tokens > budget {
-		return false
-	}
-	b.Open = append(b.Open, r)
-	return true
-}
-
 func (b *Balance) hasReservation(turn structs.RequestID) bool {
-	for _, r := range b.Open {
-		if r.Turn == turn {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(b.Open, func(r Reservation) bool { return r.Turn == turn })
 }
 
-// Settle replaces a turn's reservation with the tokens that its caller got.
-func (b *Balance) Settle(turn structs.RequestID, tokens int64) {
-	for i, r := range b.Open {
-		if r.Turn == turn {
-			b.Open = append(b.Open[:i], b.Open[i+1:]...)
-			b.Spent += tokens
-			return
-		}
-	}
-}
+// settlement is what a settlement did to a balance.
+type settlement uint8
+
+const (
+	// settledReservation replaced the turn's reservation.
+	settledReservation settlement = iota
+	// settledCharge replaced the charge for a turn that was not settled in time.
+	settledCharge
+	// settledBefore did nothing, since the turn was settled already.
+	settledBefore
+	// settledUnreserved counted a turn that had no reservation.
+	settledUnreserved
+	// settledTooLate did nothing: it is not known any more whether the turn was counted.
+	settledTooLate
+)
 
-func (b *Balance) expireReservations(now int64) {
-	kept := b.Open[:0]
-	for _, r := range b.Open {
-		if now-r.CreatedAt > reservationTTL.Milliseconds() {
-			b.Spent += r.Tokens
-			continue
+// Settle replaces a turn's reservation with the tokens that its caller got. A settlement that
+// is repeated counts once; one without a reservation counts too, unless the turn began so
+// long ago that it may have been settled or charged before.
+func (b *Balance) Settle(r Reservation, tokens int64, now time.Time) settlement {
+	if i := slices.IndexFunc(b.Open, func(open Reservation) bool { return open.Turn == r.Turn }); i >= 0 {
+		b.Open = slices.Delete(b.Open, i, i+1)
+		b.Spent += tokens
+		b.end(r.Turn, 0, now)
+		return settledReservation
+	}
+	if ended := b.findEnded(r.Turn); ended != nil {
+		if ended.Charged == 0 {
+			return settledBefore
 		}
-		kept = append(kept, r)
+		b.Spent += tokens - ended.Charged
+		ended.Charged = 0
+		return settledCharge
+	}
+	if b.hasOutageTurn(r.Turn) {
+		return settledBefore
+	}
+	if r.CreatedAt != 0 && now.UnixMilli()-r.CreatedAt > endedTTL.Milliseconds() {
+		return settledTooLate
+	}
+	b.Spent += tokens
+	b.end(r.Turn, 0, now)
+	if tokens == 0 {
+		return settledReservation // nothing was reserved and nothing used; a late call must not reserve it now
 	}
-	b.Open = kept
+	return settledUnreserved
 }
 
 // Clone returns a deep copy.
 func (b *Balance) Clone() Balance {
 	c := *b
-	c.Open = append([]Reservation(nil), b.Open...)
-	c.OutageTurns = append([]OutageTurn(nil), b.OutageTurns...)
+	c.Open = slices.Clone(b.Open)
+	c.Ended = slices.Clone(b.Ended)
+	c.OutageTurns = slices.Clone(b.OutageTurns)
 	return c
 }
 
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -10,35 +10,44 @@
 
 // outcome is the result of a change.
 type outcome struct {
-	err        error
-	hasAdvance bool // the advance reservation was opened
+	err     error      // of a reservation
+	settled settlement // of a settlement
+}
+
+// applied is the result of changes of a balance.
+type applied struct {
+	outcomes []outcome
+	charged  []Reservation // closed since their turns can't run any more
+	changed  bool          // the balance has to be stored
 }
 
 // applyChanges applies the changes to a balance. Settlements go first because they free
 // tokens for reservations. now is the time of day, which all VMs share to within seconds.
-func applyChanges(balance *Balance, changes []*change, now time.Time) (outcomes []outcome, changed bool) {
-	outcomes = make([]outcome, len(changes))
+// hasEnded reports whether a process is known to have ended; nil if none is.
+func applyChanges(balance *Balance, changes []*change, now time.Time, hasEnded func(structs.Incarnation) bool) applied {
+	result := applied{outcomes: make([]outcome, len(changes))}
 	for _, c := range changes {
-		changed = balance.applyOutage(c, now.UnixMilli()) || changed
+		result.changed = balance.applyOutage(c, now.UnixMilli()) || result.changed
 	}
 	for i, c := range changes {
-		if !c.isSettlement {
-			continue
+		if c.isSettlement {
+			settled := balance.Settle(c.reservation, c.tokens, now)
+			result.outcomes[i].settled = settled
+			result.changed = result.changed || settled != settledBefore && settled != settledTooLate || len(c.rows.Put) > 0
 		}
-		balance.Settle(c.reservation.Turn, c.tokens)
-		changed = true
-		outcomes[i].hasAdvance = c.advance.Turn != "" && balance.ReserveInAdvance(c.advance, c.budget)
 	}
+	result.charged = balance.charge(now, hasEnded)
+	result.changed = result.changed || len(result.charged) > 0
 	for i, c := range changes {
 		if !c.isSettlement && !c.isWriteBack {
-			outcomes[i].err = balance.Reserve(c.reservation, c.budget)
-			changed = changed || outcomes[i].err == nil
+			result.outcomes[i].err = balance.Reserve(c.reservation, c.budget, now)
+			result.changed = result.changed || result.outcomes[i].err == nil
 		}
 		if c.budget > 0 {
 			balance.Budget = c.budget
 		}
 	}
-	return outcomes, changed
+	return result
 }
 
 // change is a reservation or a settlement to be applied to a program's balance.
@@ -57,11 +66,7 @@
 	rows rowstore.Tx
 	// relayRegions are the regions through whose VMs the rows may be relayed, nil for all.
 	relayRegions []string
-	// advance is reserved for the next turn if its Turn is not empty. The next turn asks
-	// for it by advanceKey.
-	advance    Reservation
-	advanceKey structs.RequestID
-	done       chan error // nil when nobody waits for the result
+	done         chan error // nil when nobody waits for the result
 	// blockUntil is the time until which a reservation may wait for settlements.
 	blockUntil time.Time
 	// deadline is the time after which the change is no longer useful. It is zero for
--- a/ledger/contention.go
+++ b/ledger/contention.go
@@ -14,8 +14,6 @@
 	// Writer is the VM that changed the balance last, empty if it is not known. Changes
 	// that it makes for other VMs do not conflict with its own.
 	Writer structs.VMID
-	// ReservedAs maps turns that use an advance reservation to the ID of that reservation.
-	ReservedAs map[structs.RequestID]structs.RequestID
 }
 
 // Error implements error.
@@ -25,20 +23,7 @@
 
 // failContended fails the changes that somebody waits for and requeues the others.
 func (k *Keeper) failContended(item *batchItem) {
-	failed := &ContendedError{Program: item.entry.key.Key, Writer: item.rival(k.opts.Self), ReservedAs: make(map[structs.RequestID]structs.RequestID)}
-	k.mu.Lock()
-	for _, c := range item.changes {
-		if c.done == nil {
-			continue
-		}
-		for turn, id := range item.entry.advanceIDs {
-			if id == c.reservation.Turn {
-				failed.ReservedAs[turn] = id
-				delete(item.entry.advanceIDs, turn)
-			}
-		}
-	}
-	k.mu.Unlock()
+	failed := &ContendedError{Program: item.entry.key.Key, Writer: item.rival(k.opts.Self)}
 	k.handleFailure(item, failed, false)
 }
 
--- a/ledger/group_commit.go
+++ b/ledger/group_commit.go
@@ -13,9 +13,13 @@
 )
 
 const (
-	// maxWriters limits the concurrent transactions of this VM in one partition. Programs
-	// that arrive meanwhile share the next transaction, so that a slow or overloaded
-	// store gets larger transactions rather than more of them.
+	// overdueTime is how long a transaction has to take until another one of the partition is
+	// started beside it. A partition executes its transactions one after another, so a second
+	// one would wait there; programs that arrive meanwhile share the next one instead, and a
+	// slow store gets larger transactions rather than more of them. A transaction takes 40 ms,
+	// but one whose answer is lost would hold the others up.
+	overdueTime = 250 * time.Millisecond
+	// maxWriters limits the concurrent transactions of this VM in one partition.
 	maxWriters = 4
 	// maxTxEntries and maxTxBytes limit the size of a transaction. The store accepts 100
 	// entries and 1 MB in base64.
@@ -40,14 +44,16 @@
 type commitQueue struct {
 	entries []*entry
 	writers int
+	ended   int         // transactions that have ended
+	overdue *time.Timer // starts another writer, nil if none is needed
 }
 
 // batchItem is one program's part of a transaction.
 type batchItem struct {
 	entry   *entry
 	changes []*change
-	// outcomes are the results of the changes, newBalance is the balance after them.
-	outcomes   []outcome
+	// result is that of the changes, newBalance is the balance after them.
+	result     applied
 	newBalance Balance
 	conflicts  int // attempts that failed because another VM changed the balance
 }
@@ -69,10 +75,34 @@
 	}
 	e.isQueued = true
 	q.entries = append(q.entries, e)
-	if q.writers < maxWriters {
+	k.startWriter(q)
+}
+
+// startWriter starts a writer for a queue with entries. Further ones start while the
+// transactions in progress are overdue. The caller holds the lock.
+func (k *Keeper) startWriter(q *commitQueue) {
+	if q.writers == 0 {
 		q.writers++
 		go k.commitQueued(q)
+		return
 	}
+	if q.writers >= maxWriters || q.overdue != nil {
+		return
+	}
+	ended := q.ended
+	q.overdue = time.AfterFunc(overdueTime, func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		q.overdue = nil
+		if len(q.entries) == 0 {
+			return
+		}
+		if q.ended == ended {
+			q.writers++
+			go k.commitQueued(q)
+		}
+		k.startWriter(q)
+	})
 }
 
 // commitQueued commits batches until the queue is empty.
@@ -83,6 +113,9 @@
 			return
 		}
 		k.commitBatch(batch)
+		k.mu.Lock()
+		q.ended++
+		k.mu.Unlock()
 	}
 }
 
@@ -99,10 +132,6 @@
 			continue
 		}
 		if len(batch) > 0 && !hasSameRelayRegions(batch[0].changes, e.waiting) {
-			if q.writers < maxWriters {
-				q.writers++
-				go k.commitQueued(q)
-			}
 			break
 		}
 		changes := capacity.takeFitting(e.waiting, len(batch) == 0)
@@ -189,10 +218,8 @@
 	now := time.Now()
 	for _, item := range batch {
 		item.dropStale(now)
-		item.newBalance = item.entry.balance.Clone()
-		var changed bool
-		item.outcomes, changed = applyChanges(&item.newBalance, item.changes, time.Now())
-		if !changed && (item.entry.isKnown || len(item.changes) == 0) {
+		k.applyTo(item, now)
+		if !item.result.changed && (item.entry.isKnown || len(item.changes) == 0) {
 			k.reportOutcomes(item)
 			continue
 		}
@@ -201,6 +228,14 @@
 	return remaining
 }
 
+// applyTo computes an item's balance after its changes.
+func (k *Keeper) applyTo(item *batchItem, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	item.newBalance = item.entry.balance.Clone()
+	item.result = applyChanges(&item.newBalance, item.changes, now, k.hasEnded)
+}
+
 // dropStale fails the reservations of turns that have ended, and the changes whose
 // deadline is too close.
 func (item *batchItem) dropStale(now time.Time) {
@@ -357,7 +392,7 @@
 		case now.Before(c.createdAt.Add(settleTimeout)):
 			k.requeueLater(e, c)
 		default:
-			k.opts.Log.Warn("settlement abandoned, the turn's whole reservation counts as spent", "program", e.key.Key,
+			k.opts.Log.Warn("settlement abandoned, the turn counts with its maximum", "program", e.key.Key,
 				"turn", string(c.reservation.Turn), "tokens", c.tokens, "cause", err.Error())
 		}
 	}
@@ -366,9 +401,11 @@
 }
 
 func (k *Keeper) requeueLater(e *entry, c *change) {
+	e.retrying++
 	time.AfterFunc(settleDelay, func() {
 		k.mu.Lock()
 		defer k.mu.Unlock()
+		e.retrying--
 		e.waiting = append(e.waiting, c)
 		k.enqueue(e)
 	})
@@ -385,24 +422,43 @@
 	defer k.mu.Unlock()
 	e := item.entry
 	now := time.Now()
+	for _, r := range item.result.charged {
+		k.opts.Log.Warn("turn not settled, it counts with its maximum", "program", e.key.Key, "turn", string(r.Turn), "tokens", r.Tokens,
+			"owner", string(r.Owner), "age_ms", now.UnixMilli()-r.CreatedAt)
+	}
 	for i, c := range item.changes {
-		if item.outcomes[i].hasAdvance {
-			k.keepAdvance(e, c.advanceKey, c.advance)
-		}
 		if c.isSettlement {
-			k.forgetAdvanceID(e, c.reservation.Turn)
+			k.logSettlement(e, c, item.result.outcomes[i].settled)
 		}
 		var reservedErr *BudgetReservedError
-		if errors.As(item.outcomes[i].err, &reservedErr) && now.Before(c.blockUntil) {
+		if errors.As(item.result.outcomes[i].err, &reservedErr) && now.Before(c.blockUntil) {
 			k.blockReservation(e, c, reservedErr)
-			k.releaseAdvances(e, now, 0)
 			continue
 		}
-		c.notify(item.outcomes[i].err)
+		c.notify(item.result.outcomes[i].err)
 	}
 	k.endTransaction(e)
 }
 
+// logSettlement logs a settlement that found no reservation of its turn.
+func (k *Keeper) logSettlement(e *entry, c *change, settled settlement) {
+	var message string
+	switch settled {
+	case settledCharge:
+		message = "turn settled late, its tokens replace its maximum"
+	case settledUnreserved:
+		message = "turn without a reservation counted"
+	case settledTooLate:
+		if c.tokens == 0 {
+			return
+		}
+		message = "settlement not counted, the turn may have been counted before"
+	default:
+		return
+	}
+	k.opts.Log.Warn(message, "program", e.key.Key, "turn", string(c.reservation.Turn), "tokens", c.tokens)
+}
+
 // DuplicateTurnError reports that the store has a turn with the same ID and other
 // content.
 type DuplicateTurnError struct{ Turn structs.RequestID }
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -16,9 +17,9 @@
 	// program's next turn. It is below 1 s, the time after its end within which a turn
 	// must no longer count at its reserved maximum.
 	settleDelay = 700 * time.Millisecond
-	// settleTimeout is how long a settlement is retried. After that the turn's whole
-	// reservation counts as spent.
-	settleTimeout = 20 * time.Second
+	// settleTimeout is how long a settlement is retried, while balances remember the turn.
+	// After that the turn counts with its maximum.
+	settleTimeout = 45 * time.Second
 	// reserveTimeout limits the time for a reservation's transaction.
 	reserveTimeout = 3 * time.Second
 	// maxBlockedTime is how long a reservation waits for turns in progress that may use
@@ -27,9 +28,9 @@
 	// balanceTTL is how long an unused balance stays in memory. A program may resume
 	// within this time.
 	balanceTTL = 60 * time.Second
-	// advanceTTL is how long an unused advance reservation is kept. Pauses between turns
-	// are mostly below a second.
-	advanceTTL = 3 * time.Second
+	// endedProcessTTL is how long a process that has ended is remembered: its reservations
+	// are charged by then.
+	endedProcessTTL = 2 * reservationTTL
 )
 
 // Options configures a Keeper.
@@ -53,7 +54,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
-	queues  map[string]*commitQueue // by partition
+	queues  map[string]*commitQueue           // by partition
+	ended   map[structs.Incarnation]time.Time // processes that have ended, and when this was known
 }
 
 // entry caches one program's balance as last read or written, and queues its changes.
@@ -72,17 +74,12 @@
 	inFlight    []*change // changes in the current transaction
 	settleTimer *time.Timer
 	lastUsed    time.Time
-	// advances are the advance reservations by the key with which the next turn asks for
-	// them. Only this process uses them.
-	advances map[structs.RequestID]Reservation
-	// advanceIDs maps a turn that uses an advance reservation to the ID of that
-	// reservation in the balance.
-	advanceIDs map[structs.RequestID]structs.RequestID
+	retrying    int // settlements that wait for their next attempt
 }
 
 // NewKeeper returns a Keeper without cached balances.
 func NewKeeper(opts Options) *Keeper {
-	return &Keeper{opts: opts, started: time.Now(), entries: make(map[string]*entry), queues: make(map[string]*commitQueue)}
+	return &Keeper{opts: opts, started: time.Now(), entries: make(map[string]*entry), queues: make(map[string]*commitQueue), ended: make(map[structs.Incarnation]time.Time)}
 }
 
 // Program identifies a program of a client account.
@@ -95,23 +92,17 @@
 // the program's row.
 func (p Program) Key() string { return rowstore.FitKey(string(p.Account) + "/" + string(p.ID)) }
 
-// Reserve requests a reservation for a turn. The turn uses the advance reservation that
-// was made under advanceKey, if there is one. The request expires at the deadline of ctx.
+// Reserve requests a reservation for a turn. The request expires at the deadline of ctx.
 // The channel receives nil once the reservation is stored, or *BudgetSpentError,
-// *BudgetReservedError or an error of the store.
-func (k *Keeper) Reserve(ctx context.Context, p Program, r Reservation, budget int64, advanceKey structs.RequestID) <-chan error {
-	return k.ReserveCharged(ctx, p, r, budget, advanceKey, 0)
+// *BudgetReservedError, *LateReservationError or an error of the store.
+func (k *Keeper) Reserve(ctx context.Context, p Program, r Reservation, budget int64) <-chan error {
+	return k.ReserveCharged(ctx, p, r, budget, 0)
 }
 
 // ReserveCharged is Reserve and, if charge is not 0, first charges the balance for grants
-// of an outage that may have been lost, once in ChargeTime. Such a turn does not use an
-// advance reservation.
-func (k *Keeper) ReserveCharged(ctx context.Context, p Program, r Reservation, budget int64, advanceKey structs.RequestID, charge int64) <-chan error {
+// of an outage that may have been lost, once in ChargeTime.
+func (k *Keeper) ReserveCharged(ctx context.Context, p Program, r Reservation, budget, charge int64) <-chan error {
 	done := make(chan error, 1)
-	if charge == 0 && k.UseAdvance(p, r, advanceKey) {
-		done <- nil
-		return done
-	}
 	now := time.Now()
 	c := &change{reservation: r, budget: budget, charge: charge, done: done, deadline: now.Add(reserveTimeout), blockUntil: now.Add(maxBlockedTime)}
 	if ctxDeadline, hasDeadline := ctx.Deadline(); hasDeadline && ctxDeadline.Before(c.deadline) {
@@ -139,90 +130,64 @@
 	var balance Balance
 	if e != nil {
 		balance = e.balance.Clone()
-		applyChanges(&balance, e.inFlight, time.Now())
-		applyChanges(&balance, e.waiting, time.Now())
+		applyChanges(&balance, e.inFlight, time.Now(), k.hasEnded)
+		applyChanges(&balance, e.waiting, time.Now(), k.hasEnded)
 	}
-	return balance.Reserve(r, budget) == nil
+	return balance.Reserve(r, budget, time.Now()) == nil
 }
 
-// UseAdvance assigns the advance reservation that was made under a key to turn r, and
-// reports whether there was one that is large enough. It needs no store.
-func (k *Keeper) UseAdvance(p Program, r Reservation, key structs.RequestID) bool {
+// EndProcess records that a process has ended: the reservations of the turns that it served are
+// charged, so that their programs are not refused as busy until reservationTTL.
+func (k *Keeper) EndProcess(process structs.Incarnation) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	e := k.entries[p.Key()]
-	if e == nil {
-		return false
-	}
-	advance, ok := e.advances[key]
-	if !ok || advance.Tokens < r.Tokens {
-		return false
-	}
-	delete(e.advances, key)
-	e.advanceIDs[r.Turn] = advance.Turn
-	return true
+	k.ended[process] = time.Now()
+}
+
+// hasEnded reports whether a process is known to have ended. The caller holds the lock.
+func (k *Keeper) hasEnded(process structs.Incarnation) bool {
+	_, isKnown := k.ended[process]
+	return isKnown
 }
 
 // SettleTurn replaces a turn's reservation with the tokens that its caller got.
-func (k *Keeper) SettleTurn(p Program, turn structs.RequestID, tokens int64) {
-	k.addChange(p, &change{reservation: Reservation{Turn: turn}, isSettlement: true, tokens: tokens, createdAt: time.Now()}, false)
+func (k *Keeper) SettleTurn(p Program, r Reservation, tokens int64) {
+	k.addChange(p, &change{reservation: r, isSettlement: true, tokens: tokens, createdAt: time.Now()}, false)
+}
+
+// SettleStored is SettleTurn for a caller that repeats a settlement which was not stored. The
+// channel receives nil once it is stored, or an error of the store.
+func (k *Keeper) SettleStored(p Program, r Reservation, tokens int64) <-chan error {
+	c := &change{reservation: r, isSettlement: true, tokens: tokens, createdAt: time.Now(), done: make(chan error, 1)}
+	k.addChange(p, c, false)
+	return c.done
 }
 
 // TurnEnd describes a turn that was answered completely.
 type TurnEnd struct {
 	Reservation    Reservation
 	Budget, Tokens int64
-	// ReservedAs is the ID of the advance reservation that the turn used at another VM, empty
-	// if there is none.
-	ReservedAs structs.RequestID
-	// AdvanceKey is the key with which the next turn asks for its advance reservation.
-	AdvanceKey structs.RequestID
 	// Rows are stored in the same transaction.
 	Rows rowstore.Tx
 }
 
-// FinishTurn stores the rows of a turn, settles it and, if the budget has room, makes an
-// advance reservation of the same size for the next turn, all in one transaction. The
+// FinishTurn stores the rows of a turn and settles it in one transaction. The
 // request expires at the deadline of ctx: a turn must not be stored after its caller has
 // seen it fail. The channel receives nil once the transaction is stored.
 func (k *Keeper) FinishTurn(ctx context.Context, p Program, end TurnEnd) <-chan error {
-	c := end.change()
-	c.relayRegions = rowstore.RelayRegions(ctx)
-	c.done = make(chan error, 1)
+	now := time.Now()
 	deadline, hasDeadline := ctx.Deadline()
 	if !hasDeadline {
-		deadline = time.Now().Add(settleTimeout)
+		deadline = now.Add(settleTimeout)
+	}
+	c := &change{
+		reservation: end.Reservation, budget: end.Budget, isSettlement: true, tokens: end.Tokens, rows: end.Rows,
+		relayRegions: rowstore.RelayRegions(ctx), done: make(chan error, 1), deadline: deadline, createdAt: now,
 	}
-	c.deadline = deadline
 	k.addChange(p, c, true)
 	return c.done
 }
 
-// SettleInAdvance settles a turn that is not stored like FinishTurn, in the background.
-func (k *Keeper) SettleInAdvance(p Program, end TurnEnd) { k.addChange(p, end.change(), true) }
-
-func (end TurnEnd) change() *change {
-	now := time.Now()
-	reservation := end.Reservation
-	if end.ReservedAs != "" {
-		reservation.Turn = end.ReservedAs
-	}
-	return &change{
-		reservation: reservation, budget: end.Budget, isSettlement: true, tokens: end.Tokens, rows: end.Rows, createdAt: now,
-		advance:    Reservation{Turn: "after/" + end.Reservation.Turn, Tokens: end.Reservation.Tokens, CreatedAt: now.UnixMilli()},
-		advanceKey: end.AdvanceKey,
-	}
-}
-
-// keepAdvance makes an advance reservation available to the next turn. One that was made
-// under the same key and not used is released.
-func (k *Keeper) keepAdvance(e *entry, key structs.RequestID, advance Reservation) {
-	if old, exists := e.advances[key]; exists && old.Turn != advance.Turn {
-		e.waiting = append(e.waiting, &change{reservation: old, isSettlement: true, createdAt: time.Now()})
-	}
-	e.advances[key] = advance
-}
-
 func (k *Keeper) addChange(p Program, c *change, isUrgent bool) { k.addChangeTo(p.Key(), c, isUrgent) }
 
 func (k *Keeper) addChangeTo(program string, c *change, isUrgent bool) {
@@ -230,10 +195,8 @@
 	defer k.mu.Unlock()
 	e := k.entry(program)
 	e.lastUsed = time.Now()
-	if advanceID, ok := e.advanceIDs[c.reservation.Turn]; c.isSettlement && ok {
-		c.reservation.Turn = advanceID
-	}
 	if c.isSettlement && e.withdrawReservations(c.reservation.Turn) {
+		c.notify(nil)
 		return
 	}
 	e.waiting = append(e.waiting, c)
@@ -256,11 +219,7 @@
 func (k *Keeper) entry(key string) *entry {
 	e := k.entries[key]
 	if e == nil {
-		e = &entry{
-			key:        rowstore.Key{Table: budgetTable, Partition: k.opts.Partition(key), Key: key},
-			advances:   make(map[structs.RequestID]Reservation),
-			advanceIDs: make(map[structs.RequestID]structs.RequestID),
-		}
+		e = &entry{key: rowstore.Key{Table: budgetTable, Partition: k.opts.Partition(key), Key: key}}
 		k.entries[key] = e
 	}
 	return e
@@ -323,14 +282,6 @@
 	})
 }
 
-func (k *Keeper) forgetAdvanceID(e *entry, advanceID structs.RequestID) {
-	for turn, id := range e.advanceIDs {
-		if id == advanceID {
-			delete(e.advanceIDs, turn)
-		}
-	}
-}
-
 // retryBlocked queues the blocked reservations again and reports whether there were any.
 func (e *entry) retryBlocked() bool {
 	hasBlocked := len(e.blocked) > 0
@@ -339,34 +290,53 @@
 	return hasBlocked
 }
 
-// releaseAdvances releases the advance reservations that are at least minAge old.
-func (k *Keeper) releaseAdvances(e *entry, now time.Time, minAge time.Duration) {
-	for turn, advance := range e.advances {
-		if now.UnixMilli()-advance.CreatedAt < minAge.Milliseconds() {
-			continue
-		}
-		delete(e.advances, turn)
-		e.waiting = append(e.waiting, &change{reservation: advance, isSettlement: true, createdAt: now})
-		e.retryBlocked()
-		k.enqueue(e)
-	}
-}
-
-// Sweep releases advance reservations that were not used in time, and drops
-// balances from memory that were not used recently.
+// Sweep drops balances from memory that were not used recently.
 func (k *Keeper) Sweep(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for key, e := range k.entries {
-		k.releaseAdvances(e, now, advanceTTL)
 		if e.isIdle() && now.Sub(e.lastUsed) > balanceTTL {
 			delete(k.entries, key)
 		}
 	}
+	maps.DeleteFunc(k.ended, func(_ structs.Incarnation, at time.Time) bool { return now.Sub(at) > endedProcessTTL })
+}
+
+// flushPollPeriod is how often Flush looks whether all is stored.
+const flushPollPeriod = 5 * time.Millisecond
+
+// Flush stores the settlements that wait to share a transaction, before the process ends. It
+// returns when nothing waits any more, or ctx has ended.
+func (k *Keeper) Flush(ctx context.Context) {
+	for {
+		busy := k.enqueueAll()
+		if busy == 0 {
+			return
+		}
+		select {
+		case <-time.After(flushPollPeriod):
+		case <-ctx.Done():
+			k.opts.Log.Warn("settlements not stored before the stop, these turns count with their maximum", "programs", busy)
+			return
+		}
+	}
+}
+
+// enqueueAll queues all changes and returns the number of programs that have some.
+func (k *Keeper) enqueueAll() (busy int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, e := range k.entries {
+		k.enqueue(e)
+		if !e.isIdle() {
+			busy++
+		}
+	}
+	return busy
 }
 
 func (e *entry) isIdle() bool {
-	return !e.isWriting && len(e.waiting) == 0 && len(e.blocked) == 0
+	return !e.isWriting && len(e.waiting) == 0 && len(e.blocked) == 0 && e.retrying == 0
 }
 
 // CachedBalances returns the number of balances in memory.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -48,14 +48,14 @@
 					keepers[vm] = newTestKeeper(store)
 				}
 				id := fmt.Sprint(turn)
-				if err := <-keepers[vm].Reserve(t.Context(), program, newReservation(id, maxTokens), budget, ""); err != nil {
+				if err := <-keepers[vm].Reserve(t.Context(), program, newReservation(id, maxTokens), budget); err != nil {
 					time.Sleep(50 * time.Millisecond)
 					continue
 				}
 				got := int64(rng.IntN(maxTokens + 1))
 				delivered += got
 				if rng.IntN(10) > 0 { // otherwise the VM fails before it settles
-					keepers[vm].SettleTurn(program, structs.RequestID(id), got)
+					keepers[vm].SettleTurn(program, Reservation{Turn: structs.RequestID(id)}, got)
 				}
 				time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
 			}
@@ -71,10 +71,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
 		first := newTestKeeper(store)
-		assert.NilError(t, <-first.Reserve(t.Context(), program, newReservation("1", 100), 100, ""))
-		first.SettleTurn(program, "1", 100)
+		assert.NilError(t, <-first.Reserve(t.Context(), program, newReservation("1", 100), 100))
+		first.SettleTurn(program, Reservation{Turn: "1"}, 100)
 		time.Sleep(time.Second)
-		err := <-newTestKeeper(store).Reserve(t.Context(), program, newReservation("2", 100), 100, "")
+		err := <-newTestKeeper(store).Reserve(t.Context(), program, newReservation("2", 100), 100)
 		var spent *BudgetSpentError
 		assert.Assert(t, errors.As(err, &spent), "%v", err)
 	})
@@ -86,12 +86,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
 		keeper := newTestKeeper(store)
-		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", 100), 100, ""))
-		err := <-keeper.Reserve(t.Context(), program, newReservation("2", 100), 100, "")
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", 100), 100))
+		err := <-keeper.Reserve(t.Context(), program, newReservation("2", 100), 100)
 		var reservedErr *BudgetReservedError
 		assert.Assert(t, errors.As(err, &reservedErr), "%v", err)
-		keeper.SettleTurn(program, "1", 10)
-		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("3", 100), 100, ""))
+		keeper.SettleTurn(program, Reservation{Turn: "1"}, 10)
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("3", 100), 100))
 	})
 }
 
@@ -102,10 +102,10 @@
 		store := rows.New()
 		keeper := newTestKeeper(store)
 		store.SetFaults(rows.Faults{LoseEveryNth: 1})
-		err := <-keeper.Reserve(t.Context(), program, newReservation("1", 100), 100, "")
+		err := <-keeper.Reserve(t.Context(), program, newReservation("1", 100), 100)
 		assert.Assert(t, err != nil, "the response was lost")
 		store.SetFaults(rows.Faults{})
-		err = <-keeper.Reserve(t.Context(), program, newReservation("2", 100), 100, "")
+		err = <-keeper.Reserve(t.Context(), program, newReservation("2", 100), 100)
 		var reservedErr *BudgetReservedError
 		assert.Assert(t, errors.As(err, &reservedErr), "the first reservation stands: %v", err)
 	})
@@ -117,36 +117,36 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
 		keeper := newTestKeeper(store)
-		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", 100), 150, ""))
-		keeper.SettleTurn(program, "1", 40)
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", 100), 150))
+		keeper.SettleTurn(program, Reservation{Turn: "1"}, 40)
 		time.Sleep(time.Second)
 		other := newTestKeeper(store)
-		assert.NilError(t, <-other.Reserve(t.Context(), program, newReservation("2", 100), 150, ""))
+		assert.NilError(t, <-other.Reserve(t.Context(), program, newReservation("2", 100), 150))
 		assert.Equal(t, other.entries[program.Key()].balance.Spent, int64(40))
 	})
 }
 
-// A turn that continues one on the same VM needs no transaction for its reservation, and
-// a turn's rows are stored in the transaction of its settlement.
-func TestAdvanceReservationSavesATransaction(t *testing.T) {
+// A turn's rows are stored in the transaction of its settlement, and nothing stays reserved
+// after it, so that any VM can use what is left of the budget at once.
+func TestFinishedTurnLeavesNothingReserved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
-		keeper := newTestKeeper(store)
+		keepers := []*Keeper{newTestKeeper(store), newTestKeeper(store)}
 		const maxTokens, budget = 100, 1000
-		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", maxTokens), budget, ""))
 		for turn := 1; turn <= 5; turn++ {
 			id := fmt.Sprint(turn)
-			assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation(id, maxTokens), Budget: budget, Tokens: 30, AdvanceKey: newReservation(id, maxTokens).Turn, Rows: turnRow(id)}))
-			before := store.Calls()
-			next := newReservation(fmt.Sprint(turn+1), maxTokens)
-			assert.NilError(t, <-keeper.Reserve(t.Context(), program, next, budget, structs.RequestID(id)))
-			assert.Equal(t, store.Calls(), before)
+			keeper := keepers[turn%2]
+			assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation(id, maxTokens), budget))
+			assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation(id, maxTokens), Budget: budget, Tokens: 30, Rows: turnRow(id)}))
+			synctest.Wait()
+			assert.Equal(t, len(keeper.entries[program.Key()].balance.Open), 0)
 		}
+		assert.Assert(t, store.Calls() <= 4*5, "%d calls", store.Calls())
 		other := newTestKeeper(store)
-		assert.NilError(t, <-other.Reserve(t.Context(), program, newReservation("other", maxTokens), budget, ""))
+		assert.NilError(t, <-other.Reserve(t.Context(), program, newReservation("other", maxTokens), budget))
 		balance := other.entries[program.Key()].balance
 		assert.Equal(t, balance.Spent, int64(150))
-		assert.Equal(t, len(balance.Open), 2)
+		assert.Equal(t, len(balance.Open), 1)
 		for turn := 1; turn <= 5; turn++ {
 			row, err := rowstore.Get(t.Context(), store, turnRow(fmt.Sprint(turn)).Put[0].Key)
 			assert.NilError(t, err)
@@ -163,23 +163,23 @@
 	}
 }
 
-// An advance reservation is made only if the budget has room for it, and is released if
-// it is not used.
-func TestAdvanceReservationsStayWithinTheBudget(t *testing.T) {
+// A budget can be used to its last turn, whichever VMs the turns use, and no further.
+func TestBudgetIsUsedToItsLastTurn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
-		keeper := newTestKeeper(store)
-		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", 100), 150, ""))
-		assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation("1", 100), Budget: 150, Tokens: 60, AdvanceKey: newReservation("1", 100).Turn, Rows: turnRow("1")}))
-		assert.Equal(t, len(keeper.entries[program.Key()].balance.Open), 0)
-		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("2", 100), 320, "1"))
-		assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation("2", 100), Budget: 320, Tokens: 60, AdvanceKey: newReservation("2", 100).Turn, Rows: turnRow("2")}))
-		assert.Equal(t, len(keeper.entries[program.Key()].balance.Open), 1)
-		time.Sleep(advanceTTL)
-		keeper.Sweep(time.Now())
-		synctest.Wait()
-		assert.Equal(t, len(keeper.entries[program.Key()].balance.Open), 0)
-		assert.Equal(t, keeper.entries[program.Key()].balance.Spent, int64(120))
+		const maxTokens, turns = 100, 6
+		for turn := range turns {
+			id := fmt.Sprint(turn)
+			keeper := newTestKeeper(store) // each turn at another VM
+			assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation(id, maxTokens), turns*maxTokens))
+			assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation(id, maxTokens), Budget: turns * maxTokens, Tokens: maxTokens, Rows: turnRow(id)}))
+		}
+		last := newTestKeeper(store)
+		err := <-last.Reserve(t.Context(), program, newReservation("over", maxTokens), turns*maxTokens)
+		var spent *BudgetSpentError
+		assert.Assert(t, errors.As(err, &spent), "%v", err)
+		assert.Equal(t, len(last.entries[program.Key()].balance.Open), 0)
+		assert.Equal(t, last.entries[program.Key()].balance.Spent, int64(turns*maxTokens))
 	})
 }
 
@@ -189,7 +189,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := rows.New()
 		keeper := newTestKeeper(store)
-		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", 100), 1000, ""))
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", 100), 1000))
 		finish := &change{
 			reservation: newReservation("1", 100), budget: 1000, isSettlement: true, tokens: 60, rows: turnRow("1"),
 			done: make(chan error, 1),
@@ -199,7 +199,7 @@
 		version := e.version
 		_, err := keeper.commitTx(t.Context(), keeper.prepareBatch(batch))
 		assert.NilError(t, err)
-		assert.NilError(t, <-newTestKeeper(store).Reserve(t.Context(), program, newReservation("2", 100), 1000, ""))
+		assert.NilError(t, <-newTestKeeper(store).Reserve(t.Context(), program, newReservation("2", 100), 1000))
 		e.version = version // as if the response had been lost
 		keeper.commitBatch(batch)
 		assert.NilError(t, <-finish.done)
@@ -221,7 +221,7 @@
 		const programs = 200
 		var reserved []<-chan error
 		for n := range programs {
-			reserved = append(reserved, keeper.Reserve(t.Context(), programNamed(n), newReservation("1", 100), 1000, ""))
+			reserved = append(reserved, keeper.Reserve(t.Context(), programNamed(n), newReservation("1", 100), 1000))
 			time.Sleep(time.Millisecond)
 		}
 		for _, done := range reserved {
@@ -230,7 +230,7 @@
 		var finished []<-chan error
 		for n := range programs {
 			rows := turnRow(fmt.Sprint("turn-", n))
-			finished = append(finished, keeper.FinishTurn(t.Context(), programNamed(n), TurnEnd{Reservation: newReservation("1", 100), Budget: 1000, Tokens: 50, AdvanceKey: newReservation("1", 100).Turn, Rows: rows}))
+			finished = append(finished, keeper.FinishTurn(t.Context(), programNamed(n), TurnEnd{Reservation: newReservation("1", 100), Budget: 1000, Tokens: 50, Rows: rows}))
 		}
 		for _, done := range finished {
 			assert.NilError(t, <-done)
@@ -250,7 +250,7 @@
 		store := rows.New()
 		store.SetFaults(rows.Faults{Delay: 50 * time.Millisecond})
 		keeper, other := newTestKeeper(store), newTestKeeper(store)
-		assert.NilError(t, <-other.Reserve(t.Context(), programNamed(0), newReservation("0", 100), 100, ""))
+		assert.NilError(t, <-other.Reserve(t.Context(), programNamed(0), newReservation("0", 100), 100))
 		ctx, cancel := context.WithTimeout(t.Context(), 120*time.Millisecond)
 		defer cancel()
 		var reserved []<-chan error
@@ -259,7 +259,7 @@
 			if n == 1 {
 				reserveCtx = ctx
 			}
-			reserved = append(reserved, keeper.Reserve(reserveCtx, programNamed(n), newReservation("1", 100), 1000, ""))
+			reserved = append(reserved, keeper.Reserve(reserveCtx, programNamed(n), newReservation("1", 100), 1000))
 		}
 		for n, done := range reserved {
 			if err := <-done; n != 1 {
@@ -271,26 +271,24 @@
 }
 
 // A reservation that does not fit beside the open ones waits for a short time, since most
-// turns use fewer tokens than reserved. Unused advance reservations are released at once
-// to make room for it.
+// turns use fewer tokens than reserved. A turn that has ended makes room for it at once.
 func TestReservationWaitsForSettlements(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		keeper := newTestKeeper(rows.New())
 		const maxTokens, budget = 100, 200
-		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", maxTokens), budget, ""))
-		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("2", maxTokens), budget, ""))
-		third := keeper.Reserve(t.Context(), program, newReservation("3", maxTokens), budget, "")
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", maxTokens), budget))
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("2", maxTokens), budget))
+		third := keeper.Reserve(t.Context(), program, newReservation("3", maxTokens), budget)
 		time.Sleep(maxBlockedTime / 2)
-		keeper.SettleTurn(program, "1", 30)
+		keeper.SettleTurn(program, Reservation{Turn: "1"}, 30)
 		assert.NilError(t, <-third)
 
 		keeper = newTestKeeper(rows.New())
-		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", maxTokens), 2*budget, ""))
-		assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation("1", maxTokens), Budget: 2 * budget, Tokens: maxTokens, AdvanceKey: newReservation("1", maxTokens).Turn, Rows: turnRow("1")}))
-		assert.Equal(t, len(keeper.entries[program.Key()].advances), 1)
-		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("2", maxTokens), 2*budget, "other"))
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", maxTokens), 2*budget))
+		assert.NilError(t, <-keeper.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation("1", maxTokens), Budget: 2 * budget, Tokens: maxTokens, Rows: turnRow("1")}))
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("2", maxTokens), 2*budget))
 		start := time.Now()
-		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("3", maxTokens), 2*budget, "other"))
+		assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("3", maxTokens), 2*budget))
 		assert.Assert(t, time.Since(start) < maxBlockedTime/2)
 	})
 }
@@ -303,15 +301,15 @@
 		store.SetFaults(rows.Faults{Delay: 50 * time.Millisecond})
 		keeper := newTestKeeper(store)
 		for n := range maxWriters { // each with a transaction in progress
-			keeper.Reserve(t.Context(), programNamed(n), newReservation("1", 100), 1000, "")
+			keeper.Reserve(t.Context(), programNamed(n), newReservation("1", 100), 1000)
 			time.Sleep(time.Millisecond)
 		}
-		done := keeper.Reserve(t.Context(), programNamed(100), newReservation("1", 100), 1000, "")
-		keeper.SettleTurn(programNamed(100), "1", 0)
+		done := keeper.Reserve(t.Context(), programNamed(100), newReservation("1", 100), 1000)
+		keeper.SettleTurn(programNamed(100), Reservation{Turn: "1"}, 0)
 		var withdrawn *WithdrawnError
 		assert.Assert(t, errors.As(<-done, &withdrawn))
 		start := time.Now()
-		assert.NilError(t, <-keeper.Reserve(t.Context(), programNamed(101), newReservation("1", 100), 1000, ""))
+		assert.NilError(t, <-keeper.Reserve(t.Context(), programNamed(101), newReservation("1", 100), 1000))
 		assert.Assert(t, time.Since(start) <= 100*time.Millisecond, "%s", time.Since(start))
 	})
 }
@@ -326,18 +324,18 @@
 		const maxTokens, budget = 100, 200
 		assert.Assert(t, first.Forecast(program, newReservation("1", maxTokens), budget))
 		store.SetFaults(rows.Faults{Delay: 50 * time.Millisecond})
-		firstDone := first.Reserve(t.Context(), program, newReservation("1", maxTokens), budget, "")
+		firstDone := first.Reserve(t.Context(), program, newReservation("1", maxTokens), budget)
 		assert.Assert(t, first.Forecast(program, newReservation("2", maxTokens), budget))
-		secondDone := first.Reserve(t.Context(), program, newReservation("2", maxTokens), budget, "")
+		secondDone := first.Reserve(t.Context(), program, newReservation("2", maxTokens), budget)
 		assert.Assert(t, !first.Forecast(program, newReservation("3", maxTokens), budget))
 		assert.NilError(t, <-firstDone)
 		assert.NilError(t, <-secondDone)
-		done := first.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation("1", maxTokens), Budget: budget, Tokens: 20, AdvanceKey: newReservation("1", maxTokens).Turn, Rows: turnRow("1")})
+		done := first.FinishTurn(t.Context(), program, TurnEnd{Reservation: newReservation("1", maxTokens), Budget: budget, Tokens: 20, Rows: turnRow("1")})
 		assert.Assert(t, first.Forecast(program, newReservation("3", maxTokens), budget))
 
 		assert.NilError(t, <-done)
 		synctest.Wait()
-		assert.Equal(t, len(first.entries[program.Key()].advances), 0)
+		assert.Equal(t, len(first.entries[program.Key()].balance.Open), 1)
 
 		restarted := newTestKeeper(store)
 		assert.Assert(t, !restarted.Forecast(program, newReservation("4", maxTokens), budget))
@@ -353,14 +351,14 @@
 		synctest.Test(t, func(t *testing.T) {
 			store := rows.New()
 			keeper := newTestKeeper(store)
-			assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", 100), 1000, ""))
+			assert.NilError(t, <-keeper.Reserve(t.Context(), program, newReservation("1", 100), 1000))
 			store.SetFaults(rows.Faults{Delay: 100 * time.Millisecond})
-			first := keeper.Reserve(t.Context(), program, newReservation("2", 100), 1000, "")
+			first := keeper.Reserve(t.Context(), program, newReservation("2", 100), 1000)
 			time.Sleep(delay)
-			second := keeper.Reserve(t.Context(), program, newReservation("3", 100), 1000, "")
-			keeper.Reserve(t.Context(), program, newReservation("2", 100), 1000, "") // requested again, as after an early response
-			keeper.SettleTurn(program, "2", 0)
-			keeper.SettleTurn(program, "3", 0)
+			second := keeper.Reserve(t.Context(), program, newReservation("3", 100), 1000)
+			keeper.Reserve(t.Context(), program, newReservation("2", 100), 1000) // requested again, as after an early response
+			keeper.SettleTurn(program, Reservation{Turn: "2"}, 0)
+			keeper.SettleTurn(program, Reservation{Turn: "3"}, 0)
 			<-first
 			<-second
 			time.Sleep(2 * time.Second)
@@ -369,3 +367,40 @@
 		})
 	}
 }
+
+// Guards against a transaction whose answer is lost and that holds up the other programs of
+// its partition until its deadline.
+func TestLostAnswerHoldsNoOtherProgramUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		keeper := newTestKeeper(store)
+		store.SetFaults(rows.Faults{Delay: 2 * time.Second})
+		slow := keeper.Reserve(t.Context(), programNamed(0), newReservation("1", 100), 1000)
+		time.Sleep(time.Millisecond)
+		store.SetFaults(rows.Faults{Delay: 5 * time.Millisecond})
+		start := time.Now()
+		assert.NilError(t, <-keeper.Reserve(t.Context(), programNamed(1), newReservation("1", 100), 1000))
+		assert.Assert(t, time.Since(start) < 2*overdueTime, "%s", time.Since(start))
+		assert.NilError(t, <-slow)
+	})
+}
+
+// A process that ends stores the settlements that wait to share a transaction.
+func TestFlushStoresWaitingSettlements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		keeper := newTestKeeper(store)
+		for n := range 5 {
+			assert.NilError(t, <-keeper.Reserve(t.Context(), programNamed(n), newReservation("1", 100), 100))
+			keeper.SettleTurn(programNamed(n), newReservation("1", 100), 30)
+		}
+		start := time.Now()
+		keeper.Flush(t.Context())
+		assert.Assert(t, time.Since(start) < settleDelay/2, "%s", time.Since(start))
+		other := newTestKeeper(store)
+		for n := range 5 {
+			assert.NilError(t, <-other.Reserve(t.Context(), programNamed(n), newReservation("2", 100), 100))
+			assert.Equal(t, other.entries[programNamed(n).Key()].balance.Spent, int64(30))
+		}
+	})
+}
--- a/ledger/outage.go
+++ b/ledger/outage.go
@@ -38,8 +38,8 @@
 			continue
 		}
 		if slices.ContainsFunc(b.OutageTurns, func(t OutageTurn) bool { return t.Turn == g.Turn }) {
-			if g.IsSettled && b.hasReservation(g.Turn) { // another holder wrote it before it was settled
-				b.Settle(g.Turn, g.Tokens)
+			if g.IsSettled && (b.hasReservation(g.Turn) || b.isCharged(g.Turn)) { // another holder wrote it before it was settled
+				b.Settle(Reservation{Turn: g.Turn}, g.Tokens, time.UnixMilli(now))
 				changed = true
 			}
 			continue
@@ -49,7 +49,7 @@
 		// A turn has a reservation if that was stored as the outage began, with its response lost.
 		switch isReserved := b.hasReservation(g.Turn); {
 		case isReserved && g.IsSettled:
-			b.Settle(g.Turn, g.Tokens)
+			b.Settle(Reservation{Turn: g.Turn}, g.Tokens, time.UnixMilli(now))
 		case isReserved:
 		case g.IsSettled:
 			b.Spent += g.Tokens
@@ -89,11 +89,8 @@
 	balance := e.balance.Clone()
 	tokens := balance.Spent + balance.Reserved()
 	for _, c := range slices.Concat(e.inFlight, e.waiting) {
-		switch {
-		case !c.isSettlement:
+		if !c.isSettlement {
 			tokens += c.reservation.Tokens // of a reservation whose outcome may be unknown
-		case c.advance.Turn != "":
-			tokens += c.advance.Tokens
 		}
 	}
 	return tokens
--- a/ledger/outage_test.go
+++ b/ledger/outage_test.go
@@ -22,7 +22,7 @@
 		assert.Assert(t, <-first.WriteBack(program.Key(), grants) != nil, "the response was lost")
 		store.SetFaults(rows.Faults{})
 		assert.NilError(t, <-second.WriteBack(program.Key(), grants))
-		second.SettleTurn(program, "1", 30)
+		second.SettleTurn(program, Reservation{Turn: "1"}, 30)
 		time.Sleep(10 * time.Second)
 		assert.NilError(t, <-first.WriteBack(program.Key(), grants))
 		assert.Equal(t, first.Committed(program.Key()), int64(70))
@@ -47,9 +47,9 @@
 		t.Run(name, func(t *testing.T) {
 			now := time.UnixMilli(1)
 			var b Balance
-			assert.NilError(t, b.Reserve(Reservation{Turn: "1", Tokens: 100, CreatedAt: now.UnixMilli()}, 1000))
+			assert.NilError(t, b.Reserve(Reservation{Turn: "1", Tokens: 100, CreatedAt: now.UnixMilli()}, 1000, now))
 			for _, g := range c.writes {
-				applyChanges(&b, []*change{{isWriteBack: true, grants: []outage.Grant{g}}}, now)
+				applyChanges(&b, []*change{{isWriteBack: true, grants: []outage.Grant{g}}}, now, nil)
 			}
 			assert.Equal(t, b.Spent, c.spent)
 			assert.Equal(t, b.Reserved(), c.reserved)
@@ -63,10 +63,10 @@
 	now := time.UnixMilli(1)
 	var b Balance
 	void := []*change{{isWriteBack: true, grants: []outage.Grant{{Turn: "1", IsSettled: true, IsVoid: true}}}}
-	applyChanges(&b, void, now)
-	assert.NilError(t, b.Reserve(Reservation{Turn: "1", Tokens: 100, CreatedAt: now.UnixMilli()}, 1000))
-	applyChanges(&b, void, now)
-	b.Settle("1", 40)
+	applyChanges(&b, void, now, nil)
+	assert.NilError(t, b.Reserve(Reservation{Turn: "1", Tokens: 100, CreatedAt: now.UnixMilli()}, 1000, now))
+	applyChanges(&b, void, now, nil)
+	b.Settle(Reservation{Turn: "1"}, 40, now)
 	assert.Equal(t, b.Spent, int64(40))
 }
 
@@ -77,7 +77,7 @@
 		for n, want := range []int64{250 + 100, 250 + 200} {
 			keeper := newTestKeeper(store)
 			r := newReservation(string(rune('a'+n)), 100)
-			assert.NilError(t, <-keeper.ReserveCharged(t.Context(), program, r, 1000, "", 250))
+			assert.NilError(t, <-keeper.ReserveCharged(t.Context(), program, r, 1000, 250))
 			assert.Equal(t, keeper.Committed(program.Key()), want)
 			time.Sleep(time.Second)
 		}
--- a/ledger/rejected_test.go
+++ b/ledger/rejected_test.go
@@ -39,7 +39,7 @@
 		// Occupy the writers so that the next changes share a transaction.
 		var busy []<-chan error
 		for n := range maxWriters {
-			busy = append(busy, k.Reserve(t.Context(), Program{Account: "x", ID: structs.ProgramID(rune('a' + n))}, newReservation("r", 1), 1000, ""))
+			busy = append(busy, k.Reserve(t.Context(), Program{Account: "x", ID: structs.ProgramID(rune('a' + n))}, newReservation("r", 1), 1000))
 			synctest.Wait()
 		}
 		bad := k.FinishTurn(t.Context(), Program{Account: "b", ID: "bad"}, TurnEnd{Reservation: newReservation("bad", 1), Budget: 1, Tokens: 1, Rows: rowsOf})
