A VM that stops stores its settlements; turns of a process that has ended are charged

Cause, by a trace of the rows: advance reservations of the stopped process, which only its memory knew to be unused; they counted for 30 s and then as spent. Settlements that waited 0.7 s for a transaction were lost in the same way.

Change: Mesh.Stop stores what waits before and after it refuses calls of peers, so that their settlements are confirmed; a VM that is heard under a new process has its old one's turns charged at once, two seconds later, so that a late digest charges nothing.

--- a/daemon/endived.go
+++ b/daemon/endived.go
@@ -174,6 +174,8 @@
 			},
 			ReachesTargets: func() bool { return server.ReachesTargets() },
 			ReportReach:    func(vm fleet.Member, reachesTargets bool) { server.ReportReach(vm, reachesTargets) },
+			ProcessEnded:   func(process structs.Incarnation) { local.Ledger.EndProcess(process) },
+			Flush:          func(ctx context.Context) { conversations.Flush(ctx) },
 			ForgetVM:       func(vm structs.VMID) { server.ForgetVM(vm) },
 		},
 	})
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -52,6 +52,9 @@
 
 const membersTable = "members"
 
+// processEndedDelay is longer than the time between two digests of a VM of the region.
+const processEndedDelay = 2 * time.Second
+
 // Hooks connects the mesh to the component whose state it carries. The functions
 // are called from several goroutines.
 type Hooks struct {
@@ -77,6 +80,10 @@
 	// ReportReach records what a peer says of itself.
 	ReachesTargets func() bool
 	ReportReach    func(vm Member, reachesTargets bool)
+	// ProcessEnded is called when a VM has another process than before.
+	ProcessEnded func(process structs.Incarnation)
+	// Flush stores what this VM has accepted from others, before the process ends.
+	Flush func(ctx context.Context)
 	// ForgetVM is called when a VM has been forgotten.
 	ForgetVM func(vm structs.VMID)
 }
@@ -242,15 +249,23 @@
 // end and closes all connections.
 func (m *Mesh) Stop(ctx context.Context) error {
 	close(m.stopping)
-	ctx, cancel := context.WithTimeout(ctx, lastCallsTimeout)
+	m.flush(ctx) // calls of peers wait for it
+	callsCtx, cancel := context.WithTimeout(ctx, lastCallsTimeout)
 	defer cancel()
-	if err := m.server.Drain(ctx); err != nil {
+	if err := m.server.Drain(callsCtx); err != nil {
 		m.opts.Log.Info("calls of peers cut by the stop", "cause", err.Error())
 	}
+	m.flush(ctx)
 	m.client.Close()
 	return m.server.Close()
 }
 
+func (m *Mesh) flush(ctx context.Context) {
+	if m.opts.Hooks.Flush != nil {
+		m.opts.Hooks.Flush(ctx)
+	}
+}
+
 // Members returns the other VMs that are known.
 func (m *Mesh) Members() []Member {
 	m.mu.Lock()
@@ -279,6 +294,9 @@
 	defer m.mu.Unlock()
 	delete(m.forgottenIncarnations, from.Incarnation)
 	old := m.members[from.VM]
+	if old != nil && old.Incarnation != from.Incarnation {
+		time.AfterFunc(processEndedDelay, func() { m.reportEnded(old.Member) })
+	}
 	if old == nil || old.Incarnation != from.Incarnation {
 		m.opts.Log.Info("peer joined", "peer", string(from.VM), "incarnation", string(from.Incarnation), "address", from.Address)
 		m.addMember(from)
@@ -287,6 +305,18 @@
 	old.lastSeen = time.Now()
 }
 
+// reportEnded reports that a process has ended unless the VM has been heard under it again: a
+// late digest of an earlier process looks like a new one for a moment.
+func (m *Mesh) reportEnded(old Member) {
+	m.mu.Lock()
+	present := m.members[old.VM]
+	hasEnded := present != nil && present.Incarnation != old.Incarnation
+	m.mu.Unlock()
+	if hasEnded && m.opts.Hooks.ProcessEnded != nil {
+		m.opts.Hooks.ProcessEnded(old.Incarnation)
+	}
+}
+
 // addMembers adds VMs that another source lists. VMs that are known already stay
 // unchanged.
 func (m *Mesh) addMembers(members []Member) {
