edge: a late release ends no grant of a placer's later process

A call to give back a slot that arrives after the placer has been restarted ended the grant of another request, whose slot was given away twice. Quota tokens were read too: a token that is not given back comes back with the rate.

Change: the numbers begin at a random one.

Test: TestLateReleaseEndsNoGrantOfALaterProcess; on the code before no grant was left of 6.

--- a/edge/placement_test.go
+++ b/edge/placement_test.go
@@ -241,3 +241,30 @@
 	verdict, _ = s.admitAccount(account, false, 0)
 	assert.Assert(t, verdict.Admitted)
 }
+
+// Guards against a slot that is given away twice: a late call to give back a grant of the
+// placer's earlier process must not end a grant of its present one.
+func TestLateReleaseEndsNoGrantOfALaterProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		advanceClock()
+		isSilent := false
+		grantAll := func() (placer *Server, grants []*grant) {
+			servers := newServers(20, 1, new(int), &isSilent)
+			for range slotsPerTarget {
+				ticket := admission.Request{ProgramDeadline: structs.Now().Add(time.Second)}
+				g, err := servers[1].acquireGrant(t.Context(), placement.Query{Service: "s"}, ticket, time.Second, 2*time.Second)
+				assert.NilError(t, err)
+				grants = append(grants, g)
+			}
+			return servers[0], grants
+		}
+		_, earlier := grantAll()
+		restarted, _ := grantAll()
+		for _, g := range earlier {
+			restarted.ReleaseForPeer(fleet.Release{GrantID: g.id})
+		}
+		restarted.mu.Lock()
+		defer restarted.mu.Unlock()
+		assert.Equal(t, len(restarted.peerGrants), slotsPerTarget)
+	})
+}
--- a/edge/server.go
+++ b/edge/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,7 +129,9 @@
 		waiters:    make(map[*admission.Request]*waiter),
 		limiter:    share.New(structs.Now(), opts.QuotaSlack),
 		selector:   share.NewSelector(),
-		quarantine: quarantine.New(quarantine.Options{Targets: quarantineTargets, SuspectPeriod: crashTTL, MaxReports: maxCrashReports}),
+		// A late call to release a grant of an earlier process must not end one of this process.
+		lastGrantID: rand.Uint64(),
+		quarantine:  quarantine.New(quarantine.Options{Targets: quarantineTargets, SuspectPeriod: crashTTL, MaxReports: maxCrashReports}),
 	}
 	s.trials = &trials{store: opts.Store, log: opts.Log}
 	s.requestBodies = connlimit.NewBudget(int(opts.MemoryBytes / requestDivisor))
