--- a/conversation/holds_test.go
+++ b/conversation/holds_test.go
@@ -166,19 +166,6 @@
 	}
 }
 
-// settle settles a turn in the background, and repeats that until it is stored.
-func (vm *holdVM) settle(turn structs.RequestID, tokens int64) {
-	req := SettleRequest{Program: program, Turn: turn, Tokens: tokens}
-	if vm.local.Holds.Settle(req) {
-		return
-	}
-	go func() {
-		for vm.local.Settle(context.Background(), req) != nil {
-			time.Sleep(settlePause)
-		}
-	}()
-}
-
 // inRegion runs a test in virtual time.
 func inRegion(t *testing.T, count int, test func(t *testing.T, r *holdRegion)) {
 	synctest.Test(t, func(t *testing.T) {
--- a/conversation/home_calls.go
+++ b/conversation/home_calls.go
@@ -4,7 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,9 +38,9 @@
 	// settlePause is the pause between two attempts, settleTime the time for all of them: for
 	// that long, balances remember which turns have been settled.
 	settlePause = time.Second
+	settleTime  = 45 * time.Second
 	// flushPeriod is how often a stopping VM sends the settlements that wait for others.
 	flushPeriod = 5 * time.Millisecond
-	settleTime  = 45 * time.Second
 )
 
 // Peers finds and calls home VMs.
@@ -64,7 +64,7 @@
 	peers Peers
 	log   *slog.Logger
 	// settling counts the settlements in the background.
-	settling sync.WaitGroup
+	settling atomic.Int64
 }
 
 // NewKeeper returns a Keeper that falls back to local.
@@ -235,7 +235,7 @@
 // SettleInOutage settles, in the background, a turn that ran on an outage grant. If the
 // home VM is lost meanwhile, the turn counts with its maximum.
 func (k *Keeper) SettleInOutage(grant OutageGrant, req SettleRequest) {
-	k.settling.Go(func() {
+	k.inBackground(func() {
 		ctx, cancel := wire.WithReplyTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		if grant.Home == "" {
@@ -268,7 +268,7 @@
 // Settle settles, in the background, the reservation of a turn that was not stored. It repeats
 // that until it is stored: a home VM may end before it has stored what it was told.
 func (k *Keeper) Settle(req SettleRequest) {
-	k.settling.Go(func() {
+	k.inBackground(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 		defer cancel()
 		for {
@@ -309,21 +309,27 @@
 	return k.local.Settle(localCtx, req)
 }
 
+// inBackground runs a settlement that Flush waits for.
+func (k *Keeper) inBackground(settle func()) {
+	k.settling.Add(1)
+	go func() {
+		defer k.settling.Add(-1)
+		settle()
+	}()
+}
+
 // Flush stores the settlements of this VM and of those that call it as a home, before the
 // process ends.
 func (k *Keeper) Flush(ctx context.Context) {
-	settled := make(chan struct{})
-	go func() {
-		k.settling.Wait()
-		close(settled)
-	}()
 	for {
 		k.local.Ledger.Flush(ctx)
-		select {
-		case <-settled:
+		left := k.settling.Load()
+		if left == 0 {
 			return
+		}
+		select {
 		case <-ctx.Done():
-			k.log.Warn("turns not settled before the stop count with their maximum")
+			k.log.Warn("turns not settled before the stop count with their maximum", "turns", left)
 			return
 		case <-time.After(flushPeriod):
 		}
--- a/conversation/late_calls_test.go
+++ b/conversation/late_calls_test.go
@@ -1,6 +1,7 @@
 package conversation
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,3 +43,16 @@
 		assert.Equal(t, balance.Spent, int64(3*first.Tokens))
 	})
 }
+
+// settle settles a turn in the background, and repeats that until it is stored.
+func (vm *holdVM) settle(turn structs.RequestID, tokens int64) {
+	req := SettleRequest{Program: program, Turn: turn, Tokens: tokens}
+	if vm.local.Holds.Settle(req) {
+		return
+	}
+	go func() {
+		for vm.local.Settle(context.Background(), req) != nil {
+			time.Sleep(settlePause)
+		}
+	}()
+}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -94,8 +94,8 @@
 	return x.dispatch(ctx, body)
 }
 
-// reserveInOutage uses a grant from memory while no VM can reach the store. It reports whether the turn may run: it needs the store neither for its tokens nor for
-// its end.
+// reserveInOutage uses a grant from memory while no VM can reach the store. It reports
+// whether the turn may run: it needs the store neither for its tokens nor for its end.
 func (x *exchange) reserveInOutage(ctx context.Context) bool {
 	if x.route.StoresTurns || !x.hasBudget() || x.server.opts.Store.UnreachableFor() == 0 {
 		return false
--- a/ledger/ended.go
+++ b/ledger/ended.go
@@ -14,14 +14,13 @@
 // EndedTurn is a turn whose reservation was closed. Calls for the turn that arrive late or
 // once more find it here: they neither reserve nor count its tokens again.
 type EndedTurn struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
 	// Hash is a hash of the turn's ID.
-	Hash uint64
+	Hash uint64 `msgpack:"h"`
 	// At is when the reservation was closed, in Unix seconds.
-	At int64
+	At int64 `msgpack:"a"`
 	// Charged is the number of tokens with which the turn counts since it was not settled, 0
 	// if it was.
-	Charged int64
+	Charged int64 `msgpack:"c,omitempty"`
 }
 
 // LateReservationError reports a call that would reserve the tokens of a turn which has ended.
