fleet: the test of ended calls registers its method before its servers serve

Cause: TestCallEndedByItsCallerKeepsTheHome added a handler to servers that were serving already, which the read loop reads without a lock; no process does so. Change: the test prepares its meshes and starts them after that. Its checks are the same.

--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -267,7 +267,18 @@
 // Guards against two VMs acting as the home of one program: a call that its caller ends
 // says nothing about the VM that was called.
 func TestCallEndedByItsCallerKeepsTheHome(t *testing.T) {
-	nodes := startNodes(t, rows.New(), 3)
+	release := make(chan struct{})
+	defer close(release)
+	store := rows.New()
+	var nodes []*testNode
+	for i := range 3 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		n := prepareNode(store, i, listener, nil)
+		wire.HandleUnary(n.mesh.server, "test.hang", func(context.Context, struct{}) (struct{}, error) { <-release; return struct{}{}, nil })
+		n.run(t)
+		nodes = append(nodes, n)
+	}
 	waitUntil(t, "digests", func() bool { return haveHeardFrom(nodes, 2) })
 	mesh := nodes[0].mesh // the third VM is of the same region
 	partition := ""
@@ -277,11 +288,6 @@
 		}
 	}
 	home, _ := mesh.Home(partition)
-	release := make(chan struct{})
-	defer close(release)
-	for _, n := range nodes {
-		wire.HandleUnary(n.mesh.server, "test.hang", func(context.Context, struct{}) (struct{}, error) { <-release; return struct{}{}, nil })
-	}
 	call := func(ctx context.Context) structs.VMID {
 		assert.Assert(t, mesh.CallHome(ctx, home, "test.hang", struct{}{}, &struct{}{}) != nil)
 		now, _ := mesh.Home(partition)
