ledger: the end of a turn is stored also if its reservation was not sent yet

Change: the settlement is stored always; the row remembers the turn.

Test: TestCallAfterWithdrawnReservationReservesNothing, at the same and at another VM, failed before.

--- a/ledger/commit_queue.go
+++ b/ledger/commit_queue.go
@@ -106,7 +106,7 @@
 			break
 		}
 		q.entries = q.entries[1:]
-		e.isQueued, e.isWriting, e.wasSent, e.inFlight = false, true, true, changes
+		e.isQueued, e.isWriting, e.inFlight = false, true, changes
 		e.waiting = e.waiting[len(changes):]
 		batch = append(batch, &batchItem{entry: e, changes: changes})
 	}
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -64,7 +64,6 @@
 	balance Balance
 	version uint64
 	isKnown bool // the row was read or written by this process and no failed transaction may have changed it since
-	wasSent bool // a transaction was sent at least once
 	// waiting are the changes to be sent in the next transaction. blocked are
 	// reservations that wait until a settlement frees tokens.
 	waiting     []*change
@@ -195,14 +194,11 @@
 	defer k.mu.Unlock()
 	e := k.entry(program)
 	e.lastUsed = time.Now()
-	if c.isSettlement && e.withdrawReservations(c.reservation.Turn) {
-		c.notify(nil)
-		return
-	}
-	e.waiting = append(e.waiting, c)
 	if c.isSettlement {
+		e.withdrawReservations(c.reservation.Turn)
 		isUrgent = e.retryBlocked() || isUrgent
 	}
+	e.waiting = append(e.waiting, c)
 	if isUrgent {
 		k.enqueue(e)
 		return
@@ -225,10 +221,9 @@
 	return e
 }
 
-// withdrawReservations drops the unsent reservations of a turn that has ended. It reports
-// whether there were any and the store can't have a reservation of the turn.
-func (e *entry) withdrawReservations(turn structs.RequestID) bool {
-	found := false
+// withdrawReservations drops the unsent reservations of a turn that has ended. Its settlement
+// is stored nevertheless: another call to reserve for the turn may be under way.
+func (e *entry) withdrawReservations(turn structs.RequestID) {
 	for _, list := range []*[]*change{&e.waiting, &e.blocked} {
 		kept := (*list)[:0:0]
 		for _, c := range *list {
@@ -236,25 +231,10 @@
 				kept = append(kept, c)
 				continue
 			}
-			found = true
 			c.notify(&WithdrawnError{Turn: turn})
 		}
 		*list = kept
 	}
-	return found && !e.mayBeStored(turn)
-}
-
-// mayBeStored reports whether the stored balance may have a reservation of the turn.
-func (e *entry) mayBeStored(turn structs.RequestID) bool {
-	for _, c := range e.inFlight {
-		if !c.isSettlement && c.reservation.Turn == turn {
-			return true
-		}
-	}
-	if e.isKnown {
-		return e.balance.hasReservation(turn)
-	}
-	return e.wasSent
 }
 
 // WithdrawnError reports that a turn ended before its tokens were reserved.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -404,3 +404,26 @@
 		}
 	})
 }
+
+// Guards against a reservation that nobody settles: a turn ends before its reservation was
+// sent, and a second call to reserve for it arrives after that, at this VM or another one.
+func TestCallAfterWithdrawnReservationReservesNothing(t *testing.T) {
+	for _, isOtherVM := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			store := rows.New()
+			store.SetFaults(rows.Faults{Delay: 50 * time.Millisecond})
+			keeper := newTestKeeper(store)
+			keeper.Reserve(t.Context(), programNamed(0), newReservation("1", 100), 1000) // a transaction in progress
+			time.Sleep(time.Millisecond)
+			done := keeper.Reserve(t.Context(), program, newReservation("1", 100), 1000)
+			settled := keeper.SettleStored(program, newReservation("1", 100), 0)
+			var withdrawn *WithdrawnError
+			assert.Assert(t, errors.As(<-done, &withdrawn))
+			assert.NilError(t, <-settled)
+			if isOtherVM {
+				keeper = newTestKeeper(store)
+			}
+			assert.ErrorType(t, <-keeper.Reserve(t.Context(), program, newReservation("1", 100), 1000), &LateReservationError{})
+		})
+	}
+}
