fleet, ledger: a live process is not taken for ended; a charged turn may go on

The answer to a digest was recorded as a sign of the process to which the digest had been addressed, so that a VM's earlier process came back for a moment and the present one was reported as ended. The reservations of its turns were charged at once, and their second call to reserve was refused as late.

Change: an answer keeps a member alive but names no process; a digest takes back that its process has ended; a turn that counts with its maximum may go on, since all that it hands out is counted.

--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -12,6 +12,9 @@
 
 func (m *Mesh) handleDigest(_ context.Context, d Digest) (DigestReply, error) {
 	m.recordAlive(d.From)
+	if m.opts.Hooks.ProcessRuns != nil {
+		m.opts.Hooks.ProcessRuns(d.From.Incarnation)
+	}
 	m.recordStoreReachable(d.From.VM, d.IsStoreReachable)
 	m.recordRegionSupport(d.From.VM, d.HonorsRegions)
 	m.opts.Hooks.ApplyDigest(d)
@@ -103,7 +106,7 @@
 	if err := m.call(ctx, peer.Address, MethodDigest, digest, &reply); err != nil {
 		return // expirePeers removes a peer that sends nothing for memberTimeout
 	}
-	m.recordAlive(peer)
+	m.recordAnswer(peer)
 	m.recordRegionSupport(peer.VM, reply.HonorsRegions)
 	m.opts.Hooks.ReportReach(peer, reply.ReachesTargets)
 	m.addMembers(reply.Members)
--- a/fleet/mesh.go
+++ b/fleet/mesh.go
@@ -82,6 +82,8 @@
 	ReportReach    func(vm Member, reachesTargets bool)
 	// ProcessEnded is called when a VM has another process than before.
 	ProcessEnded func(process structs.Incarnation)
+	// ProcessRuns is called when a process is heard.
+	ProcessRuns func(process structs.Incarnation)
 	// Flush stores what this VM has accepted from others, before the process ends.
 	Flush func(ctx context.Context)
 	// ForgetVM is called when a VM has been forgotten.
@@ -305,6 +307,16 @@
 	old.lastSeen = time.Now()
 }
 
+// recordAnswer records that a VM has answered a call. The call may have been made to an earlier
+// process of the VM, which does not come back by that.
+func (m *Mesh) recordAnswer(from Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if peer := m.members[from.VM]; peer != nil {
+		peer.lastSeen = time.Now()
+	}
+}
+
 // reportEnded reports that a process has ended unless the VM has been heard under it again: a
 // late digest of an earlier process looks like a new one for a moment.
 func (m *Mesh) reportEnded(old Member) {
--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -347,3 +347,17 @@
 	assert.NilError(t, reply.unpack())
 	assert.Equal(t, string(reply.Raw), raw)
 }
+
+// Guards against a process that is taken for ended: an answer to a call that was made to an
+// earlier process of a VM must not bring that process back.
+func TestLateAnswerOfEarlierProcessChangesNoMember(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	mesh := prepareNode(rows.New(), 0, listener, nil).mesh
+	earlier, later := Member{VM: "vm-9", Incarnation: "vm-9#1"}, Member{VM: "vm-9", Incarnation: "vm-9#2"}
+	mesh.recordAlive(earlier)
+	mesh.recordAlive(later)
+	mesh.recordAnswer(earlier)
+	assert.Equal(t, mesh.Members()[0].Incarnation, later.Incarnation)
+}
--- a/ledger/balance.go
+++ b/ledger/balance.go
@@ -94,7 +94,11 @@
 	if b.hasReservation(r.Turn) {
 		return nil // an earlier attempt whose response was lost has been applied
 	}
-	if b.findEnded(r.Turn) != nil || now.UnixMilli()-r.CreatedAt > endedTTL.Milliseconds() {
+	ended := b.findEnded(r.Turn)
+	if ended != nil && ended.Charged >= r.Tokens && ended.Charged > 0 {
+		return nil // the turn counts with its maximum, as with a reservation
+	}
+	if ended != nil || now.UnixMilli()-r.CreatedAt > endedTTL.Milliseconds() {
 		return &LateReservationError{Turn: r.Turn, Age: now.Sub(time.UnixMilli(r.CreatedAt))}
 	}
 	if b.Spent >= budget {
--- a/ledger/keeper.go
+++ b/ledger/keeper.go
@@ -143,6 +143,13 @@
 	k.ended[process] = time.Now()
 }
 
+// ProcessRuns records that a process has been heard, so that it has not ended.
+func (k *Keeper) ProcessRuns(process structs.Incarnation) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.ended, process)
+}
+
 // hasEnded reports whether a process is known to have ended. The caller holds the lock.
 func (k *Keeper) hasEnded(process structs.Incarnation) bool {
 	_, isKnown := k.ended[process]
--- a/ledger/orders_test.go
+++ b/ledger/orders_test.go
@@ -219,3 +219,19 @@
 	assert.Equal(t, b.Settle(r, 40, now.Add(time.Second)), settledBefore)
 	assert.Equal(t, b.Spent, int64(40))
 }
+
+// Guards against a turn that is broken off since its process was taken for ended: it counts
+// with its maximum, so it may go on, and its settlement replaces that.
+func TestChargedTurnMayGoOn(t *testing.T) {
+	now := time.UnixMilli(1_000_000_000)
+	r := Reservation{Turn: "1", Tokens: 100, CreatedAt: now.UnixMilli(), Owner: "vm-1"}
+	reserve := &change{reservation: r, budget: 1000}
+	hasEnded := func(structs.Incarnation) bool { return true }
+	var b Balance
+	assert.NilError(t, applyChanges(&b, []*change{reserve}, now, hasEnded).outcomes[0].err)
+	assert.NilError(t, applyChanges(&b, []*change{reserve}, now.Add(time.Second), hasEnded).outcomes[0].err)
+	assert.Equal(t, b.Spent+b.Reserved(), int64(100))
+	applyChanges(&b, []*change{{reservation: r, isSettlement: true, tokens: 30}}, now.Add(2*time.Second), hasEnded)
+	assert.Equal(t, b.Spent, int64(30))
+	assert.ErrorType(t, applyChanges(&b, []*change{reserve}, now.Add(3*time.Second), hasEnded).outcomes[0].err, &LateReservationError{})
+}
