hop: a reset under an upload is no end of an answer

What callers saw: a target answered a long upload at once with a 200 without length, sent a part of its body and reset the connection while the upload was being written. The part reached the caller as a whole answer (MIXED); as a turn it was stored, as a failure it was passed on.

Cause: the kernel reports a reset once, to the reader or to the writer, whichever system call comes first. If the writer was told, the reader saw the end of the connection, which is the end of an answer without length, and nothing looked at what the writer had been told.

Change: connend.Conn reads io.EOF only if the peer has ended its side. At an end it waits for the Write in progress, which it interrupts, and looks at the error of the first Write that failed. EPIPE comes after an end that the peer has sent, any other error of the connection before one. hop reads and writes through it. A whole answer before a reset is read as before: its length or last chunk ends it.

--- a/daemon/endived_forward_test.go
+++ b/daemon/endived_forward_test.go
@@ -25,7 +25,13 @@
 // newForwardingSite returns a site of the given number of VMs in one region, with one app
 // and one engine, after the first VM has found that it reaches no target.
 func newForwardingSite(t *testing.T, vms int, drain time.Duration) *forwardingSite {
+	return newForwardingSiteWithin(t, vms, drain, platformtest.Limits{MemoryMB: 154})
+}
+
+// newForwardingSiteWithin is newForwardingSite with the limits of each VM.
+func newForwardingSiteWithin(t *testing.T, vms int, drain time.Duration, limits platformtest.Limits) *forwardingSite {
 	f := &forwardingSite{testSite: newTestSite(t)}
+	f.site.SetLimits(limits)
 	for range vms {
 		vm := f.site.AddVM("near-a")
 		f.vms = append(f.vms, vm)
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -14,6 +14,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/endivecourse/endivecourse/internal/connend"
 )
 
 const (
@@ -114,6 +116,7 @@
 // Conn is one connection to a target; it carries one request at a time.
 type Conn struct {
 	net                 net.Conn
+	stream              *connend.Conn // reads and writes net
 	address             string
 	bounded             *boundedReader
 	reader              *bufio.Reader // reads from bounded
@@ -128,8 +131,9 @@
 }
 
 func newConn(nc net.Conn, address string) *Conn {
-	bounded := &boundedReader{net: nc}
-	return &Conn{net: nc, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes)}
+	stream := connend.New(nc)
+	bounded := &boundedReader{net: stream}
+	return &Conn{net: nc, stream: stream, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes)}
 }
 
 // Close closes the connection, which makes the target abandon its request.
@@ -209,12 +213,12 @@
 		if err := req.Write(&buf); err != nil {
 			return err
 		}
-		_, err := c.net.Write(buf.Bytes())
+		_, err := c.stream.Write(buf.Bytes())
 		return err
 	}
 	c.writeDone = make(chan error, 1)
 	go func() {
-		buffered := bufio.NewWriterSize(c.net, maxInlineBodyBytes)
+		buffered := bufio.NewWriterSize(c.stream, maxInlineBodyBytes)
 		err := req.Write(buffered)
 		if err == nil {
 			err = buffered.Flush()
