hop: a status that HTTP does not know is no answer

Here 000 and all below 100 are rejected already, also with a sign or without three digits; their tests are kept. Statuses from 600 to 999 were passed on, also as refusals that say that the request was not run, after which an unsafe request was sent once more and refused as not run.

Cause: the check of a head had a lower bound only. The status line itself was read by net/http, which also accepts several blanks before the status and control bytes in the reason.

Change: httpgrammar checks the status line as it was sent: HTTP/1, one blank, three digits in 100 to 599, text. hop applies it to each head, also an informational one; the VM that asks another to forward checks the status of the head that it gets, since that VM may run an earlier build. golang.org/x/net, already in the module graph, has the bytes of values.

--- a/daemon/endived_proof_test.go
+++ b/daemon/endived_proof_test.go
@@ -46,18 +46,20 @@
 // success, on new and reused connections, on each kind of route.
 func TestUnprovenSuccessReachesNoCaller(t *testing.T) {
 	b := newTestSite(t, "near-a")
-	checkUnprovenAnswers(t, b, b.addTarget("app-1", "app", "near-a"), b.addTarget("engine-1", "engine", "near-a"))
+	checkWrongAnswers(t, b, b.addTarget("app-1", "app", "near-a"), b.addTarget("engine-1", "engine", "near-a"), unprovenAnswers())
 }
 
 func TestUnprovenSuccessIsNotForwarded(t *testing.T) {
 	f := newForwardingSite(t, 2, time.Millisecond)
-	checkUnprovenAnswers(t, f.testSite, f.app, f.engine)
+	checkWrongAnswers(t, f.testSite, f.app, f.engine, unprovenAnswers())
 }
 
-func checkUnprovenAnswers(t *testing.T, b *testSite, app, engine *platformtest.Target) {
+// checkWrongAnswers checks that callers get a 502 for each of the answers, and that none is
+// stored or counted.
+func checkWrongAnswers(t *testing.T, b *testSite, app, engine *platformtest.Target, answers map[string]string) {
 	sound := platformtest.Behaviour{Events: 3}
 	program := 0
-	for name, raw := range unprovenAnswers() {
+	for name, raw := range answers {
 		for _, isReused := range []bool{false, true} {
 			for path, target := range map[string]*platformtest.Target{"/read/1": app, orderPath: app, draftPath: engine, "/chat/1": engine} {
 				program++
@@ -96,13 +98,17 @@
 // Guards against a wrong answer of one target that fails a request which another target could
 // serve.
 func TestRepeatableRequestWithUnprovenAnswerIsSentElsewhere(t *testing.T) {
+	checkWrongAnswersAreSentElsewhere(t, unprovenAnswers())
+}
+
+func checkWrongAnswersAreSentElsewhere(t *testing.T, answers map[string]string) {
 	b := newTestSite(t, "near-a")
 	var targets []*platformtest.Target
 	for _, name := range []string{"1", "2"} {
 		targets = append(targets, b.addTarget("app-"+name, "app", "near-a"), b.addTarget("engine-"+name, "engine", "near-a"))
 	}
 	sound := rawHead("200 OK", "{id}", closing, "Content-Length: 17") + "\r\nid: 1\ndata: one\n\n"
-	for name, raw := range unprovenAnswers() {
+	for name, raw := range answers {
 		var asked sync.Map // by request ID
 		for _, target := range targets {
 			target.Set(platformtest.Behaviour{RawAnswer: func(id string) string {
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/fleet"
+	"github.com/endivecourse/endivecourse/internal/httpgrammar"
 	"github.com/endivecourse/endivecourse/placement"
 	"github.com/endivecourse/endivecourse/structs"
 	"github.com/endivecourse/endivecourse/wire"
@@ -128,10 +129,19 @@
 	target := placement.Target{ID: head.Target, Started: head.Incarnation.Started, Address: head.Incarnation.Address}
 	g := &grant{target: target}
 	x.grant, x.target = g, head.Target
+	if err := checkForwardedHead(head); err != nil {
+		return x.rejectResponse(target, err)
+	}
 	resp := &http.Response{StatusCode: head.Status, Header: head.Header, Body: &forwardedBody{stream: stream}}
 	return x.relay(ctx, target, resp)
 }
 
+// checkForwardedHead checks a head that another VM forwards: that of an earlier build passes on
+// more than the grammar allows. Its error is an *httpgrammar.Error.
+func checkForwardedHead(head *fleet.ForwardHead) error {
+	return httpgrammar.CheckStatus(head.Status)
+}
+
 func (x *exchange) forwardRequest(body []byte, tried []structs.TargetID) fleet.ForwardRequest {
 	dueIn := x.timeLeft()
 	if x.ProgramDeadline != 0 {
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"io"
+	"log/slog"
 	"testing"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/endivecourse/endivecourse/fleet"
+	"github.com/endivecourse/endivecourse/internal/httpgrammar"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -42,6 +45,21 @@
 	}
 }
 
+// Guards against MIXED and REFUSED: a VM of an earlier build forwards heads that HTTP does not
+// allow, and the asking VM must not believe them.
+func TestForwardedHeadOutsideGrammarIsRejected(t *testing.T) {
+	for name, head := range map[string]fleet.ForwardHead{
+		"status 0":   {Status: 0},
+		"status 99":  {Status: 99},
+		"status 600": {Status: 600},
+	} {
+		x := &exchange{Request: &Request{ID: "a"}, server: New(Options{Log: slog.New(slog.DiscardHandler)}), forwardedBy: "vm-2"}
+		result := x.relayForwarded(t.Context(), &fakeForwardStream{isWhole: true}, &head)
+		var invalid *httpgrammar.Error
+		assert.Check(t, errors.As(result.cause, &invalid) && result.isRunUnknown && !result.isAnswered, "%s: %+v", name, result)
+	}
+}
+
 // fakeForwardStream replies with parts of a body and, if it is whole, its end.
 type fakeForwardStream struct {
 	parts   [][]byte
--- a/hop/head.go
+++ b/hop/head.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/internal/httpgrammar"
 )
 
 // HeadError reports that no complete head of a response arrived.
@@ -53,10 +55,10 @@
 
 // invalidHead returns why a head must not be believed, empty if it may be.
 func invalidHead(resp *http.Response, head []byte) string {
-	if resp.ProtoMajor != 1 {
-		return "its protocol is not HTTP/1"
+	if err := httpgrammar.CheckHead(head); err != nil {
+		return err.Error()
 	}
-	if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return "unexpected status " + resp.Status
 	}
 	hasLength, hasEncoding := false, false
