hop: a head with a field whose name is not a token is no answer

Here, control bytes and other bytes that no name has were rejected already by net/http; their tests are kept. A blank in or after a name was passed over: the line was dropped on the way to the caller, and with it a length, so that the body went until the end. A line that begins with a blank was joined to the one before, a refusal with such a line was believed (503, not run).

Cause: net/http accepts blanks in names, drops fields without a name and joins lines. hop looked at the names of the two framing headers only.

Change: httpgrammar checks each line of a head as it was sent: a token, a colon, a value without control bytes. The VM that asks another to forward checks the names that it gets.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -139,7 +139,10 @@
 // checkForwardedHead checks a head that another VM forwards: that of an earlier build passes on
 // more than the grammar allows. Its error is an *httpgrammar.Error.
 func checkForwardedHead(head *fleet.ForwardHead) error {
-	return httpgrammar.CheckStatus(head.Status)
+	if err := httpgrammar.CheckStatus(head.Status); err != nil {
+		return err
+	}
+	return httpgrammar.CheckHeader(httpgrammar.PartHead, head.Header)
 }
 
 func (x *exchange) forwardRequest(body []byte, tried []structs.TargetID) fleet.ForwardRequest {
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"net/http"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -49,9 +50,12 @@
 // allow, and the asking VM must not believe them.
 func TestForwardedHeadOutsideGrammarIsRejected(t *testing.T) {
 	for name, head := range map[string]fleet.ForwardHead{
-		"status 0":   {Status: 0},
-		"status 99":  {Status: 99},
-		"status 600": {Status: 600},
+		"status 0":            {Status: 0},
+		"status 99":           {Status: 99},
+		"status 600":          {Status: 600},
+		"blank in a name":     {Status: 200, Header: http.Header{"X Own": {"1"}}},
+		"blank after a name":  {Status: 503, Header: http.Header{"X-Own ": {"1"}}},
+		"name without a byte": {Status: 200, Header: http.Header{"": {"1"}}},
 	} {
 		x := &exchange{Request: &Request{ID: "a"}, server: New(Options{Log: slog.New(slog.DiscardHandler)}), forwardedBy: "vm-2"}
 		result := x.relayForwarded(t.Context(), &fakeForwardStream{isWhole: true}, &head)
--- a/hop/grammar_test.go
+++ b/hop/grammar_test.go
@@ -7,6 +7,49 @@
 	"gotest.tools/v3/assert"
 )
 
+// fieldsOutsideGrammar are lines of a head or trailer that are no fields.
+var fieldsOutsideGrammar = map[string]string{
+	"blank in the name":        "X Own: 1",
+	"blank after the name":     "X-Own : 1",
+	"blank after a framing":    "Content-Length : 5",
+	"blank in a framing":       "Content Length: 5",
+	"blank before the name":    " X-Own: 1",
+	"tab before the name":      "\tContent-Length: 3",
+	"tab after the name":       "X-Own\t: 1",
+	"only a blank":             " ",
+	"blank as the name":        " : 1",
+	"no name":                  ": 1",
+	"no colon":                 "X-Own",
+	"null byte in the name":    "X-\x00Own: 1",
+	"control byte in the name": "X-\x01Own: 1",
+	"delete in the name":       "X-Own\x7f: 1",
+	"vertical tab":             "\vX-Own: 1",
+	"carriage return":          "X-\rOwn: 1",
+	"carriage return before":   "\rX-Own: 1",
+	"separator in the name":    "X(Own): 1",
+	"quote in the name":        "\"X-Own\": 1",
+	"byte above ASCII":         "X-\xc3\x96wn: 1",
+	"null byte in the value":   "X-Own: a\x00b",
+	"carriage return in value": "X-Own: a\rb",
+}
+
+// Guards against MIXED: an answer whose head has a field that the grammar does not allow, on its
+// first, a middle or its last line, must not reach a caller, also one that net/http lets pass.
+func TestFieldsOutsideGrammarAreRejected(t *testing.T) {
+	const id, length = idHeader + ": a\r\n", "Content-Length: 5\r\n"
+	for name, field := range fieldsOutsideGrammar {
+		field += "\r\n"
+		for line, fields := range map[string]string{"first": field + id + length, "middle": id + field + length, "last": id + length + field} {
+			for _, isKept := range []bool{false, true} {
+				for _, status := range []string{"200 OK", "503 x", "103 Early Hints"} {
+					got := fetch(t, "GET", "HTTP/1.1 "+status+"\r\n"+fields+"\r\nhello", closes, isKept)
+					assert.Check(t, got.err != nil && !got.isReusable && IsWrongResponse(got.err), "%s, %s line, %s, kept %v: %+v", name, line, status, isKept, got)
+				}
+			}
+		}
+	}
+}
+
 // Guards against MIXED: an answer whose first line the grammar does not allow must not reach a
 // caller.
 func TestStatusLinesOutsideGrammarAreRejected(t *testing.T) {
--- a/hop/head.go
+++ b/hop/head.go
@@ -64,12 +64,8 @@
 	hasLength, hasEncoding := false, false
 	for line := range bytes.Lines(head) {
 		name, _, _ := bytes.Cut(line, []byte(":"))
-		trimmed := string(bytes.TrimSpace(name))
-		isLength, isEncoding := strings.EqualFold(trimmed, "Content-Length"), strings.EqualFold(trimmed, "Transfer-Encoding")
-		hasLength, hasEncoding = hasLength || isLength, hasEncoding || isEncoding
-		if (isLength || isEncoding) && len(trimmed) != len(name) {
-			return "white space beside the name of " + trimmed
-		}
+		hasLength = hasLength || strings.EqualFold(string(name), "Content-Length")
+		hasEncoding = hasEncoding || strings.EqualFold(string(name), "Transfer-Encoding")
 	}
 	switch {
 	case hasEncoding && hasLength:
