hop: a trailer with a field whose name is not a token ends no answer

What callers saw: nothing was reported; found by looking for the cause of the heads elsewhere. A chunked answer whose trailer has a blank in the name of a field, or a line that continues the one before, was passed on, counted and stored as whole.

Cause: the body that net/http returns reads the trailer as it reads a head, and shows only the fields that it made of it.

Change: hop reads the chunks with httputil.NewChunkedReader, and the lines of the trailer itself with the same limit (4 KiB); httpgrammar checks them. Another line is an error of the body, so that a stream is broken off and another answer is not passed on.

--- a/daemon/endived_answers_test.go
+++ b/daemon/endived_answers_test.go
@@ -108,6 +108,8 @@
 		"cut length":                 {path: orderPath, lines: []string{"Content-Length: 6"}, raw: "hello"},
 		"chunks":                     {path: orderPath, body: "hello you", lines: []string{closing, chunks}, raw: inChunks("hello you", true)},
 		"cut chunks":                 {path: orderPath, lines: []string{chunks}, raw: inChunks("hello you", false)},
+		"blank in the trailer":       {path: orderPath, lines: []string{chunks}, raw: inChunks("hello you", false) + "0\r\nX Own: 1\r\n\r\n"},
+		"stream, blank in trailer":   {path: draftPath, lines: []string{chunks}, raw: inChunks(events, false) + "0\r\nX-Own : 1\r\n\r\n"},
 		"stream, no framing":         {path: draftPath, body: events, raw: events},
 		"stream, no framing, reset":  {path: draftPath, isReset: true, raw: events},
 		"stream, CRLF":               {path: draftPath, body: crlf, raw: crlf},
--- a/hop/head.go
+++ b/hop/head.go
@@ -50,6 +50,9 @@
 	if reason := invalidHead(resp, head[:len(head)-c.reader.Buffered()]); reason != "" {
 		return nil, &InvalidHeadError{Reason: reason}
 	}
+	if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
+		resp.Body = newChunkedBody(c.reader)
+	}
 	return resp, nil
 }
 
