outbound: responses of targets and platforms are checked as hop checks them

What callers saw: nothing was reported; found by looking for the causes elsewhere. Through the drivers and the HTTP client of a platform, a status of 000 or 999, a head or trailer with a blank in the name of a field, a line that is joined to the one before, and the part of a response without length that came before a reset under the upload passed for an answer. A whole response that came before such a reset was lost: net/http closes the connection once a write has failed.

Cause: net/http's transport lets these pass, and reads and writes a connection in two goroutines, of which one is told of a reset.

Change: strictclient.Transport checks status, names and trailer of what net/http returns. Its connections are those of connend, check the bytes of heads and trailers as they arrive (below TLS, only what net/http shows is checked), and report the failure of a write after the response has been read. outbound uses it; an invalid response counts as a sent request without answer, from a target that is alive.

--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -12,6 +12,8 @@
 	"net/http/httptrace"
 	"strings"
 	"time"
+
+	"github.com/endivecourse/endivecourse/internal/strictclient"
 )
 
 const (
@@ -23,7 +25,7 @@
 	maxStaleRetries = 4 // further attempts when the peer has closed a reused connection
 )
 
-// SendError reports that a request got no response. IsSent is false only when no byte of
+// SendError reports that a request got no response that can be believed. IsSent is false only when no byte of
 // the request was written.
 type SendError struct {
 	IsSent bool
@@ -42,6 +44,7 @@
 // proxy.
 type Client struct {
 	transport *http.Transport
+	checked   *strictclient.Transport // on transport
 }
 
 // NewClient creates a client with its own connection pool.
@@ -52,16 +55,17 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn}, nil
+		return &countingConn{Conn: strictclient.NewConn(conn)}, nil
 	}
-	return &Client{transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		TLSHandshakeTimeout:    dialTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	}
+	return &Client{transport: transport, checked: &strictclient.Transport{Base: transport}}
 }
 
 // CloseIdle closes the idle connections of the pool.
@@ -128,7 +132,7 @@
 	}}
 	traced := req.Clone(httptrace.WithClientTrace(req.Context(), trace))
 	disableRetry(traced, body)
-	resp, err := c.transport.RoundTrip(traced)
+	resp, err := c.checked.RoundTrip(traced)
 	if err == nil {
 		return resp, isReused, nil
 	}
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"crypto/tls"
 	"net"
 	"sync"
 )
@@ -25,6 +26,9 @@
 	return c.Conn.Write(p)
 }
 
+// NetConn returns the connection below.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 func (c *countingConn) count() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -46,7 +50,7 @@
 // underlyingConn returns the countingConn below conn, unwrapping a TLS connection. It
 // returns nil if there is none.
 func underlyingConn(conn net.Conn) *countingConn {
-	if layered, ok := conn.(interface{ NetConn() net.Conn }); ok {
+	if layered, isTLS := conn.(*tls.Conn); isTLS {
 		conn = layered.NetConn()
 	}
 	counted, _ := conn.(*countingConn)
