caller, command: responses that HTTP does not allow or that break off are errors

What callers saw: nothing was reported. The callers' library, endivectl's dump and the readiness check of the example took such responses of a gateway or proxy for answers.

Cause: they used http.DefaultClient.

Change: they use strictclient. With an HTTP client of its own choice, a caller gets the checks of what net/http shows, and a response that ends with its connection counts as incomplete, since that client does not tell an end from a reset. JSON is decoded once the whole body has arrived.

--- a/caller/call.go
+++ b/caller/call.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	return readResponse(response)
+	return c.readResponse(response)
 }
 
 // Route sends a request to a route of the operators' document.
@@ -80,12 +80,15 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	return readResponse(response)
+	return c.readResponse(response)
 }
 
-func readResponse(response *http.Response) (Answer, error) {
+func (c *Client) readResponse(response *http.Response) (Answer, error) {
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
+	if err == nil && !c.provesEnds && endsWithConnection(response) {
+		err = &UnprovenEndError{}
+	}
 	answer := Answer{Number: callNumber(response), Status: response.StatusCode, Text: string(body)}
 	if err != nil {
 		return answer, &IncompleteResponseError{Received: len(body), Cause: err}
@@ -93,6 +96,11 @@
 	return answer, nil
 }
 
+// endsWithConnection reports whether a body has neither a length nor chunks.
+func endsWithConnection(response *http.Response) bool {
+	return response.ProtoMajor == 1 && response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // maxEventBytes is the maximum length of a line of an event stream.
 const maxEventBytes = 1 << 20
 
--- a/caller/client.go
+++ b/caller/client.go
@@ -12,6 +12,7 @@
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
 
+	"github.com/endivecourse/endivecourse/internal/strictclient"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -23,19 +24,40 @@
 type Client struct {
 	base *sling.Sling
 	http *http.Client
+	// provesEnds reports that the end of a connection is told from its failure.
+	provesEnds bool
 }
 
+// defaultClient is used by all clients that were given none.
+var defaultClient = strictclient.NewClient()
+
 // New returns a client for the gateway at baseURL. The key may be empty if only
-// open routes are used. A nil httpClient means http.DefaultClient.
+// open routes are used. A nil httpClient means a client with the settings of
+// http.DefaultClient that shares its connections with the others. Another client's
+// responses are checked too, but those that end with their connection count as incomplete.
 func New(baseURL, key string, httpClient *http.Client) *Client {
-	if httpClient == nil {
-		httpClient = http.DefaultClient
+	provesEnds := httpClient == nil
+	if provesEnds {
+		httpClient = defaultClient
+	} else {
+		httpClient = withChecks(httpClient)
 	}
 	base := sling.New().Base(baseURL)
 	if key != "" {
 		base = base.Set("Authorization", "Bearer "+key)
 	}
-	return &Client{base: base, http: httpClient}
+	return &Client{base: base, http: httpClient, provesEnds: provesEnds}
+}
+
+// withChecks returns a client like the given one whose responses are checked.
+func withChecks(httpClient *http.Client) *http.Client {
+	checked := *httpClient
+	transport := httpClient.Transport
+	if transport == nil {
+		transport = http.DefaultTransport
+	}
+	checked.Transport = &strictclient.Transport{Base: transport}
+	return &checked
 }
 
 // NewProgram is the body of a request that creates a program.
@@ -84,7 +106,11 @@
 		return err
 	}
 	defer response.Body.Close()
-	return errors.Wrap(json.NewDecoder(response.Body).Decode(out), "decode response")
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return &IncompleteResponseError{Received: len(body), Cause: err}
+	}
+	return errors.Wrap(json.Unmarshal(body, out), "decode response")
 }
 
 // send sends the request and returns the response. A status of 300 or above gives
--- a/caller/errors.go
+++ b/caller/errors.go
@@ -34,3 +34,12 @@
 
 // Unwrap returns the cause.
 func (e *IncompleteResponseError) Unwrap() error { return e.Cause }
+
+// UnprovenEndError means that a response ended with its connection, and that the HTTP
+// client does not tell an end from a reset.
+type UnprovenEndError struct{}
+
+// Error returns a fixed text.
+func (*UnprovenEndError) Error() string {
+	return "the response has neither a length nor chunks, and its connection may have been reset"
+}
--- a/command/state.go
+++ b/command/state.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/endivecourse/endivecourse/admin"
+	"github.com/endivecourse/endivecourse/internal/strictclient"
 )
 
 // maxDumpBytes bounds a response from an admin address.
@@ -63,7 +64,9 @@
 	if err != nil {
 		return nil, usageErrorf("ADMIN-ADDRESS must be host:port, not %q", address)
 	}
-	response, err := http.DefaultClient.Do(request.WithContext(ctx))
+	client := strictclient.NewClient()
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request.WithContext(ctx))
 	if err != nil {
 		return nil, errors.Wrapf(err, "send request to %s", address)
 	}
--- a/internal/devsite/ready.go
+++ b/internal/devsite/ready.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/caller"
+	"github.com/endivecourse/endivecourse/internal/strictclient"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -30,9 +31,12 @@
 	}
 }
 
+// readinessClient asks gateways whether they are ready.
+var readinessClient = strictclient.NewClient()
+
 // probe checks the gateway's readiness, then creates a program and ends it.
 func (s *Site) probe(ctx context.Context, client *caller.Client) error {
-	response, err := http.Get(s.GatewayURL + "/readyz")
+	response, err := readinessClient.Get(s.GatewayURL + "/readyz")
 	if err != nil {
 		return err
 	}
