engine: a refusal that breaks off is no promise that the request did not run

What callers saw: nothing was reported. A 503 with the not-run header whose body was cut was believed, so that the request was sent to another engine.

Cause: only the first 4 KiB of a refusal's body were read, and errors of that read were ignored.

Change: a refusal counts once its body has arrived whole.

--- a/drivers/target/engine/driver.go
+++ b/drivers/target/engine/driver.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/drivers/target"
+	"github.com/endivecourse/endivecourse/internal/httpgrammar"
 	"github.com/endivecourse/endivecourse/internal/outbound"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/structs"
@@ -27,7 +29,6 @@
 const (
 	controlTimeout    = 5 * time.Second
 	maxReportBytes    = 4 << 20
-	maxErrorBytes     = 4 << 10
 	maxErrorTypeBytes = 64
 )
 
@@ -171,11 +172,15 @@
 		return resp, nil
 	}
 	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil { // a refusal that breaks off promises nothing
+		return nil, &target.IncompleteResponseError{Target: d.spec.ID, Received: int64(len(data)), Cause: err}
+	}
 	return nil, &target.StatusError{
 		Target: d.spec.ID,
 		Status: resp.StatusCode,
 		Ran:    runOutcome(resp),
-		Body:   readErrorType(resp.Body),
+		Body:   errorType(data),
 	}
 }
 
@@ -188,7 +193,8 @@
 	if errors.As(err, &sendErr) && !sendErr.IsSent {
 		return d.newNotSentError(err)
 	}
-	return &target.IncompleteResponseError{Target: d.spec.ID, Cause: err}
+	var invalid *httpgrammar.Error
+	return &target.IncompleteResponseError{Target: d.spec.ID, IsAlive: errors.As(err, &invalid), Cause: err}
 }
 
 // runOutcome reports whether the engine may have run a request with an error response. Only
@@ -201,15 +207,15 @@
 	return structs.RunUnknown
 }
 
-// readErrorType returns the error type from an error response. It drops the message,
+// errorType returns the error type from an error response. It drops the message,
 // which may contain the prompt.
-func readErrorType(body io.Reader) string {
+func errorType(body []byte) string {
 	var response struct {
 		Error struct {
 			Type string `json:"type"`
 		} `json:"error"`
 	}
-	if err := json.NewDecoder(io.LimitReader(body, maxErrorBytes)).Decode(&response); err != nil {
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&response); err != nil {
 		return ""
 	}
 	return response.Error.Type[:min(len(response.Error.Type), maxErrorTypeBytes)]
