edge: a refusal that breaks off is no promise that the request was not run

What callers saw: nothing was reported; found by looking at refusals as at successes. A target's 503, 429 or 421 that says that the request was not run, and that was cut in its body or by a reset under the upload, was believed: an unsafe request was sent to another target, and the caller got a 503, not run.

Cause: only the head of such a refusal was read.

Evidence: on the code before, the new cases of TestUncertainRefusalIsNoPromise and TestRefusalUnderUploadMustBeWhole fail in 10 checks (two of them follow from the targets' backoff after the others). Whole refusals, also one before a reset, are believed as before.

--- a/daemon/endived_answers_test.go
+++ b/daemon/endived_answers_test.go
@@ -68,6 +68,11 @@
 		{"without saying so", rawHead("503 x", id, empty), 502, 1},
 		{"cut in its head", rawHead("503 x", id, notRun, "Content-Le"), 502, 1},
 		{"with the ID, once by each target", rawHead("503 x", id, notRun, empty), 503, 2},
+		{"with a cut body", rawHead("503 x", id, notRun, "Content-Length: 5") + "\r\nfull", 502, 1},
+		{"with cut chunks", rawHead("429 x", id, notRun, "Transfer-Encoding: chunked") + "\r\n4\r\nfull\r\n", 502, 1},
+		{"421 with a cut body", rawHead("421 x", id, "Content-Length: 5") + "\r\nfull", 502, 1},
+		{"without end", rawHead("503 x", id, notRun, "Content-Length: 2000000") + "\r\n" + strings.Repeat("x", 100<<10), 502, 1},
+		{"in chunks, once by each target", rawHead("503 x", id, notRun, "Transfer-Encoding: chunked") + "\r\n4\r\nfull\r\n0\r\n\r\n", 503, 2},
 		{"421 without an ID", rawHead("421 x", "", empty), 502, 1},
 	} {
 		before := len(targets[0].Runs()) + len(targets[1].Runs())
--- a/daemon/endived_reset_test.go
+++ b/daemon/endived_reset_test.go
@@ -146,3 +146,23 @@
 		assert.Check(t, got.err == nil && got.status == http.StatusOK && got.body == "whole", "%d %q %v", got.status, got.body, got.err)
 	}
 }
+
+// Guards against REFUSED: a refusal that says that the request was not run, and that a reset under
+// the upload has cut, is no promise; one that arrived whole is.
+func TestRefusalUnderUploadMustBeWhole(t *testing.T) {
+	b := newTestSite(t, "near-a")
+	allowUploads(b)
+	app := b.addTarget("app-1", "app", "near-a")
+	upload := strings.Repeat("x", uploadBytes)
+	const notRun = platformtest.HeaderNotRun + ": 1"
+	for raw, status := range map[string]int{
+		rawHead("503 x", "{id}", notRun) + "\r\nfull":                      http.StatusBadGateway,
+		rawHead("503 x", "{id}", notRun, "Content-Length: 4") + "\r\nfull": http.StatusServiceUnavailable,
+	} {
+		app.Set(earlyAnswer(raw))
+		for range 2 * resetTries {
+			got := b.send(request{path: orderPath, body: upload})
+			assert.Check(t, got.err == nil && got.status == status, "%q: %d %s %v", raw, got.status, got.body, got.err)
+		}
+	}
+}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -55,6 +55,10 @@
 		x.server.recordDeparture(target)
 	}
 	if head.NotRun || head.WrongTarget {
+		if err := readRefusal(resp); err != nil {
+			x.recordIncompleteResponse(ctx, target, err)
+			return attemptResult{isRunUnknown: true, cause: err}
+		}
 		return x.recordNotRun(target, resp, head)
 	}
 	if isStream(x, resp) {
