drivers: a target whose response HTTP does not allow is alive

Cause: an invalid trailer, or an invalid head of an engine, counted as a crash of the target, by which a request comes into quarantine. Change: IncompleteResponseError.IsAlive is set for each response that HTTP does not allow.

--- a/drivers/target/engine/driver.go
+++ b/drivers/target/engine/driver.go
@@ -13,7 +13,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/drivers/target"
-	"github.com/endivecourse/endivecourse/internal/httpgrammar"
 	"github.com/endivecourse/endivecourse/internal/outbound"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/structs"
@@ -174,7 +173,7 @@
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
 	if err != nil { // a refusal that breaks off promises nothing
-		return nil, &target.IncompleteResponseError{Target: d.spec.ID, Received: int64(len(data)), Cause: err}
+		return nil, &target.IncompleteResponseError{Target: d.spec.ID, Received: int64(len(data)), IsAlive: target.IsInvalidResponse(err), Cause: err}
 	}
 	return nil, &target.StatusError{
 		Target: d.spec.ID,
@@ -193,8 +192,7 @@
 	if errors.As(err, &sendErr) && !sendErr.IsSent {
 		return d.newNotSentError(err)
 	}
-	var invalid *httpgrammar.Error
-	return &target.IncompleteResponseError{Target: d.spec.ID, IsAlive: errors.As(err, &invalid), Cause: err}
+	return &target.IncompleteResponseError{Target: d.spec.ID, IsAlive: target.IsInvalidResponse(err), Cause: err}
 }
 
 // runOutcome reports whether the engine may have run a request with an error response. Only
--- a/drivers/target/engine/stream.go
+++ b/drivers/target/engine/stream.go
@@ -81,7 +81,7 @@
 	}
 	var engineErr *EngineError
 	s.err = &target.IncompleteResponseError{
-		Target: s.target, Received: s.received, IsAlive: errors.As(cause, &engineErr), Cause: cause,
+		Target: s.target, Received: s.received, IsAlive: errors.As(cause, &engineErr) || target.IsInvalidResponse(cause), Cause: cause,
 	}
 	s.cancel()
 	return s.err
--- a/drivers/target/errors.go
+++ b/drivers/target/errors.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"net/http"
 
+	"github.com/pkg/errors"
+
+	"github.com/endivecourse/endivecourse/internal/httpgrammar"
 	"github.com/endivecourse/endivecourse/structs"
 )
 
@@ -40,6 +43,13 @@
 // Unwrap returns the cause.
 func (e *IncompleteResponseError) Unwrap() error { return e.Cause }
 
+// IsInvalidResponse reports whether an error is that of a response which HTTP does not allow. The
+// target that sent it is alive.
+func IsInvalidResponse(err error) bool {
+	var invalid *httpgrammar.Error
+	return errors.As(err, &invalid)
+}
+
 // HeaderRequestID carries the request ID. A target may return it to identify the request
 // that a response belongs to.
 const HeaderRequestID = "X-Request-Id"
--- a/drivers/target/plain/broken_test.go
+++ b/drivers/target/plain/broken_test.go
@@ -1,6 +1,7 @@
 package plain_test
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -11,11 +12,14 @@
 
 // Guards against a response that HTTP does not allow, or that breaks off, and is passed on.
 func TestBrokenResponsesAreIncomplete(t *testing.T) {
+	long := strings.Repeat("hello", 50_000) // of which the head arrives before the trailer
 	for _, status := range []string{"200 OK", "503 x", "404 x"} {
-		for name, raw := range broken.Answers(status, "X-Own: 1\r\n", "hello") {
+		for name, raw := range broken.Answers(status, "X-Own: 1\r\n", long) {
 			_, body, err := receive(t, newDriver(t, "http://"+broken.Serve(t, raw)), request("POST", "/", "x"))
-			assert.Check(t, err != nil, "%s, %s: %q", status, name, body)
-			assertAs[*target.IncompleteResponseError](t, err)
+			assert.Check(t, err != nil, "%s, %s: %.20q", status, name, body)
+			incomplete := assertAs[*target.IncompleteResponseError](t, err)
+			isCut := name == "cut length" || name == "no last chunk"
+			assert.Check(t, incomplete.IsAlive != isCut, "%s, %s: alive %v: %v", status, name, incomplete.IsAlive, err)
 		}
 	}
 }
--- a/drivers/target/plain/driver.go
+++ b/drivers/target/plain/driver.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/endivecourse/endivecourse/drivers/target"
-	"github.com/endivecourse/endivecourse/internal/httpgrammar"
 	"github.com/endivecourse/endivecourse/internal/outbound"
 	"github.com/endivecourse/endivecourse/kernel"
 	"github.com/endivecourse/endivecourse/structs"
@@ -66,8 +65,7 @@
 	if errors.As(err, &sendErr) && !sendErr.IsSent {
 		return &target.NotSentError{Target: d.spec.ID, Cause: err}
 	}
-	var invalid *httpgrammar.Error
-	return &target.IncompleteResponseError{Target: d.spec.ID, IsAlive: errors.As(err, &invalid), Cause: err}
+	return &target.IncompleteResponseError{Target: d.spec.ID, IsAlive: target.IsInvalidResponse(err), Cause: err}
 }
 
 func (d *Driver) newRequest(ctx context.Context, r target.Request) (*http.Request, error) {
--- a/drivers/target/plain/stream.go
+++ b/drivers/target/plain/stream.go
@@ -72,7 +72,7 @@
 	if s.isClosed.Load() {
 		err = &ClosedError{}
 	}
-	s.err = &target.IncompleteResponseError{Target: s.target, Received: s.received, Cause: err}
+	s.err = &target.IncompleteResponseError{Target: s.target, Received: s.received, IsAlive: target.IsInvalidResponse(err), Cause: err}
 	s.cancel()
 	if len(data) > 0 {
 		return target.Chunk{Data: data}, nil
