--- a/daemon/endived_heads_test.go
+++ b/daemon/endived_heads_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/endivecourse/endivecourse/platform/platformtest"
 )
 
@@ -32,6 +34,7 @@
 func TestStatusOutsideGrammarReachesNoCaller(t *testing.T) {
 	b := newTestSite(t, "near-a")
 	checkWrongAnswers(t, b, b.addTarget("app-1", "app", "near-a"), b.addTarget("engine-1", "engine", "near-a"), statusesOutsideGrammar())
+	assert.Check(t, len(b.logs.lines("response rejected", "status line of the response: status")) > 0)
 }
 
 func TestStatusOutsideGrammarIsNotForwarded(t *testing.T) {
@@ -71,6 +74,7 @@
 func TestFieldOutsideGrammarReachesNoCaller(t *testing.T) {
 	b := newTestSite(t, "near-a")
 	checkWrongAnswers(t, b, b.addTarget("app-1", "app", "near-a"), b.addTarget("engine-1", "engine", "near-a"), fieldsOutsideGrammar())
+	assert.Check(t, len(b.logs.lines("response rejected", "head of the response: name of field")) > 0)
 }
 
 func TestFieldOutsideGrammarIsNotForwarded(t *testing.T) {
