connend: a write to a connection that is being closed is waited for too; one stand-in for resets

Cause: at an end, an error of SetWriteDeadline on a connection that this process closes hid what the writer had been told before; hop's test had a copy of the stand-in that resets uploads. Change: the write in progress is waited for, since it returns at once; the test uses internal/standin/broken.

--- a/hop/reset_test.go
+++ b/hop/reset_test.go
@@ -1,48 +1,22 @@
 package hop
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/endivecourse/endivecourse/internal/standin/broken"
 )
 
 // uploadBytes is more than the socket buffers of both ends hold.
 const uploadBytes = 32 << 20
 
-// startEarlyAnswerer starts a target that reads the head of each request, answers at once with
-// raw bytes, and resets the connection a moment later, while the body is still being written.
-func startEarlyAnswerer(t *testing.T, raw string) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			nc, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer nc.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(nc, raw)
-				time.Sleep(2 * time.Millisecond)
-				_ = nc.(*net.TCPConn).SetLinger(0)
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // upload sends a long request and reads its answer.
 func upload(t *testing.T, address string, body []byte) fetched {
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -65,7 +39,7 @@
 // of the answer.
 func TestResetUnderUploadIsNoEndOfAnswer(t *testing.T) {
 	const tries = 200
-	address := startEarlyAnswerer(t, answerHead+"\r\nhel")
+	address := broken.ServeAndReset(t, answerHead+"\r\nhel")
 	body := bytes.Repeat([]byte("x"), uploadBytes)
 	whole := 0
 	for range tries {
--- a/internal/connend/connend.go
+++ b/internal/connend/connend.go
@@ -97,7 +97,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.writing > 0 {
-		if err := c.Conn.SetWriteDeadline(time.Unix(0, 1)); err != nil {
+		err := c.Conn.SetWriteDeadline(time.Unix(0, 1))
+		if err != nil && !errors.Is(err, net.ErrClosed) { // a Write to a closed connection returns too
 			return err
 		}
 	}
