platform, engine: a response longer than its reader takes has no end

What callers saw: nothing was reported.

Cause: io.LimitReader ends with io.EOF at its limit.

Change: one more byte than the limit is read; if it is there, the response is unreadable, and its outcome unknown.

--- a/drivers/target/engine/broken_test.go
+++ b/drivers/target/engine/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -14,7 +15,9 @@
 // allows, or breaks off.
 func TestBrokenResponsesAreIncomplete(t *testing.T) {
 	for status, header := range map[string]string{"200 OK": "", "503 x": "X-Not-Run: true\r\n", "409 x": ""} {
-		for name, raw := range broken.Answers(status, header, `{"running":1}`) {
+		answers := broken.Answers(status, header, `{"running":1}`)
+		answers["too long"] = "HTTP/1.1 " + status + "\r\n" + header + "\r\n" + `{"running":1}` + strings.Repeat(" ", 4<<20)
+		for name, raw := range answers {
 			driver := newDriver(t, "http://"+broken.Serve(t, raw))
 			var incomplete *target.IncompleteResponseError
 			_, err := driver.Load(t.Context())
--- a/drivers/target/engine/driver.go
+++ b/drivers/target/engine/driver.go
@@ -147,7 +147,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	data, err := readWhole(resp.Body)
 	if err == nil && result != nil {
 		err = json.Unmarshal(data, result)
 	}
@@ -171,7 +171,7 @@
 		return resp, nil
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	data, err := readWhole(resp.Body)
 	if err != nil { // a refusal that breaks off promises nothing
 		return nil, &target.IncompleteResponseError{Target: d.spec.ID, Received: int64(len(data)), IsAlive: target.IsInvalidResponse(err), Cause: err}
 	}
@@ -183,6 +183,15 @@
 	}
 }
 
+// readWhole reads a body to its end. Its error is a *ResponseTooLargeError if that is too far.
+func readWhole(body io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxReportBytes+1))
+	if err == nil && len(data) > maxReportBytes {
+		err = &ResponseTooLargeError{Max: maxReportBytes}
+	}
+	return data, err
+}
+
 func (d *Driver) newNotSentError(cause error) error {
 	return &target.NotSentError{Target: d.spec.ID, Cause: cause}
 }
--- a/drivers/target/engine/errors.go
+++ b/drivers/target/engine/errors.go
@@ -25,3 +25,9 @@
 
 // Error returns a fixed text.
 func (*ClosedError) Error() string { return "stream closed before its end" }
+
+// ResponseTooLargeError reports a response, other than a stream, whose end is not read.
+type ResponseTooLargeError struct{ Max int }
+
+// Error returns the limit.
+func (e *ResponseTooLargeError) Error() string { return fmt.Sprintf("over %d bytes", e.Max) }
