--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -19,9 +19,9 @@
 var cases = map[string]func(r *record, hasTrouble bool) (isBroken bool, err error){
 	"budget":  budgetInTwoRegions,
 	"denied":  budgetAfterRestart,
+	"later":   budgetAfterPause,
 	"memory":  memoryOfHistories,
 	"history": longHistory,
-	"path":    pathWithTwoSlashes,
 }
 
 func main() {
--- a/review/_standin3/runner.go
+++ b/review/_standin3/runner.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -28,16 +27,16 @@
 	// start of a prompt that was read before is not read again.
 	readPerMS float64
 
-	listener net.Listener
-	server   *http.Server
-	places   chan struct{} // one for each request that runs
-	mu       sync.Mutex
-	waiting  int
-	arrived  map[string]bool      // IDs of the requests that have arrived whole
-	known    map[uint64]time.Time // when the prompts with a start were read, by its hash
-	readEnd  time.Time            // of the prompts that are being read
-	runs     []run
-	born     int64
+	listener  net.Listener
+	server    *http.Server
+	places    chan struct{} // one for each request that runs
+	mu        sync.Mutex
+	waiting   int
+	arrivedAt map[string]time.Time // by ID, of the requests that were taken
+	known     map[uint64]time.Time // when the prompts with a start were read, by its hash
+	readEnd   time.Time            // of the prompts that are being read
+	runs      []run
+	born      int64
 }
 
 // run is a request that a runner ran.
@@ -53,7 +52,7 @@
 		return err
 	}
 	r.site, r.listener, r.places, r.born = s, listener, make(chan struct{}, r.slots), time.Now().UnixMilli()
-	r.arrived, r.known = make(map[string]bool), make(map[uint64]time.Time)
+	r.arrivedAt, r.known = make(map[string]time.Time), make(map[uint64]time.Time)
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go func() { _ = r.server.Serve(listener) }()
 	r.announce(1)
@@ -90,7 +89,7 @@
 		return true, false
 	}
 	r.waiting++
-	r.arrived[req.Header.Get("X-Endivecourse-Request-Id")] = true
+	r.arrivedAt[req.Header.Get("X-Endivecourse-Request-Id")] = time.Now()
 	r.mu.Unlock()
 	select {
 	case r.places <- struct{}{}:
@@ -203,7 +202,7 @@
 func hasArrived(runners []*runner, id string) bool {
 	for _, r := range runners {
 		r.mu.Lock()
-		isHere := r.arrived[id]
+		_, isHere := r.arrivedAt[id]
 		r.mu.Unlock()
 		if isHere {
 			return true
@@ -211,33 +210,3 @@
 	}
 	return false
 }
-
-// serveRaw answers like a runner, and takes the target of a request line as it comes.
-func (r *runner) serveRaw(nc net.Conn) {
-	defer nc.Close()
-	reader := bufio.NewReader(nc)
-	for {
-		line, err := reader.ReadString('\n')
-		if err != nil {
-			return
-		}
-		id := ""
-		for {
-			field, err := reader.ReadString('\n')
-			if err != nil {
-				return
-			}
-			if field == "\r\n" {
-				break
-			}
-			if len(field) > 27 && http.CanonicalHeaderKey(field[:25]) == "X-Endivecourse-Request-Id" {
-				id = field[27 : len(field)-2]
-			}
-		}
-		r.mu.Lock()
-		r.runs = append(r.runs, run{id: id, target: line})
-		r.mu.Unlock()
-		r.site.record.line("runner %s runs %s: %q", r.id, id, line)
-		fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nX-Endivecourse-Request-Id: %s\r\nX-Endivecourse-Response-Stamp: stamp\r\nContent-Length: 2\r\n\r\nok", id)
-	}
-}
